--- /dev/null
+++ b/packages/adapters/foxtaildale_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: HTTP, ZeroMQ, the platform and logs behind the ports of the core."""
--- /dev/null
+++ b/packages/client/foxtaildale_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program."""
--- /dev/null
+++ b/packages/core/foxtaildale/codes.py
@@ -0,0 +1,152 @@
+"""Registry of outcome codes and their sentences.
+
+Every final answer that is not a plain success names one of these codes. The
+sentence is a template over the outcome's figures, so that a caller, the log
+and `foxtaildale explain` all read the same words.
+"""
+
+from typing import Final
+from typing import Literal
+
+import msgspec
+
+Ran = Literal['no', 'yes', 'unknown']
+
+
+class Code(msgspec.Struct, frozen=True):
+    """One kind of outcome."""
+
+    # Stable name, part of the callers' interface.
+    name: str
+    # HTTP status of the answer.
+    status: int
+    # Whether the request ran at a backend server; `no` is a promise.
+    ran: Ran
+    # Template over the figures of the outcome.
+    sentence: str
+
+
+OK: Final = Code('ok', 200, 'yes', 'The whole answer was given.')
+NO_CAPACITY: Final = Code(
+    'no-capacity',
+    503,
+    'no',
+    'Not run: the first answer would take {estimate_ms} ms, the target is'
+    ' {target_ms} ms.',
+)
+QUEUE_FULL: Final = Code(
+    'queue-full',
+    503,
+    'no',
+    'Not run: {queued} requests wait for this service, the limit is {limit}.',
+)
+PATIENCE_OVER: Final = Code(
+    'patience-over',
+    503,
+    'no',
+    'Not run: no slot came free within {patience_ms} ms of waiting.',
+)
+NO_BACKEND: Final = Code(
+    'no-backend',
+    503,
+    'no',
+    'Not run: no live backend server is listed for this service.',
+)
+NO_PRESET: Final = Code(
+    'no-preset',
+    503,
+    'no',
+    'Not run: this entry VM does not know which preset is in force.',
+)
+STOPPING: Final = Code(
+    'stopping', 503, 'no', 'Not run: this entry VM is being stopped.'
+)
+LOG_DOWN: Final = Code(
+    'log-down',
+    503,
+    'no',
+    'Not run: the claim could not be written to the platform log.',
+)
+TICKET_NEEDED: Final = Code(
+    'ticket-needed',
+    428,
+    'no',
+    'Not run: this service takes a ticket; tickets are enclosed.',
+)
+TICKET_BAD: Final = Code(
+    'ticket-bad', 400, 'no', 'Not run: the ticket is not one of ours.'
+)
+TICKET_OLD: Final = Code(
+    'ticket-old', 409, 'no', 'Not run: the ticket is older than its life.'
+)
+TICKET_VOID: Final = Code(
+    'ticket-void', 409, 'no', 'Not run: the ticket was given up.'
+)
+KEY_NEEDED: Final = Code(
+    'key-needed',
+    428,
+    'no',
+    'Not run: this service takes an Idempotency-Key header.',
+)
+KEY_BAD: Final = Code(
+    'key-bad', 400, 'no', 'Not run: the Idempotency-Key is not valid.'
+)
+OTHER_BODY: Final = Code(
+    'other-body',
+    422,
+    'no',
+    'Not run: this identity was first used with another body.',
+)
+IN_PROGRESS: Final = Code(
+    'in-progress',
+    409,
+    'yes',
+    'This identity is being run already; its outcome is not known yet.',
+)
+DONE_BEFORE: Final = Code(
+    'done-before', 200, 'yes', 'This identity ran before; this is its outcome.'
+)
+UNKNOWN: Final = Code(
+    'outcome-unknown',
+    502,
+    'unknown',
+    'It is not known whether the request ran.',
+)
+FAILED: Final = Code(
+    'failed',
+    502,
+    'unknown',
+    'The request was started and did not end; it may have run in part.',
+)
+BROKEN: Final = Code(
+    'broken',
+    502,
+    'yes',
+    'The answer broke off and could not be resumed; what came is not whole.',
+)
+CANCELLED: Final = Code(
+    'cancelled', 499, 'unknown', 'The caller went away; work was cancelled.'
+)
+BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
+TOO_LARGE: Final = Code(
+    'too-large',
+    413,
+    'no',
+    'Not run: the body has {found} bytes, the limit is {limit}.',
+)
+NO_SERVICE: Final = Code(
+    'no-service',
+    404,
+    'no',
+    'Not run: the preset in force has no service {service}.',
+)
+NO_STREAM: Final = Code(
+    'no-stream',
+    404,
+    'unknown',
+    'No backend server holds the stream any more.',
+)
+
+ALL: Final[dict[str, Code]] = {
+    code.name: code for code in list(vars().values()) if isinstance(code, Code)
+}
--- /dev/null
+++ b/packages/core/foxtaildale/messages.py
@@ -0,0 +1,322 @@
+"""Messages between the system's own processes.
+
+Each is a tagged struct in array form, so the bytes hold no field names. Every
+request has one reply; `Fail` may stand for any reply.
+"""
+
+from typing import Final
+
+import msgspec
+
+from foxtaildale import errors
+from foxtaildale import values
+
+
+class Wire(
+    msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
+):
+    """Base of every message."""
+
+
+class Fail(Wire, frozen=True):
+    """The other side could not serve the message."""
+
+    code: str
+    message: str = ''
+
+
+class Ping(Wire, frozen=True):
+    """Heartbeat of a connection; answered by `Pong`."""
+
+
+class Pong(Wire, frozen=True):
+    """Answers `Ping` and any message that needs no more."""
+
+
+class Hello(Wire, frozen=True):
+    """From an entry to the keeper of its VM, about once a second."""
+
+    incarnation: str
+    # Address where other entries reach it.
+    address: str
+    # Revision it works by.
+    revision: int
+
+
+class HelloReply(Wire, frozen=True):
+    """What an entry needs to know to route."""
+
+    keeper: str
+    # None while the keeper does not know.
+    in_force: values.InForce | None
+    listing: values.Listing | None
+    # The keeper's members: entry VMs it has heard of lately.
+    keepers: tuple[tuple[str, str], ...] = ()
+
+
+class Beat(Wire, frozen=True):
+    """Between keepers, about once a second."""
+
+    entry_vm: str
+    incarnation: str
+    data_centre: str
+    address: str
+    # Log offset folded so far, and the digest of the folded state.
+    offset: int
+    digest: str
+    listing_version: int
+    # Incarnations of the entries on this VM.
+    entries: tuple[str, ...] = ()
+
+
+class Pull(Wire, frozen=True):
+    """Asks a keeper that is ahead for its folded state."""
+
+    offset: int
+
+
+class PullReply(Wire, frozen=True):
+    """The folded state of a keeper, in its checkpoint form."""
+
+    offset: int
+    digest: str
+    state: bytes
+    listing: values.Listing | None
+
+
+class AskSlot(Wire, frozen=True):
+    """From an entry to the home of a service's pool."""
+
+    service: str
+    request: str
+    attempt: int
+    holder: str
+    prompt_tokens: int
+    output_tokens: int
+    # Digests of the prompt's prefixes, shortest first, for cache hints.
+    prefixes: tuple[str, ...] = ()
+    # Time since the request arrived, milliseconds.
+    waited_ms: int = 0
+
+
+class Granted(Wire, frozen=True):
+    """Slot and link time are reserved; prefill starts after `start_in_ms`."""
+
+    grant: str
+    prefill: str
+    prefill_address: str
+    decode: str
+    decode_address: str
+    start_in_ms: int
+    # The grant lapses if unused for this long after its start.
+    lapses_ms: int
+
+
+class Queued(Wire, frozen=True):
+    """No slot yet; ask again after `again_in_ms`."""
+
+    again_in_ms: int
+    position: int
+
+
+class Refused(Wire, frozen=True):
+    """Not admitted; nothing is reserved."""
+
+    code: str
+    figures: tuple[values.Figure, ...]
+    retry_after_ms: int
+
+
+class EndSlot(Wire, frozen=True):
+    """A grant is used up, whatever came of it."""
+
+    service: str
+    grant: str
+    # done, cancelled, prefill-failed, transfer-failed, decode-failed
+    result: str
+
+
+class KeepSlots(Wire, frozen=True):
+    """From a holder to a home: what it holds; rebuilds a lost ledger."""
+
+    service: str
+    holder: str
+    # Pairs of grant and decode worker.
+    grants: tuple[tuple[str, str], ...]
+
+
+class AskClaim(Wire, frozen=True):
+    """From an entry to the keeper of its VM: may I run this key?"""
+
+    service: str
+    key: str
+    # Hex digest of the body.
+    body: str
+    request: str
+    holder: str
+
+
+class ClaimReply(Wire, frozen=True):
+    """What the log says of a key.
+
+    Status is one of won, lost, other-body, log-down, old.
+    """
+
+    status: str
+    owner: str = ''
+    owner_address: str = ''
+    request: str = ''
+    retry_after_ms: int = 0
+
+
+class EndClaim(Wire, frozen=True):
+    """The owner tells its keeper what came of a claim."""
+
+    service: str
+    key: str
+    outcome: values.Outcome
+
+
+class Ticket(Wire, frozen=True):
+    """Names who alone may run a request, and who witnesses its start."""
+
+    identity: str
+    service: str
+    # Incarnation that may run it, and where it is reached.
+    executor: str
+    executor_address: str
+    # Incarnation of the keeper that notes the start, and where it is reached.
+    witness: str
+    witness_address: str
+    # Seconds on the executor's own monotonic clock.
+    minted_at: float
+    # Hex HMAC-SHA256 of the fields above.
+    mac: str = ''
+
+
+class Note(Wire, frozen=True):
+    """From the executor to the witness, before the first byte is sent."""
+
+    identity: str
+    witness: str
+    body: str
+    # How long the witness remembers it, seconds.
+    life_s: float
+
+
+class Void(Wire, frozen=True):
+    """From anyone to the witness: let this identity never run."""
+
+    identity: str
+    witness: str
+    body: str
+    life_s: float
+
+
+class Tell(Wire, frozen=True):
+    """From the executor to the witness: what came of it."""
+
+    identity: str
+    witness: str
+    outcome: values.Outcome
+    answer: bytes = b''
+
+
+class WitnessReply(Wire, frozen=True):
+    """Status is one of noted, voided, told, stranger.
+
+    A stranger is a keeper of another incarnation than the ticket names.
+    """
+
+    status: str
+    outcome: values.Outcome | None = None
+    answer: bytes = b''
+
+
+class RunTicket(Wire, frozen=True):
+    """From an entry that got a ticket to the one that may run it."""
+
+    ticket: Ticket
+    call: str
+    body: bytes
+    request: str
+
+
+class RunReply(Wire, frozen=True):
+    """The outcome of a ticket, with the answer if there is one."""
+
+    outcome: values.Outcome
+    answer: bytes = b''
+
+
+class AskOutcome(Wire, frozen=True):
+    """From an entry to a claim's owner: what came of it?"""
+
+    service: str
+    key: str
+
+
+class Dump(Wire, frozen=True):
+    """Asks for the state of a process."""
+
+
+class DumpReply(Wire, frozen=True):
+    """State of a process as JSON."""
+
+    state: bytes
+
+
+Any = (
+    Fail
+    | Ping
+    | Pong
+    | Hello
+    | HelloReply
+    | Beat
+    | Pull
+    | PullReply
+    | AskSlot
+    | Granted
+    | Queued
+    | Refused
+    | EndSlot
+    | KeepSlots
+    | AskClaim
+    | ClaimReply
+    | EndClaim
+    | Ticket
+    | Note
+    | Void
+    | Tell
+    | WitnessReply
+    | RunTicket
+    | RunReply
+    | AskOutcome
+    | Dump
+    | DumpReply
+)
+
+# Longest message between processes, bytes; a longer one is not looked at.
+MAX_BYTES: Final = 8 * 1024 * 1024
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(Any)
+
+
+def encode(msg: Any) -> bytes:
+    """Returns the bytes of a message."""
+    return _encoder.encode(msg)
+
+
+def decode(data: bytes) -> Any:
+    """Returns the message in `data`.
+
+    Raises:
+        errors.DecodeError: The bytes are not one of the messages.
+    """
+    if len(data) > MAX_BYTES:
+        raise errors.DecodeError(f'{len(data)} bytes, limit {MAX_BYTES}')
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.DecodeError(str(exc)) from exc
--- /dev/null
+++ b/packages/core/foxtaildale/values.py
@@ -0,0 +1,129 @@
+"""Values that travel through the whole system.
+
+They are immutable structs with slots; the codec library needs their fields
+declared, which is why they are `msgspec.Struct` and not bare classes.
+"""
+
+from typing import Literal
+
+import msgspec
+
+Role = Literal['prefill', 'decode', 'plain']
+State = Literal['live', 'leaving']
+Once = Literal['none', 'claim', 'ticket']
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One figure that a decision was made on."""
+
+    name: str
+    value: float | str
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """The final, explained result of one request."""
+
+    # Identifies the request for `foxtaildale explain`.
+    request: str
+    # A name from `codes.ALL`.
+    code: str
+    sentence: str
+    figures: tuple[Figure, ...] = ()
+    # Revision of the preset in force when it was decided; 0 if none.
+    revision: int
+    entry_vm: str
+    # Seconds since the epoch, for people; decisions never use it.
+    at: float
+    # When to come back, in seconds; 0 where that makes no sense.
+    retry_after_s: float = 0.0
+    service: str = ''
+
+
+class BackendServer(msgspec.Struct, frozen=True, kw_only=True):
+    """A backend server as the platform lists it."""
+
+    name: str
+    # IP number and port of its HTTP interface.
+    address: str
+    data_centre: str
+    service: str
+    role: Role
+    state: State = 'live'
+    # Whether it refuses an order that carries an old fencing number.
+    fenced: bool = False
+    # Requests it holds at once.
+    slots: int = 20
+
+
+class EntryVm(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry VM as the platform lists it."""
+
+    name: str
+    data_centre: str
+    # IP number and port of its keeper.
+    keeper: str
+    state: State = 'live'
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """The platform's list of live and leaving VMs; it lags."""
+
+    # Grows with each change; an older list never replaces a newer one.
+    version: int
+    entry_vms: tuple[EntryVm, ...]
+    backend_servers: tuple[BackendServer, ...]
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """What a preset says of one service."""
+
+    kind: Literal['model', 'plain']
+    # Which rule keeps a non-idempotent request from running twice.
+    once: Once = 'none'
+    # 0 is the most urgent.
+    priority: int = 5
+    # Target for the first answer, milliseconds; 0 means no target.
+    first_answer_ms: int = 0
+    # Target between tokens, milliseconds; 0 means no target.
+    between_tokens_ms: int = 0
+    # How long a request may wait for a slot, milliseconds.
+    patience_ms: int = 0
+    # Requests of this service that may wait at once.
+    queue_limit: int = 64
+    # Longest body taken, bytes.
+    max_body_bytes: int = 1_048_576
+    # Answer length assumed until the caller says otherwise, tokens.
+    expected_tokens: int = 128
+    # How long a call to a plain service may take, milliseconds.
+    call_timeout_ms: int = 5_000
+
+
+class Weights(msgspec.Struct, frozen=True):
+    """What the operators weigh more."""
+
+    goodput: float = 1.0
+    wasted_prefill: float = 1.0
+
+
+class Preset(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole set of rules; exactly one is in force."""
+
+    name: str
+    services: dict[str, Service]
+    weights: Weights = Weights()
+    # Retries allowed for each first try, over a sliding window.
+    retry_ratio: float = 0.1
+    # Retries allowed beyond the ratio, for quiet times.
+    retry_burst: int = 3
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """The preset in force, as folded from the platform's log."""
+
+    # Counts accepted switches; never goes down.
+    revision: int
+    # Offset of the record that put it in force.
+    offset: int
+    # Hex digest of the preset's canonical form.
+    digest: str
+    preset: Preset
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, stand-ins and benches; no part of a shipped package."""
