Name keepers by incarnation, say goodbye, tell attached holdings

A witness is one start of a keeper, so an entry must learn incarnations and not only addresses. A planned stop need not cost its peers the silence bound. A holding whose connection is still at work must not be taken for a dead holder's when a keeper is merely cut off.

--- a/packages/core/foxtaildale/backends.py
+++ b/packages/core/foxtaildale/backends.py
@@ -147,7 +147,10 @@
     attempt: int
     holder: str
     kind: Literal['queued', 'prefill', 'kv', 'slot', 'stream']
+    # Since it was made, or since its last reader went.
     age_ms: int
+    # Whether a connection is at work on it.
+    attached: bool = False
 
 
 class Holdings(msgspec.Struct, frozen=True):
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -50,8 +50,16 @@
     # None while the keeper does not know.
     in_force: values.InForce | None
     listing: values.Listing | None
-    # The keeper's members: entry VMs it has heard of lately.
-    keepers: tuple[tuple[str, str], ...] = ()
+    # Keepers heard of lately, this one among them.
+    keepers: tuple[values.Keeper, ...] = ()
+    # Whether the VM is to be stopped.
+    leaving: bool = False
+
+
+class Bye(Wire, frozen=True):
+    """From a process that ends by plan: it is gone from now on."""
+
+    incarnation: str
 
 
 class Beat(Wire, frozen=True):
@@ -272,6 +280,7 @@
     | Pong
     | Hello
     | HelloReply
+    | Bye
     | Beat
     | Pull
     | PullReply
--- a/packages/core/foxtaildale/values.py
+++ b/packages/core/foxtaildale/values.py
@@ -65,6 +65,17 @@
     state: State = 'live'
 
 
+class Keeper(msgspec.Struct, frozen=True, kw_only=True):
+    """A keeper as its peers hear of it."""
+
+    # Name of its entry VM.
+    name: str
+    # Names this start of the process; a restart is another keeper.
+    incarnation: str
+    address: str
+    data_centre: str
+
+
 class Listing(msgspec.Struct, frozen=True):
     """The platform's list of live and leaving VMs; it lags."""
 
