--- a/packages/core/foxtaildale/backends.py
+++ b/packages/core/foxtaildale/backends.py
@@ -12,14 +12,31 @@
     GET  /holdings       Holdings
     GET  /cache?after=N  CacheEvents, late and with gaps
     POST /orders         Order -> OrderReply          (both)
+    GET  /orders         Observed                     (both)
 
 Errors are an HTTP status of 400 or above with a `Fault` as the body. Events
 have an `id` line `WORKER/STREAM/POSITION` and a `data` line with JSON.
 """
 
+from typing import Final
 from typing import Literal
 
 import msgspec
+import xxhash
+
+# Engines cache prompt prefixes in blocks of so many tokens.
+PREFIX_TOKENS: Final = 128
+
+
+def prefixes(tokens: list[str]) -> tuple[str, ...]:
+    """Returns the digests of a prompt's whole blocks, shortest first."""
+    hasher = xxhash.xxh64()
+    found = []
+    for start in range(0, len(tokens) - PREFIX_TOKENS + 1, PREFIX_TOKENS):
+        block = tokens[start : start + PREFIX_TOKENS]
+        hasher.update((' '.join(block) + ' ').encode())
+        found.append(hasher.hexdigest())
+    return tuple(found)
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -140,13 +157,16 @@
     age_ms: int
 
 
+HoldingKind = Literal['queued', 'prefill', 'kv', 'slot', 'stream']
+
+
 class Holding(msgspec.Struct, frozen=True, kw_only=True):
     """Something an engine keeps in memory for a request."""
 
     request: str
     attempt: int
     holder: str
-    kind: Literal['queued', 'prefill', 'kv', 'slot', 'stream']
+    kind: HoldingKind
     # Since it was made, or since its last reader went.
     age_ms: int
     # Whether a connection is at work on it.
@@ -164,7 +184,7 @@
 
     number: int
     kind: Literal['stored', 'evicted']
-    # xxh64 hex digest of the prompt's prefix.
+    # One of `prefixes` of the prompt.
     prefix: str
     tokens: int
 
@@ -190,3 +210,9 @@
     kind: str
     value: str
     fence: int
+
+
+class Observed(msgspec.Struct, frozen=True):
+    """What a backend server is in fact set to, one entry a kind."""
+
+    orders: tuple[OrderReply, ...]
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,121 @@
+"""A TCP relay in a thread, with switches for what networks do.
+
+`cut` closes every connection and accepts no new ones. `silence` forgets the
+connections that are open: they stay open, and what comes on them is thrown
+away, while new ones work. `delay_s` holds up each block of bytes.
+"""
+
+import contextlib
+import socket
+import threading
+import time
+from typing import Final
+
+_BLOCK: Final = 65536
+
+
+class Relay:
+    """Passes connections on to a target address; a context manager."""
+
+    __slots__ = (
+        '_closed',
+        '_conns',
+        '_listener',
+        '_lock',
+        '_silent',
+        '_target',
+        'accepted',
+        'address',
+        'cut_off',
+        'delay_s',
+    )
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(':')
+        self._target = (host, int(port))
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        self._lock = threading.Lock()
+        self._closed = False
+        # Both sockets of each connection.
+        self._conns: list[tuple[socket.socket, socket.socket]] = []
+        self._silent: set[socket.socket] = set()
+        self.accepted = 0
+        self.cut_off = False
+        self.delay_s = 0.0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self) -> 'Relay':
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def cut(self) -> None:
+        """Closes every connection, and new ones as they come."""
+        self.cut_off = True
+        self._drop_all()
+
+    def mend(self) -> None:
+        """Lets new connections through again, and undoes the delay."""
+        self.cut_off = False
+        self.delay_s = 0.0
+
+    def silence(self) -> None:
+        """Forgets the open connections without closing them."""
+        with self._lock:
+            for pair in self._conns:
+                self._silent.update(pair)
+
+    def close(self) -> None:
+        """Ends the relay."""
+        self._closed = True
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._drop_all()
+
+    def _drop_all(self) -> None:
+        with self._lock:
+            pairs, self._conns = self._conns, []
+            self._silent.clear()
+        for pair in pairs:
+            _shut(pair)
+
+    def _accept(self) -> None:
+        while not self._closed:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            if self.cut_off:
+                near.close()
+                continue
+            try:
+                far = socket.create_connection(self._target)
+            except OSError:
+                near.close()
+                continue
+            with self._lock:
+                self._conns.append((near, far))
+            for source, sink in ((near, far), (far, near)):
+                threading.Thread(
+                    target=self._pass, args=(source, sink), daemon=True
+                ).start()
+
+    def _pass(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(_BLOCK):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                if source not in self._silent:
+                    sink.sendall(data)
+        if source not in self._silent:
+            _shut((source, sink))
+
+
+def _shut(pair: tuple[socket.socket, socket.socket]) -> None:
+    for conn in pair:
+        with contextlib.suppress(OSError):
+            conn.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,208 @@
+"""The HTTP side of every stand-in, on cheroot.
+
+A stand-in gives a handler from requests to responses. A handler or a body that
+raises `Cut` closes the connection without a further byte.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import errno
+import json
+import os
+import select
+import signal
+import socket
+import threading
+import time
+from typing import Final
+from typing import TypeVar
+import urllib.parse
+
+import cheroot.server
+import msgspec
+
+_T = TypeVar('_T', bound=msgspec.Struct)
+
+# Largest number of connections that wait to be taken.
+_BACKLOG: Final = 256
+
+
+class Cut(Exception):  # noqa: N818
+    """Closes the connection with nothing more said."""
+
+
+class Request:
+    """One HTTP request."""
+
+    __slots__ = ('_socket', 'body', 'headers', 'method', 'path', 'query')
+
+    def __init__(self, raw: cheroot.server.HTTPRequest) -> None:
+        self._socket: socket.socket = raw.conn.socket
+        self.method: str = raw.method.decode()
+        self.path: str = urllib.parse.unquote(raw.path.decode())
+        self.query = dict(urllib.parse.parse_qsl(raw.qs.decode()))
+        # Names in lower case.
+        self.headers = {
+            name.decode().lower(): value.decode()
+            for name, value in raw.inheaders.items()
+        }
+        length = int(self.headers.get('content-length', '0'))
+        self.body: bytes = raw.rfile.read(length) if length else b''
+
+    def hung_up(self) -> bool:
+        """Says whether the other side has closed the connection."""
+        try:
+            poll = select.poll()
+            poll.register(self._socket, select.POLLIN | select.POLLRDHUP)
+            found = poll.poll(0)
+        except (OSError, ValueError):
+            return True
+        gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+        return any(event & gone for _, event in found)
+
+
+class Response(msgspec.Struct):
+    """Status and body; an iterator is sent piece by piece."""
+
+    body: bytes | Iterator[bytes] = b''
+    status: int = 200
+    kind: str = 'application/json'
+
+
+Handler = Callable[[Request], Response]
+
+
+def as_json(value: object, status: int = 200) -> Response:
+    """Returns a response that holds a value as JSON."""
+    return Response(msgspec.json.encode(value), status)
+
+
+def merge(faults: _T, body: bytes) -> _T:
+    """Returns the faults with those fields replaced that a body names."""
+    fields = msgspec.structs.asdict(faults) | msgspec.json.decode(body)
+    return msgspec.convert(fields, type(faults))
+
+
+class Execution(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of a stand-in's own record, for checking histories."""
+
+    # prefill, transfer, decode or call
+    kind: str
+    # begun, ended, cancelled
+    phase: str
+    request: str
+    attempt: int = 0
+    holder: str = ''
+    # Monotonic clock, seconds; the same for all processes of a machine.
+    at: float
+    # Tokens worked on, where that makes sense.
+    tokens: int = 0
+    # Name of the call, and digest of its body.
+    call: str = ''
+    body: str = ''
+
+
+class Record:
+    """Everything that a stand-in executed, in order."""
+
+    __slots__ = ('_entries', '_lock')
+
+    def __init__(self) -> None:
+        self._entries: list[Execution] = []
+        self._lock = threading.Lock()
+
+    def note(
+        self,
+        kind: str,
+        phase: str,
+        request: str,
+        attempt: int = 0,
+        *,
+        holder: str = '',
+        tokens: int = 0,
+        call: str = '',
+        body: str = '',
+    ) -> None:
+        """Adds an entry."""
+        entry = Execution(
+            kind=kind,
+            phase=phase,
+            request=request,
+            attempt=attempt,
+            holder=holder,
+            at=time.monotonic(),
+            tokens=tokens,
+            call=call,
+            body=body,
+        )
+        with self._lock:
+            self._entries.append(entry)
+
+    def entries(self) -> list[Execution]:
+        """Returns a copy of all entries."""
+        with self._lock:
+            return list(self._entries)
+
+
+class _Gateway(cheroot.server.Gateway):
+    def respond(self) -> None:
+        raw = self.req
+        cut = OSError(errno.ECONNRESET, 'cut')
+        try:
+            response = raw.server.handler(Request(raw))
+        except Cut:
+            _shut(raw)
+            raise cut from None
+        body = response.body
+        raw.status = b'%d x' % response.status
+        raw.outheaders = [(b'Content-Type', response.kind.encode())]
+        if isinstance(body, bytes):
+            length = str(len(body)).encode()
+            raw.outheaders.append((b'Content-Length', length))
+            raw.ensure_headers_sent()
+            raw.write(body)
+            return
+        raw.ensure_headers_sent()
+        try:
+            for chunk in body:
+                raw.write(chunk)
+        except Cut:
+            _shut(raw)
+            raise cut from None
+        finally:
+            getattr(body, 'close', lambda: None)()
+
+
+def _shut(raw: cheroot.server.HTTPRequest) -> None:
+    try:
+        raw.conn.socket.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+
+
+class _Server(cheroot.server.HTTPServer):
+    handler: Handler
+
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        if traceback:
+            super().error_log(msg, level, traceback)
+
+
+def run(handler: Handler, address: str, threads: int) -> None:
+    """Serves until SIGTERM, then ends the process with exit code 0."""
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda _num, _frame: stop.set())
+    host, _, port = address.rpartition(':')
+    server = _Server((host, int(port)), _Gateway, minthreads=threads)
+    server.handler = handler
+    server.request_queue_size = _BACKLOG
+    server.timeout = 30
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    bound_host, bound_port = server.bind_addr[:2]
+    print(json.dumps({'address': f'{bound_host}:{bound_port}'}), flush=True)
+    stop.wait()
+    # Handlers that stall on purpose must not hold up the end.
+    os._exit(0)
