--- /dev/null
+++ b/packages/core/foxtaildale/rules.py
@@ -0,0 +1,173 @@
+"""Rules over several settings at once.
+
+The schema bounds each field alone. What only goes wrong in combination is
+found here, as faults that `settings` puts into words.
+"""
+
+from typing import Final
+
+import msgspec
+
+from foxtaildale import options
+from foxtaildale import values
+
+# A single late heartbeat must not make a process count as gone.
+_HEARTBEATS_IN_SILENCE: Final = 2
+_ADDRESSES: Final = (
+    'caller_address',
+    'peer_address',
+    'admin_address',
+    'keeper',
+    'platform',
+)
+_LISTENING: Final = _ADDRESSES[:3]
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One thing wrong with settings."""
+
+    # Dotted path of the field; empty for the whole file.
+    path: str
+    found: str
+    allowed: str
+
+
+def options_faults(cfg: options.Options, given: frozenset[str]) -> list[Fault]:
+    """Returns what is wrong with options whose fields are each in bounds.
+
+    Args:
+        cfg: The options.
+        given: Names of the fields that the file sets itself.
+    """
+    faults = _role_faults(cfg, given)
+    for name in _ADDRESSES:
+        faults += _address_faults(name, getattr(cfg, name))
+    faults += _shared_faults(cfg)
+    faults += _time_faults(cfg)
+    return faults
+
+
+def preset_faults(preset: values.Preset) -> list[Fault]:
+    """Returns what is wrong with a preset whose fields are each in bounds."""
+    faults: list[Fault] = []
+    for name, service in sorted(preset.services.items()):
+        faults += _service_faults(f'services.{name}', service)
+    return faults
+
+
+def _role_faults(cfg: options.Options, given: frozenset[str]) -> list[Fault]:
+    if cfg.role == 'entry' and 'keeper' not in given:
+        return [
+            Fault('keeper', 'nothing', 'the address of the keeper of this VM')
+        ]
+    if cfg.role == 'keeper':
+        return [
+            Fault(name, f'"{getattr(cfg, name)}"', 'nothing, for a keeper')
+            for name in ('caller_address', 'keeper')
+            if name in given
+        ]
+    return []
+
+
+def _address_faults(name: str, address: str) -> list[Fault]:
+    ip, _, port = address.rpartition(':')
+    if any(int(part) > 255 for part in ip.split('.')) or int(port) > 65_535:
+        return [
+            Fault(name, f'"{address}"', 'numbers to 255 and a port to 65535')
+        ]
+    if name not in _LISTENING and int(port) == 0:
+        # The kernel chooses a port only for an address that is listened on.
+        return [Fault(name, f'"{address}"', 'a port from 1 to 65535')]
+    return []
+
+
+def _shared_faults(cfg: options.Options) -> list[Fault]:
+    """Finds two interfaces on one address; the second could not be opened."""
+    seen: dict[str, str] = {}
+    faults: list[Fault] = []
+    for name in _LISTENING:
+        address = getattr(cfg, name)
+        if address.endswith(':0'):
+            continue
+        if address in seen:
+            faults.append(
+                Fault(
+                    name,
+                    f'"{address}", the same as {seen[address]}',
+                    'an address of its own',
+                )
+            )
+        seen[address] = name
+    return faults
+
+
+def _time_faults(cfg: options.Options) -> list[Fault]:
+    least = _HEARTBEATS_IN_SILENCE * cfg.heartbeat_s
+    round_s = cfg.poll_s + cfg.platform_timeout_s
+    faults: list[Fault] = []
+    if cfg.silence_s < least:
+        # One lost heartbeat would cut a healthy process off.
+        faults.append(
+            Fault(
+                'silence_s',
+                str(cfg.silence_s),
+                f'at least {_HEARTBEATS_IN_SILENCE} times heartbeat_s, {least}',
+            )
+        )
+    if cfg.freshness_s < max(cfg.silence_s, round_s):
+        # A keeper would stop vouching between two good reads of the log.
+        faults.append(
+            Fault(
+                'freshness_s',
+                str(cfg.freshness_s),
+                'at least silence_s and poll_s + platform_timeout_s,'
+                f' {max(cfg.silence_s, round_s)}',
+            )
+        )
+    if cfg.ticket_life_s <= cfg.silence_s:
+        # A ticket would be too old before its executor counts as gone.
+        faults.append(
+            Fault(
+                'ticket_life_s',
+                str(cfg.ticket_life_s),
+                f'above silence_s, {cfg.silence_s}',
+            )
+        )
+    return faults
+
+
+def _service_faults(path: str, service: values.Service) -> list[Fault]:
+    faults: list[Fault] = []
+    if service.kind == 'plain':
+        faults += [
+            Fault(
+                f'{path}.{name}',
+                str(getattr(service, name)),
+                '0, since a plain service has no tokens',
+            )
+            for name in ('first_answer_ms', 'between_tokens_ms')
+            if getattr(service, name)
+        ]
+    if service.kind == 'model' and service.once == 'ticket':
+        # A ticket's outcome travels whole between VMs; a stream can't.
+        faults.append(
+            Fault(f'{path}.once', 'ticket', 'claim or none for a model service')
+        )
+    if 0 < service.first_answer_ms < service.patience_ms:
+        # A request would hold its place in the queue past its own target.
+        faults.append(
+            Fault(
+                f'{path}.patience_ms',
+                str(service.patience_ms),
+                f'at most first_answer_ms, {service.first_answer_ms}',
+            )
+        )
+    if service.patience_ms and not service.queue_limit:
+        faults.append(
+            Fault(
+                f'{path}.queue_limit',
+                '0',
+                'at least 1 where patience_ms is set',
+            )
+        )
+    return faults
--- a/packages/core/foxtaildale/values.py
+++ b/packages/core/foxtaildale/values.py
@@ -4,10 +4,17 @@
 declared, which is why they are `msgspec.Struct` and not bare classes.
 """
 
+from typing import Annotated
 from typing import Literal
 
 import msgspec
 
+# Bounds stand at the fields, so that the schema which checks a preset before
+# it is published and the codec that reads it back both have them.
+_Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,39}$')]
+_Millis = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=1000)]
+
 Role = Literal['prefill', 'decode', 'plain']
 State = Literal['live', 'leaving']
 Once = Literal['none', 'claim', 'ticket']
@@ -81,40 +88,44 @@
     # Which rule keeps a non-idempotent request from running twice.
     once: Once = 'none'
     # 0 is the most urgent.
-    priority: int = 5
+    priority: Annotated[int, msgspec.Meta(ge=0, le=9)] = 5
     # Target for the first answer, milliseconds; 0 means no target.
-    first_answer_ms: int = 0
+    first_answer_ms: _Millis = 0
     # Target between tokens, milliseconds; 0 means no target.
-    between_tokens_ms: int = 0
+    between_tokens_ms: _Millis = 0
     # How long a request may wait for a slot, milliseconds.
-    patience_ms: int = 0
+    patience_ms: _Millis = 0
     # Requests of this service that may wait at once.
-    queue_limit: int = 64
+    queue_limit: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 64
     # Longest body taken, bytes.
-    max_body_bytes: int = 1_048_576
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=1, le=67_108_864)] = (
+        1_048_576
+    )
     # Answer length assumed until the caller says otherwise, tokens.
-    expected_tokens: int = 128
+    expected_tokens: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 128
     # How long a call to a plain service may take, milliseconds.
-    call_timeout_ms: int = 5_000
+    call_timeout_ms: Annotated[int, msgspec.Meta(ge=1, le=3_600_000)] = 5_000
 
 
 class Weights(msgspec.Struct, frozen=True):
     """What the operators weigh more."""
 
-    goodput: float = 1.0
-    wasted_prefill: float = 1.0
+    goodput: _Weight = 1.0
+    wasted_prefill: _Weight = 1.0
 
 
 class Preset(msgspec.Struct, frozen=True, kw_only=True):
     """A whole set of rules; exactly one is in force."""
 
-    name: str
-    services: dict[str, Service]
+    name: _Name
+    services: Annotated[
+        dict[_Name, Service], msgspec.Meta(min_length=1, max_length=200)
+    ]
     weights: Weights = Weights()
     # Retries allowed for each first try, over a sliding window.
-    retry_ratio: float = 0.1
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     # Retries allowed beyond the ratio, for quiet times.
-    retry_burst: int = 3
+    retry_burst: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 3
 
 
 class InForce(msgspec.Struct, frozen=True):
