--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -127,6 +127,34 @@
 CANCELLED: Final = Code(
     'cancelled', 499, 'unknown', 'The caller went away; work was cancelled.'
 )
+GONE: Final = Code(
+    'gone', 499, 'no', 'Not run: the caller went away while it waited.'
+)
+KEY_OLD: Final = Code(
+    'key-old',
+    409,
+    'no',
+    'Not run: the Idempotency-Key is older than the log remembers.',
+)
+CLAIM_LOST: Final = Code(
+    'claim-lost',
+    503,
+    'no',
+    'Not run: it is not known whether the claim reached the platform log, so'
+    ' this request will never run.',
+)
+NO_WITNESS: Final = Code(
+    'no-witness',
+    503,
+    'no',
+    'Not run: no other entry VM can be reached to witness a ticket.',
+)
+NO_OUTCOME: Final = Code(
+    'no-outcome',
+    404,
+    'unknown',
+    'No outcome of this request is kept here: {reason}.',
+)
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
 TOO_LARGE: Final = Code(
     'too-large',
--- /dev/null
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -0,0 +1,391 @@
+"""Answers of model services: prefill, transfer, decode, stream.
+
+One request goes through attempts. An attempt gets a slot, runs the prefill so
+that it ends when the slot is free, has the decode worker fetch the KV cache,
+and reads the stream. What fails before the caller was sent a first piece is
+tried again within the retry budget; after that only the same stream is read
+on, since another one might say something else.
+
+A service with claims runs at most once: its decode is begun at one engine and
+never again, whatever becomes of it.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+from typing import Protocol
+
+from foxtaildale import backends
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import options
+from foxtaildale import ports
+from foxtaildale import streams
+from foxtaildale import values
+from foxtaildaled import job as jobs
+from foxtaildaled import retries
+from foxtaildaled import slots
+from foxtaildale_adapters import metrics
+import msgspec
+
+# Times that a broken stream is read on.
+_RESUMES: Final = 5
+# Bounds on one prefill and one transfer, seconds. A stalled transfer is given
+# up while the prefill's result may still live.
+_PREFILL_S: Final = 60.0
+_TRANSFER_S: Final = 5.0
+
+_Items = Iterator[backends.Piece | backends.Last]
+
+
+class Sink(Protocol):
+    """Where the pieces of an answer go."""
+
+    def piece(self, piece: backends.Piece) -> None:
+        """Takes the next piece."""
+
+    def last(self, last: backends.Last) -> None:
+        """Takes the end of a whole answer."""
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller may have been sent a part of the answer."""
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """An attempt that did not end in a whole answer."""
+
+    # prefill-failed, transfer-failed, decode-failed
+    stage: str
+    reason: str
+    # Decode worker that it failed at.
+    decode: str = ''
+    # Whether the engine may have begun the answer itself.
+    begun: bool = False
+    # Whether the engine said that it did not act.
+    rejected: bool = False
+
+
+class Measured:
+    """How long the stages of one attempt took, milliseconds."""
+
+    __slots__ = ('decode_ms', 'output_tokens', 'prefill_ms', 'transfer_ms')
+
+    prefill_ms: int
+    transfer_ms: int
+    decode_ms: int
+    output_tokens: int
+
+    def __init__(self) -> None:
+        self.prefill_ms = 0
+        self.transfer_ms = 0
+        self.decode_ms = 0
+        self.output_tokens = 0
+
+
+class Answers:
+    """Runs requests of model services."""
+
+    __slots__ = (
+        '_cfg',
+        '_clock',
+        '_engines',
+        '_metrics',
+        '_retries',
+        '_slots',
+    )
+
+    _cfg: options.Options
+    _engines: ports.Engines
+    _slots: slots.Slots
+    _retries: retries.Retries
+    _metrics: metrics.Metrics
+    _clock: ports.Clock
+
+    def __init__(
+        self,
+        cfg: options.Options,
+        engines: ports.Engines,
+        getter: slots.Slots,
+        budget: retries.Retries,
+        counts: metrics.Metrics,
+        clock: ports.Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._engines = engines
+        self._slots = getter
+        self._retries = budget
+        self._metrics = counts
+        self._clock = clock
+
+    def run(
+        self, job: jobs.Job, sink: Sink
+    ) -> slots.Refusal:
+        """Runs a request to its end and returns its code and figures."""
+        self._retries.first(job.name, job.snapshot)
+        avoid = ''
+        while True:
+            job.attempt += 1
+            result = self._attempt(job, sink, avoid)
+            if isinstance(result, slots.Refusal):
+                return self._refusal(job, result)
+            if job.gone.is_set():
+                return slots.Refusal(codes.CANCELLED)
+            if not self._may_retry(job, sink, result):
+                return _given_up(result, sink)
+            avoid = result.decode
+
+    def read_on(
+        self, server: values.BackendServer, job: jobs.Job, position: int
+    ) -> _Items:
+        """Reads a stream on for a caller that came back."""
+        return self._engines.resume(
+            server.address,
+            job.stream,
+            position,
+            job.holder,
+            self._cfg.silence_s,
+        )
+
+    def _refusal(
+        self, job: jobs.Job, refusal: slots.Refusal
+    ) -> slots.Refusal:
+        """Returns a refusal as it is true after earlier attempts."""
+        if job.attempt == 1 or refusal.code.ran != 'no':
+            return refusal
+        # An earlier attempt was sent to a backend server: "not run" would
+        # not be true any more.
+        return slots.Refusal(
+            codes.FAILED, refusal.figures, refusal.retry_after_s
+        )
+
+    def _may_retry(
+        self, job: jobs.Job, sink: Sink, failure: Failure
+    ) -> bool:
+        if sink.started:
+            return False
+        if failure.begun and job.service.once != 'none':
+            return False
+        deadline = None
+        if job.first_answer_ms:
+            deadline = job.arrived_at + job.first_answer_ms / 1000
+        if not self._retries.take(job.name, job.snapshot, deadline):
+            return False
+        self._metrics.retry(job.name, failure.stage)
+        return True
+
+    def _attempt(
+        self, job: jobs.Job, sink: Sink, avoid: str
+    ) -> slots.Refusal | Failure:
+        grant = self._slots.get(job, '', avoid)
+        if isinstance(grant, slots.Refusal):
+            return grant
+        measured = Measured()
+        result: slots.Refusal | Failure | None = None
+        try:
+            job.gone.wait(grant.start_in_ms / 1000)
+            result = self._work(job, sink, grant, measured)
+        finally:
+            if not isinstance(result, slots.Refusal) or job.gone.is_set():
+                job.abandon()
+            self._slots.end(job, _end(job, grant, measured, result))
+        return result
+
+    def _work(
+        self,
+        job: jobs.Job,
+        sink: Sink,
+        grant: messages.Granted,
+        measured: Measured,
+    ) -> slots.Refusal | Failure:
+        """Runs the three stages of one attempt."""
+        ready = self._prefill(job, grant, measured)
+        if not isinstance(ready, backends.PrefillReply):
+            return ready
+        failure = self._transfer(job, grant, ready, measured)
+        if failure is not None:
+            self._metrics.wasted(job.name, ready.tokens - ready.cached)
+            return failure
+        began_at = self._clock()
+        result = self._decode(job, sink, grant)
+        measured.decode_ms = round((self._clock() - began_at) * 1000)
+        return result
+
+    def _prefill(
+        self, job: jobs.Job, grant: messages.Granted, measured: Measured
+    ) -> backends.PrefillReply | Failure | slots.Refusal:
+        if not job.hold(grant.prefill_address):
+            return slots.Refusal(codes.GONE)
+        began_at = self._clock()
+        req = backends.PrefillReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            model=job.name,
+            prompt=job.prompt,
+            priority=job.service.priority,
+        )
+        try:
+            reply = self._engines.prefill(
+                grant.prefill_address, req, _PREFILL_S
+            )
+        except errors.PortError as exc:
+            return _failure('prefill-failed', exc, grant)
+        measured.prefill_ms = round((self._clock() - began_at) * 1000)
+        self._metrics.prefilled(job.name, reply.tokens - reply.cached)
+        if (reply.request, reply.attempt) != (job.request, job.attempt):
+            return Failure('prefill-failed', 'answer of another request')
+        return reply
+
+    def _transfer(
+        self,
+        job: jobs.Job,
+        grant: messages.Granted,
+        ready: backends.PrefillReply,
+        measured: Measured,
+    ) -> Failure | None:
+        if not job.hold(grant.decode_address):
+            return Failure('transfer-failed', 'the caller went away')
+        began_at = self._clock()
+        req = backends.ImportReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            source=grant.prefill_address,
+            kv=ready.kv,
+        )
+        try:
+            reply = self._engines.fetch(grant.decode_address, req, _TRANSFER_S)
+        except errors.PortError as exc:
+            return _failure('transfer-failed', exc, grant)
+        measured.transfer_ms = round((self._clock() - began_at) * 1000)
+        if (reply.request, reply.attempt) != (job.request, job.attempt):
+            return Failure('transfer-failed', 'answer of another request')
+        job.let_go(grant.prefill_address)
+        return None
+
+    def _decode(
+        self, job: jobs.Job, sink: Sink, grant: messages.Granted
+    ) -> slots.Refusal | Failure:
+        """Reads the stream to its end, over new connections if need be."""
+        req = backends.DecodeReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            stream=job.stream,
+            max_tokens=job.max_tokens,
+            priority=job.service.priority,
+        )
+        checker = streams.Checker(job.request, job.attempt, job.stream)
+        reason = ''
+        for turn in range(_RESUMES + 1):
+            if job.gone.is_set():
+                break
+            try:
+                items = self._open(job, grant, req, checker, turn)
+                reason = self._read(job, sink, checker, items)
+            except errors.RejectedError as exc:
+                return Failure(
+                    'decode-failed',
+                    str(exc),
+                    grant.decode,
+                    begun=turn > 0,
+                    rejected=True,
+                )
+            except errors.UnreachableError as exc:
+                reason = str(exc)
+                if turn == 0:
+                    return _failure('decode-failed', exc, grant)
+            except errors.PortError as exc:
+                reason = str(exc)
+            if not reason:
+                job.let_go(grant.decode_address)
+                return slots.Refusal(codes.OK)
+        return Failure('decode-failed', reason, grant.decode, begun=True)
+
+    def _open(
+        self,
+        job: jobs.Job,
+        grant: messages.Granted,
+        req: backends.DecodeReq,
+        checker: streams.Checker,
+        turn: int,
+    ) -> _Items:
+        silence_s = self._cfg.silence_s
+        if turn == 0:
+            return self._engines.decode(grant.decode_address, req, silence_s)
+        return self._engines.resume(
+            grant.decode_address,
+            job.stream,
+            checker.position,
+            job.holder,
+            silence_s,
+        )
+
+    def _read(
+        self,
+        job: jobs.Job,
+        sink: Sink,
+        checker: streams.Checker,
+        items: _Items,
+    ) -> str:
+        """Reads pieces; returns '' for a whole answer, else what is wrong."""
+        for item in items:
+            if job.gone.is_set():
+                return 'the caller went away'
+            if isinstance(item, backends.Last):
+                return self._end_stream(sink, checker, item)
+            wrong = self._take(job, sink, checker, item)
+            if wrong:
+                return wrong
+        return 'the stream ended early'
+
+
+def _failure(
+    stage: str, exc: errors.PortError, grant: messages.Granted
+) -> Failure:
+    return Failure(
+        stage,
+        str(exc),
+        grant.decode,
+        begun=stage == 'decode-failed'
+        and not isinstance(
+            exc, errors.UnreachableError | errors.RejectedError
+        ),
+        rejected=isinstance(exc, errors.RejectedError),
+    )
+
+
+def _given_up(failure: Failure, sink: Sink) -> slots.Refusal:
+    code = codes.BROKEN if sink.started else codes.FAILED
+    return slots.Refusal(
+        code,
+        (
+            values.Figure('stage', failure.stage),
+            values.Figure('reason', failure.reason),
+        ),
+        1.0,
+    )
+
+
+def _end(
+    job: jobs.Job,
+    grant: messages.Granted,
+    measured: Measured,
+    result: slots.Refusal | Failure | None,
+) -> messages.EndSlot:
+    if job.gone.is_set():
+        outcome = 'cancelled'
+    elif isinstance(result, Failure):
+        outcome = result.stage
+    else:
+        outcome = 'done'
+    return messages.EndSlot(
+        service=job.name,
+        grant=grant.grant,
+        result=outcome,
+        prefill_ms=measured.prefill_ms,
+        transfer_ms=measured.transfer_ms,
+        decode_ms=measured.decode_ms,
+        output_tokens=measured.output_tokens,
+    )
--- /dev/null
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -0,0 +1,320 @@
+"""Decisions of a keeper, behind one actor.
+
+A keeper follows the platform's log, speaks with the other keepers, tells the
+entries of its VM which preset is in force, witnesses tickets, settles claims,
+and is the home of some services' pools. `Keeper` holds that state and answers
+messages; it does no I/O, so a test drives it under a paused clock. The
+process keeps it behind an `actors.Owner`, which gives each message its turn.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from foxtaildale import backends
+from foxtaildale import claims
+from foxtaildale import errors
+from foxtaildale import homes
+from foxtaildale import members
+from foxtaildale import messages
+from foxtaildale import options
+from foxtaildale import pool
+from foxtaildale import ports
+from foxtaildale import reaper
+from foxtaildale import spread
+from foxtaildale import values
+from foxtaildale import witness
+import msgspec
+import pykka
+
+# Longest wait of an entry for its claim to be read back, seconds.
+CLAIM_WAIT_S: Final = 5.0
+
+
+class EntryState:
+    """An entry of this VM."""
+
+    __slots__ = ('address', 'heard_at', 'incarnation', 'revision')
+
+    incarnation: str
+    address: str
+    # Revision it says it works by.
+    revision: int
+    heard_at: float
+
+    def __init__(self, msg: messages.Hello, now: float) -> None:
+        self.incarnation = msg.incarnation
+        self.address = msg.address
+        self.revision = msg.revision
+        self.heard_at = now
+
+
+class Keeper:
+    """State of a keeper and its answers."""
+
+    __slots__ = (
+        'claims',
+        'entries',
+        'follower',
+        'leaving',
+        'me',
+        'members',
+        'pools',
+        'silence_s',
+        'waiting',
+        'witness',
+    )
+
+    me: values.Keeper
+    silence_s: float
+    # What the log and the peers say of presets.
+    follower: spread.Follower
+    # What the VM list and the peers say of VMs.
+    members: members.Members
+    claims: claims.Claims
+    witness: witness.Witness
+    # Pools of services, by name; made when first asked for.
+    pools: dict[str, pool.Pool]
+    # Entries of this VM, by incarnation.
+    entries: dict[str, EntryState]
+    # Claims not settled yet, by request.
+    waiting: dict[str, pykka.Future[messages.ClaimReply]]
+    # Whether this process is being stopped.
+    leaving: bool
+
+    def __init__(self, me: values.Keeper, cfg: options.Options) -> None:
+        self.me = me
+        self.silence_s = cfg.silence_s
+        self.follower = spread.Follower(me.name, cfg.freshness_s)
+        self.members = members.Members(me, cfg.silence_s)
+        self.claims = claims.Claims(me.incarnation, me.address)
+        self.witness = witness.Witness(me.incarnation)
+        self.pools = {}
+        self.entries = {}
+        self.waiting = {}
+        self.leaving = False
+
+    def handle(self, now: float, msg: messages.Any) -> messages.Any:
+        """Answers a message from another process."""
+        handlers: dict[type, Callable[[float, messages.Any], messages.Any]] = {
+            messages.Hello: self._hello,
+            messages.Beat: self._beat,
+            messages.Bye: self._bye,
+            messages.Pull: self._pull,
+            messages.AskSlot: self._ask_slot,
+            messages.EndSlot: self._end_slot,
+            messages.KeepSlots: self._keep_slots,
+            messages.EndClaim: self._end_claim,
+            messages.Note: self.witness.note,
+            messages.Void: self.witness.void,
+            messages.Tell: self.witness.tell,
+        }
+        handler = handlers.get(type(msg))
+        if handler is None:
+            return messages.Fail(code='not-for-a-keeper')
+        return handler(now, msg)
+
+    def claim(
+        self, now: float, msg: messages.AskClaim
+    ) -> 'pykka.Future[messages.ClaimReply]':
+        """Answers a claim, now or when the log has settled it."""
+        fut: pykka.Future[messages.ClaimReply] = pykka.ThreadingFuture()
+        reply = self.claims.ask(now, msg)
+        if reply is None:
+            self.waiting[msg.request] = fut
+        else:
+            fut.set(reply)
+        return fut
+
+    def settle(self, settled: list[tuple[str, messages.ClaimReply]]) -> None:
+        """Hands out the claims that the log has settled."""
+        for request, reply in settled:
+            fut = self.waiting.pop(request, None)
+            if fut is not None:
+                fut.set(reply)
+
+    def beat(self) -> messages.Beat:
+        """Returns what this keeper tells its peers."""
+        return messages.Beat(
+            entry_vm=self.me.name,
+            incarnation=self.me.incarnation,
+            data_centre=self.me.data_centre,
+            address=self.me.address,
+            offset=self.follower.offset,
+            digest=self.follower.digest,
+            listing_version=self.members.listing.version,
+            entries=tuple(self.entries),
+            leaving=self.leaving,
+        )
+
+    def on_beat(self, now: float, beat: messages.Beat) -> bool:
+        """Takes a peer's beat; returns whether to pull its state."""
+        self.members.on_beat(now, beat)
+        return self.follower.on_peer(now, beat)
+
+    def on_listing(self, now: float, listing: values.Listing) -> None:
+        """Takes the platform's or a peer's list of VMs."""
+        if self.members.on_listing(now, listing):
+            self._serve_pools(now)
+
+    def on_config(self, now: float, batch: ports.Batch) -> None:
+        """Takes records of the configuration stream."""
+        before = self.follower.in_force
+        self.follower.on_batch(now, batch)
+        if self.follower.in_force is not before:
+            self._serve_pools(now)
+
+    def on_pull(self, now: float, reply: messages.PullReply) -> None:
+        """Takes the folded state of a peer that is ahead."""
+        if self.follower.on_pull(now, reply):
+            self._serve_pools(now)
+        if reply.listing is not None:
+            self.on_listing(now, reply.listing)
+
+    def tick(self, now: float) -> None:
+        """Lets what is old lapse."""
+        self.witness.expire(now)
+        for item in self.pools.values():
+            item.expire(now)
+        self.entries = {
+            name: entry
+            for name, entry in self.entries.items()
+            if now - entry.heard_at <= self.silence_s
+        }
+
+    def homed(self, now: float) -> tuple[values.BackendServer, ...]:
+        """Returns the model workers of the pools that are at home here."""
+        names = self._keeper_names(now)
+        return tuple(
+            server
+            for server in self.members.listing.backend_servers
+            if server.role != 'plain'
+            and homes.home(server.service, names) == self.me.name
+        )
+
+    def reaped(self, now: float) -> tuple[values.BackendServer, ...]:
+        """Returns the workers whose abandoned work this keeper cancels."""
+        names = self._keeper_names(now)
+        return tuple(
+            server
+            for server in self.members.listing.backend_servers
+            if server.role != 'plain'
+            and homes.home(server.name, names) == self.me.name
+        )
+
+    def targets(self, now: float) -> tuple[str, ...]:
+        """Returns the addresses of the keepers to beat to."""
+        return self.members.targets(now)
+
+    def census(self, now: float) -> reaper.Census:
+        """Returns which entries are known to be alive."""
+        alive = set(self.entries)
+        heard = {self.me.name}
+        for beat in self.members.beats(now):
+            heard.add(beat.entry_vm)
+            alive.update(beat.entries)
+        return reaper.Census(
+            alive=frozenset(alive), heard=frozenset(heard), at=now
+        )
+
+    def on_load(self, now: float, server: str, load: backends.Load) -> None:
+        """Takes a worker's load report."""
+        for item in self.pools.values():
+            item.on_load(now, server, load)
+
+    def dump(self, now: float) -> bytes:
+        """Returns the state as JSON."""
+        in_force = self.follower.in_force
+        state = {
+            'role': 'keeper',
+            'me': self.me,
+            'leaving': self.leaving,
+            'revision': in_force.revision if in_force else 0,
+            'preset': in_force.preset.name if in_force else None,
+            'offset': self.follower.offset,
+            'digest': self.follower.digest,
+            'vouched': self.follower.vouched(now),
+            'listing_version': self.members.listing.version,
+            'keepers': self.members.keepers(now),
+            'entries': sorted(self.entries),
+            'pools': {name: p.dump() for name, p in self.pools.items()},
+            'claims': self.claims.dump(),
+            'witness': self.witness.dump(),
+        }
+        return msgspec.json.encode(state, order='sorted')
+
+    def _keeper_names(self, now: float) -> tuple[str, ...]:
+        return tuple(keeper.name for keeper in self.members.keepers(now))
+
+    def _hello(self, now: float, msg: messages.Hello) -> messages.Any:
+        self.entries[msg.incarnation] = EntryState(msg, now)
+        vouched = self.follower.vouched(now)
+        return messages.HelloReply(
+            keeper=self.me.incarnation,
+            in_force=self.follower.in_force if vouched else None,
+            listing=self.members.listing,
+            keepers=self.members.keepers(now),
+        )
+
+    def _beat(self, now: float, msg: messages.Beat) -> messages.Any:
+        self.on_beat(now, msg)
+        return self.beat()
+
+    def _bye(self, now: float, msg: messages.Bye) -> messages.Any:
+        self.entries.pop(msg.incarnation, None)
+        self.members.on_bye(now, msg.incarnation)
+        return messages.Pong()
+
+    def _pull(self, _now: float, _msg: messages.Pull) -> messages.Any:
+        return msgspec.structs.replace(
+            self.follower.pull_reply(), listing=self.members.listing
+        )
+
+    def _ask_slot(self, now: float, msg: messages.AskSlot) -> messages.Any:
+        item = self._pool(now, msg.service)
+        if item is None:
+            return messages.Fail(code='no-service')
+        return item.ask(now, msg)
+
+    def _end_slot(self, now: float, msg: messages.EndSlot) -> messages.Any:
+        item = self._pool(now, msg.service)
+        if item is not None:
+            item.end(now, msg)
+        return messages.Pong()
+
+    def _keep_slots(self, now: float, msg: messages.KeepSlots) -> messages.Any:
+        item = self._pool(now, msg.service)
+        if item is not None:
+            item.keep(now, msg)
+        return messages.Pong()
+
+    def _end_claim(self, now: float, msg: messages.EndClaim) -> messages.Any:
+        self.claims.end(now, msg)
+        return messages.Pong()
+
+    def _pool(self, now: float, name: str) -> pool.Pool | None:
+        in_force = self.follower.in_force
+        if in_force is None or name not in in_force.preset.services:
+            return None
+        if name not in self.pools:
+            self.pools[name] = pool.Pool(name)
+            self._serve_pool(now, name)
+        return self.pools[name]
+
+    def _serve_pools(self, now: float) -> None:
+        for name in self.pools:
+            self._serve_pool(now, name)
+
+    def _serve_pool(self, now: float, name: str) -> None:
+        in_force = self.follower.in_force
+        if in_force is None:
+            raise errors.InvariantError('a pool without a preset in force')
+        service = in_force.preset.services.get(name)
+        item = self.pools[name]
+        if service is not None:
+            item.on_service(service, in_force.preset.weights)
+        servers = tuple(
+            server
+            for role in ('prefill', 'decode')
+            for server in self.members.servers(name, role)
+        )
+        item.on_servers(now, servers)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/process.py
@@ -0,0 +1,93 @@
+"""Life of a daemon process: periodic loops, signals, graceful shutdown.
+
+A role hands its loops to `Loops`; each runs in a thread of its own and is
+woken early when there is work. SIGTERM and SIGINT set one event, on which the
+main thread sleeps; the role then stops in its own order.
+"""
+
+from collections.abc import Callable
+import os
+import signal
+import threading
+import types
+
+from absl import logging as absl_logging
+from foxtaildale import errors
+from foxtaildale_adapters import logs
+
+# Status of a process that stopped because an invariant broke.
+BROKEN_STATUS = 70
+
+
+class Loop:
+    """Calls a step again and again until stopped."""
+
+    __slots__ = ('_period_s', '_step', '_stop', '_thread', '_wake', 'name')
+
+    # For logs and the state dump.
+    name: str
+    _step: Callable[[], None]
+    _period_s: float
+    _wake: threading.Event
+    _stop: threading.Event
+    _thread: threading.Thread
+
+    def __init__(
+        self, name: str, period_s: float, step: Callable[[], None]
+    ) -> None:
+        self.name = name
+        self._step = step
+        self._period_s = period_s
+        self._wake = threading.Event()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the loop's thread."""
+        self._thread.start()
+
+    def wake(self) -> None:
+        """Makes the next step come at once."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Ends the loop after the step in progress."""
+        self._stop.set()
+        self._wake.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            self._guarded()
+            self._wake.wait(self._period_s)
+            self._wake.clear()
+
+    def _guarded(self) -> None:
+        # A step that raises would end its thread without a word, and the
+        # process would look alive while it no longer follows the log. A fault
+        # of one round is logged and the next round tries again; a broken
+        # invariant stops the process.
+        try:
+            self._step()
+        except errors.InvariantError as exc:
+            logs.event(absl_logging.ERROR, 'invariant', error=str(exc))
+            os._exit(BROKEN_STATUS)
+        except Exception as exc:
+            logs.event(
+                absl_logging.ERROR, 'loop', loop=self.name, error=repr(exc)
+            )
+
+
+def wait_for_stop() -> None:
+    """Returns when the process is told to stop."""
+    stop = threading.Event()
+
+    def on_signal(_number: int, _frame: types.FrameType | None) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    while not stop.wait(1.0):
+        pass
--- /dev/null
+++ b/packages/daemon/foxtaildaled/retries.py
@@ -0,0 +1,47 @@
+"""The retry budgets of an entry, one for each service."""
+
+import threading
+
+from foxtaildale import budget
+from foxtaildale import ports
+from foxtaildaled import view
+
+
+class Retries:
+    """Gives out retries by the preset in force."""
+
+    __slots__ = ('_budgets', '_clock', '_lock')
+
+    _clock: ports.Clock
+    _budgets: dict[str, budget.Budget]
+    _lock: threading.Lock
+
+    def __init__(self, clock: ports.Clock) -> None:
+        self._clock = clock
+        self._budgets = {}
+        self._lock = threading.Lock()
+
+    def first(self, service: str, snapshot: view.Snapshot) -> None:
+        """Counts a first try."""
+        with self._lock:
+            self._budget(service, snapshot).first(self._clock())
+
+    def take(
+        self, service: str, snapshot: view.Snapshot, deadline: float | None
+    ) -> bool:
+        """Takes one retry, if the budget has one before the deadline."""
+        with self._lock:
+            return self._budget(service, snapshot).allow(
+                self._clock(), deadline
+            )
+
+    def _budget(self, service: str, snapshot: view.Snapshot) -> budget.Budget:
+        ratio, burst = 0.0, 0
+        if snapshot.in_force is not None:
+            preset = snapshot.in_force.preset
+            ratio, burst = preset.retry_ratio, preset.retry_burst
+        item = self._budgets.get(service)
+        if item is None:
+            item = self._budgets[service] = budget.Budget(ratio, burst)
+        item.on_preset(ratio, burst)
+        return item
--- /dev/null
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -0,0 +1,369 @@
+"""Composition root of the daemon: makes every part and joins them.
+
+Nothing else constructs adapters. A role is a list of loops, a server for the
+other processes, one for operators, and for an entry one for callers.
+"""
+
+import json
+import os
+import time
+from typing import Protocol
+
+from absl import logging as absl_logging
+from foxtaildale import incarnations
+from foxtaildale import messages
+from foxtaildale import options
+from foxtaildale import reaper
+from foxtaildale import share
+from foxtaildale import tickets
+from foxtaildale import values
+from foxtaildale_adapters import admin
+from foxtaildale_adapters import callers
+from foxtaildale_adapters import engines
+from foxtaildale_adapters import logs
+from foxtaildale_adapters import metrics
+from foxtaildale_adapters import peers
+from foxtaildale_adapters import platform
+from foxtaildale_adapters import services
+from foxtaildale_adapters import wire
+from foxtaildaled import actors
+from foxtaildaled import answers
+from foxtaildaled import cancels
+from foxtaildaled import claiming
+from foxtaildaled import desk
+from foxtaildaled import entry
+from foxtaildaled import follow
+from foxtaildaled import gossip
+from foxtaildaled import keeper
+from foxtaildaled import plain
+from foxtaildaled import process
+from foxtaildaled import records
+from foxtaildaled import retries
+from foxtaildaled import slots
+from foxtaildaled import view
+
+# Threads that answer other processes. A claim holds one until the log has
+# settled it, a ticket that was passed on until its call has ended.
+_PEER_THREADS = 16
+# Longest wait between two batches of claims, and two tries of cancels, seconds.
+_QUICK_S = 0.1
+# Time between two flushes of outcomes, seconds.
+_FLUSH_S = 1.0
+# Longest body that any service may take, bytes.
+_BODY_MAX = 16 * 1024 * 1024
+
+
+class Daemon(Protocol):
+    """A role of the daemon."""
+
+    def start(self) -> None:
+        """Starts serving."""
+
+    def stop(self) -> None:
+        """Ends gracefully: cuts no request in progress."""
+
+
+def make(cfg: options.Options) -> Daemon:
+    """Returns the daemon that the settings ask for."""
+    return KeeperDaemon(cfg) if cfg.role == 'keeper' else EntryDaemon(cfg)
+
+
+class KeeperDaemon:
+    """The keeper of an entry VM."""
+
+    __slots__ = (
+        '_admin',
+        '_cfg',
+        '_gossip',
+        '_loops',
+        '_owner',
+        '_peers',
+        '_responder',
+        '_settle',
+    )
+
+    _cfg: options.Options
+    _peers: peers.Peers
+    _responder: wire.Responder
+    _owner: actors.Owner[keeper.Keeper]
+    _gossip: gossip.Gossip
+    _settle: process.Loop
+    _loops: list[process.Loop]
+    _admin: admin.Admin
+
+    def __init__(self, cfg: options.Options) -> None:
+        self._cfg = cfg
+        self._peers = peers.Peers(cfg.heartbeat_s, cfg.silence_s)
+        self._responder = wire.Responder(
+            cfg.peer_address, self._handle, _PEER_THREADS
+        )
+
+    def start(self) -> None:
+        """Binds, then starts the loops."""
+        cfg = self._cfg
+        address = self._responder.bind()
+        me = values.Keeper(
+            name=cfg.entry_vm,
+            incarnation=incarnations.make('keeper', cfg.entry_vm),
+            address=address,
+            data_centre=cfg.data_centre,
+        )
+        self._owner = actors.Owner(keeper.Keeper(me, cfg), time.monotonic)
+        counts = metrics.Metrics()
+        store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
+        claims_store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
+        workers = engines.Engines()
+        self._gossip = gossip.Gossip(self._owner, self._peers, cfg.silence_s)
+        self._settle = process.Loop(
+            'settle', _QUICK_S, follow.Settle(self._owner, claims_store).step
+        )
+        self._loops = [
+            self._settle,
+            process.Loop(
+                'follow',
+                cfg.poll_s,
+                follow.Follow(self._owner, store, store).step,
+            ),
+            process.Loop('gossip', cfg.heartbeat_s, self._gossip.step),
+            process.Loop(
+                'watch', cfg.poll_s, gossip.Watch(self._owner, workers).step
+            ),
+            process.Loop(
+                'reap',
+                cfg.heartbeat_s,
+                gossip.Reap(
+                    self._owner, workers, reaper.Reaper(cfg.grace_s)
+                ).step,
+            ),
+        ]
+        self._admin = admin.Admin(
+            cfg.admin_address, self._ready, self._state, counts.render
+        )
+        self._responder.start()
+        for loop in self._loops:
+            loop.start()
+        _announce(cfg, peer=address, admin=self._admin.start())
+
+    def stop(self) -> None:
+        """Stays until the entries of this VM have ended, then goes."""
+        self._owner.run(_leave)
+        deadline = time.monotonic() + self._cfg.drain_s
+        while time.monotonic() < deadline:
+            if not self._owner.run(lambda state, _now: state.entries):
+                break
+            time.sleep(_QUICK_S)
+        self._gossip.goodbye()
+        for loop in self._loops:
+            loop.stop()
+        self._admin.close()
+        self._responder.close()
+        self._peers.close()
+        self._owner.stop()
+
+    def _handle(self, msg: messages.Any) -> messages.Any:
+        if isinstance(msg, messages.AskClaim):
+            fut = self._owner.run(lambda state, now: state.claim(now, msg))
+            self._settle.wake()
+            return fut.get(timeout=keeper.CLAIM_WAIT_S)
+        if isinstance(msg, messages.Dump):
+            return messages.DumpReply(state=self._state())
+        return self._owner.run(lambda state, now: state.handle(now, msg))
+
+    def _ready(self) -> str:
+        vouched = self._owner.run(
+            lambda state, now: state.follower.vouched(now)
+        )
+        return '' if vouched else 'no fresh word of the preset in force'
+
+    def _state(self) -> bytes:
+        return self._owner.run(lambda state, now: state.dump(now))
+
+
+class EntryDaemon:
+    """An entry of an entry VM."""
+
+    __slots__ = (
+        '_admin',
+        '_cancels',
+        '_cfg',
+        '_desk',
+        '_entry',
+        '_incarnation',
+        '_loops',
+        '_peers',
+        '_records',
+        '_responder',
+        '_server',
+        '_view',
+    )
+
+    _cfg: options.Options
+    _incarnation: str
+    _peers: peers.Peers
+    _responder: wire.Responder
+    _view: view.View
+    _desk: desk.Desk
+    _records: records.Records
+    _cancels: cancels.Cancels
+    _entry: entry.Entry
+    _server: callers.Server
+    _admin: admin.Admin
+    _loops: list[process.Loop]
+
+    def __init__(self, cfg: options.Options) -> None:
+        self._cfg = cfg
+        self._incarnation = incarnations.make('entry', cfg.entry_vm)
+        self._peers = peers.Peers(cfg.heartbeat_s, cfg.silence_s)
+        self._responder = wire.Responder(
+            cfg.peer_address, self._handle, _PEER_THREADS
+        )
+
+    def start(self) -> None:
+        """Binds, then starts the loops and serves callers."""
+        cfg = self._cfg
+        address = self._responder.bind()
+        counts = metrics.Metrics()
+        self._wire(address, counts)
+        self._responder.start()
+        for loop in self._loops:
+            loop.start()
+        self._admin = admin.Admin(
+            cfg.admin_address, self._ready, self._state, counts.render
+        )
+        _announce(
+            cfg,
+            peer=address,
+            admin=self._admin.start(),
+            caller=self._server.start(),
+        )
+
+    def stop(self) -> None:
+        """Not ready, no new connections, drain, flush, goodbye."""
+        self._entry.stopping = True
+        self._server.stop_accepting()
+        drained = self._server.drain(self._cfg.drain_s)
+        logs.event(absl_logging.INFO, 'drained', whole=drained)
+        self._cancels.step()
+        self._records.flush()
+        for loop in self._loops:
+            loop.stop()
+        self._view.goodbye()
+        self._server.close()
+        self._admin.close()
+        self._responder.close()
+        self._peers.close()
+
+    def _wire(self, address: str, counts: metrics.Metrics) -> None:
+        cfg = self._cfg
+        clock = time.monotonic
+        store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
+        workers = engines.Engines()
+        stamp = entry.Stamp(cfg.entry_vm)
+        budget = retries.Retries(clock)
+        self._view = view.View(
+            cfg, self._incarnation, address, self._peers, clock
+        )
+        self._records = records.Records(store, counts)
+        self._cancels = cancels.Cancels(workers, clock)
+        calls = plain.Plain(services.Services(), budget)
+        own = slots.Slots(self._peers, share.Share(self._incarnation), clock)
+        model = answers.Answers(cfg, workers, own, budget, counts, clock)
+        executor = actors.Owner(
+            tickets.Executor(
+                self._incarnation,
+                address,
+                cfg.secret.encode(),
+                cfg.ticket_life_s,
+            ),
+            clock,
+        )
+        self._desk = desk.Desk(
+            cfg,
+            self._incarnation,
+            executor,
+            self._peers,
+            calls,
+            self._view,
+            stamp,
+        )
+        self._entry = entry.Entry(
+            cfg,
+            self._incarnation,
+            self._view,
+            model,
+            calls,
+            self._desk,
+            claiming.Claiming(cfg, self._incarnation, self._peers),
+            self._records,
+            self._cancels,
+            stamp,
+            clock,
+        )
+        self._server = callers.Server(
+            cfg.caller_address,
+            self._entry,
+            cfg.threads,
+            cfg.caller_timeout_s,
+            _BODY_MAX,
+            entry_vm=cfg.entry_vm,
+        )
+        cancel_loop = process.Loop('cancels', _QUICK_S, self._cancels.step)
+        self._cancels.wake = cancel_loop.wake
+        self._loops = [
+            process.Loop('view', cfg.heartbeat_s, self._view.step),
+            process.Loop('tickets', cfg.heartbeat_s, self._desk.step),
+            process.Loop('records', _FLUSH_S, self._records.step),
+            cancel_loop,
+        ]
+
+    def _handle(self, msg: messages.Any) -> messages.Any:
+        if isinstance(msg, messages.RunTicket):
+            return self._desk.serve(msg)
+        if isinstance(msg, messages.Dump):
+            return messages.DumpReply(state=self._state())
+        return messages.Fail(code='not-for-an-entry')
+
+    def _ready(self) -> str:
+        if self._entry.stopping:
+            return 'being stopped'
+        if self._view.now.in_force is None:
+            return 'no preset in force is known'
+        return ''
+
+    def _state(self) -> bytes:
+        snapshot = self._view.now
+        state = {
+            'role': 'entry',
+            'incarnation': self._incarnation,
+            'entry_vm': self._cfg.entry_vm,
+            'stopping': self._entry.stopping,
+            'revision': snapshot.revision,
+            'preset': (
+                snapshot.in_force.preset.name if snapshot.in_force else None
+            ),
+            'listing_version': snapshot.listing.version,
+            'keepers': [keeper.name for keeper in snapshot.keepers],
+            'busy': self._server.busy(),
+            'cancels': len(self._cancels),
+            'outcomes': self._records.dump(),
+            'tickets': self._desk.dump(),
+        }
+        return json.dumps(state, default=str, sort_keys=True).encode()
+
+
+def _leave(state: keeper.Keeper, _now: float) -> None:
+    state.leaving = True
+
+
+def _announce(cfg: options.Options, **addresses: str) -> None:
+    """Tells the addresses in use, for settings that leave them to the kernel."""
+    logs.event(absl_logging.INFO, 'started', **addresses)
+    if not cfg.address_file:
+        return
+    # Written aside and renamed: a reader must never see half of it.
+    partial = f'{cfg.address_file}.partial'
+    with open(partial, 'w', encoding='utf-8') as file:
+        json.dump(addresses, file)
+    os.replace(partial, cfg.address_file)
+
+
