--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -91,6 +91,20 @@
 KEY_BAD: Final = Code(
     'key-bad', 400, 'no', 'Not run: the Idempotency-Key is not valid.'
 )
+KEY_OLD: Final = Code(
+    'key-old',
+    409,
+    'unknown',
+    'Refused: the Idempotency-Key is older than what is remembered; whether'
+    ' it ran before is not known, it will not run again.',
+)
+CLAIM_UNSURE: Final = Code(
+    'claim-unsure',
+    503,
+    'unknown',
+    'This try did not run; the platform log does not answer, so whether an'
+    ' earlier try under this key ran is not known.',
+)
 OTHER_BODY: Final = Code(
     'other-body',
     422,
@@ -100,7 +114,8 @@
 IN_PROGRESS: Final = Code(
     'in-progress',
     409,
-    'yes',
+    # Its start may still be given up.
+    'unknown',
     'This identity is being run already; its outcome is not known yet.',
 )
 DONE_BEFORE: Final = Code(
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -154,12 +154,14 @@
     body: str
     request: str
     holder: str
+    # Whether the caller says that it never sent this key before.
+    first_try: bool = False
 
 
 class ClaimReply(Wire, frozen=True):
     """What the log says of a key.
 
-    Status is one of won, lost, other-body, log-down, old.
+    Status is one of won, lost, other-body, bad, log-down, old.
     """
 
     status: str
@@ -167,6 +169,8 @@
     owner_address: str = ''
     request: str = ''
     retry_after_ms: int = 0
+    # Of a lost claim, if the log has its end already.
+    outcome: values.Outcome | None = None
 
 
 class EndClaim(Wire, frozen=True):
@@ -190,6 +194,8 @@
     witness_address: str
     # Seconds on the executor's own monotonic clock.
     minted_at: float
+    # A reading of the witness's own monotonic clock from before the minting.
+    witness_at: float
     # Hex HMAC-SHA256 of the fields above.
     mac: str = ''
 
@@ -200,8 +206,8 @@
     identity: str
     witness: str
     body: str
-    # How long the witness remembers it, seconds.
-    life_s: float
+    # From the ticket; the witness tells by it what it may have forgotten.
+    witness_at: float
 
 
 class Void(Wire, frozen=True):
@@ -210,7 +216,7 @@
     identity: str
     witness: str
     body: str
-    life_s: float
+    witness_at: float
 
 
 class Tell(Wire, frozen=True):
@@ -218,17 +224,28 @@
 
     identity: str
     witness: str
+    body: str
+    witness_at: float
     outcome: values.Outcome
     answer: bytes = b''
 
 
+class AskReading(Wire, frozen=True):
+    """From an executor to a witness: what does your clock read?"""
+
+    witness: str
+
+
 class WitnessReply(Wire, frozen=True):
-    """Status is one of noted, voided, told, stranger.
+    """Status is one of noted, voided, told, other-body, old, reading, stranger.
 
-    A stranger is a keeper of another incarnation than the ticket names.
+    Old means that the witness may have known the identity and forgotten it. A
+    stranger is a keeper of another incarnation than the ticket names.
     """
 
     status: str
+    # The witness's clock, seconds; each reply carries it for later tickets.
+    at: float = 0.0
     outcome: values.Outcome | None = None
     answer: bytes = b''
 
@@ -288,6 +305,7 @@
     | Note
     | Void
     | Tell
+    | AskReading
     | WitnessReply
     | RunTicket
     | RunReply
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -9,7 +9,7 @@
 
 
 def test_a_message_comes_back_as_it_was_sent() -> None:
-    msg = messages.Note(identity='i', witness='w', body='b', life_s=1.5)
+    msg = messages.Note(identity='i', witness='w', body='b', witness_at=1.5)
     assert messages.decode(messages.encode(msg)) == msg
 
 
