Add the wire between processes, on ZeroMQ

One connection is one socket and never reconnects: it is replaced when it closes or when heartbeats go unanswered past the bound. What can be said of effects follows from one state for each ask.

--- /dev/null
+++ b/packages/adapters/foxtaildale_adapters/peers.py
@@ -0,0 +1,444 @@
+"""ZeroMQ between the system's own processes: the asking side.
+
+Any thread calls `Peers.ask`. One background thread owns the sockets: it opens
+a DEALER for each address when it is first asked for, sends what waits, and
+matches replies to askers by sequence number.
+
+A socket is one connection and never reconnects. When it closes, or when
+nothing was heard for the silence bound although heartbeats were sent, it is
+dropped and a fresh one is opened for what has not been sent yet. That is what
+helps against connections that go silent for good while new ones work: waiting
+longer on the old one never ends, and libzmq's own reconnect would not notice.
+
+What can be said of effects is decided by one state for each ask, changed under
+one lock: the asker may abandon it only while it waits, and it counts as sent
+before libzmq gets to see it.
+"""
+
+import collections
+import itertools
+import threading
+import time
+from typing import Final
+
+import zmq
+import zmq.utils.monitor
+
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale_adapters import wakes
+
+SEQUENCE_BYTES: Final = 8
+# A connection that nobody asked over for this long is closed, seconds.
+IDLE_S: Final = 60.0
+# Sequence number of heartbeats; asks count from 1.
+_HEARTBEAT: Final = bytes(SEQUENCE_BYTES)
+_PING: Final = messages.encode(messages.Ping())
+_ENDED: Final = (
+    zmq.EVENT_CLOSED
+    | zmq.EVENT_DISCONNECTED
+    | zmq.EVENT_CONNECT_RETRIED
+    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+)
+
+Dealer = zmq.Socket[bytes]
+
+
+class Counts:
+    """What passed over one side of the wire since the start."""
+
+    __slots__ = (
+        'dropped',
+        'late',
+        'opened',
+        'received',
+        'received_bytes',
+        'sent',
+        'sent_bytes',
+        'silent',
+    )
+
+    def __init__(self) -> None:
+        # Messages, and bytes of their payload.
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        # Garbage, oversized frames and failed handshakes.
+        self.dropped = 0
+        # Replies whose asker had given up.
+        self.late = 0
+        # Connections opened, and of those given up for their silence.
+        self.opened = 0
+        self.silent = 0
+
+
+class _Ask:
+    """One message on its way."""
+
+    __slots__ = ('done', 'exc', 'payload', 'reply', 'sent', 'sequence')
+
+    def __init__(self, sequence: int, payload: bytes) -> None:
+        self.sequence = sequence.to_bytes(SEQUENCE_BYTES, 'big')
+        self.payload = payload
+        # True as soon as a byte of it may leave this process.
+        self.sent = False
+        self.reply: bytes | None = None
+        self.exc: errors.PortError | None = None
+        # Set when reply or exc is there; also marks an abandoned ask.
+        self.done = threading.Event()
+
+
+class _Connection:
+    """One socket, connected once."""
+
+    __slots__ = (
+        'address',
+        'asked_at',
+        'heard_at',
+        'monitor',
+        'pending',
+        'pinged_at',
+        'sock',
+        'up',
+        'waiting',
+    )
+
+    def __init__(
+        self,
+        context: zmq.Context[Dealer],
+        address: str,
+        silence_s: float,
+        now: float,
+    ) -> None:
+        self.address = address
+        self.sock = context.socket(zmq.DEALER)
+        self.sock.setsockopt(zmq.LINGER, 0)
+        # Messages go to completed connections only, so what was not handed
+        # over to libzmq was surely not sent.
+        self.sock.setsockopt(zmq.IMMEDIATE, 1)
+        self.sock.setsockopt(zmq.RECONNECT_IVL, -1)
+        self.sock.setsockopt(zmq.CONNECT_TIMEOUT, max(1, int(silence_s * 1000)))
+        self.sock.setsockopt(zmq.MAXMSGSIZE, messages.MAX_BYTES + 1024)
+        self.monitor = self.sock.get_monitor_socket(_ENDED)
+        # Not handed to libzmq yet.
+        self.waiting: collections.deque[_Ask] = collections.deque()
+        # Sent, by sequence number.
+        self.pending: dict[bytes, _Ask] = {}
+        self.up = False
+        self.asked_at = now
+        self.heard_at = now
+        self.pinged_at = now
+
+    def close(self) -> None:
+        """Closes the socket; what libzmq still holds is thrown away."""
+        self.sock.disable_monitor()
+        self.monitor.close(0)
+        self.sock.close(0)
+
+
+class Peers:
+    """Implements `ports.Peers` over ZeroMQ.
+
+    Args:
+        heartbeat_s: Time between heartbeats of a connection, seconds.
+        silence_s: A connection that was not heard for this long is replaced.
+        clock: Monotonic seconds.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_closing',
+        '_connections',
+        '_context',
+        '_heartbeat_s',
+        '_incoming',
+        '_lock',
+        '_numbers',
+        '_poller',
+        '_silence_s',
+        '_sockets',
+        '_thread',
+        '_wake',
+        'counts',
+    )
+
+    def __init__(
+        self,
+        heartbeat_s: float,
+        silence_s: float,
+        clock: ports.Clock = time.monotonic,
+    ) -> None:
+        # What passed, for metrics and the state dump.
+        self.counts = Counts()
+        self._heartbeat_s = heartbeat_s
+        self._silence_s = silence_s
+        self._clock = clock
+        self._closing = False
+        self._numbers = itertools.count(1)
+        # Guards the state of every ask.
+        self._lock = threading.Lock()
+        # Asks that the background thread has not seen yet.
+        self._incoming: collections.deque[tuple[str, _Ask]] = (
+            collections.deque()
+        )
+        # Owned by the background thread.
+        self._context: zmq.Context[Dealer] = zmq.Context()
+        self._connections: dict[str, _Connection] = {}
+        # Both sockets of each connection.
+        self._sockets: dict[Dealer, _Connection] = {}
+        self._poller = zmq.Poller()
+        self._wake = wakes.Wake()
+        self._thread = threading.Thread(
+            target=self._run, name='peers', daemon=True
+        )
+        self._thread.start()
+
+    def ask(
+        self, address: str, msg: messages.Any, timeout_s: float
+    ) -> messages.Any:
+        """Sends a message and waits for its reply.
+
+        Args:
+            address: 'IP:PORT' of a `wire.Responder`.
+            msg: What to ask.
+            timeout_s: Longest wait, seconds.
+
+        Raises:
+            errors.UnreachableError: Surely nothing was sent.
+            errors.AnswerLostError: It may have been sent; no answer came.
+            errors.RejectedError: The reply is a `Fail`.
+        """
+        payload = messages.encode(msg)
+        if len(payload) > messages.MAX_BYTES:
+            raise errors.UnreachableError(
+                f'message of {len(payload)} bytes, limit {messages.MAX_BYTES}'
+            )
+        ask = _Ask(next(self._numbers), payload)
+        if self._closing:
+            raise errors.UnreachableError('closed')
+        self._incoming.append((address, ask))
+        self._wake.set()
+        if not ask.done.wait(timeout_s):
+            self._give_up(address, ask)
+        if ask.exc is not None:
+            raise ask.exc
+        return self._read(address, ask.reply or b'')
+
+    def close(self) -> None:
+        """Ends every ask and closes every connection."""
+        with self._lock:
+            if self._closing:
+                return
+            self._closing = True
+        self._wake.set()
+        self._thread.join()
+        self._context.destroy(linger=0)
+
+    def _give_up(self, address: str, ask: _Ask) -> None:
+        """Settles an ask whose time is over, unless it was settled just now."""
+        with self._lock:
+            if ask.done.is_set():
+                return
+            ask.exc = _lost(ask, f'{address}: no answer in time')
+            ask.done.set()
+
+    def _read(self, address: str, data: bytes) -> messages.Any:
+        try:
+            reply = messages.decode(data)
+        except errors.DecodeError as exc:
+            self.counts.dropped += 1
+            raise errors.AnswerLostError(f'{address}: {exc}') from exc
+        if isinstance(reply, messages.Fail):
+            raise errors.RejectedError(reply.code, reply.message)
+        return reply
+
+    # All below runs in the background thread.
+
+    def _run(self) -> None:
+        self._poller.register(self._wake.fileno(), zmq.POLLIN)
+        next_beat = self._clock() + self._heartbeat_s
+        while not self._closing:
+            wait_s = max(0.0, next_beat - self._clock())
+            for key, _ in self._poller.poll(int(wait_s * 1000) + 1):
+                self._serve(key)
+            now = self._clock()
+            if now >= next_beat:
+                self._beat(now)
+                next_beat = now + self._heartbeat_s
+        for conn in list(self._connections.values()):
+            self._drop(conn, 'closed')
+        self._take_incoming()
+        self._wake.close()
+
+    def _serve(self, key: Dealer | int) -> None:
+        if isinstance(key, int):
+            self._wake.clear()
+            self._take_incoming()
+            return
+        conn = self._sockets.get(key)
+        if conn is None:
+            # Dropped earlier in this round.
+            return
+        if key is conn.monitor:
+            # Replies that came before the end still count.
+            self._receive(conn)
+            self._drop(conn, 'connection closed', reopen=conn.up)
+            return
+        self._receive(conn)
+        self._send(conn)
+
+    def _take_incoming(self) -> None:
+        now = self._clock()
+        while self._incoming:
+            address, ask = self._incoming.popleft()
+            if self._closing:
+                self._settle(ask, errors.UnreachableError('closed'))
+                continue
+            conn = self._connections.get(address)
+            if conn is None:
+                conn = self._open(address, now)
+            if conn is None:
+                self._settle(ask, errors.UnreachableError(f'bad {address!r}'))
+                continue
+            conn.asked_at = now
+            conn.waiting.append(ask)
+            self._send(conn)
+
+    def _open(self, address: str, now: float) -> _Connection | None:
+        conn = _Connection(self._context, address, self._silence_s, now)
+        try:
+            conn.sock.connect(f'tcp://{address}')
+        except zmq.ZMQError:
+            conn.close()
+            return None
+        self._connections[address] = conn
+        self._sockets[conn.sock] = conn
+        self._sockets[conn.monitor] = conn
+        self._poller.register(conn.sock, zmq.POLLIN | zmq.POLLOUT)
+        self._poller.register(conn.monitor, zmq.POLLIN)
+        self.counts.opened += 1
+        return conn
+
+    def _send(self, conn: _Connection) -> None:
+        """Sends what waits, as far as the connection takes it."""
+        while conn.waiting:
+            ask = conn.waiting[0]
+            with self._lock:
+                if ask.done.is_set():
+                    conn.waiting.popleft()
+                    continue
+                if not self._push(conn, ask.sequence, ask.payload):
+                    break
+                ask.sent = True
+            conn.waiting.popleft()
+            conn.pending[ask.sequence] = ask
+        wanted = zmq.POLLIN | (zmq.POLLOUT if conn.waiting else 0)
+        self._poller.modify(conn.sock, wanted)
+
+    def _push(self, conn: _Connection, sequence: bytes, data: bytes) -> bool:
+        try:
+            conn.sock.send_multipart([sequence, data], zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        conn.up = True
+        self.counts.sent += 1
+        self.counts.sent_bytes += len(data)
+        return True
+
+    def _receive(self, conn: _Connection) -> None:
+        while True:
+            try:
+                frames = conn.sock.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            conn.heard_at = self._clock()
+            if len(frames) != 2:
+                self.counts.dropped += 1
+                continue
+            self.counts.received += 1
+            self.counts.received_bytes += len(frames[1])
+            if frames[0] != _HEARTBEAT:
+                self._match(conn, frames[0], frames[1])
+
+    def _match(self, conn: _Connection, sequence: bytes, data: bytes) -> None:
+        """Hands a reply to the one who asked, and to nobody else."""
+        ask = conn.pending.pop(sequence, None)
+        if ask is None:
+            self.counts.late += 1
+            return
+        with self._lock:
+            if ask.done.is_set():
+                self.counts.late += 1
+                return
+            ask.reply = data
+            ask.done.set()
+
+    def _beat(self, now: float) -> None:
+        """Sends heartbeats; replaces the silent, closes the unused."""
+        for conn in list(self._connections.values()):
+            if now - conn.heard_at > self._silence_s:
+                # One would notice asks to this address failing one after
+                # the other while a fresh process reaches it well.
+                self.counts.silent += 1
+                self._drop(conn, 'connection silent', reopen=conn.up)
+            elif now - conn.asked_at > IDLE_S and not conn.pending:
+                self._drop(conn, 'unused')
+            else:
+                self._forget_abandoned(conn)
+                self._push(conn, _HEARTBEAT, _PING)
+
+    def _forget_abandoned(self, conn: _Connection) -> None:
+        """Drops given-up asks, which an unanswering peer would pile up."""
+        conn.waiting = collections.deque(
+            ask for ask in conn.waiting if not ask.done.is_set()
+        )
+        conn.pending = {
+            ask.sequence: ask
+            for ask in conn.pending.values()
+            if not ask.done.is_set()
+        }
+
+    def _drop(
+        self, conn: _Connection, reason: str, reopen: bool = False
+    ) -> None:
+        """Closes a connection and settles its asks.
+
+        Args:
+            conn: The connection.
+            reason: Why, for the exceptions.
+            reopen: Whether what was not sent goes to a fresh connection. Not
+                if this one never came up: then the other side can't be
+                reached now, and the asker is told at once.
+        """
+        self._poller.unregister(conn.sock)
+        self._poller.unregister(conn.monitor)
+        del self._sockets[conn.sock]
+        del self._sockets[conn.monitor]
+        del self._connections[conn.address]
+        conn.close()
+        text = f'{conn.address}: {reason}'
+        for ask in conn.pending.values():
+            self._settle(ask, errors.AnswerLostError(text))
+        if reopen and conn.waiting:
+            fresh = self._open(conn.address, self._clock())
+            if fresh is not None:
+                fresh.waiting = conn.waiting
+                return
+        for ask in conn.waiting:
+            self._settle(ask, errors.UnreachableError(text))
+
+    def _settle(self, ask: _Ask, exc: errors.PortError) -> None:
+        with self._lock:
+            if not ask.done.is_set():
+                ask.exc = exc
+                ask.done.set()
+
+
+def _lost(ask: _Ask, text: str) -> errors.PortError:
+    if ask.sent:
+        return errors.AnswerLostError(text)
+    return errors.UnreachableError(text)
