--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -134,6 +134,18 @@
     'no',
     'Not run: the body has {found} bytes, the limit is {limit}.',
 )
+SLOW_REQUEST: Final = Code(
+    'slow-request',
+    408,
+    'no',
+    'Not run: the request did not arrive whole within {limit_s} s.',
+)
+ENTRY_BUSY: Final = Code(
+    'entry-busy',
+    503,
+    'no',
+    'Not run: this entry VM serves {limit} requests already.',
+)
 NO_SERVICE: Final = Code(
     'no-service',
     404,
