--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -85,7 +85,8 @@
     _cfg: options.Options
     _peers: peers.Peers
     _responder: wire.Responder
-    _owner: actors.Owner[keeper.Keeper]
+    # None until the address is known, which is part of the state.
+    _owner: actors.Owner[keeper.Keeper] | None
     _gossip: gossip.Gossip
     _settle: process.Loop
     _loops: list[process.Loop]
@@ -101,7 +102,7 @@
     def start(self) -> None:
         """Binds, then starts the loops."""
         cfg = self._cfg
-        address = self._responder.bind()
+        address = self._responder.start()
         me = values.Keeper(
             name=cfg.entry_vm,
             incarnation=incarnations.make('keeper', cfg.entry_vm),
@@ -139,7 +140,6 @@
         self._admin = admin.Admin(
             cfg.admin_address, self._ready, self._state, counts.render
         )
-        self._responder.start()
         for loop in self._loops:
             loop.start()
         _announce(cfg, peer=address, admin=self._admin.start())
@@ -221,10 +221,9 @@
     def start(self) -> None:
         """Binds, then starts the loops and serves callers."""
         cfg = self._cfg
-        address = self._responder.bind()
+        address = self._responder.start()
         counts = metrics.Metrics()
         self._wire(address, counts)
-        self._responder.start()
         for loop in self._loops:
             loop.start()
         self._admin = admin.Admin(
