--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -97,6 +97,11 @@
     prefixes: tuple[str, ...] = ()
     # Time since the request arrived, milliseconds.
     waited_ms: int = 0
+    # Prefill worker that holds a finished prefill of this request; only link
+    # time and a decode slot are asked for then.
+    ready_at: str = ''
+    # Decode worker that an earlier attempt failed at; not granted again.
+    avoid: str = ''
 
 
 class Granted(Wire, frozen=True):
@@ -134,6 +139,12 @@
     grant: str
     # done, cancelled, prefill-failed, transfer-failed, decode-failed
     result: str
+    # What the holder measured, for the home's estimates; 0 for not reached.
+    prefill_ms: int = 0
+    transfer_ms: int = 0
+    decode_ms: int = 0
+    # Tokens of the answer.
+    output_tokens: int = 0
 
 
 class KeepSlots(Wire, frozen=True):
