--- a/packages/core/foxtaildale/chat.py
+++ b/packages/core/foxtaildale/chat.py
@@ -8,10 +8,11 @@
 from typing import Annotated
 from typing import Final
 
-from foxtaildale import errors
 import msgspec
 import xxhash
 
+from foxtaildale import errors
+
 # Longest answer a caller may ask for, tokens.
 MAX_TOKENS: Final = 32_768
 # A prefix digest is taken each so many tokens of the prompt.
@@ -34,9 +35,7 @@
     ]
     stream: bool = False
     # None means that the preset's expectation is used.
-    max_tokens: (
-        Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None
-    ) = None
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None = None
 
     @property
     def prompt(self) -> str:
--- a/packages/core/foxtaildale/outcomes.py
+++ b/packages/core/foxtaildale/outcomes.py
@@ -7,9 +7,10 @@
 import math
 from typing import Final
 
+import msgspec
+
 from foxtaildale import codes
 from foxtaildale import values
-import msgspec
 
 # Media type of an error body.
 JSON: Final = 'application/json'
--- a/packages/core/foxtaildale/reaper.py
+++ b/packages/core/foxtaildale/reaper.py
@@ -14,9 +14,10 @@
   longer than the grace time, which the worker itself reports.
 """
 
+import msgspec
+
 from foxtaildale import backends
 from foxtaildale import incarnations
-import msgspec
 
 
 class Census(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/foxtaildaled/actors.py
+++ b/packages/daemon/foxtaildaled/actors.py
@@ -8,13 +8,14 @@
 
 from collections.abc import Callable
 from typing import Any
-from typing import cast
 from typing import Generic
 from typing import TypeVar
+from typing import cast
+
+import pykka
 
 from foxtaildale import errors
 from foxtaildale import ports
-import pykka
 
 _State = TypeVar('_State')
 _Result = TypeVar('_Result')
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -14,6 +14,8 @@
 from typing import Final
 from typing import Protocol
 
+import msgspec
+
 from foxtaildale import backends
 from foxtaildale import codes
 from foxtaildale import errors
@@ -22,11 +24,10 @@
 from foxtaildale import ports
 from foxtaildale import streams
 from foxtaildale import values
+from foxtaildale_adapters import metrics
 from foxtaildaled import job as jobs
 from foxtaildaled import retries
 from foxtaildaled import slots
-from foxtaildale_adapters import metrics
-import msgspec
 
 # Times that a broken stream is read on.
 _RESUMES: Final = 5
@@ -104,6 +105,7 @@
 
     def __init__(
         self,
+        *,
         cfg: options.Options,
         engines: ports.Engines,
         getter: slots.Slots,
@@ -118,9 +120,7 @@
         self._metrics = counts
         self._clock = clock
 
-    def run(
-        self, job: jobs.Job, sink: Sink
-    ) -> slots.Refusal:
+    def run(self, job: jobs.Job, sink: Sink) -> slots.Refusal:
         """Runs a request to its end and returns its code and figures."""
         self._retries.first(job.name, job.snapshot)
         avoid = ''
@@ -147,9 +147,7 @@
             self._cfg.silence_s,
         )
 
-    def _refusal(
-        self, job: jobs.Job, refusal: slots.Refusal
-    ) -> slots.Refusal:
+    def _refusal(self, job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
         """Returns a refusal as it is true after earlier attempts."""
         if job.attempt == 1 or refusal.code.ran != 'no':
             return refusal
@@ -159,9 +157,7 @@
             codes.FAILED, refusal.figures, refusal.retry_after_s
         )
 
-    def _may_retry(
-        self, job: jobs.Job, sink: Sink, failure: Failure
-    ) -> bool:
+    def _may_retry(self, job: jobs.Job, sink: Sink, failure: Failure) -> bool:
         if sink.started:
             return False
         if failure.begun and job.service.once != 'none':
@@ -171,7 +167,7 @@
             deadline = job.arrived_at + job.first_answer_ms / 1000
         if not self._retries.take(job.name, job.snapshot, deadline):
             return False
-        self._metrics.retry(job.name, failure.stage)
+        self._metrics.retries.add(1, job.name)
         return True
 
     def _attempt(
@@ -204,7 +200,9 @@
             return ready
         failure = self._transfer(job, grant, ready, measured)
         if failure is not None:
-            self._metrics.wasted(job.name, ready.tokens - ready.cached)
+            self._metrics.wasted_prefill_tokens.add(
+                ready.tokens - ready.cached, job.name
+            )
             return failure
         began_at = self._clock()
         result = self._decode(job, sink, grant)
@@ -232,7 +230,9 @@
         except errors.PortError as exc:
             return _failure('prefill-failed', exc, grant)
         measured.prefill_ms = round((self._clock() - began_at) * 1000)
-        self._metrics.prefilled(job.name, reply.tokens - reply.cached)
+        self._metrics.prefill_tokens.add(
+            reply.tokens - reply.cached, job.name
+        )
         if (reply.request, reply.attempt) != (job.request, job.attempt):
             return Failure('prefill-failed', 'answer of another request')
         return reply
@@ -349,9 +349,7 @@
         str(exc),
         grant.decode,
         begun=stage == 'decode-failed'
-        and not isinstance(
-            exc, errors.UnreachableError | errors.RejectedError
-        ),
+        and not isinstance(exc, errors.UnreachableError | errors.RejectedError),
         rejected=isinstance(exc, errors.RejectedError),
     )
 
--- a/packages/daemon/foxtaildaled/cancels.py
+++ b/packages/daemon/foxtaildaled/cancels.py
@@ -10,10 +10,11 @@
 import threading
 from typing import Final
 
+import msgspec
+
 from foxtaildale import backends
 from foxtaildale import errors
 from foxtaildale import ports
-import msgspec
 
 # Cancels that wait, at most; beyond it the oldest go, and the engine's own
 # time-outs must do.
--- a/packages/daemon/foxtaildaled/desk.py
+++ b/packages/daemon/foxtaildaled/desk.py
@@ -9,6 +9,8 @@
 from typing import Final
 from typing import Protocol
 
+import msgspec
+
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import messages
@@ -19,7 +21,6 @@
 from foxtaildaled import actors
 from foxtaildaled import plain
 from foxtaildaled import view
-import msgspec
 
 # Tries of a message to the witness; each opens a new connection if the former
 # one went silent.
@@ -41,6 +42,7 @@
         request: str,
         service: str,
         snapshot: view.Snapshot,
+        *,
         figures: tuple[values.Figure, ...] = (),
         retry_after_s: float = 0.0,
     ) -> values.Outcome:
@@ -70,6 +72,7 @@
 
     def __init__(
         self,
+        *,
         cfg: options.Options,
         incarnation: str,
         owner: actors.Owner[tickets.Executor],
@@ -200,8 +203,8 @@
             request,
             ticket.service,
             self._view.now,
-            result.figures,
-            result.retry_after_s,
+            figures=result.figures,
+            retry_after_s=result.retry_after_s,
         )
         return messages.RunReply(outcome=outcome, answer=pack(result.reply))
 
@@ -233,7 +236,7 @@
         self, code: codes.Code, ticket: messages.Ticket, request: str
     ) -> messages.RunReply:
         outcome = self._stamp(
-            code, request, ticket.service, self._view.now, (), _AGAIN_S
+            code, request, ticket.service, self._view.now, retry_after_s=_AGAIN_S
         )
         return messages.RunReply(outcome=outcome)
 
--- a/packages/daemon/foxtaildaled/entry.py
+++ b/packages/daemon/foxtaildaled/entry.py
@@ -17,6 +17,8 @@
 from typing import Final
 import uuid
 
+import msgspec
+
 from foxtaildale import chat
 from foxtaildale import codes
 from foxtaildale import errors
@@ -37,7 +39,6 @@
 from foxtaildaled import sinks
 from foxtaildaled import slots
 from foxtaildaled import view
-import msgspec
 
 TICKET_HEADER: Final = 'foxtaildale-ticket'
 KEY_HEADER: Final = 'idempotency-key'
@@ -78,6 +79,7 @@
         request: str,
         service: str,
         snapshot: view.Snapshot,
+        *,
         figures: tuple[values.Figure, ...] = (),
         retry_after_s: float = 0.0,
     ) -> values.Outcome:
@@ -126,6 +128,7 @@
 
     def __init__(
         self,
+        *,
         cfg: options.Options,
         incarnation: str,
         seen: view.View,
@@ -206,15 +209,15 @@
         target = _number(ex.headers.get(FIRST_ANSWER_HEADER, ''))
         resume_s = _number(ex.headers.get(RESUME_HEADER, ''))
         return jobs.Job(
-            req,
-            request,
-            service,
-            snapshot,
-            self._incarnation,
-            self._cancels,
-            self._clock(),
-            round(target) or service.first_answer_ms,
-            min(resume_s, self._cfg.grace_s),
+            req=req,
+            request=request,
+            service=service,
+            snapshot=snapshot,
+            holder=self._incarnation,
+            cancel_queue=self._cancels,
+            arrived_at=self._clock(),
+            first_answer_ms=round(target) or service.first_answer_ms,
+            resume_s=min(resume_s, self._cfg.grace_s),
         )
 
     def _claimed(
@@ -245,8 +248,8 @@
             job.request,
             job.name,
             job.snapshot,
-            result.figures,
-            result.retry_after_s,
+            figures=result.figures,
+            retry_after_s=result.retry_after_s,
         )
 
     def _resume(self, ex: callers.Exchange, request: str) -> None:
@@ -301,7 +304,9 @@
     ) -> None:
         text = ex.headers.get(TICKET_HEADER, '')
         if not text:
-            self._refuse_ticket(ex, request, snapshot, name, codes.TICKET_NEEDED)
+            self._refuse_ticket(
+                ex, request, snapshot, name, codes.TICKET_NEEDED
+            )
             return
         ticket = tickets.from_text(text)
         wrong = (
@@ -354,8 +359,8 @@
                 request,
                 name,
                 snapshot,
-                refusal.figures,
-                refusal.retry_after_s,
+                figures=refusal.figures,
+                retry_after_s=refusal.retry_after_s,
             )
             self._records.add(outcome)
             self._end(ex, outcome)
@@ -377,8 +382,8 @@
             request,
             name,
             snapshot,
-            result.figures,
-            result.retry_after_s,
+            figures=result.figures,
+            retry_after_s=result.retry_after_s,
         )
         self._records.add(outcome)
         if result.reply is None:
@@ -409,7 +414,7 @@
         minted = self._desk.mint(req.service, req.count)
         if not minted:
             outcome = self._stamp(
-                codes.NO_WITNESS, request, req.service, snapshot, (), _AGAIN_S
+                codes.NO_WITNESS, request, req.service, snapshot, retry_after_s=_AGAIN_S
             )
             self._records.add(outcome)
             self._end(ex, outcome)
@@ -461,7 +466,14 @@
         if code is None:
             return service
         again_s = _AGAIN_S if code.status == 503 else 0.0
-        outcome = self._stamp(code, request, name, snapshot, figures, again_s)
+        outcome = self._stamp(
+            code,
+            request,
+            name,
+            snapshot,
+            figures=figures,
+            retry_after_s=again_s,
+        )
         self._records.add(outcome)
         self._end(ex, outcome)
         return None
@@ -479,7 +491,7 @@
             request,
             name,
             self._view.now,
-            (values.Figure('reason', reason),),
+            figures=(values.Figure('reason', reason),),
         )
         self._records.add(outcome)
         self._end(ex, outcome)
--- a/packages/daemon/foxtaildaled/follow.py
+++ b/packages/daemon/foxtaildaled/follow.py
@@ -57,7 +57,9 @@
             )
             return
         except errors.PortError:
-            self._owner.run(lambda state, now: state.follower.on_log_failed(now))
+            self._owner.run(
+                lambda state, now: state.follower.on_log_failed(now)
+            )
             return
         self._owner.run(lambda state, now: state.on_config(now, batch))
         self._write_checkpoint(batch.first)
@@ -128,7 +130,9 @@
             batch = self._log.read(CLAIMS_STREAM, offset, _BATCH)
         except errors.LapsedError as exc:
             first = exc.first
-            self._owner.run(lambda state, now: state.claims.on_lapsed(now, first))
+            self._owner.run(
+                lambda state, now: state.claims.on_lapsed(now, first)
+            )
             return True
         except errors.PortError:
             return False
--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import functools
 from typing import Final
 
 from foxtaildale import backends
@@ -37,9 +38,7 @@
     _busy: dict[str, futures.Future[None]]
 
     def __init__(self, name: str) -> None:
-        self._pool = futures.ThreadPoolExecutor(
-            _CALLS, thread_name_prefix=name
-        )
+        self._pool = futures.ThreadPoolExecutor(_CALLS, thread_name_prefix=name)
         self._busy = {}
 
     def call(self, address: str, step: Callable[[], None]) -> None:
@@ -80,14 +79,14 @@
         self._owner.run(lambda state, now: state.tick(now))
         beat = self._owner.run(lambda state, _now: state.beat())
         for address in self._owner.run(lambda state, now: state.targets(now)):
-            self._fan.call(address, lambda a=address: self._beat(a, beat))
+            self._fan.call(address, functools.partial(self._beat, address, beat))
 
     def goodbye(self) -> None:
         """Tells the peers that this keeper ends by plan."""
         me = self._owner.run(lambda state, _now: state.me)
         bye = messages.Bye(incarnation=me.incarnation)
         for address in self._owner.run(lambda state, now: state.targets(now)):
-            self._fan.call(address, lambda a=address: self._bye(a, bye))
+            self._fan.call(address, functools.partial(self._bye, address, bye))
         self._fan.close()
 
     def _beat(self, address: str, beat: messages.Beat) -> None:
@@ -129,7 +128,7 @@
     def step(self) -> None:
         """Reads each worker's load once."""
         for server in self._owner.run(lambda state, now: state.homed(now)):
-            self._fan.call(server.address, lambda s=server: self._read(s))
+            self._fan.call(server.address, functools.partial(self._read, server))
 
     def _read(self, server: values.BackendServer) -> None:
         load = follow.quietly(lambda: self._engines.load(server.address))
@@ -163,7 +162,7 @@
     def step(self) -> None:
         """Looks once at each worker that this keeper reaps."""
         for server in self._owner.run(lambda state, now: state.reaped(now)):
-            self._fan.call(server.address, lambda s=server: self._reap(s))
+            self._fan.call(server.address, functools.partial(self._reap, server))
 
     def _reap(self, server: values.BackendServer) -> None:
         held = follow.quietly(lambda: self._engines.holdings(server.address))
--- a/packages/daemon/foxtaildaled/job.py
+++ b/packages/daemon/foxtaildaled/job.py
@@ -62,6 +62,7 @@
 
     def __init__(
         self,
+        *,
         req: chat.ChatReq,
         request: str,
         service: values.Service,
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -10,6 +10,9 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+import pykka
+
 from foxtaildale import backends
 from foxtaildale import claims
 from foxtaildale import errors
@@ -23,8 +26,6 @@
 from foxtaildale import spread
 from foxtaildale import values
 from foxtaildale import witness
-import msgspec
-import pykka
 
 # Longest wait of an entry for its claim to be read back, seconds.
 CLAIM_WAIT_S: Final = 5.0
--- a/packages/daemon/foxtaildaled/main.py
+++ b/packages/daemon/foxtaildaled/main.py
@@ -4,6 +4,7 @@
 import sys
 
 import defopt
+
 from foxtaildale import errors
 from foxtaildale import settings
 from foxtaildale_adapters import logs
--- a/packages/daemon/foxtaildaled/plain.py
+++ b/packages/daemon/foxtaildaled/plain.py
@@ -8,13 +8,14 @@
 
 import threading
 
+import msgspec
+
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import values
 from foxtaildaled import retries
 from foxtaildaled import view
-import msgspec
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -103,7 +104,10 @@
             left = [server for server in servers if server.name not in tried]
             return min(
                 left,
-                key=lambda server: (self._open.get(server.name, 0), server.name),
+                key=lambda server: (
+                    self._open.get(server.name, 0),
+                    server.name,
+                ),
                 default=None,
             )
 
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -12,6 +12,7 @@
 import types
 
 from absl import logging as absl_logging
+
 from foxtaildale import errors
 from foxtaildale_adapters import logs
 
--- a/packages/daemon/foxtaildaled/records.py
+++ b/packages/daemon/foxtaildaled/records.py
@@ -11,12 +11,13 @@
 from typing import Final
 
 from absl import logging as absl_logging
+import msgspec
+
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import values
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import metrics
-import msgspec
 
 OUTCOMES_STREAM: Final = 'outcomes'
 # Outcomes that wait for the log, at most.
@@ -66,7 +67,7 @@
             sentence=outcome.sentence,
             revision=outcome.revision,
         )
-        self._metrics.request(outcome.service, outcome.code)
+        self._metrics.requests.add(1, outcome.service, outcome.code)
         with self._lock:
             self._kept[outcome.request] = outcome
             if len(self._kept) > _KEPT_MAX:
@@ -117,5 +118,3 @@
                 'waiting': len(self._waiting),
                 'dropped': self.dropped,
             }
-
-
--- a/packages/daemon/foxtaildaled/slots.py
+++ b/packages/daemon/foxtaildaled/slots.py
@@ -8,6 +8,8 @@
 
 from typing import Final
 
+import msgspec
+
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import messages
@@ -16,7 +18,6 @@
 from foxtaildale import values
 from foxtaildaled import job as jobs
 from foxtaildaled import view
-import msgspec
 
 # Longest wait for the home's answer, seconds; it decides without waiting.
 _HOME_S: Final = 1.0
@@ -123,5 +124,3 @@
         self, snapshot: view.Snapshot, now: float, msg: messages.AskSlot
     ) -> messages.Granted | messages.Queued | messages.Refused:
         return self._share.ask(now, msg)
-
-
--- a/packages/daemon/foxtaildaled/view.py
+++ b/packages/daemon/foxtaildaled/view.py
@@ -7,13 +7,14 @@
 
 import threading
 
+import msgspec
+
 from foxtaildale import errors
 from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
 from foxtaildale import values
-import msgspec
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -143,9 +144,7 @@
         )
         asked_at = self._clock()
         try:
-            reply = self._peers.ask(
-                self._cfg.keeper, msg, self._cfg.silence_s
-            )
+            reply = self._peers.ask(self._cfg.keeper, msg, self._cfg.silence_s)
         except errors.PortError:
             return
         if isinstance(reply, messages.HelloReply):
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from absl import logging as absl_logging
+
 from foxtaildale import incarnations
 from foxtaildale import messages
 from foxtaildale import options
@@ -85,8 +86,7 @@
     _cfg: options.Options
     _peers: peers.Peers
     _responder: wire.Responder
-    # None until the address is known, which is part of the state.
-    _owner: actors.Owner[keeper.Keeper] | None
+    _owner: actors.Owner[keeper.Keeper]
     _gossip: gossip.Gossip
     _settle: process.Loop
     _loops: list[process.Loop]
@@ -266,7 +266,14 @@
         self._cancels = cancels.Cancels(workers, clock)
         calls = plain.Plain(services.Services(), budget)
         own = slots.Slots(self._peers, share.Share(self._incarnation), clock)
-        model = answers.Answers(cfg, workers, own, budget, counts, clock)
+        model = answers.Answers(
+            cfg=cfg,
+            engines=workers,
+            getter=own,
+            budget=budget,
+            counts=counts,
+            clock=clock,
+        )
         executor = actors.Owner(
             tickets.Executor(
                 self._incarnation,
@@ -277,26 +284,26 @@
             clock,
         )
         self._desk = desk.Desk(
-            cfg,
-            self._incarnation,
-            executor,
-            self._peers,
-            calls,
-            self._view,
-            stamp,
+            cfg=cfg,
+            incarnation=self._incarnation,
+            owner=executor,
+            peers=self._peers,
+            calls=calls,
+            seen=self._view,
+            stamp=stamp,
         )
         self._entry = entry.Entry(
-            cfg,
-            self._incarnation,
-            self._view,
-            model,
-            calls,
-            self._desk,
-            claiming.Claiming(cfg, self._incarnation, self._peers),
-            self._records,
-            self._cancels,
-            stamp,
-            clock,
+            cfg=cfg,
+            incarnation=self._incarnation,
+            seen=self._view,
+            model=model,
+            calls=calls,
+            ticket_desk=self._desk,
+            claim_desk=claiming.Claiming(cfg, self._incarnation, self._peers),
+            kept=self._records,
+            cancel_queue=self._cancels,
+            stamp=stamp,
+            clock=clock,
         )
         self._server = callers.Server(
             cfg.caller_address,
@@ -364,5 +371,3 @@
     with open(partial, 'w', encoding='utf-8') as file:
         json.dump(addresses, file)
     os.replace(partial, cfg.address_file)
-
-
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -158,9 +158,7 @@
     def put_list(self, listing: values.Listing) -> None:
         """Replaces the platform's VM list."""
         self.listing = listing
-        self.put(
-            self.platform.address, '/vms', msgspec.json.encode(listing)
-        )
+        self.put(self.platform.address, '/vms', msgspec.json.encode(listing))
 
     def publish(self, preset: values.Preset) -> None:
         """Publishes a preset and switches to it."""
