--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -11,8 +11,8 @@
 """
 
 from collections.abc import Iterator
+import threading
 from typing import Final
-from typing import Protocol
 
 import msgspec
 
@@ -27,6 +27,7 @@
 from foxtaildale_adapters import metrics
 from foxtaildaled import job as jobs
 from foxtaildaled import retries
+from foxtaildaled import sinks
 from foxtaildaled import slots
 
 # Times that a broken stream is read on.
@@ -39,20 +40,6 @@
 _Items = Iterator[backends.Piece | backends.Last]
 
 
-class Sink(Protocol):
-    """Where the pieces of an answer go."""
-
-    def piece(self, piece: backends.Piece) -> None:
-        """Takes the next piece."""
-
-    def last(self, last: backends.Last) -> None:
-        """Takes the end of a whole answer."""
-
-    @property
-    def started(self) -> bool:
-        """Whether the caller may have been sent a part of the answer."""
-
-
 class Failure(msgspec.Struct, frozen=True):
     """An attempt that did not end in a whole answer."""
 
@@ -120,7 +107,7 @@
         self._metrics = counts
         self._clock = clock
 
-    def run(self, job: jobs.Job, sink: Sink) -> slots.Refusal:
+    def run(self, job: jobs.Job, sink: sinks.Sink) -> slots.Refusal:
         """Runs a request to its end and returns its code and figures."""
         self._retries.first(job.name, job.snapshot)
         avoid = ''
@@ -136,16 +123,29 @@
             avoid = result.decode
 
     def read_on(
-        self, server: values.BackendServer, job: jobs.Job, position: int
-    ) -> _Items:
-        """Reads a stream on for a caller that came back."""
-        return self._engines.resume(
-            server.address,
-            job.stream,
-            position,
-            job.holder,
-            self._cfg.silence_s,
+        self, address: str, event: streams.EventId, holder: str, sink: sinks.Sink
+    ) -> codes.Code:
+        """Reads a stream on behind an event, for a caller that came back."""
+        request, _dot, attempt = event.stream.rpartition('.')
+        number = int(attempt) if attempt.isdecimal() else 0
+        sink.begin(event.worker, event.stream)
+        checker = streams.Checker(
+            request, number, event.stream, event.position + 1
         )
+        try:
+            items = self._engines.resume(
+                address,
+                event.stream,
+                checker.position,
+                holder,
+                self._cfg.silence_s,
+            )
+            reason = _read(threading.Event(), sink, checker, items)
+        except errors.RejectedError:
+            return codes.NO_STREAM
+        except errors.PortError:
+            reason = 'the stream broke off'
+        return codes.BROKEN if reason else codes.OK
 
     def _refusal(self, job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
         """Returns a refusal as it is true after earlier attempts."""
@@ -157,7 +157,7 @@
             codes.FAILED, refusal.figures, refusal.retry_after_s
         )
 
-    def _may_retry(self, job: jobs.Job, sink: Sink, failure: Failure) -> bool:
+    def _may_retry(self, job: jobs.Job, sink: sinks.Sink, failure: Failure) -> bool:
         if sink.started:
             return False
         if failure.begun and job.service.once != 'none':
@@ -171,7 +171,7 @@
         return True
 
     def _attempt(
-        self, job: jobs.Job, sink: Sink, avoid: str
+        self, job: jobs.Job, sink: sinks.Sink, avoid: str
     ) -> slots.Refusal | Failure:
         grant = self._slots.get(job, '', avoid)
         if isinstance(grant, slots.Refusal):
@@ -190,7 +190,7 @@
     def _work(
         self,
         job: jobs.Job,
-        sink: Sink,
+        sink: sinks.Sink,
         grant: messages.Granted,
         measured: Measured,
     ) -> slots.Refusal | Failure:
@@ -265,7 +265,7 @@
         return None
 
     def _decode(
-        self, job: jobs.Job, sink: Sink, grant: messages.Granted
+        self, job: jobs.Job, sink: sinks.Sink, grant: messages.Granted
     ) -> slots.Refusal | Failure:
         """Reads the stream to its end, over new connections if need be."""
         req = backends.DecodeReq(
@@ -277,13 +277,14 @@
             priority=job.service.priority,
         )
         checker = streams.Checker(job.request, job.attempt, job.stream)
+        sink.begin(grant.decode, job.stream)
         reason = ''
         for turn in range(_RESUMES + 1):
             if job.gone.is_set():
                 break
             try:
                 items = self._open(job, grant, req, checker, turn)
-                reason = self._read(job, sink, checker, items)
+                reason = _read(job.gone, sink, checker, items)
             except errors.RejectedError as exc:
                 return Failure(
                     'decode-failed',
@@ -322,23 +323,29 @@
             silence_s,
         )
 
-    def _read(
-        self,
-        job: jobs.Job,
-        sink: Sink,
-        checker: streams.Checker,
-        items: _Items,
-    ) -> str:
-        """Reads pieces; returns '' for a whole answer, else what is wrong."""
-        for item in items:
-            if job.gone.is_set():
-                return 'the caller went away'
-            if isinstance(item, backends.Last):
-                return self._end_stream(sink, checker, item)
-            wrong = self._take(job, sink, checker, item)
-            if wrong:
-                return wrong
-        return 'the stream ended early'
+
+def _read(
+    gone: threading.Event,
+    sink: sinks.Sink,
+    checker: streams.Checker,
+    items: _Items,
+) -> str:
+    """Reads pieces; returns '' for a whole answer, else what is wrong."""
+    for item in items:
+        if gone.is_set():
+            return 'the caller went away'
+        if isinstance(item, backends.Last):
+            verdict = checker.last(item)
+            if verdict is streams.Verdict.WHOLE:
+                sink.last(item)
+                return ''
+            return verdict.value
+        verdict = checker.piece(item)
+        if verdict is streams.Verdict.ACCEPTED:
+            sink.piece(item)
+        elif verdict is not streams.Verdict.DUPLICATE:
+            return verdict.value
+    return 'the stream ended early'
 
 
 def _failure(
@@ -354,7 +361,7 @@
     )
 
 
-def _given_up(failure: Failure, sink: Sink) -> slots.Refusal:
+def _given_up(failure: Failure, sink: sinks.Sink) -> slots.Refusal:
     code = codes.BROKEN if sink.started else codes.FAILED
     return slots.Refusal(
         code,
--- a/packages/daemon/foxtaildaled/entry.py
+++ b/packages/daemon/foxtaildaled/entry.py
@@ -190,7 +190,7 @@
         if service is None:
             return
         job = self._job(ex, request, snapshot, service, req)
-        sink = sinks.make(ex, job, req.stream)
+        sink = sinks.make(ex, request, req.model, stream=req.stream)
         ex.watch(job.on_gone)
         if service.once == 'claim':
             result = self._claimed(ex, job, sink)
@@ -255,20 +255,19 @@
     def _resume(self, ex: callers.Exchange, request: str) -> None:
         """Reads on a stream that another connection, or VM, had begun."""
         snapshot = self._view.now
-        event = streams.parse_id(ex.headers.get(EVENT_HEADER, ''))
-        if event is None:
-            self._refuse(
-                ex, request, '', codes.BAD_REQUEST, 'no such Last-Event-ID'
-            )
+        try:
+            event = streams.parse_id(ex.headers.get(EVENT_HEADER, ''))
+        except errors.DecodeError as exc:
+            self._refuse(ex, request, '', codes.BAD_REQUEST, str(exc))
             return
         server = snapshot.server(event.worker)
         if server is None:
             self._end(ex, self._plain_outcome(codes.NO_STREAM, request))
             return
-        self._cancels.drop(event.stream.partition('.')[0])
-        sink = sinks.Resumed(ex, event)
+        self._cancels.drop(event.stream.rpartition('.')[0])
+        sink = sinks.EventSink(ex, request, server.service)
         code = self._answers.read_on(
-            server, event.stream, event.position + 1, self._incarnation, sink
+            server.address, event, self._incarnation, sink
         )
         outcome = self._stamp(code, request, server.service, snapshot)
         self._records.add(outcome)
--- a/packages/daemon/foxtaildaled/slots.py
+++ b/packages/daemon/foxtaildaled/slots.py
@@ -6,6 +6,7 @@
 the engine's own refusal corrects it.
 """
 
+import threading
 from typing import Final
 
 import msgspec
@@ -34,18 +35,23 @@
 class Slots:
     """Asks for slots and gives them back."""
 
-    __slots__ = ('_clock', '_peers', '_share')
+    __slots__ = ('_clock', '_entry_vm', '_lock', '_peers', '_shares')
 
     _peers: ports.Peers
-    _share: share.Share
+    _entry_vm: str
     _clock: ports.Clock
+    # Fallbacks, by service.
+    _shares: dict[str, share.Share]
+    _lock: threading.Lock
 
     def __init__(
-        self, peers: ports.Peers, own: share.Share, clock: ports.Clock
+        self, peers: ports.Peers, entry_vm: str, clock: ports.Clock
     ) -> None:
         self._peers = peers
-        self._share = own
+        self._entry_vm = entry_vm
         self._clock = clock
+        self._shares = {}
+        self._lock = threading.Lock()
 
     def get(
         self, job: jobs.Job, ready_at: str, avoid: str
@@ -66,8 +72,8 @@
 
     def end(self, job: jobs.Job, msg: messages.EndSlot) -> None:
         """Gives a slot back, with what was measured on the way."""
-        if self._share.end(self._clock(), msg):
-            return
+        with self._lock:
+            self._share(job).end(self._clock(), msg)
         address = job.snapshot.home(job.name)
         if address is None:
             return
@@ -94,8 +100,12 @@
             avoid=avoid,
         )
         reply = self._ask_home(job.snapshot, msg)
-        if reply is None:
-            reply = self._ask_share(job.snapshot, now, msg)
+        with self._lock:
+            own = self._share(job)
+            if reply is None:
+                reply = own.ask(now, msg)
+            elif isinstance(reply, messages.Granted):
+                own.granted(now, msg, reply)
         if isinstance(reply, messages.Refused):
             return Refusal(
                 codes.ALL.get(reply.code, codes.NO_CAPACITY),
@@ -120,7 +130,10 @@
             return reply
         return None
 
-    def _ask_share(
-        self, snapshot: view.Snapshot, now: float, msg: messages.AskSlot
-    ) -> messages.Granted | messages.Queued | messages.Refused:
-        return self._share.ask(now, msg)
+    def _share(self, job: jobs.Job) -> share.Share:
+        own = self._shares.get(job.name)
+        if own is None:
+            own = self._shares[job.name] = share.Share(job.name, self._entry_vm)
+        own.on_service(job.service)
+        own.on_listing(job.snapshot.listing)
+        return own
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -15,7 +15,6 @@
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import reaper
-from foxtaildale import share
 from foxtaildale import tickets
 from foxtaildale import values
 from foxtaildale_adapters import admin
@@ -265,7 +264,7 @@
         self._records = records.Records(store, counts)
         self._cancels = cancels.Cancels(workers, clock)
         calls = plain.Plain(services.Services(), budget)
-        own = slots.Slots(self._peers, share.Share(self._incarnation), clock)
+        own = slots.Slots(self._peers, cfg.entry_vm, clock)
         model = answers.Answers(
             cfg=cfg,
             engines=workers,
