--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -170,6 +170,12 @@
     'unknown',
     'No outcome of this request is kept here: {reason}.',
 )
+BACKEND_REFUSED: Final = Code(
+    'backend-refused',
+    503,
+    'no',
+    'Not run: the backend servers did not take it ({reason}).',
+)
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
 TOO_LARGE: Final = Code(
     'too-large',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -52,8 +52,8 @@
     listing: values.Listing | None
     # Keepers heard of lately, this one among them.
     keepers: tuple[values.Keeper, ...] = ()
-    # Whether the VM is to be stopped.
-    leaving: bool = False
+    # Whether this process is being stopped by plan.
+    stopping: bool = False
 
 
 class Bye(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -29,6 +29,7 @@
 from foxtaildaled import retries
 from foxtaildaled import sinks
 from foxtaildaled import slots
+from foxtaildaled import view
 
 # Times that a broken stream is read on.
 _RESUMES: Final = 5
@@ -36,22 +37,40 @@
 # up while the prefill's result may still live.
 _PREFILL_S: Final = 60.0
 _TRANSFER_S: Final = 5.0
+# Attempts after which an engine's refusal counts as a failure like any other.
+_FREE_TRIES: Final = 4
+# The engines' word for a planned stop.
+_LEAVING: Final = 'leaving'
 
 _Items = Iterator[backends.Piece | backends.Last]
 
 
+class Ready(msgspec.Struct, frozen=True):
+    """A finished prefill and where it lies."""
+
+    worker: str
+    address: str
+    reply: backends.PrefillReply
+    # When the engine evicts it; seconds, monotonic.
+    until: float
+
+
 class Failure(msgspec.Struct, frozen=True):
     """An attempt that did not end in a whole answer."""
 
     # prefill-failed, transfer-failed, decode-failed
     stage: str
     reason: str
-    # Decode worker that it failed at.
+    # Decode worker that it failed at, for the next attempt to avoid.
     decode: str = ''
+    # Backend server that it failed at.
+    at: str = ''
     # Whether the engine may have begun the answer itself.
     begun: bool = False
-    # Whether the engine said that it did not act.
-    rejected: bool = False
+    # The engine's own word where it said that it did not act.
+    rejected: str = ''
+    # A finished prefill that may be fetched again.
+    ready: 'Ready | None' = None
 
 
 class Measured:
@@ -81,6 +100,7 @@
         '_metrics',
         '_retries',
         '_slots',
+        '_view',
     )
 
     _cfg: options.Options
@@ -89,12 +109,14 @@
     _retries: retries.Retries
     _metrics: metrics.Metrics
     _clock: ports.Clock
+    _view: view.View
 
     def __init__(
         self,
         *,
         cfg: options.Options,
         engines: ports.Engines,
+        seen: view.View,
         getter: slots.Slots,
         budget: retries.Retries,
         counts: metrics.Metrics,
@@ -106,24 +128,31 @@
         self._retries = budget
         self._metrics = counts
         self._clock = clock
+        self._view = seen
 
     def run(self, job: jobs.Job, sink: sinks.Sink) -> slots.Refusal:
         """Runs a request to its end and returns its code and figures."""
         self._retries.first(job.name, job.snapshot)
-        avoid = ''
+        last: Failure | None = None
         while True:
             job.attempt += 1
-            result = self._attempt(job, sink, avoid)
+            result = self._attempt(job, sink, last)
             if isinstance(result, slots.Refusal):
-                return self._refusal(job, result)
+                return _refusal(job, result)
             if job.gone.is_set():
                 return slots.Refusal(codes.CANCELLED)
+            self._report(job, result)
             if not self._may_retry(job, sink, result):
-                return _given_up(result, sink)
-            avoid = result.decode
+                return _given_up(job, result, sink)
+            last = result
 
     def read_on(
-        self, address: str, event: streams.EventId, holder: str, sink: sinks.Sink
+        self,
+        address: str,
+        event: streams.EventId,
+        holder: str,
+        sink: sinks.Sink,
+        gone: threading.Event,
     ) -> codes.Code:
         """Reads a stream on behind an event, for a caller that came back."""
         request, _dot, attempt = event.stream.rpartition('.')
@@ -140,28 +169,33 @@
                 holder,
                 self._cfg.silence_s,
             )
-            reason = _read(threading.Event(), sink, checker, items)
+            reason = _read(gone, sink, checker, items)
         except errors.RejectedError:
             return codes.NO_STREAM
         except errors.PortError:
             reason = 'the stream broke off'
+        if gone.is_set():
+            return codes.CANCELLED
         return codes.BROKEN if reason else codes.OK
 
-    def _refusal(self, job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
-        """Returns a refusal as it is true after earlier attempts."""
-        if job.attempt == 1 or refusal.code.ran != 'no':
-            return refusal
-        # An earlier attempt was sent to a backend server: "not run" would
-        # not be true any more.
-        return slots.Refusal(
-            codes.FAILED, refusal.figures, refusal.retry_after_s
-        )
+    def _report(self, job: jobs.Job, failure: Failure) -> None:
+        """Tells the keepers of a backend server that refused as leaving."""
+        if failure.rejected == _LEAVING:
+            server = job.snapshot.server(failure.at)
+            if server is not None:
+                self._view.report_leaving(server)
 
-    def _may_retry(self, job: jobs.Job, sink: sinks.Sink, failure: Failure) -> bool:
+    def _may_retry(
+        self, job: jobs.Job, sink: sinks.Sink, failure: Failure
+    ) -> bool:
         if sink.started:
             return False
         if failure.begun and job.service.once != 'none':
             return False
+        if failure.rejected and job.attempt <= _FREE_TRIES:
+            # The engine did nothing, so this try has cost nothing; a planned
+            # stop of a backend server must not use up the budget.
+            return True
         deadline = None
         if job.first_answer_ms:
             deadline = job.arrived_at + job.first_answer_ms / 1000
@@ -171,19 +205,22 @@
         return True
 
     def _attempt(
-        self, job: jobs.Job, sink: sinks.Sink, avoid: str
+        self, job: jobs.Job, sink: sinks.Sink, last: Failure | None
     ) -> slots.Refusal | Failure:
-        grant = self._slots.get(job, '', avoid)
+        ready = self._still_ready(last)
+        grant = self._slots.get(
+            job, ready.worker if ready else '', last.decode if last else ''
+        )
         if isinstance(grant, slots.Refusal):
             return grant
         measured = Measured()
         result: slots.Refusal | Failure | None = None
         try:
             job.gone.wait(grant.start_in_ms / 1000)
-            result = self._work(job, sink, grant, measured)
+            result = self._work(job, sink, grant, measured, ready)
         finally:
             if not isinstance(result, slots.Refusal) or job.gone.is_set():
-                job.abandon()
+                job.abandon(_kept(result))
             self._slots.end(job, _end(job, grant, measured, result))
         return result
 
@@ -193,16 +230,20 @@
         sink: sinks.Sink,
         grant: messages.Granted,
         measured: Measured,
+        ready: Ready | None,
     ) -> slots.Refusal | Failure:
         """Runs the three stages of one attempt."""
-        ready = self._prefill(job, grant, measured)
-        if not isinstance(ready, backends.PrefillReply):
-            return ready
+        if ready is None:
+            prefilled = self._prefill(job, grant, measured)
+            if not isinstance(prefilled, Ready):
+                return prefilled
+            ready = prefilled
         failure = self._transfer(job, grant, ready, measured)
         if failure is not None:
-            self._metrics.wasted_prefill_tokens.add(
-                ready.tokens - ready.cached, job.name
-            )
+            if failure.ready is None:
+                self._metrics.wasted_prefill_tokens.add(
+                    ready.reply.tokens - ready.reply.cached, job.name
+                )
             return failure
         began_at = self._clock()
         result = self._decode(job, sink, grant)
@@ -211,7 +252,7 @@
 
     def _prefill(
         self, job: jobs.Job, grant: messages.Granted, measured: Measured
-    ) -> backends.PrefillReply | Failure | slots.Refusal:
+    ) -> Ready | Failure | slots.Refusal:
         if not job.hold(grant.prefill_address):
             return slots.Refusal(codes.GONE)
         began_at = self._clock()
@@ -228,20 +269,24 @@
                 grant.prefill_address, req, _PREFILL_S
             )
         except errors.PortError as exc:
-            return _failure('prefill-failed', exc, grant)
+            return self._failed(job, 'prefill-failed', exc, grant.prefill)
         measured.prefill_ms = round((self._clock() - began_at) * 1000)
-        self._metrics.prefill_tokens.add(
-            reply.tokens - reply.cached, job.name
-        )
+        self._metrics.prefill_tokens.add(reply.tokens - reply.cached, job.name)
         if (reply.request, reply.attempt) != (job.request, job.attempt):
             return Failure('prefill-failed', 'answer of another request')
-        return reply
+        job.sent = True
+        return Ready(
+            grant.prefill,
+            grant.prefill_address,
+            reply,
+            self._clock() + reply.lives_ms / 1000,
+        )
 
     def _transfer(
         self,
         job: jobs.Job,
         grant: messages.Granted,
-        ready: backends.PrefillReply,
+        ready: Ready,
         measured: Measured,
     ) -> Failure | None:
         if not job.hold(grant.decode_address):
@@ -251,17 +296,20 @@
             request=job.request,
             attempt=job.attempt,
             holder=job.holder,
-            source=grant.prefill_address,
-            kv=ready.kv,
+            source=ready.address,
+            kv=ready.reply.kv,
         )
         try:
             reply = self._engines.fetch(grant.decode_address, req, _TRANSFER_S)
         except errors.PortError as exc:
-            return _failure('transfer-failed', exc, grant)
+            failure = self._failed(job, 'transfer-failed', exc, grant.decode)
+            if self._clock() < ready.until:
+                return msgspec.structs.replace(failure, ready=ready)
+            return failure
         measured.transfer_ms = round((self._clock() - began_at) * 1000)
         if (reply.request, reply.attempt) != (job.request, job.attempt):
             return Failure('transfer-failed', 'answer of another request')
-        job.let_go(grant.prefill_address)
+        job.let_go(ready.address)
         return None
 
     def _decode(
@@ -286,24 +334,40 @@
                 items = self._open(job, grant, req, checker, turn)
                 reason = _read(job.gone, sink, checker, items)
             except errors.RejectedError as exc:
-                return Failure(
-                    'decode-failed',
-                    str(exc),
-                    grant.decode,
-                    begun=turn > 0,
-                    rejected=True,
-                )
+                failure = self._failed(job, 'decode-failed', exc, grant.decode)
+                return msgspec.structs.replace(failure, begun=turn > 0)
             except errors.UnreachableError as exc:
                 reason = str(exc)
                 if turn == 0:
-                    return _failure('decode-failed', exc, grant)
+                    return self._failed(job, 'decode-failed', exc, grant.decode)
             except errors.PortError as exc:
                 reason = str(exc)
             if not reason:
                 job.let_go(grant.decode_address)
                 return slots.Refusal(codes.OK)
+        job.sent = True
         return Failure('decode-failed', reason, grant.decode, begun=True)
 
+    def _still_ready(self, last: Failure | None) -> Ready | None:
+        """Returns the last attempt's prefill if it can still be fetched."""
+        if last is None or last.ready is None:
+            return None
+        return last.ready if self._clock() < last.ready.until else None
+
+    def _failed(
+        self, job: jobs.Job, stage: str, exc: errors.PortError, at: str
+    ) -> Failure:
+        rejected = exc.code if isinstance(exc, errors.RejectedError) else ''
+        if not rejected and not isinstance(exc, errors.UnreachableError):
+            job.sent = True
+        return Failure(
+            stage,
+            str(exc),
+            at if stage != 'prefill-failed' else '',
+            at=at,
+            rejected=rejected,
+        )
+
     def _open(
         self,
         job: jobs.Job,
@@ -348,21 +412,31 @@
     return 'the stream ended early'
 
 
-def _failure(
-    stage: str, exc: errors.PortError, grant: messages.Granted
-) -> Failure:
-    return Failure(
-        stage,
-        str(exc),
-        grant.decode,
-        begun=stage == 'decode-failed'
-        and not isinstance(exc, errors.UnreachableError | errors.RejectedError),
-        rejected=isinstance(exc, errors.RejectedError),
-    )
+def _kept(result: slots.Refusal | Failure | None) -> str:
+    """Returns the address whose prefill the next attempt fetches."""
+    if isinstance(result, Failure) and result.ready is not None:
+        return result.ready.address
+    return ''
+
+
+def _refusal(job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
+    """Returns a refusal as it is true after earlier attempts."""
+    if not job.sent or refusal.code.ran != 'no':
+        return refusal
+    # An earlier attempt was sent to a backend server: "not run" would not be
+    # true any more.
+    code = codes.CANCELLED if refusal.code is codes.GONE else codes.FAILED
+    return slots.Refusal(code, refusal.figures, refusal.retry_after_s)
 
 
-def _given_up(failure: Failure, sink: sinks.Sink) -> slots.Refusal:
-    code = codes.BROKEN if sink.started else codes.FAILED
+def _given_up(
+    job: jobs.Job, failure: Failure, sink: sinks.Sink
+) -> slots.Refusal:
+    code = codes.FAILED
+    if sink.started:
+        code = codes.BROKEN
+    elif not job.sent:
+        code = codes.BACKEND_REFUSED
     return slots.Refusal(
         code,
         (
--- a/packages/daemon/foxtaildaled/desk.py
+++ b/packages/daemon/foxtaildaled/desk.py
@@ -236,7 +236,11 @@
         self, code: codes.Code, ticket: messages.Ticket, request: str
     ) -> messages.RunReply:
         outcome = self._stamp(
-            code, request, ticket.service, self._view.now, retry_after_s=_AGAIN_S
+            code,
+            request,
+            ticket.service,
+            self._view.now,
+            retry_after_s=_AGAIN_S,
         )
         return messages.RunReply(outcome=outcome)
 
--- a/packages/daemon/foxtaildaled/entry.py
+++ b/packages/daemon/foxtaildaled/entry.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Callable
+import threading
 import time
 from typing import Annotated
 from typing import Final
@@ -19,6 +20,7 @@
 
 import msgspec
 
+from foxtaildale import backends
 from foxtaildale import chat
 from foxtaildale import codes
 from foxtaildale import errors
@@ -266,13 +268,33 @@
             return
         self._cancels.drop(event.stream.rpartition('.')[0])
         sink = sinks.EventSink(ex, request, server.service)
+        gone = self._watch_resumed(ex, server, event)
         code = self._answers.read_on(
-            server.address, event, self._incarnation, sink
+            server.address, event, self._incarnation, sink, gone
         )
         outcome = self._stamp(code, request, server.service, snapshot)
         self._records.add(outcome)
         sink.end(outcome)
 
+    def _watch_resumed(
+        self,
+        ex: callers.Exchange,
+        server: values.BackendServer,
+        event: streams.EventId,
+    ) -> threading.Event:
+        """Cancels a resumed stream when its caller goes away again."""
+        gone = threading.Event()
+        req = backends.CancelReq(
+            request=event.stream.rpartition('.')[0], holder=self._incarnation
+        )
+
+        def on_gone() -> None:
+            gone.set()
+            self._cancels.add(server.address, req)
+
+        ex.watch(on_gone)
+        return gone
+
     def _service(self, ex: callers.Exchange, request: str) -> None:
         snapshot = self._view.now
         name, _slash, call = ex.path.removeprefix('/v1/services/').partition(
@@ -413,7 +435,11 @@
         minted = self._desk.mint(req.service, req.count)
         if not minted:
             outcome = self._stamp(
-                codes.NO_WITNESS, request, req.service, snapshot, retry_after_s=_AGAIN_S
+                codes.NO_WITNESS,
+                request,
+                req.service,
+                snapshot,
+                retry_after_s=_AGAIN_S,
             )
             self._records.add(outcome)
             self._end(ex, outcome)
--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -79,7 +79,9 @@
         self._owner.run(lambda state, now: state.tick(now))
         beat = self._owner.run(lambda state, _now: state.beat())
         for address in self._owner.run(lambda state, now: state.targets(now)):
-            self._fan.call(address, functools.partial(self._beat, address, beat))
+            self._fan.call(
+                address, functools.partial(self._beat, address, beat)
+            )
 
     def goodbye(self) -> None:
         """Tells the peers that this keeper ends by plan."""
@@ -128,7 +130,9 @@
     def step(self) -> None:
         """Reads each worker's load once."""
         for server in self._owner.run(lambda state, now: state.homed(now)):
-            self._fan.call(server.address, functools.partial(self._read, server))
+            self._fan.call(
+                server.address, functools.partial(self._read, server)
+            )
 
     def _read(self, server: values.BackendServer) -> None:
         load = follow.quietly(lambda: self._engines.load(server.address))
@@ -162,7 +166,9 @@
     def step(self) -> None:
         """Looks once at each worker that this keeper reaps."""
         for server in self._owner.run(lambda state, now: state.reaped(now)):
-            self._fan.call(server.address, functools.partial(self._reap, server))
+            self._fan.call(
+                server.address, functools.partial(self._reap, server)
+            )
 
     def _reap(self, server: values.BackendServer) -> None:
         held = follow.quietly(lambda: self._engines.holdings(server.address))
--- a/packages/daemon/foxtaildaled/job.py
+++ b/packages/daemon/foxtaildaled/job.py
@@ -28,6 +28,7 @@
         'prompt',
         'prompt_tokens',
         'request',
+        'sent',
         'service',
         'snapshot',
     )
@@ -51,6 +52,8 @@
     arrived_at: float
     # Counts tries at backend servers, from 1.
     attempt: int
+    # Whether a backend server may have acted on it.
+    sent: bool
     # Set when the caller has gone.
     gone: threading.Event
     # Addresses of engines that hold something for this request.
@@ -85,6 +88,7 @@
         self.first_answer_ms = first_answer_ms
         self.arrived_at = arrived_at
         self.attempt = 0
+        self.sent = False
         self.gone = threading.Event()
         self._held = set()
         self._cancels = cancel_queue
@@ -122,11 +126,15 @@
         for address in held:
             self._cancel(address, 0, self._resume_s)
 
-    def abandon(self) -> None:
-        """Cancels this attempt at every engine that holds a part of it."""
+    def abandon(self, kept: str = '') -> None:
+        """Cancels this attempt at every engine that holds a part of it.
+
+        Args:
+            kept: Address of an engine whose part is still wanted; or ''.
+        """
         with self._lock:
-            held = list(self._held)
-            self._held.clear()
+            held = [address for address in self._held if address != kept]
+            self._held.difference_update(held)
         for address in held:
             self._cancel(address, self.attempt, 0.0)
 
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -16,6 +16,7 @@
 from foxtaildale import backends
 from foxtaildale import claims
 from foxtaildale import errors
+from foxtaildale import gossip
 from foxtaildale import homes
 from foxtaildale import members
 from foxtaildale import messages
@@ -29,6 +30,8 @@
 
 # Longest wait of an entry for its claim to be read back, seconds.
 CLAIM_WAIT_S: Final = 5.0
+# Incarnations that are remembered as ended.
+_DEPARTED: Final = 256
 
 
 class EntryState:
@@ -54,13 +57,15 @@
 
     __slots__ = (
         'claims',
+        'departed',
         'entries',
         'follower',
-        'leaving',
+        'gossip',
         'me',
         'members',
         'pools',
         'silence_s',
+        'stopping',
         'waiting',
         'witness',
     )
@@ -79,20 +84,26 @@
     entries: dict[str, EntryState]
     # Claims not settled yet, by request.
     waiting: dict[str, pykka.Future[messages.ClaimReply]]
+    gossip: gossip.Gossip
+    # Incarnations that ended by plan, oldest first; their last beats may
+    # still be on the way.
+    departed: dict[str, None]
     # Whether this process is being stopped.
-    leaving: bool
+    stopping: bool
 
     def __init__(self, me: values.Keeper, cfg: options.Options) -> None:
         self.me = me
         self.silence_s = cfg.silence_s
-        self.follower = spread.Follower(me.name, cfg.freshness_s)
-        self.members = members.Members(me, cfg.silence_s)
+        self.follower = spread.Follower(me.name, freshness_s=cfg.freshness_s)
+        self.members = members.Members(me.name, cfg.silence_s, cfg.heartbeat_s)
+        self.gossip = gossip.Gossip(me.name)
         self.claims = claims.Claims(me.incarnation, me.address)
         self.witness = witness.Witness(me.incarnation)
         self.pools = {}
         self.entries = {}
         self.waiting = {}
-        self.leaving = False
+        self.departed = {}
+        self.stopping = False
 
     def handle(self, now: float, msg: messages.Any) -> messages.Any:
         """Answers a message from another process."""
@@ -142,9 +153,10 @@
             address=self.me.address,
             offset=self.follower.offset,
             digest=self.follower.digest,
-            listing_version=self.members.listing.version,
+            listing_version=self.members.version,
             entries=tuple(self.entries),
-            leaving=self.leaving,
+            leaving=self.members.leaving,
+            stopping=self.stopping,
         )
 
     def on_beat(self, now: float, beat: messages.Beat) -> bool:
@@ -152,28 +164,27 @@
         self.members.on_beat(now, beat)
         return self.follower.on_peer(now, beat)
 
-    def on_listing(self, now: float, listing: values.Listing) -> None:
+    def on_listing(self, now: float, listing: values.Listing | None) -> None:
         """Takes the platform's or a peer's list of VMs."""
         if self.members.on_listing(now, listing):
             self._serve_pools(now)
 
     def on_config(self, now: float, batch: ports.Batch) -> None:
         """Takes records of the configuration stream."""
-        before = self.follower.in_force
-        self.follower.on_batch(now, batch)
-        if self.follower.in_force is not before:
+        if self.follower.on_batch(now, batch):
             self._serve_pools(now)
 
     def on_pull(self, now: float, reply: messages.PullReply) -> None:
         """Takes the folded state of a peer that is ahead."""
         if self.follower.on_pull(now, reply):
             self._serve_pools(now)
-        if reply.listing is not None:
-            self.on_listing(now, reply.listing)
+        self.on_listing(now, reply.listing)
 
     def tick(self, now: float) -> None:
         """Lets what is old lapse."""
         self.witness.expire(now)
+        self.members.forget(now)
+        self.settle(self.claims.expire(now))
         for item in self.pools.values():
             item.expire(now)
         self.entries = {
@@ -187,7 +198,7 @@
         names = self._keeper_names(now)
         return tuple(
             server
-            for server in self.members.listing.backend_servers
+            for server in self.members.backend_servers()
             if server.role != 'plain'
             and homes.home(server.service, names) == self.me.name
         )
@@ -197,20 +208,36 @@
         names = self._keeper_names(now)
         return tuple(
             server
-            for server in self.members.listing.backend_servers
+            for server in self.members.backend_servers()
             if server.role != 'plain'
             and homes.home(server.name, names) == self.me.name
         )
 
     def targets(self, now: float) -> tuple[str, ...]:
         """Returns the addresses of the keepers to beat to."""
-        return self.members.targets(now)
+        del now
+        peers = self.members.peers()
+        return self.gossip.targets([vm.keeper for vm in peers])
+
+    def keepers(self, now: float) -> tuple[values.Keeper, ...]:
+        """Returns the keepers that are there, this one among them."""
+        others = tuple(
+            values.Keeper(
+                name=beat.entry_vm,
+                incarnation=beat.incarnation,
+                address=beat.address,
+                data_centre=beat.data_centre,
+            )
+            for beat in self.members.keepers(now)
+            if not beat.stopping and beat.incarnation not in self.departed
+        )
+        return others if self.stopping else (self.me, *others)
 
     def census(self, now: float) -> reaper.Census:
         """Returns which entries are known to be alive."""
         alive = set(self.entries)
         heard = {self.me.name}
-        for beat in self.members.beats(now):
+        for beat in self.members.keepers(now):
             heard.add(beat.entry_vm)
             alive.update(beat.entries)
         return reaper.Census(
@@ -228,14 +255,15 @@
         state = {
             'role': 'keeper',
             'me': self.me,
-            'leaving': self.leaving,
+            'stopping': self.stopping,
             'revision': in_force.revision if in_force else 0,
             'preset': in_force.preset.name if in_force else None,
             'offset': self.follower.offset,
             'digest': self.follower.digest,
             'vouched': self.follower.vouched(now),
-            'listing_version': self.members.listing.version,
-            'keepers': self.members.keepers(now),
+            'listing_version': self.members.version,
+            'keepers': self.keepers(now),
+            'leaving': self.members.leaving,
             'entries': sorted(self.entries),
             'pools': {name: p.dump() for name, p in self.pools.items()},
             'claims': self.claims.dump(),
@@ -244,25 +272,30 @@
         return msgspec.json.encode(state, order='sorted')
 
     def _keeper_names(self, now: float) -> tuple[str, ...]:
-        return tuple(keeper.name for keeper in self.members.keepers(now))
+        return tuple(keeper.name for keeper in self.keepers(now))
 
     def _hello(self, now: float, msg: messages.Hello) -> messages.Any:
         self.entries[msg.incarnation] = EntryState(msg, now)
+        news = [self.members.on_leaving(key) for key in msg.leaving]
+        if any(news):
+            self._serve_pools(now)
         vouched = self.follower.vouched(now)
         return messages.HelloReply(
             keeper=self.me.incarnation,
             in_force=self.follower.in_force if vouched else None,
-            listing=self.members.listing,
-            keepers=self.members.keepers(now),
+            listing=self.members.merged(),
+            keepers=self.keepers(now),
         )
 
     def _beat(self, now: float, msg: messages.Beat) -> messages.Any:
         self.on_beat(now, msg)
         return self.beat()
 
-    def _bye(self, now: float, msg: messages.Bye) -> messages.Any:
+    def _bye(self, _now: float, msg: messages.Bye) -> messages.Any:
         self.entries.pop(msg.incarnation, None)
-        self.members.on_bye(now, msg.incarnation)
+        self.departed[msg.incarnation] = None
+        while len(self.departed) > _DEPARTED:
+            del self.departed[next(iter(self.departed))]
         return messages.Pong()
 
     def _pull(self, _now: float, _msg: messages.Pull) -> messages.Any:
--- a/packages/daemon/foxtaildaled/view.py
+++ b/packages/daemon/foxtaildaled/view.py
@@ -11,6 +11,7 @@
 
 from foxtaildale import errors
 from foxtaildale import homes
+from foxtaildale import members
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
@@ -87,6 +88,7 @@
         '_clock',
         '_heard_at',
         '_incarnation',
+        '_leaving',
         '_lock',
         '_peers',
         '_snapshot',
@@ -101,6 +103,8 @@
     # When the keeper was last heard; None before the first time.
     _heard_at: float | None
     _lock: threading.Lock
+    # Backend servers that refused as leaving, as `members.key_of` names them.
+    _leaving: dict[str, None]
 
     def __init__(
         self,
@@ -118,6 +122,7 @@
         self._snapshot = Snapshot()
         self._heard_at = None
         self._lock = threading.Lock()
+        self._leaving = {}
 
     @property
     def now(self) -> Snapshot:
@@ -141,6 +146,7 @@
             incarnation=self._incarnation,
             address=self._address,
             revision=self.now.revision,
+            leaving=tuple(self._leaving),
         )
         asked_at = self._clock()
         try:
@@ -150,6 +156,16 @@
         if isinstance(reply, messages.HelloReply):
             self._take(reply, asked_at)
 
+    def report_leaving(self, server: values.BackendServer) -> None:
+        """Notes that a backend server refused work because it is leaving."""
+        key = members.key_of(server)
+        with self._lock:
+            self._leaving[key] = None
+            old = self._snapshot
+            self._snapshot = msgspec.structs.replace(
+                old, listing=_without(old.listing, self._leaving)
+            )
+
     def goodbye(self) -> None:
         """Tells the keeper that this entry ends by plan."""
         try:
@@ -172,7 +188,26 @@
             listing = reply.listing or old.listing
             if listing.version < old.listing.version:
                 listing = old.listing
+            named = {members.key_of(s) for s in listing.backend_servers}
+            self._leaving = {k: None for k in self._leaving if k in named}
             self._snapshot = Snapshot(
-                in_force=in_force, listing=listing, keepers=reply.keepers
+                in_force=in_force,
+                listing=_without(listing, self._leaving),
+                keepers=reply.keepers,
             )
             self._heard_at = asked_at
+
+
+def _without(
+    listing: values.Listing, leaving: dict[str, None]
+) -> values.Listing:
+    """Returns the list with more backend servers called leaving."""
+    return msgspec.structs.replace(
+        listing,
+        backend_servers=tuple(
+            msgspec.structs.replace(server, state='leaving')
+            if members.key_of(server) in leaving
+            else server
+            for server in listing.backend_servers
+        ),
+    )
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -268,6 +268,7 @@
         model = answers.Answers(
             cfg=cfg,
             engines=workers,
+            seen=self._view,
             getter=own,
             budget=budget,
             counts=counts,
@@ -357,7 +358,7 @@
 
 
 def _leave(state: keeper.Keeper, _now: float) -> None:
-    state.leaving = True
+    state.stopping = True
 
 
 def _announce(cfg: options.Options, **addresses: str) -> None:
