--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 fleet closes, whatever state it is in.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
@@ -23,6 +24,19 @@
 _ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 
 
+def until(condition: Callable[[], object], timeout_s: float = READY_S) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: It did not hold in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError('the condition did not come to hold')
+        time.sleep(_LOOK_S)
+
+
 class Proc:
     """One process of a fleet."""
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -277,13 +277,51 @@
     A client that waits on the old one hangs for good, call after call.
     """
     with relay.Relay(store.address) as middle:
-        client = platform.Platform(middle.address, 0.3, hold_off_s=0.0)
-        client.append('silent', [b'a'])
+        client = platform.Platform(middle.address, 0.5, hold_off_s=0.0)
+        # Two calls at once leave two idle connections behind.
+        faults(store, slow_ms=150)
+        threads = [threading.Thread(target=client.listing) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        faults(store, slow_ms=0)
+        assert middle.accepted == 2
         middle.silence()
         with pytest.raises(errors.AnswerLostError):
             client.read('silent', 0)
-        assert client.read('silent', 0).end == 1
-        assert middle.accepted == 2
+        assert client.read('silent', 0).end == 0
+        assert middle.accepted == 3
+
+
+def test_a_call_never_meets_a_forgotten_connection(desk: fleet.Proc) -> None:
+    """Something in between forgets a connection that was kept open.
+
+    A check-in sent on it is lost, and nobody can say whether it ran.
+    """
+    with relay.Relay(desk.address) as middle:
+        for request in ('one', 'two'):
+            reply = services.Services().call(
+                middle.address, 'check-in', b'{}', request, 1.0
+            )
+            assert reply.status == 200
+            middle.silence()
+        client = services.Services()
+        for request in ('three', 'four'):
+            client.call(middle.address, 'check-in', b'{}', request, 1.0)
+            middle.silence()
+
+
+def test_an_answer_that_trickles_is_given_up(raw: _Raw) -> None:
+    """A sick store sends its answer a byte at a time.
+
+    Each byte satisfies the socket's timeout, so a request could wait for ever.
+    """
+    raw.reply = b'HTTP/1.1 200 OK\r\n\r\nx'
+    ticks = iter(range(0, 1000, 10))
+    client = exchange.Exchange(lambda: float(next(ticks)))
+    with pytest.raises(exchange.TimeoutLostError, match='in time'):
+        client.send(raw.address, 'GET', '/vms', timeout_s=5.0)
 
 
 def test_an_idle_connection_is_not_used_again(store: fleet.Proc) -> None:
@@ -325,8 +363,7 @@
             services.Services().call(
                 desk.address, 'check-in', b'{}', 'late', 0.1
             )
-        while not [e for e in record(desk) if e.request == 'late']:
-            pass
+        fleet.until(lambda: [e for e in record(desk) if e.request == 'late'])
     finally:
         faults(desk, late_ms=0)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import threading
-import time
 
 import pytest
 import urllib3
@@ -199,6 +198,38 @@
     assert _texts(got) == answers.answer(_PROMPT, 60)
 
 
+def test_a_stream_can_be_closed_while_a_thread_waits_on_it(
+    pair: _Pair,
+) -> None:
+    """A caller leaves while its entry waits for the engine's next word.
+
+    If closing did not wake that thread, it and the slot would stay taken until
+    the silence bound.
+    """
+    pair.ready('closed')
+    test_clients.faults(pair.decode, silent=True)
+    stream = _MODELS.decode(
+        pair.decode.address,
+        backends.DecodeReq(
+            request='closed', attempt=1, holder='h', stream='c', max_tokens=5
+        ),
+        3600.0,
+    )
+    ended = threading.Event()
+
+    def read() -> None:
+        with pytest.raises(errors.AnswerLostError):
+            next(stream)
+        ended.set()
+
+    thread = threading.Thread(target=read, daemon=True)
+    thread.start()
+    fleet.until(lambda: pair.held()[0].attached)
+    closer = threading.Thread(target=stream.close, daemon=True)
+    closer.start()
+    assert ended.wait(10.0)
+
+
 def test_doubled_and_crossed_pieces_come_through(pair: _Pair) -> None:
     """An engine repeats a piece and mixes in one of another request."""
     pair.ready('crossed')
@@ -231,8 +262,7 @@
     pair = _Pair(procs, '--kv-lives-ms', '50')
     reply = _MODELS.prefill(pair.prefill.address, _prefill('late'), 20.0)
     assert reply.lives_ms == 50
-    while pair.held():
-        time.sleep(0.01)
+    fleet.until(lambda: not pair.held())
     with pytest.raises(errors.RejectedError) as caught:
         pair.fetch('late', reply.kv)
     assert caught.value.code == 'gone'
@@ -283,14 +313,16 @@
         order.append(request)
 
     threads = []
-    for i, (request, priority) in enumerate(
-        [('first', 5), ('second', 5), ('third', 5), ('urgent', 0)]
+    for request, priority in (
+        ('first', 5),
+        ('second', 5),
+        ('third', 5),
+        ('urgent', 0),
     ):
         thread = threading.Thread(target=run, args=(request, priority))
         thread.start()
         threads.append(thread)
-        while len(pair.held()) < i + 1 - len(order):
-            time.sleep(0.001)
+        fleet.until(lambda: len(pair.held()) + len(order) >= len(threads))
     for thread in threads:
         thread.join()
     begun = [
@@ -348,8 +380,11 @@
     held = [h for h in pair.held() if h.request == 'left']
     assert [(h.kind, h.attached) for h in held] == [('stream', True)]
     stream.close()
-    while any(h.attached for h in pair.held() if h.request == 'left'):
-        time.sleep(0.01)
+    fleet.until(
+        lambda: (
+            not [h for h in pair.held() if h.request == 'left' and h.attached]
+        )
+    )
     freed = _MODELS.cancel(
         pair.decode.address, backends.CancelReq(holder='h')
     ).freed
@@ -364,8 +399,7 @@
         _MODELS.resume(pair.decode.address, 'stream-lingering', 18, 'h', 5.0)
     )
     assert len(again) == 3
-    while any(h.request == 'lingering' for h in pair.held()):
-        time.sleep(0.01)
+    fleet.until(lambda: 'lingering' not in {h.request for h in pair.held()})
     with pytest.raises(errors.RejectedError) as caught:
         _MODELS.resume(pair.decode.address, 'stream-lingering', 18, 'h', 5.0)
     assert caught.value.code == 'gone'
@@ -395,8 +429,7 @@
     pair.ready('unseen')
     assert _MODELS.load(pair.decode.address).running == 0
     test_clients.faults(pair.decode, freeze_load=False)
-    while _MODELS.load(pair.decode.address).running == 0:
-        time.sleep(0.01)
+    fleet.until(lambda: _MODELS.load(pair.decode.address).running == 1)
 
 
 def test_a_stand_in_stops_when_it_is_told_to(procs: fleet.Fleet) -> None:
