Check and frame the pieces of an answer

Seen red first: without the identity check and without the position check the disturbed-pieces property shows text of another answer; without the digest a changed text counts as whole; without count and digest a cut answer does; and without the digits check a wrong event id raises ValueError. The module of callers' exchanges is renamed, since another is named like it.

--- a/packages/adapters/foxtaildale_adapters/admin.py
+++ b/packages/adapters/foxtaildale_adapters/admin.py
@@ -9,7 +9,7 @@
 
 from foxtaildale import codes
 from foxtaildale_adapters import callers
-from foxtaildale_adapters import exchanges
+from foxtaildale_adapters import incoming
 
 TEXT: Final = {'Content-Type': 'text/plain; charset=utf-8'}
 METRICS: Final = {'Content-Type': 'text/plain; version=0.0.4; charset=utf-8'}
@@ -61,13 +61,13 @@
         elif exchange.path == '/metrics':
             exchange.respond(200, METRICS, self._metrics())
         elif exchange.path == '/state':
-            exchange.respond(200, exchanges.JSON, self._state())
+            exchange.respond(200, incoming.JSON, self._state())
         else:
             figures = {'reason': f'no page {exchange.path}'}
             exchange.respond(
                 404,
-                exchanges.JSON,
-                exchanges.error_body(codes.BAD_REQUEST, figures, ''),
+                incoming.JSON,
+                incoming.error_body(codes.BAD_REQUEST, figures, ''),
             )
 
     def _answer_ready(self, exchange: callers.Exchange) -> None:
--- a/packages/adapters/foxtaildale_adapters/callers.py
+++ b/packages/adapters/foxtaildale_adapters/callers.py
@@ -3,11 +3,11 @@
 import threading
 
 from foxtaildale import errors
-from foxtaildale_adapters import exchanges
 from foxtaildale_adapters import httpd
+from foxtaildale_adapters import incoming
 
-Exchange = exchanges.Exchange
-Handler = exchanges.Handler
+Exchange = incoming.Exchange
+Handler = incoming.Handler
 
 
 class Server:
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -22,9 +22,9 @@
 
 from foxtaildale import codes
 from foxtaildale import errors
-from foxtaildale_adapters import exchanges
 from foxtaildale_adapters import files
 from foxtaildale_adapters import hangups
+from foxtaildale_adapters import incoming
 from foxtaildale_adapters import logs
 
 # Idle connections kept open.
@@ -94,12 +94,10 @@
         finally:
             self.server.count(-1)
 
-    def answer(self, code: codes.Code, figures: exchanges.Figures) -> None:
+    def answer(self, code: codes.Code, figures: incoming.Figures) -> None:
         """Sends an error and nothing after it."""
         retry_s = BUSY_RETRY_S if code is codes.ENTRY_BUSY else 0
-        body = exchanges.error_body(
-            code, figures, self.server.entry_vm, retry_s
-        )
+        body = incoming.error_body(code, figures, self.server.entry_vm, retry_s)
         head = (
             f'HTTP/1.1 {code.status} {code.name}\r\n'
             'Content-Type: application/json\r\n'
@@ -143,7 +141,7 @@
         body = self._body()
         if body is None:
             return
-        exchange = exchanges.Exchange(req, body, req.server.watcher)
+        exchange = incoming.Exchange(req, body, req.server.watcher)
         try:
             req.server.handler.handle(exchange)
         except errors.InvariantError as exc:
@@ -159,14 +157,14 @@
             exchange.end()
             self._close(exchange)
 
-    def _close(self, exchange: exchanges.Exchange) -> None:
+    def _close(self, exchange: incoming.Exchange) -> None:
         if not exchange.started:
             code = codes.FAILED
             entry_vm = self.req.server.entry_vm
             exchange.respond(
                 code.status,
-                exchanges.JSON,
-                exchanges.error_body(code, {}, entry_vm),
+                incoming.JSON,
+                incoming.error_body(code, {}, entry_vm),
             )
         if not exchange.finished:
             exchange.cut()
@@ -230,7 +228,7 @@
     max_request_header_size = files.HEAD_BYTES
 
     def __init__(
-        self, address: tuple[str, int], handler: exchanges.Handler, threads: int
+        self, address: tuple[str, int], handler: incoming.Handler, threads: int
     ) -> None:
         super().__init__(address, _Gateway, threads, threads, 'foxtaildale')
         self.handler = handler
--- a/packages/adapters/foxtaildale_adapters/exchanges.py
+++ b/packages/adapters/foxtaildale_adapters/incoming.py
@@ -42,7 +42,7 @@
 
 
 class Handler(Protocol):
-    """What serves the exchanges."""
+    """What serves the incoming."""
 
     def handle(self, exchange: 'Exchange') -> None:
         """Answers one request before it returns."""
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,212 @@
+"""Pieces of an answer: checked, named and framed."""
+
+import json
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+import xxhash
+
+from foxtaildale import backends
+from foxtaildale import errors
+from foxtaildale import streams
+
+SETTINGS = hypothesis.settings(derandomize=True, deadline=None)
+VERDICT = streams.Verdict
+
+Event = backends.Piece | backends.Last
+
+
+def answer(request: str, texts: list[str], attempt: int = 1) -> list[Event]:
+    """Returns the events of one whole answer."""
+    events: list[Event] = [
+        backends.Piece(
+            request=request,
+            attempt=attempt,
+            stream='s1',
+            position=position,
+            text=text,
+        )
+        for position, text in enumerate(texts)
+    ]
+    digest = xxhash.xxh64_hexdigest(''.join(texts).encode())
+    last = backends.Last(
+        request=request,
+        attempt=attempt,
+        stream='s1',
+        count=len(texts),
+        digest=digest,
+    )
+    return [*events, last]
+
+
+def read(
+    checker: streams.Checker, events: list[Event]
+) -> tuple[str, list[streams.Verdict]]:
+    """Returns the text that was let through, and every verdict."""
+    text = ''
+    verdicts = []
+    for event in events:
+        if isinstance(event, backends.Piece):
+            verdict = checker.piece(event)
+            if verdict is VERDICT.ACCEPTED:
+                text += event.text
+        else:
+            verdict = checker.last(event)
+        verdicts.append(verdict)
+    return text, verdicts
+
+
+texts = strategies.lists(strategies.text(max_size=4), max_size=8)
+
+
+@SETTINGS
+@hypothesis.given(texts)
+def test_an_undisturbed_answer_is_whole(own: list[str]) -> None:
+    text, verdicts = read(streams.Checker('r1', 1, 's1'), answer('r1', own))
+    assert text == ''.join(own)
+    assert verdicts[-1] is VERDICT.WHOLE
+
+
+@SETTINGS
+@hypothesis.given(
+    texts, texts, texts, strategies.integers(), strategies.integers(0, 9)
+)
+def test_disturbed_pieces_never_make_a_wrong_whole(
+    own: list[str], other: list[str], earlier: list[str], seed: int, cut: int
+) -> None:
+    """Answers cross, repeat themselves, overtake each other and break off.
+
+    A dispatcher would read another aircraft's go, or half a sentence, and
+    take it for the answer to the question.
+    """
+    rng = random.Random(seed)
+    events = (
+        answer('r1', own) * 2
+        + answer('r2', other)
+        + answer('r1', earlier, attempt=2)
+    )
+    rng.shuffle(events)
+    events = events[: len(events) - cut]
+    text, verdicts = read(streams.Checker('r1', 1, 's1'), events)
+    assert ''.join(own).startswith(text)
+    if VERDICT.WHOLE in verdicts:
+        upto = verdicts.index(VERDICT.WHOLE)
+        whole, _ = read(streams.Checker('r1', 1, 's1'), events[:upto])
+        assert whole == ''.join(own)
+
+
+def test_a_changed_text_is_not_whole() -> None:
+    """A fault at the engine sends another text under the right position.
+
+    The caller would see a summary that nobody wrote.
+    """
+    events = answer('r1', ['go', ' now'])
+    events[1] = answer('r1', ['go', ' not'])[1]
+    _, verdicts = read(streams.Checker('r1', 1, 's1'), events)
+    assert verdicts[-1] is VERDICT.BROKEN
+
+
+def test_each_kind_of_stray_event_has_its_verdict() -> None:
+    checker = streams.Checker('r1', 1, 's1')
+    own = answer('r1', ['a', 'b'])
+    strays = [
+        own[1],
+        answer('r2', ['a'])[0],
+        own[0],
+        own[0],
+        own[2],
+        answer('r1', [])[0],
+        answer('r1', ['a', 'b'], attempt=2)[2],
+    ]
+    _, verdicts = read(checker, strays)
+    assert verdicts == [
+        VERDICT.GAP,
+        VERDICT.FOREIGN,
+        VERDICT.ACCEPTED,
+        VERDICT.DUPLICATE,
+        VERDICT.GAP,
+        VERDICT.BROKEN,
+        VERDICT.FOREIGN,
+    ]
+
+
+def test_a_negative_position_is_no_duplicate() -> None:
+    piece = backends.Piece(
+        request='r1', attempt=1, stream='s1', position=-1, text='x'
+    )
+    assert streams.Checker('r1', 1, 's1').piece(piece) is VERDICT.GAP
+
+
+def test_a_resumed_answer_is_whole_by_its_count() -> None:
+    """An entry VM dies and the caller reads on at another one.
+
+    That one never saw the first texts; the digest goes on to the caller.
+    """
+    events = answer('r1', ['a', 'b', 'c'])
+    text, verdicts = read(streams.Checker('r1', 1, 's1', 2), events[2:])
+    assert (text, verdicts[-1]) == ('c', VERDICT.WHOLE)
+
+
+@SETTINGS
+@hypothesis.given(strategies.text(max_size=40))
+def test_any_last_event_id_is_an_id_or_a_decode_error(text: str) -> None:
+    """A caller sends whatever it likes as Last-Event-ID.
+
+    An entry that died of it would drop every other caller's stream.
+    """
+    try:
+        found = streams.parse_id(text)
+    except errors.DecodeError:
+        return
+    assert streams.parse_id(found.text()) == found
+
+
+def test_an_event_id_comes_back_as_it_was_made() -> None:
+    event_id = streams.EventId('hall-doi-d1', 'r1-1', 41)
+    assert event_id.text() == 'hall-doi-d1/r1-1/41'
+    assert streams.parse_id(event_id.text()) == event_id
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'a/b', 'a/b/c', 'a/b/-1', 'a//1', 'a b/c/1', 'a/b/²', 'a/b/1/2'],
+)
+def test_a_wrong_event_id_is_refused(text: str) -> None:
+    with pytest.raises(errors.DecodeError):
+        streams.parse_id(text)
+
+
+@SETTINGS
+@hypothesis.given(strategies.text(max_size=20), strategies.text(max_size=10))
+def test_framed_events_hold_the_text_and_the_id(text: str, model: str) -> None:
+    framer = streams.Framer('r1', 'w1', 's1', model, 7)
+    first, second = framer.piece(0, 'x'), framer.piece(1, text)
+    head, data, *end = second.split(b'\n')
+    assert head == b'id: w1/s1/1'
+    assert end == [b'', b'']
+    chunk = json.loads(data.removeprefix(b'data: '))
+    assert chunk == {
+        'id': 'chatcmpl-r1',
+        'object': 'chat.completion.chunk',
+        'created': 7,
+        'model': model,
+        'choices': [
+            {'index': 0, 'delta': {'content': text}, 'finish_reason': None}
+        ],
+    }
+    assert b'"delta":{"role":"assistant","content":"x"}' in first
+
+
+def test_the_last_events_hold_count_digest_and_end() -> None:
+    framer = streams.Framer('r1', 'w1', 's1', 'm', 7)
+    last = answer('r1', ['a', 'b'])[-1]
+    assert isinstance(last, backends.Last)
+    event, done, rest = framer.last(last).split(b'\n\n')
+    assert (done, rest) == (b'data: [DONE]', b'')
+    head, data = event.split(b'\n')
+    assert head == b'id: w1/s1/2'
+    chunk = json.loads(data.removeprefix(b'data: '))
+    assert chunk['choices'][0]['finish_reason'] == 'stop'
+    assert chunk['foxtaildale'] == {'count': 2, 'digest': last.digest}
