--- a/packages/core/foxtaildale/streams.py
+++ b/packages/core/foxtaildale/streams.py
@@ -103,7 +103,12 @@
             or last.stream != self._stream
         ):
             return Verdict.FOREIGN
-
+        if last.count > self.position:
+            return Verdict.GAP
+        if last.count < self.position:
+            return Verdict.BROKEN
+        if self._first == 0 and last.digest != self._digest.hexdigest():
+            return Verdict.BROKEN
         return Verdict.WHOLE
 
 
