--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -52,8 +52,6 @@
     listing: values.Listing | None
     # Keepers heard of lately, this one among them.
     keepers: tuple[values.Keeper, ...] = ()
-    # Whether this process is being stopped by plan.
-    stopping: bool = False
 
 
 class Bye(Wire, frozen=True):
@@ -75,6 +73,8 @@
     listing_version: int
     # Incarnations of the entries on this VM.
     entries: tuple[str, ...] = ()
+    # Whether this process is being stopped by plan.
+    stopping: bool = False
 
 
 class Pull(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/sinks.py
+++ b/packages/daemon/foxtaildaled/sinks.py
@@ -9,16 +9,17 @@
 from typing import Final
 from typing import Protocol
 
+import msgspec
+
 from foxtaildale import backends
 from foxtaildale import codes
 from foxtaildale import outcomes
 from foxtaildale import streams
 from foxtaildale import values
-from foxtaildale_adapters import exchanges
-import msgspec
+from foxtaildale_adapters import incoming
 
 _EVENT_HEADERS: Final = {
-    'Content-Type': exchanges.EVENT_STREAM,
+    'Content-Type': incoming.EVENT_STREAM,
     'Cache-Control': 'no-store',
 }
 
@@ -81,15 +82,13 @@
 
     __slots__ = ('_created', '_ex', '_framer', '_model', '_request')
 
-    _ex: exchanges.Exchange
+    _ex: incoming.Exchange
     _request: str
     _model: str
     _created: int
     _framer: streams.Framer
 
-    def __init__(
-        self, ex: exchanges.Exchange, request: str, model: str
-    ) -> None:
+    def __init__(self, ex: incoming.Exchange, request: str, model: str) -> None:
         self._ex = ex
         self._request = request
         self._model = model
@@ -136,15 +135,13 @@
 
     __slots__ = ('_ex', '_last', '_model', '_request', '_texts')
 
-    _ex: exchanges.Exchange
+    _ex: incoming.Exchange
     _request: str
     _model: str
     _texts: list[str]
     _last: backends.Last | None
 
-    def __init__(
-        self, ex: exchanges.Exchange, request: str, model: str
-    ) -> None:
+    def __init__(self, ex: incoming.Exchange, request: str, model: str) -> None:
         self._ex = ex
         self._request = request
         self._model = model
@@ -189,7 +186,7 @@
 
 
 def make(
-    ex: exchanges.Exchange, request: str, model: str, *, stream: bool
+    ex: incoming.Exchange, request: str, model: str, *, stream: bool
 ) -> Sink:
     """Returns the sink that a caller asked for."""
     if stream:
@@ -197,7 +194,7 @@
     return WholeSink(ex, request, model)
 
 
-def _respond(ex: exchanges.Exchange, outcome: values.Outcome) -> None:
+def _respond(ex: incoming.Exchange, outcome: values.Outcome) -> None:
     ex.respond(
         codes.ALL[outcome.code].status,
         outcomes.headers(outcome),
