--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -41,6 +41,8 @@
     address: str
     # Revision it works by.
     revision: int
+    # Backend servers that refused work as leaving, `NAME@ADDRESS`.
+    leaving: tuple[str, ...] = ()
 
 
 class HelloReply(Wire, frozen=True):
@@ -52,10 +54,12 @@
     listing: values.Listing | None
     # The keeper's members: entry VMs it has heard of lately.
     keepers: tuple[tuple[str, str], ...] = ()
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Beat(Wire, frozen=True):
-    """Between keepers, about once a second."""
+    """Between keepers, about once a second; answered by the other's own."""
 
     entry_vm: str
     incarnation: str
@@ -67,6 +71,8 @@
     listing_version: int
     # Incarnations of the entries on this VM.
     entries: tuple[str, ...] = ()
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Pull(Wire, frozen=True):
