--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -41,6 +41,8 @@
     address: str
     # Revision it works by.
     revision: int
+    # Backend servers that refused work as leaving, `NAME@ADDRESS`.
+    leaving: tuple[str, ...] = ()
 
 
 class HelloReply(Wire, frozen=True):
@@ -61,7 +63,7 @@
 
 
 class Beat(Wire, frozen=True):
-    """Between keepers, about once a second."""
+    """Between keepers, about once a second; answered by the other's own."""
 
     entry_vm: str
     incarnation: str
@@ -75,6 +77,8 @@
     entries: tuple[str, ...] = ()
     # Whether this process is being stopped by plan.
     stopping: bool = False
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Pull(Wire, frozen=True):
