Serve a request from end to end as separate processes

Seen on the way: the keeper did not answer AskReading, so no ticket was minted (no-witness); it does now.

Not proved: anything under failure.

--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -91,12 +91,59 @@
 KEY_BAD: Final = Code(
     'key-bad', 400, 'no', 'Not run: the Idempotency-Key is not valid.'
 )
-CLAIM_LOST: Final = Code(
-    'claim-lost',
+KEY_OLD: Final = Code(
+    'key-old',
+    409,
+    'unknown',
+    'Refused: the Idempotency-Key is older than what is remembered; whether'
+    ' it ran before is not known, it will not run again.',
+)
+CLAIM_UNSURE: Final = Code(
+    'claim-unsure',
     503,
+    'unknown',
+    'This try did not run; the platform log does not answer, so whether an'
+    ' earlier try under this key ran is not known.',
+)
+OTHER_BODY: Final = Code(
+    'other-body',
+    422,
     'no',
-    'Not run: it is not known whether the claim reached the platform log, so'
-    ' this request will never run.',
+    'Not run: this identity was first used with another body.',
+)
+IN_PROGRESS: Final = Code(
+    'in-progress',
+    409,
+    # Its start may still be given up.
+    'unknown',
+    'This identity is being run already; its outcome is not known yet.',
+)
+DONE_BEFORE: Final = Code(
+    'done-before', 200, 'yes', 'This identity ran before; this is its outcome.'
+)
+UNKNOWN: Final = Code(
+    'outcome-unknown',
+    502,
+    'unknown',
+    'It is not known whether the request ran.',
+)
+FAILED: Final = Code(
+    'failed',
+    502,
+    'unknown',
+    'The request was started and did not end; it may have run in part.',
+)
+BROKEN: Final = Code(
+    'broken',
+    502,
+    'yes',
+    'The answer broke off and could not be resumed; what came is not whole.',
+)
+CANCELLED: Final = Code(
+    'cancelled', 499, 'unknown', 'The caller went away; work was cancelled.'
+)
+GONE: Final = Code(
+    'gone', 499, 'no', 'Not run: the caller went away while it waited.'
 )
 NO_WITNESS: Final = Code(
     'no-witness',
@@ -151,3 +198,9 @@
 ALL: Final[dict[str, Code]] = {
     code.name: code for code in list(vars().values()) if isinstance(code, Code)
 }
+
+
+def ran(name: str) -> Ran:
+    """Returns whether a request with this outcome ran at a backend server."""
+    code = ALL.get(name)
+    return code.ran if code else 'unknown'
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -54,6 +54,8 @@
     listing: values.Listing | None
     # Keepers heard of lately, this one among them.
     keepers: tuple[values.Keeper, ...] = ()
+    # Beginning of new idempotency keys; empty while it is not known.
+    key_prefix: str = ''
 
 
 class Bye(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -403,12 +403,12 @@
             if verdict is streams.Verdict.WHOLE:
                 sink.last(item)
                 return ''
-            return verdict.value
+            return str(verdict.value)
         verdict = checker.piece(item)
         if verdict is streams.Verdict.ACCEPTED:
             sink.piece(item)
         elif verdict is not streams.Verdict.DUPLICATE:
-            return verdict.value
+            return str(verdict.value)
     return 'the stream ended early'
 
 
--- a/packages/daemon/foxtaildaled/claiming.py
+++ b/packages/daemon/foxtaildaled/claiming.py
@@ -6,6 +6,7 @@
 
 from typing import Final
 
+from foxtaildale import claims
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import messages
@@ -21,14 +22,6 @@
 _OUTCOME_S: Final = 1.0
 # When to come back to ask again, seconds.
 _AGAIN_S: Final = 1.0
-# Longest Idempotency-Key, characters.
-_KEY_MAX: Final = 200
-
-_REFUSALS: Final = {
-    'log-down': codes.LOG_DOWN,
-    'other-body': codes.OTHER_BODY,
-    'old': codes.KEY_OLD,
-}
 
 
 class Claiming:
@@ -54,8 +47,6 @@
         """Claims a key for a request; None means that it may run."""
         if not key:
             return slots.Refusal(codes.KEY_NEEDED)
-        if len(key) > _KEY_MAX or not key.isprintable():
-            return slots.Refusal(codes.KEY_BAD)
         msg = messages.AskClaim(
             service=name,
             key=key,
@@ -68,11 +59,9 @@
         except errors.UnreachableError:
             return slots.Refusal(codes.LOG_DOWN, (), _AGAIN_S)
         except errors.PortError:
-            # The claim may be in the log under this request. It is never run:
-            # nobody but this call could have run it. But another asker of the
-            # same key is told of a claim in progress, so this is no "not run"
-            # that could be repeated at once.
-            return slots.Refusal(codes.CLAIM_LOST, (), _AGAIN_S)
+            # The claim may be in the log under this request, which will never
+            # run; but an earlier try of the same key may.
+            return slots.Refusal(codes.CLAIM_UNSURE, (), _AGAIN_S)
         return self._judge(name, key, reply)
 
     def end(self, name: str, key: str, outcome: values.Outcome) -> None:
@@ -93,29 +82,35 @@
             return None
         if reply.status == 'lost':
             return self._look_up(name, key, reply)
-        return slots.Refusal(
-            _REFUSALS.get(reply.status, codes.LOG_DOWN),
-            (),
-            reply.retry_after_ms / 1000,
-        )
+        # Nobody says that this is the key's first try, so an earlier one may
+        # be running at another VM.
+        code = claims.refusal(reply, first_try=False) or codes.CLAIM_UNSURE
+        return slots.Refusal(code, (), reply.retry_after_ms / 1000)
 
     def _look_up(
         self, name: str, key: str, claim: messages.ClaimReply
     ) -> slots.Refusal:
+        if claim.outcome is not None:
+            return _seen(claim, claim.outcome.code)
         msg = messages.AskOutcome(service=name, key=key)
-        figures = (values.Figure('first_request', claim.request),)
         try:
             reply = self._peers.ask(claim.owner_address, msg, _OUTCOME_S)
+        except errors.RejectedError as exc:
+            return _seen(claim, exc.code)
         except errors.PortError:
-            return slots.Refusal(codes.UNKNOWN, figures, _AGAIN_S)
+            return _seen(claim, codes.UNKNOWN.name)
         if not isinstance(reply, messages.RunReply):
-            return slots.Refusal(codes.UNKNOWN, figures, _AGAIN_S)
-        figures += (values.Figure('first_outcome', reply.outcome.code),)
-        return slots.Refusal(_seen(reply.outcome), figures, _AGAIN_S)
-
-
-def _seen(outcome: values.Outcome) -> codes.Code:
-    """Returns the code for one who asks for an outcome that another had."""
-    if outcome.code == codes.OK.name:
-        return codes.DONE_BEFORE
-    return codes.ALL.get(outcome.code, codes.UNKNOWN)
+            return _seen(claim, codes.UNKNOWN.name)
+        return _seen(claim, reply.outcome.code)
+
+
+def _seen(claim: messages.ClaimReply, found: str) -> slots.Refusal:
+    """Returns the answer to one who asks for what another request did."""
+    code = codes.ALL.get(found, codes.UNKNOWN)
+    if code is codes.OK:
+        code = codes.DONE_BEFORE
+    figures = (
+        values.Figure('first_request', claim.request),
+        values.Figure('first_outcome', found),
+    )
+    return slots.Refusal(code, figures, _AGAIN_S)
--- a/packages/daemon/foxtaildaled/entry.py
+++ b/packages/daemon/foxtaildaled/entry.py
@@ -4,6 +4,7 @@
     GET  /v1/streams              reads an answer on (Last-Event-ID)
     POST /v1/services/NAME/CALL   a call of a plain service
     POST /v1/tickets              tickets for services that take them
+    GET  /v1/keys                 how new idempotency keys begin
     GET  /v1/outcomes/REQUEST     the outcome of a request decided here
 
 Each request gets an identity and ends in one outcome, which goes to the
@@ -65,6 +66,12 @@
     tickets: tuple[str, ...]
 
 
+class KeysReply(msgspec.Struct, frozen=True):
+    """How new idempotency keys begin."""
+
+    prefix: str
+
+
 class Stamp:
     """Makes outcomes that name this entry."""
 
@@ -172,6 +179,7 @@
             ('POST', '/v1/chat/completions'): self._chat,
             ('GET', '/v1/streams'): self._resume,
             ('POST', '/v1/tickets'): self._tickets,
+            ('GET', '/v1/keys'): self._keys,
         }
         if (ex.method, ex.path) in exact:
             return exact[(ex.method, ex.path)]
@@ -450,6 +458,25 @@
             msgspec.json.encode(TicketsReply(req.service, minted)),
         )
 
+    def _keys(self, ex: callers.Exchange, request: str) -> None:
+        prefix = self._view.now.key_prefix
+        if not prefix:
+            outcome = self._stamp(
+                codes.LOG_DOWN,
+                request,
+                '',
+                self._view.now,
+                retry_after_s=_AGAIN_S,
+            )
+            self._records.add(outcome)
+            self._end(ex, outcome)
+            return
+        ex.respond(
+            200,
+            {'Content-Type': outcomes.JSON},
+            msgspec.json.encode(KeysReply(prefix)),
+        )
+
     def _outcome(self, ex: callers.Exchange, request: str) -> None:
         wanted = ex.path.removeprefix('/v1/outcomes/')
         outcome = self._records.find(wanted)
--- a/packages/daemon/foxtaildaled/follow.py
+++ b/packages/daemon/foxtaildaled/follow.py
@@ -125,7 +125,7 @@
 
     def _read(self) -> bool:
         """Reads one batch; returns whether there may be more."""
-        offset = self._owner.run(lambda state, _now: state.claims.next_offset)
+        offset = self._owner.run(lambda state, _now: state.claims.next_offset())
         try:
             batch = self._log.read(CLAIMS_STREAM, offset, _BATCH)
         except errors.LapsedError as exc:
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from typing import Any
 from typing import Final
 
 import msgspec
@@ -107,7 +108,9 @@
 
     def handle(self, now: float, msg: messages.Any) -> messages.Any:
         """Answers a message from another process."""
-        handlers: dict[type, Callable[[float, messages.Any], messages.Any]] = {
+        # Each handler takes its own kind of message, which no type of a
+        # table can say.
+        handlers: dict[type, Callable[[float, Any], messages.Any]] = {
             messages.Hello: self._hello,
             messages.Beat: self._beat,
             messages.Bye: self._bye,
@@ -116,6 +119,8 @@
             messages.EndSlot: self._end_slot,
             messages.KeepSlots: self._keep_slots,
             messages.EndClaim: self._end_claim,
+            messages.AskOutcome: self._ask_outcome,
+            messages.AskReading: self.witness.read,
             messages.Note: self.witness.note,
             messages.Void: self.witness.void,
             messages.Tell: self.witness.tell,
@@ -166,7 +171,7 @@
 
     def on_listing(self, now: float, listing: values.Listing | None) -> None:
         """Takes the platform's or a peer's list of VMs."""
-        if self.members.on_listing(now, listing):
+        if self.members.on_listing(listing):
             self._serve_pools(now)
 
     def on_config(self, now: float, batch: ports.Batch) -> None:
@@ -285,6 +290,7 @@
             in_force=self.follower.in_force if vouched else None,
             listing=self.members.merged(),
             keepers=self.keepers(now),
+            key_prefix=self.claims.key_prefix() or '',
         )
 
     def _beat(self, now: float, msg: messages.Beat) -> messages.Any:
@@ -325,6 +331,14 @@
         self.claims.end(now, msg)
         return messages.Pong()
 
+    def _ask_outcome(
+        self, _now: float, msg: messages.AskOutcome
+    ) -> messages.Any:
+        found = self.claims.outcome(msg)
+        if isinstance(found, values.Outcome):
+            return messages.RunReply(outcome=found)
+        return messages.Fail(code=found.name)
+
     def _pool(self, now: float, name: str) -> pool.Pool | None:
         in_force = self.follower.in_force
         if in_force is None or name not in in_force.preset.services:
--- a/packages/daemon/foxtaildaled/view.py
+++ b/packages/daemon/foxtaildaled/view.py
@@ -25,6 +25,8 @@
     in_force: values.InForce | None = None
     listing: values.Listing = values.Listing(0, (), ())
     keepers: tuple[values.Keeper, ...] = ()
+    # Beginning of new idempotency keys; empty while it is not known.
+    key_prefix: str = ''
 
     def service(self, name: str) -> values.Service | None:
         """Returns what the preset in force says of a service."""
@@ -194,6 +196,7 @@
                 in_force=in_force,
                 listing=_without(listing, self._leaving),
                 keepers=reply.keepers,
+                key_prefix=reply.key_prefix,
             )
             self._heard_at = asked_at
 
