--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -41,6 +41,8 @@
     address: str
     # Revision it works by.
     revision: int
+    # Backend servers that refused work as leaving, `NAME@ADDRESS`.
+    leaving: tuple[str, ...] = ()
 
 
 class HelloReply(Wire, frozen=True):
@@ -52,8 +54,8 @@
     listing: values.Listing | None
     # Keepers heard of lately, this one among them.
     keepers: tuple[values.Keeper, ...] = ()
-    # Whether the VM is to be stopped.
-    leaving: bool = False
+    # Beginning of new idempotency keys; empty while it is not known.
+    key_prefix: str = ''
 
 
 class Bye(Wire, frozen=True):
@@ -63,7 +65,7 @@
 
 
 class Beat(Wire, frozen=True):
-    """Between keepers, about once a second."""
+    """Between keepers, about once a second; answered by the other's own."""
 
     entry_vm: str
     incarnation: str
@@ -75,6 +77,10 @@
     listing_version: int
     # Incarnations of the entries on this VM.
     entries: tuple[str, ...] = ()
+    # Whether this process is being stopped by plan.
+    stopping: bool = False
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Pull(Wire, frozen=True):
@@ -105,6 +111,11 @@
     prefixes: tuple[str, ...] = ()
     # Time since the request arrived, milliseconds.
     waited_ms: int = 0
+    # Prefill worker that holds a finished prefill of this request; only link
+    # time and a decode slot are asked for then.
+    ready_at: str = ''
+    # Decode worker that an earlier attempt failed at; not granted again.
+    avoid: str = ''
 
 
 class Granted(Wire, frozen=True):
@@ -142,6 +153,12 @@
     grant: str
     # done, cancelled, prefill-failed, transfer-failed, decode-failed
     result: str
+    # What the holder measured, for the home's estimates; 0 for not reached.
+    prefill_ms: int = 0
+    transfer_ms: int = 0
+    decode_ms: int = 0
+    # Tokens of the answer.
+    output_tokens: int = 0
 
 
 class KeepSlots(Wire, frozen=True):
@@ -162,12 +179,14 @@
     body: str
     request: str
     holder: str
+    # Whether the caller says that it never sent this key before.
+    first_try: bool = False
 
 
 class ClaimReply(Wire, frozen=True):
     """What the log says of a key.
 
-    Status is one of won, lost, other-body, log-down, old.
+    Status is one of won, lost, other-body, bad, log-down, old.
     """
 
     status: str
@@ -175,6 +194,8 @@
     owner_address: str = ''
     request: str = ''
     retry_after_ms: int = 0
+    # Of a lost claim, if the log has its end already.
+    outcome: values.Outcome | None = None
 
 
 class EndClaim(Wire, frozen=True):
@@ -198,6 +219,8 @@
     witness_address: str
     # Seconds on the executor's own monotonic clock.
     minted_at: float
+    # A reading of the witness's own monotonic clock from before the minting.
+    witness_at: float
     # Hex HMAC-SHA256 of the fields above.
     mac: str = ''
 
@@ -208,8 +231,8 @@
     identity: str
     witness: str
     body: str
-    # How long the witness remembers it, seconds.
-    life_s: float
+    # From the ticket; the witness tells by it what it may have forgotten.
+    witness_at: float
 
 
 class Void(Wire, frozen=True):
@@ -218,7 +241,7 @@
     identity: str
     witness: str
     body: str
-    life_s: float
+    witness_at: float
 
 
 class Tell(Wire, frozen=True):
@@ -226,17 +249,28 @@
 
     identity: str
     witness: str
+    body: str
+    witness_at: float
     outcome: values.Outcome
     answer: bytes = b''
 
 
+class AskReading(Wire, frozen=True):
+    """From an executor to a witness: what does your clock read?"""
+
+    witness: str
+
+
 class WitnessReply(Wire, frozen=True):
-    """Status is one of noted, voided, told, stranger.
+    """Status is one of noted, voided, told, other-body, old, reading, stranger.
 
-    A stranger is a keeper of another incarnation than the ticket names.
+    Old means that the witness may have known the identity and forgotten it. A
+    stranger is a keeper of another incarnation than the ticket names.
     """
 
     status: str
+    # The witness's clock, seconds; each reply carries it for later tickets.
+    at: float = 0.0
     outcome: values.Outcome | None = None
     answer: bytes = b''
 
@@ -297,6 +331,7 @@
     | Note
     | Void
     | Tell
+    | AskReading
     | WitnessReply
     | RunTicket
     | RunReply
