--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -165,3 +165,9 @@
 ALL: Final[dict[str, Code]] = {
     code.name: code for code in list(vars().values()) if isinstance(code, Code)
 }
+
+
+def ran(name: str) -> Ran:
+    """Returns whether a request with this outcome ran at a backend server."""
+    code = ALL.get(name)
+    return code.ran if code else 'unknown'
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -154,8 +154,6 @@
     body: str
     request: str
     holder: str
-    # Whether the caller says that it never sent this key before.
-    first_try: bool = False
 
 
 class ClaimReply(Wire, frozen=True):
