--- a/packages/core/foxtaildale/members.py
+++ b/packages/core/foxtaildale/members.py
@@ -53,6 +53,7 @@
         '_reports',
         '_silence_s',
         'entry_vm',
+        'listed_at',
         'listing',
     )
 
@@ -60,6 +61,8 @@
     entry_vm: str
     # Newest list seen, with the states that it gave itself; None before one.
     listing: values.Listing | None
+    # When it was taken; shows how far the list lags.
+    listed_at: float
     # By VM name.
     _peers: dict[str, _Peer]
     # Entry VMs that a list called leaving, by name and address.
@@ -72,6 +75,7 @@
     ) -> None:
         self.entry_vm = entry_vm
         self.listing = None
+        self.listed_at = 0.0
         self._silence_s = silence_s
         self._heartbeat_s = heartbeat_s
         self._peers = {}
@@ -92,11 +96,12 @@
             if server.state == 'live' and key_of(server) in self._reports
         )
 
-    def on_listing(self, listing: values.Listing | None) -> bool:
+    def on_listing(self, now: float, listing: values.Listing | None) -> bool:
         """Takes a list of the platform or of a peer; returns whether newer."""
         if listing is None or listing.version <= self.version:
             return False
         self.listing = listing
+        self.listed_at = now
         named = {key_of(server) for server in listing.backend_servers}
         # A name that a newer list has dropped may be given out again.
         self._reports = {key: None for key in self._reports if key in named}
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -52,27 +52,27 @@
     New work would go to a server that is about to stop.
     """
     found = members.Members('a', 3)
-    assert found.on_listing(listing(2, server('x', 'leaving'), server('y')))
-    assert not found.on_listing(listing(1, server('x'), server('y')))
+    assert found.on_listing(0, listing(2, server('x', 'leaving'), server('y')))
+    assert not found.on_listing(0, listing(1, server('x'), server('y')))
     assert names(found) == ['y']
 
 
 def test_a_newer_list_that_calls_it_live_does_not_either() -> None:
     """The list changes for another reason before it learns that one leaves."""
     found = members.Members('a', 3)
-    found.on_listing(listing(1, server('x'), server('y')))
+    found.on_listing(0, listing(1, server('x'), server('y')))
     assert found.on_leaving('x@127.0.0.1:7')
     assert names(found) == ['y']
-    found.on_listing(listing(2, server('x'), server('y')))
+    found.on_listing(0, listing(2, server('x'), server('y')))
     assert names(found) == ['y']
 
 
 def test_a_name_is_free_again_once_a_list_has_dropped_it() -> None:
     """A VM is replaced and the new one gets the old one's name."""
     found = members.Members('a', 3)
-    found.on_listing(listing(1, server('x', 'leaving')))
-    found.on_listing(listing(2))
-    found.on_listing(listing(3, server('x')))
+    found.on_listing(0, listing(1, server('x', 'leaving')))
+    found.on_listing(0, listing(2))
+    found.on_listing(0, listing(3, server('x')))
     assert names(found) == ['x']
 
 
@@ -80,20 +80,20 @@
     """One entry VM's request is refused as leaving; the list lags."""
     one, two = members.Members('a', 3), members.Members('b', 3)
     for found in (one, two):
-        found.on_listing(listing(1, server('x'), server('y')))
+        found.on_listing(0, listing(1, server('x'), server('y')))
     one.on_leaving('x@127.0.0.1:7')
     two.on_beat(0, beat('a', leaving=one.leaving))
     assert names(two) == ['y']
     merged = two.merged()
     assert merged and merged.backend_servers[0].state == 'leaving'
-    two.on_listing(listing(2, server('x', 'leaving'), server('y')))
+    two.on_listing(0, listing(2, server('x', 'leaving'), server('y')))
     assert two.leaving == ()
 
 
 def test_a_silent_keeper_is_not_there() -> None:
     """A VM dies; work that it is home of must be looked for elsewhere."""
     found = members.Members('a', 3)
-    found.on_listing(listing(1))
+    found.on_listing(0, listing(1))
     found.on_beat(0, beat('b'))
     found.on_beat(2, beat('c'))
     assert [peer.entry_vm for peer in found.keepers(3)] == ['b', 'c']
@@ -109,10 +109,10 @@
     now = listing(5)
     left = msgspec.structs.replace(now.entry_vms[1], state='leaving')
     vms = (now.entry_vms[0], left, now.entry_vms[2])
-    found.on_listing(msgspec.structs.replace(now, entry_vms=vms))
+    found.on_listing(0, msgspec.structs.replace(now, entry_vms=vms))
     found.on_beat(0, beat('b'))
     assert found.keepers(0) == ()
-    found.on_listing(listing(6))
+    found.on_listing(0, listing(6))
     assert found.keepers(0) == ()
     assert [vm.name for vm in found.peers()] == ['b', 'c']
 
@@ -120,7 +120,7 @@
 def test_a_late_beat_of_a_replaced_process_is_not_taken() -> None:
     """A keeper is restarted; a beat of its former life arrives afterwards."""
     found = members.Members('a', 3)
-    found.on_listing(listing(1))
+    found.on_listing(0, listing(1))
     for incarnation in ('1', '2', '1'):
         found.on_beat(0, beat('b', incarnation))
     assert [peer.incarnation for peer in found.keepers(0)] == ['2']
