--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -171,7 +171,7 @@
 
     def on_listing(self, now: float, listing: values.Listing | None) -> None:
         """Takes the platform's or a peer's list of VMs."""
-        if self.members.on_listing(listing):
+        if self.members.on_listing(now, listing):
             self._serve_pools(now)
 
     def on_config(self, now: float, batch: ports.Batch) -> None:
