Repeat held slots to the homes, time pieces, finish claims at a stop

An entry now tells each home once a beat what it holds, so a home that was lost and made anew knows within a beat; a caller that leaves the queue gives its place up. A keeper that loses an entry no longer calls its claims in progress for ever, and stays at a planned stop until its claims are written.

--- a/packages/core/foxtaildale/claims.py
+++ b/packages/core/foxtaildale/claims.py
@@ -275,6 +275,15 @@
             if asked.holder == holder
         ]
 
+    def holder_gone(self, holder: str) -> None:
+        """An entry died: nobody knows what came of the claims it had won.
+
+        Without this, whoever asks for one of them would be told for ever that
+        it is in progress.
+        """
+        for request in self.held_by(holder):
+            del self._held[request]
+
     def unwritten(self) -> int:
         """Returns how many items wait to be appended, for a planned stop."""
         return len(self._appends)
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterator
+import itertools
 import threading
 from typing import Final
 
@@ -26,6 +27,7 @@
 from foxtaildale import values
 from foxtaildale_adapters import metrics
 from foxtaildaled import job as jobs
+from foxtaildaled import reading
 from foxtaildaled import retries
 from foxtaildaled import sinks
 from foxtaildaled import slots
@@ -161,6 +163,9 @@
         checker = streams.Checker(
             request, number, event.stream, event.position + 1
         )
+        reader = reading.Reader(
+            gone=gone, sink=sink, checker=checker, clock=self._clock, times=[]
+        )
         try:
             items = self._engines.resume(
                 address,
@@ -169,7 +174,7 @@
                 holder,
                 self._cfg.silence_s,
             )
-            reason = _read(gone, sink, checker, items)
+            reason = reader.read(items)
         except errors.RejectedError:
             return codes.NO_STREAM
         except errors.PortError:
@@ -326,13 +331,21 @@
         )
         checker = streams.Checker(job.request, job.attempt, job.stream)
         sink.begin(grant.decode, job.stream)
+        job.times.clear()
+        reader = reading.Reader(
+            gone=job.gone,
+            sink=sink,
+            checker=checker,
+            clock=self._clock,
+            times=job.times,
+        )
         reason = ''
         for turn in range(_RESUMES + 1):
             if job.gone.is_set():
                 break
             try:
                 items = self._open(job, grant, req, checker, turn)
-                reason = _read(job.gone, sink, checker, items)
+                reason = reader.read(items)
             except errors.RejectedError as exc:
                 failure = self._failed(job, 'decode-failed', exc, grant.decode)
                 return msgspec.structs.replace(failure, begun=turn > 0)
@@ -344,10 +357,23 @@
                 reason = str(exc)
             if not reason:
                 job.let_go(grant.decode_address)
+                self._observe(job)
                 return slots.Refusal(codes.OK)
         job.sent = True
         return Failure('decode-failed', reason, grant.decode, begun=True)
 
+    def _observe(self, job: jobs.Job) -> None:
+        times = job.times
+        if not times:
+            return
+        self._metrics.first_answer_seconds.observe(
+            [times[0] - job.arrived_at], job.name
+        )
+        self._metrics.between_tokens_seconds.observe(
+            [later - earlier for earlier, later in itertools.pairwise(times)],
+            job.name,
+        )
+
     def _still_ready(self, last: Failure | None) -> Ready | None:
         """Returns the last attempt's prefill if it can still be fetched."""
         if last is None or last.ready is None:
@@ -388,30 +414,6 @@
         )
 
 
-def _read(
-    gone: threading.Event,
-    sink: sinks.Sink,
-    checker: streams.Checker,
-    items: _Items,
-) -> str:
-    """Reads pieces; returns '' for a whole answer, else what is wrong."""
-    for item in items:
-        if gone.is_set():
-            return 'the caller went away'
-        if isinstance(item, backends.Last):
-            verdict = checker.last(item)
-            if verdict is streams.Verdict.WHOLE:
-                sink.last(item)
-                return ''
-            return str(verdict.value)
-        verdict = checker.piece(item)
-        if verdict is streams.Verdict.ACCEPTED:
-            sink.piece(item)
-        elif verdict is not streams.Verdict.DUPLICATE:
-            return str(verdict.value)
-    return 'the stream ended early'
-
-
 def _kept(result: slots.Refusal | Failure | None) -> str:
     """Returns the address whose prefill the next attempt fetches."""
     if isinstance(result, Failure) and result.ready is not None:
--- a/packages/daemon/foxtaildaled/job.py
+++ b/packages/daemon/foxtaildaled/job.py
@@ -31,6 +31,7 @@
         'sent',
         'service',
         'snapshot',
+        'times',
     )
 
     # Identifies the request for callers and operators.
@@ -54,6 +55,8 @@
     attempt: int
     # Whether a backend server may have acted on it.
     sent: bool
+    # When each piece of the answer was sent on; seconds, monotonic.
+    times: list[float]
     # Set when the caller has gone.
     gone: threading.Event
     # Addresses of engines that hold something for this request.
@@ -89,6 +92,7 @@
         self.arrived_at = arrived_at
         self.attempt = 0
         self.sent = False
+        self.times = []
         self.gone = threading.Event()
         self._held = set()
         self._cancels = cancel_queue
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -192,11 +192,14 @@
         self.settle(self.claims.expire(now))
         for item in self.pools.values():
             item.expire(now)
-        self.entries = {
-            name: entry
+        silent = [
+            name
             for name, entry in self.entries.items()
-            if now - entry.heard_at <= self.silence_s
-        }
+            if now - entry.heard_at > self.silence_s
+        ]
+        for name in silent:
+            del self.entries[name]
+            self.claims.holder_gone(name)
 
     def homed(self, now: float) -> tuple[values.BackendServer, ...]:
         """Returns the model workers of the pools that are at home here."""
--- a/packages/daemon/foxtaildaled/slots.py
+++ b/packages/daemon/foxtaildaled/slots.py
@@ -13,6 +13,7 @@
 
 from foxtaildale import codes
 from foxtaildale import errors
+from foxtaildale import ledger
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import share
@@ -35,19 +36,41 @@
 class Slots:
     """Asks for slots and gives them back."""
 
-    __slots__ = ('_clock', '_entry_vm', '_lock', '_peers', '_shares')
+    __slots__ = (
+        '_clock',
+        '_entry_vm',
+        '_held',
+        '_holder',
+        '_lock',
+        '_peers',
+        '_shares',
+        '_view',
+    )
 
     _peers: ports.Peers
+    _view: view.View
     _entry_vm: str
+    # Incarnation of this entry.
+    _holder: str
     _clock: ports.Clock
+    # Grants in use: service and decode worker, by grant.
+    _held: dict[str, tuple[str, str]]
     # Fallbacks, by service.
     _shares: dict[str, share.Share]
     _lock: threading.Lock
 
     def __init__(
-        self, peers: ports.Peers, entry_vm: str, clock: ports.Clock
+        self,
+        peers: ports.Peers,
+        seen: view.View,
+        entry_vm: str,
+        holder: str,
+        clock: ports.Clock,
     ) -> None:
         self._peers = peers
+        self._view = seen
+        self._holder = holder
+        self._held = {}
         self._entry_vm = entry_vm
         self._clock = clock
         self._shares = {}
@@ -65,16 +88,54 @@
         """
         while not job.gone.is_set():
             reply = self._ask(job, ready_at, avoid)
+            if isinstance(reply, messages.Granted):
+                with self._lock:
+                    self._held[reply.grant] = (job.name, reply.decode)
             if isinstance(reply, messages.Granted | Refusal):
                 return reply
             job.gone.wait(reply.again_in_ms / 1000)
+        self._leave_queue(job)
         return Refusal(codes.GONE)
 
     def end(self, job: jobs.Job, msg: messages.EndSlot) -> None:
         """Gives a slot back, with what was measured on the way."""
         with self._lock:
+            self._held.pop(msg.grant, None)
             self._share(job).end(self._clock(), msg)
-        address = job.snapshot.home(job.name)
+        self._tell_home(job.name, msg)
+
+    def step(self) -> None:
+        """Repeats to each home what this entry holds, as a loop.
+
+        A home that was lost and made anew elsewhere knows nothing of earlier
+        grants and would give the same slots again; one would see engines
+        refuse as full. The repeat rebuilds its ledger within a beat. It also
+        keeps grants of long streams from lapsing.
+        """
+        with self._lock:
+            held = list(self._held.items())
+        services: dict[str, list[tuple[str, str]]] = {}
+        for grant, (service, decode) in held:
+            services.setdefault(service, []).append((grant, decode))
+        for service, grants in services.items():
+            msg = messages.KeepSlots(
+                service=service, holder=self._holder, grants=tuple(grants)
+            )
+            self._tell_home(service, msg)
+
+    def _leave_queue(self, job: jobs.Job) -> None:
+        """Gives up the place of a caller that went away while it waited."""
+        msg = messages.EndSlot(
+            service=job.name,
+            grant=ledger.name(job.request, job.attempt),
+            result='cancelled',
+        )
+        self._tell_home(job.name, msg)
+
+    def _tell_home(
+        self, service: str, msg: messages.EndSlot | messages.KeepSlots
+    ) -> None:
+        address = self._view.now.home(service)
         if address is None:
             return
         try:
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -144,11 +144,11 @@
         _announce(cfg, peer=address, admin=self._admin.start())
 
     def stop(self) -> None:
-        """Stays until the entries of this VM have ended, then goes."""
+        """Stays until the entries have ended and claims are written."""
         self._owner.run(_leave)
         deadline = time.monotonic() + self._cfg.drain_s
         while time.monotonic() < deadline:
-            if not self._owner.run(lambda state, _now: state.entries):
+            if not self._owner.run(_unfinished):
                 break
             time.sleep(_QUICK_S)
         self._gossip.goodbye()
@@ -264,7 +264,9 @@
         self._records = records.Records(store, counts)
         self._cancels = cancels.Cancels(workers, clock)
         calls = plain.Plain(services.Services(), budget)
-        own = slots.Slots(self._peers, cfg.entry_vm, clock)
+        own = slots.Slots(
+            self._peers, self._view, cfg.entry_vm, self._incarnation, clock
+        )
         model = answers.Answers(
             cfg=cfg,
             engines=workers,
@@ -318,6 +320,7 @@
         self._loops = [
             process.Loop('view', cfg.heartbeat_s, self._view.step),
             process.Loop('tickets', cfg.heartbeat_s, self._desk.step),
+            process.Loop('slots', cfg.heartbeat_s, own.step),
             process.Loop('records', _FLUSH_S, self._records.step),
             cancel_loop,
         ]
@@ -361,6 +364,10 @@
     state.stopping = True
 
 
+def _unfinished(state: keeper.Keeper, _now: float) -> bool:
+    return bool(state.entries) or state.claims.unwritten() > 0
+
+
 def _announce(cfg: options.Options, **addresses: str) -> None:
     """Tells the addresses in use, for settings that leave them to the kernel."""
     logs.event(absl_logging.INFO, 'started', **addresses)
