--- /dev/null
+++ b/packages/client/foxtaildale_client/explain.py
@@ -0,0 +1,106 @@
+"""Finds out what became of a request, in the log's stream of outcomes.
+
+Entries write their outcomes there in batches: a record is a msgpack list of
+`values.Outcome`. The newest records are looked at first, since people ask
+about what has just happened and the stream is long.
+"""
+
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import ports
+from foxtaildale import values
+from foxtaildale_client import exits
+from foxtaildale_client import results
+from foxtaildale_client import text
+
+STREAM: Final = 'outcomes'
+# Records in one read.
+_BATCH: Final = 200
+
+_decoder: Final = msgspec.msgpack.Decoder(list[values.Outcome])
+
+
+class Explained(results.Result, frozen=True):
+    """The outcomes recorded for a request, oldest first."""
+
+    outcomes: tuple[values.Outcome, ...]
+
+    def text(self) -> str:
+        """Lines for people."""
+        return '\n\n'.join(_explanation(one) for one in self.outcomes)
+
+
+def explain(log: ports.Log, request: str) -> results.Result:
+    """Explains a request.
+
+    Raises:
+        errors.PortError: The log could not be read.
+    """
+    for records in _newest_first(log):
+        found = [
+            one
+            for record in records
+            for one in _outcomes(record)
+            if one.request == request
+        ]
+        if found:
+            return Explained(outcomes=tuple(found))
+    return results.Problem(
+        status=exits.Exit.NOT_FOUND,
+        problems=(f'no outcome of {request} is in the log (any more)',),
+    )
+
+
+def _newest_first(log: ports.Log) -> Iterator[tuple[ports.Record, ...]]:
+    first, end = _bounds(log)
+    while end > first:
+        start = max(first, end - _BATCH)
+        try:
+            yield log.read(STREAM, start, end - start).records
+        except errors.LapsedError as exc:
+            # Records lapse while we go towards them.
+            first = exc.first
+            continue
+        end = start
+
+
+def _bounds(log: ports.Log) -> tuple[int, int]:
+    try:
+        batch = log.read(STREAM, 0, 1)
+    except errors.LapsedError as exc:
+        batch = log.read(STREAM, exc.first, 1)
+    return batch.first, batch.end
+
+
+def _outcomes(record: ports.Record) -> list[values.Outcome]:
+    try:
+        return _decoder.decode(record.data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
+
+
+def _explanation(outcome: values.Outcome) -> str:
+    code = codes.ALL.get(outcome.code)
+    rows = [
+        ('request', outcome.request),
+        ('service', outcome.service or '-'),
+        ('outcome', outcome.code),
+        ('', outcome.sentence),
+        ('ran', code.ran if code else 'unknown'),
+        ('preset', f'revision {outcome.revision}'),
+        ('entry VM', outcome.entry_vm),
+        ('time', text.timestamp(outcome.at)),
+    ]
+    if outcome.retry_after_s:
+        rows.append(
+            ('come back', f'after {text.shown(outcome.retry_after_s)} s')
+        )
+    rows += [
+        (figure.name, text.shown(figure.value)) for figure in outcome.figures
+    ]
+    return text.table(rows)
--- /dev/null
+++ b/packages/client/foxtaildale_client/status.py
@@ -0,0 +1,239 @@
+"""The state of a deployment at a glance, and of one process whole.
+
+The platform's list says which VMs there are; each keeper is asked for its
+state. With the platform down the list comes from one keeper instead, whose
+address the operator gives.
+"""
+
+from collections.abc import Sequence
+from concurrent import futures
+from typing import Final
+
+import msgspec
+
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale import values
+from foxtaildale_client import exits
+from foxtaildale_client import results
+from foxtaildale_client import text
+
+# Keepers that are asked at once.
+_AT_ONCE: Final = 16
+
+
+class _Dump(msgspec.Struct, frozen=True, kw_only=True):
+    """What is used of a keeper's state."""
+
+    revision: int = 0
+    preset: str | None = None
+    offset: int = 0
+    vouched: bool = False
+    listing_version: int = -1
+    entries: tuple[str, ...] = ()
+    keepers: tuple[values.Keeper, ...] = ()
+    divergences: tuple[msgspec.Raw, ...] = ()
+
+
+class VmLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry VM."""
+
+    name: str
+    data_centre: str
+    # As the platform lists it; empty when that could not be read.
+    state: str
+    reached: bool
+    revision: int = 0
+    preset: str = ''
+    offset: int = 0
+    vouched: bool = False
+    diverged: bool = False
+    entries: int = 0
+
+
+class ServerLine(msgspec.Struct, frozen=True, kw_only=True):
+    """The backend servers of one service and role."""
+
+    service: str
+    role: str
+    live: int
+    leaving: int
+
+
+class Glance(results.Result, frozen=True):
+    """A deployment at a glance."""
+
+    # Version of the platform's list; None when it could not be read.
+    listing_version: int | None
+    entry_vms: tuple[VmLine, ...]
+    servers: tuple[ServerLine, ...]
+    # One line each.
+    problems: tuple[str, ...]
+
+    @property
+    def exit(self) -> exits.Exit:
+        """Status of the program."""
+        return exits.Exit.DEGRADED if self.problems else exits.Exit.OK
+
+    def text(self) -> str:
+        """Lines for people."""
+        rows = [('ENTRY VM', 'DATA CENTRE', 'STATE', 'PRESET', 'ENTRIES')]
+        for vm in self.entry_vms:
+            preset = 'not reached'
+            if vm.reached:
+                preset = f'{vm.preset or "none"}, revision {vm.revision}'
+            rows.append(
+                (
+                    vm.name,
+                    vm.data_centre,
+                    vm.state or '-',
+                    preset,
+                    str(vm.entries),
+                )
+            )
+        parts = [text.table(rows)]
+        if self.servers:
+            rows = [('SERVICE', 'ROLE', 'LIVE', 'LEAVING', '')]
+            for line in self.servers:
+                live, leaving = str(line.live), str(line.leaving)
+                rows.append((line.service, line.role, live, leaving, ''))
+            parts.append(text.table(rows))
+        parts.append('\n'.join(self.problems) or 'no problems')
+        return '\n\n'.join(parts)
+
+
+def glance(
+    directory: ports.Directory,
+    peers: ports.Peers,
+    keeper: str,
+    timeout_s: float,
+) -> results.Result:
+    """Asks the platform and every keeper.
+
+    Args:
+        directory: The platform's list.
+        peers: The keepers.
+        keeper: Address of a keeper that knows the others, for when the
+            platform can't be read; empty for none.
+        timeout_s: Longest wait for one keeper.
+    """
+    problems: list[str] = []
+    listing: values.Listing | None = None
+    try:
+        listing = directory.listing()
+        vms = listing.entry_vms
+    except errors.PortError as exc:
+        problems.append(f'the platform could not be read: {exc}')
+        vms = _from_keeper(peers, keeper, timeout_s)
+        if not vms:
+            return results.Problem(
+                status=exits.Exit.UNAVAILABLE,
+                problems=(*problems, 'give a keeper that knows the others'),
+            )
+    dumps = _ask_all(peers, vms, timeout_s)
+    lines = tuple(
+        _vm_line(vm, dump, listed=listing is not None)
+        for vm, dump in zip(vms, dumps, strict=True)
+    )
+    return Glance(
+        listing_version=listing.version if listing else None,
+        entry_vms=lines,
+        servers=_server_lines(listing.backend_servers if listing else ()),
+        problems=(*problems, *_problems(lines)),
+    )
+
+
+def _from_keeper(
+    peers: ports.Peers, address: str, timeout_s: float
+) -> tuple[values.EntryVm, ...]:
+    dump = _ask(peers, address, timeout_s) if address else None
+    if dump is None:
+        return ()
+    return tuple(
+        values.EntryVm(
+            name=one.name, data_centre=one.data_centre, keeper=one.address
+        )
+        for one in dump.keepers
+    )
+
+
+def _ask_all(
+    peers: ports.Peers, vms: Sequence[values.EntryVm], timeout_s: float
+) -> list[_Dump | None]:
+    with futures.ThreadPoolExecutor(_AT_ONCE) as pool:
+        return list(pool.map(lambda vm: _ask(peers, vm.keeper, timeout_s), vms))
+
+
+def _ask(peers: ports.Peers, address: str, timeout_s: float) -> _Dump | None:
+    try:
+        reply = peers.ask(address, messages.Dump(), timeout_s)
+    except errors.PortError:
+        return None
+    if not isinstance(reply, messages.DumpReply):
+        return None
+    try:
+        return msgspec.json.decode(reply.state, type=_Dump)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def _vm_line(vm: values.EntryVm, dump: _Dump | None, *, listed: bool) -> VmLine:
+    state = vm.state if listed else ''
+    if dump is None:
+        return VmLine(
+            name=vm.name, data_centre=vm.data_centre, state=state, reached=False
+        )
+    return VmLine(
+        name=vm.name,
+        data_centre=vm.data_centre,
+        state=state,
+        reached=True,
+        revision=dump.revision,
+        preset=dump.preset or '',
+        offset=dump.offset,
+        vouched=dump.vouched,
+        diverged=bool(dump.divergences),
+        entries=len(dump.entries),
+    )
+
+
+def _server_lines(
+    servers: Sequence[values.BackendServer],
+) -> tuple[ServerLine, ...]:
+    kinds = sorted({(one.service, one.role) for one in servers})
+    lines = []
+    for kind in kinds:
+        states = [
+            one.state for one in servers if (one.service, one.role) == kind
+        ]
+        lines.append(
+            ServerLine(
+                service=kind[0],
+                role=kind[1],
+                live=states.count('live'),
+                leaving=states.count('leaving'),
+            )
+        )
+    return tuple(lines)
+
+
+def _problems(lines: Sequence[VmLine]) -> list[str]:
+    problems: list[str] = []
+    newest = max((line.revision for line in lines), default=0)
+    for line in lines:
+        if not line.reached:
+            if line.state != 'leaving':
+                problems.append(f'{line.name}: keeper not reached')
+        elif line.revision < newest:
+            problems.append(
+                f'{line.name}: works by revision {line.revision},'
+                f' others by {newest}'
+            )
+        elif not line.vouched:
+            problems.append(f'{line.name}: has no fresh word of the preset')
+        if line.diverged:
+            problems.append(f'{line.name}: reports a state unlike its own')
+        if line.reached and not line.entries:
+            problems.append(f'{line.name}: no entry is running')
+    return problems
