Prove that no engine memory stays held for callers who are gone

Real processes, three entry VMs: a caller leaves in the queue, in prefill, in transfer, before the first byte and in decode; an entry is killed, a whole VM is killed, an entry is frozen past every bound and thawed; a keeper is frozen while its entry serves on.

Red first, each with its mechanism taken out of a scratch copy: - no cancels sent: the four leaving tests fail (never free) - the reaper judges nothing abandoned: entry killed, VM killed, entry frozen fail - silence alone taken for death: the stream of the VM whose keeper is frozen is cut; that test fails Taking out only the cancel on hang-up left three of four green, since closing the stream ends the thread, which cancels what it held: two mechanisms cover each other, and both were taken out for the red run. Leaving the queue is not proved: the home forgets a waiter that stops asking, with or without the message.

Found while writing: a first form froze the other keepers, which was green without the mechanism; it now freezes the keeper whose silence matters.

--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -58,6 +58,19 @@
         """Reads the list."""
 
 
+class Pieces(Protocol):
+    """The events of one stream; iterating raises as the other calls do."""
+
+    def __iter__(self) -> Iterator[backends.Piece | backends.Last]:
+        """Iterates up to the `Last`."""
+
+    def __next__(self) -> backends.Piece | backends.Last:
+        """Waits for the next event."""
+
+    def close(self) -> None:
+        """Ends the connection; any thread may call it, also while one waits."""
+
+
 class Engines(Protocol):
     """Model engines, by address.
 
@@ -76,7 +89,7 @@
 
     def decode(
         self, address: str, req: backends.DecodeReq, silence_s: float
-    ) -> Iterator[backends.Piece | backends.Last]:
+    ) -> Pieces:
         """Starts a stream; fails when silent for `silence_s`."""
 
     def resume(
@@ -86,7 +99,7 @@
         position: int,
         holder: str,
         silence_s: float,
-    ) -> Iterator[backends.Piece | backends.Last]:
+    ) -> Pieces:
         """Reads a stream on from a position."""
 
     def cancel(
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -10,7 +10,6 @@
 never again, whatever becomes of it.
 """
 
-from collections.abc import Iterator
 import itertools
 import threading
 from typing import Final
@@ -44,8 +43,6 @@
 # The engines' word for a planned stop.
 _LEAVING: Final = 'leaving'
 
-_Items = Iterator[backends.Piece | backends.Last]
-
 
 class Ready(msgspec.Struct, frozen=True):
     """A finished prefill and where it lies."""
@@ -345,7 +342,8 @@
                 break
             try:
                 items = self._open(job, grant, req, checker, turn)
-                reason = reader.read(items)
+                with job.reading(items):
+                    reason = reader.read(items)
             except errors.RejectedError as exc:
                 failure = self._failed(job, 'decode-failed', exc, grant.decode)
                 return msgspec.structs.replace(failure, begun=turn > 0)
@@ -401,7 +399,7 @@
         req: backends.DecodeReq,
         checker: streams.Checker,
         turn: int,
-    ) -> _Items:
+    ) -> ports.Pieces:
         silence_s = self._cfg.silence_s
         if turn == 0:
             return self._engines.decode(grant.decode_address, req, silence_s)
--- a/packages/daemon/foxtaildaled/job.py
+++ b/packages/daemon/foxtaildaled/job.py
@@ -1,9 +1,12 @@
 """One caller's request for a model's answer, while it is worked on."""
 
+from collections.abc import Iterator
+import contextlib
 import threading
 
 from foxtaildale import backends
 from foxtaildale import chat
+from foxtaildale import ports
 from foxtaildale import values
 from foxtaildaled import cancels
 from foxtaildaled import view
@@ -16,6 +19,7 @@
         '_cancels',
         '_held',
         '_lock',
+        '_pieces',
         '_resume_s',
         'arrived_at',
         'attempt',
@@ -61,6 +65,8 @@
     gone: threading.Event
     # Addresses of engines that hold something for this request.
     _held: set[str]
+    # The stream that is being read, if any.
+    _pieces: ports.Pieces | None
     _cancels: cancels.Cancels
     # How long a gone caller's stream is kept for its return, seconds.
     _resume_s: float
@@ -95,6 +101,7 @@
         self.times = []
         self.gone = threading.Event()
         self._held = set()
+        self._pieces = None
         self._cancels = cancel_queue
         self._resume_s = resume_s
         self._lock = threading.Lock()
@@ -127,9 +134,31 @@
         with self._lock:
             self.gone.set()
             held = list(self._held)
+            pieces = self._pieces
+        if pieces is not None:
+            pieces.close()
         for address in held:
             self._cancel(address, 0, self._resume_s)
 
+    @contextlib.contextmanager
+    def reading(self, pieces: ports.Pieces) -> Iterator[None]:
+        """Closes a stream at the end, or at once when the caller goes.
+
+        A thread that waits for the next piece would otherwise learn of the
+        caller only with that piece, and hold its slot until then.
+        """
+        with self._lock:
+            self._pieces = pieces
+            gone = self.gone.is_set()
+        if gone:
+            pieces.close()
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._pieces = None
+            pieces.close()
+
     def abandon(self, kept: str = '') -> None:
         """Cancels this attempt at every engine that holds a part of it.
 
--- a/packages/daemon/foxtaildaled/reading.py
+++ b/packages/daemon/foxtaildaled/reading.py
@@ -3,7 +3,6 @@
 This loop runs once a token, so it does nothing that can be done once a stream.
 """
 
-from collections.abc import Iterator
 import threading
 
 from foxtaildale import backends
@@ -40,7 +39,7 @@
         self._clock = clock
         self._times = times
 
-    def read(self, items: Iterator[backends.Piece | backends.Last]) -> str:
+    def read(self, items: ports.Pieces) -> str:
         """Reads to the end; returns '' for a whole answer, else what is wrong.
 
         Raises:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from concurrent import futures
 import functools
 import json
 import pathlib
@@ -36,6 +37,7 @@
     role: values.Role
     data_centre: str
     fenced: bool = False
+    slots: int = 20
     # Further arguments of the stand-in.
     args: tuple[str, ...] = ()
 
@@ -115,14 +117,17 @@
     ) -> None:
         """Starts everything and waits until the entries are up."""
         self.platform = self.procs.standin('platform', *platform_args)
-        for worker in workers:
-            self._start_worker(worker)
-        for vm in vms:
-            self.vms[vm.name] = vm
-            self.start_keeper(vm.name)
-        self.publish_list(workers)
-        for vm in vms:
-            self.start_entry(vm.name)
+        self.vms |= {vm.name: vm for vm in vms}
+        names = [vm.name for vm in vms]
+        with futures.ThreadPoolExecutor() as pool:
+            # Starting an interpreter takes most of the time; side by side.
+            started = [pool.submit(self._start_worker, w) for w in workers]
+            started += [pool.submit(self.start_keeper, n) for n in names]
+            for fut in started:
+                fut.result()
+            self.publish_list(workers)
+            for fut in [pool.submit(self.start_entry, n) for n in names]:
+                fut.result()
 
     def start_keeper(self, name: str) -> None:
         """Starts the keeper of an entry VM, anew on its old address."""
@@ -147,6 +152,7 @@
                 service=worker.service,
                 role=worker.role,
                 fenced=worker.fenced,
+                slots=worker.slots,
             )
             for worker in workers
         )
@@ -256,7 +262,7 @@
         module = 'service' if worker.role == 'plain' else 'engine'
         args = ['--name', worker.name, *worker.args]
         if module == 'engine':
-            args += ['--role', worker.role]
+            args += ['--role', worker.role, '--slots', str(worker.slots)]
             args += ['--fenced'] if worker.fenced else []
         self.workers[worker.name] = self.procs.standin(
             module, *args, name=worker.name
