--- a/packages/adapters/foxtaildale_adapters/peers.py
+++ b/packages/adapters/foxtaildale_adapters/peers.py
@@ -6,9 +6,9 @@
 
 A socket is one connection and never reconnects. When it closes, or when
 nothing was heard for the silence bound although heartbeats were sent, it is
-dropped and a fresh one is opened for what has not been sent yet. That is what
-helps against connections that go silent for good while new ones work: waiting
-longer on the old one never ends, and libzmq's own reconnect would not notice.
+dropped, and the next ask opens a fresh one. That is what helps against
+connections that go silent for good while new ones work: waiting longer on the
+old one never ends, and libzmq's own reconnect would not notice.
 
 What can be said of effects is decided by one state for each ask, changed under
 one lock: the asker may abandon it only while it waits, and it counts as sent
@@ -22,122 +22,18 @@
 from typing import Final
 
 import zmq
-import zmq.utils.monitor
 
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
+from foxtaildale_adapters import connections
 from foxtaildale_adapters import wakes
 
-SEQUENCE_BYTES: Final = 8
 # A connection that nobody asked over for this long is closed, seconds.
 IDLE_S: Final = 60.0
 # Sequence number of heartbeats; asks count from 1.
-_HEARTBEAT: Final = bytes(SEQUENCE_BYTES)
+_HEARTBEAT: Final = bytes(connections.SEQUENCE_BYTES)
 _PING: Final = messages.encode(messages.Ping())
-_ENDED: Final = (
-    zmq.EVENT_CLOSED
-    | zmq.EVENT_DISCONNECTED
-    | zmq.EVENT_CONNECT_RETRIED
-    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
-    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
-    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
-)
-
-Dealer = zmq.Socket[bytes]
-
-
-class Counts:
-    """What passed over one side of the wire since the start."""
-
-    __slots__ = (
-        'dropped',
-        'late',
-        'opened',
-        'received',
-        'received_bytes',
-        'sent',
-        'sent_bytes',
-        'silent',
-    )
-
-    def __init__(self) -> None:
-        # Messages, and bytes of their payload.
-        self.sent = 0
-        self.sent_bytes = 0
-        self.received = 0
-        self.received_bytes = 0
-        # Garbage, oversized frames and failed handshakes.
-        self.dropped = 0
-        # Replies whose asker had given up.
-        self.late = 0
-        # Connections opened, and of those given up for their silence.
-        self.opened = 0
-        self.silent = 0
-
-
-class _Ask:
-    """One message on its way."""
-
-    __slots__ = ('done', 'exc', 'payload', 'reply', 'sent', 'sequence')
-
-    def __init__(self, sequence: int, payload: bytes) -> None:
-        self.sequence = sequence.to_bytes(SEQUENCE_BYTES, 'big')
-        self.payload = payload
-        # True as soon as a byte of it may leave this process.
-        self.sent = False
-        self.reply: bytes | None = None
-        self.exc: errors.PortError | None = None
-        # Set when reply or exc is there; also marks an abandoned ask.
-        self.done = threading.Event()
-
-
-class _Connection:
-    """One socket, connected once."""
-
-    __slots__ = (
-        'address',
-        'asked_at',
-        'heard_at',
-        'monitor',
-        'pending',
-        'pinged_at',
-        'sock',
-        'up',
-        'waiting',
-    )
-
-    def __init__(
-        self,
-        context: zmq.Context[Dealer],
-        address: str,
-        silence_s: float,
-        now: float,
-    ) -> None:
-        self.address = address
-        self.sock = context.socket(zmq.DEALER)
-        self.sock.setsockopt(zmq.LINGER, 0)
-        # Messages go to completed connections only, so what was not handed
-        # over to libzmq was surely not sent.
-        self.sock.setsockopt(zmq.IMMEDIATE, 1)
-        self.sock.setsockopt(zmq.RECONNECT_IVL, -1)
-        self.sock.setsockopt(zmq.CONNECT_TIMEOUT, max(1, int(silence_s * 1000)))
-        self.sock.setsockopt(zmq.MAXMSGSIZE, messages.MAX_BYTES + 1024)
-        self.monitor = self.sock.get_monitor_socket(_ENDED)
-        # Not handed to libzmq yet.
-        self.waiting: collections.deque[_Ask] = collections.deque()
-        # Sent, by sequence number.
-        self.pending: dict[bytes, _Ask] = {}
-        self.up = False
-        self.asked_at = now
-        self.heard_at = now
-        self.pinged_at = now
-
-    def close(self) -> None:
-        """Closes the socket; what libzmq still holds is thrown away."""
-        self.sock.disable_monitor()
-        self.monitor.close(0)
-        self.sock.close(0)
 
 
 class Peers:
@@ -173,7 +69,7 @@
         clock: ports.Clock = time.monotonic,
     ) -> None:
         # What passed, for metrics and the state dump.
-        self.counts = Counts()
+        self.counts = connections.Counts()
         self._heartbeat_s = heartbeat_s
         self._silence_s = silence_s
         self._clock = clock
@@ -182,14 +78,14 @@
         # Guards the state of every ask.
         self._lock = threading.Lock()
         # Asks that the background thread has not seen yet.
-        self._incoming: collections.deque[tuple[str, _Ask]] = (
+        self._incoming: collections.deque[tuple[str, connections.Ask]] = (
             collections.deque()
         )
         # Owned by the background thread.
-        self._context: zmq.Context[Dealer] = zmq.Context()
-        self._connections: dict[str, _Connection] = {}
+        self._context: zmq.Context[connections.Dealer] = zmq.Context()
+        self._connections: dict[str, connections.Connection] = {}
         # Both sockets of each connection.
-        self._sockets: dict[Dealer, _Connection] = {}
+        self._sockets: dict[connections.Dealer, connections.Connection] = {}
         self._poller = zmq.Poller()
         self._wake = wakes.Wake()
         self._thread = threading.Thread(
@@ -217,7 +113,7 @@
             raise errors.UnreachableError(
                 f'message of {len(payload)} bytes, limit {messages.MAX_BYTES}'
             )
-        ask = _Ask(next(self._numbers), payload)
+        ask = connections.Ask(next(self._numbers), payload)
         if self._closing:
             raise errors.UnreachableError('closed')
         self._incoming.append((address, ask))
@@ -238,12 +134,12 @@
         self._thread.join()
         self._context.destroy(linger=0)
 
-    def _give_up(self, address: str, ask: _Ask) -> None:
+    def _give_up(self, address: str, ask: connections.Ask) -> None:
         """Settles an ask whose time is over, unless it was settled just now."""
         with self._lock:
             if ask.done.is_set():
                 return
-            ask.exc = _lost(ask, f'{address}: no answer in time')
+            ask.exc = ask.lost(f'{address}: no answer in time')
             ask.done.set()
 
     def _read(self, address: str, data: bytes) -> messages.Any:
@@ -274,7 +170,7 @@
         self._take_incoming()
         self._wake.close()
 
-    def _serve(self, key: Dealer | int) -> None:
+    def _serve(self, key: connections.Dealer | int) -> None:
         if isinstance(key, int):
             self._wake.clear()
             self._take_incoming()
@@ -286,7 +182,7 @@
         if key is conn.monitor:
             # Replies that came before the end still count.
             self._receive(conn)
-            self._drop(conn, 'connection closed', reopen=conn.up)
+            self._drop(conn, 'connection closed')
             return
         self._receive(conn)
         self._send(conn)
@@ -308,8 +204,10 @@
             conn.waiting.append(ask)
             self._send(conn)
 
-    def _open(self, address: str, now: float) -> _Connection | None:
-        conn = _Connection(self._context, address, self._silence_s, now)
+    def _open(self, address: str, now: float) -> connections.Connection | None:
+        conn = connections.Connection(
+            self._context, address, self._silence_s, now
+        )
         try:
             conn.sock.connect(f'tcp://{address}')
         except zmq.ZMQError:
@@ -323,7 +221,7 @@
         self.counts.opened += 1
         return conn
 
-    def _send(self, conn: _Connection) -> None:
+    def _send(self, conn: connections.Connection) -> None:
         """Sends what waits, as far as the connection takes it."""
         while conn.waiting:
             ask = conn.waiting[0]
@@ -339,17 +237,18 @@
         wanted = zmq.POLLIN | (zmq.POLLOUT if conn.waiting else 0)
         self._poller.modify(conn.sock, wanted)
 
-    def _push(self, conn: _Connection, sequence: bytes, data: bytes) -> bool:
+    def _push(
+        self, conn: connections.Connection, sequence: bytes, data: bytes
+    ) -> bool:
         try:
             conn.sock.send_multipart([sequence, data], zmq.NOBLOCK)
         except zmq.Again:
             return False
-        conn.up = True
         self.counts.sent += 1
         self.counts.sent_bytes += len(data)
         return True
 
-    def _receive(self, conn: _Connection) -> None:
+    def _receive(self, conn: connections.Connection) -> None:
         while True:
             try:
                 frames = conn.sock.recv_multipart(zmq.NOBLOCK)
@@ -364,7 +263,9 @@
             if frames[0] != _HEARTBEAT:
                 self._match(conn, frames[0], frames[1])
 
-    def _match(self, conn: _Connection, sequence: bytes, data: bytes) -> None:
+    def _match(
+        self, conn: connections.Connection, sequence: bytes, data: bytes
+    ) -> None:
         """Hands a reply to the one who asked, and to nobody else."""
         ask = conn.pending.pop(sequence, None)
         if ask is None:
@@ -384,14 +285,14 @@
                 # One would notice asks to this address failing one after
                 # the other while a fresh process reaches it well.
                 self.counts.silent += 1
-                self._drop(conn, 'connection silent', reopen=conn.up)
+                self._drop(conn, 'connection silent')
             elif now - conn.asked_at > IDLE_S and not conn.pending:
                 self._drop(conn, 'unused')
             else:
                 self._forget_abandoned(conn)
                 self._push(conn, _HEARTBEAT, _PING)
 
-    def _forget_abandoned(self, conn: _Connection) -> None:
+    def _forget_abandoned(self, conn: connections.Connection) -> None:
         """Drops given-up asks, which an unanswering peer would pile up."""
         conn.waiting = collections.deque(
             ask for ask in conn.waiting if not ask.done.is_set()
@@ -402,18 +303,8 @@
             if not ask.done.is_set()
         }
 
-    def _drop(
-        self, conn: _Connection, reason: str, reopen: bool = False
-    ) -> None:
-        """Closes a connection and settles its asks.
-
-        Args:
-            conn: The connection.
-            reason: Why, for the exceptions.
-            reopen: Whether what was not sent goes to a fresh connection. Not
-                if this one never came up: then the other side can't be
-                reached now, and the asker is told at once.
-        """
+    def _drop(self, conn: connections.Connection, reason: str) -> None:
+        """Closes a connection and settles its asks."""
         self._poller.unregister(conn.sock)
         self._poller.unregister(conn.monitor)
         del self._sockets[conn.sock]
@@ -423,22 +314,11 @@
         text = f'{conn.address}: {reason}'
         for ask in conn.pending.values():
             self._settle(ask, errors.AnswerLostError(text))
-        if reopen and conn.waiting:
-            fresh = self._open(conn.address, self._clock())
-            if fresh is not None:
-                fresh.waiting = conn.waiting
-                return
         for ask in conn.waiting:
             self._settle(ask, errors.UnreachableError(text))
 
-    def _settle(self, ask: _Ask, exc: errors.PortError) -> None:
+    def _settle(self, ask: connections.Ask, exc: errors.PortError) -> None:
         with self._lock:
             if not ask.done.is_set():
                 ask.exc = exc
                 ask.done.set()
-
-
-def _lost(ask: _Ask, text: str) -> errors.PortError:
-    if ask.sent:
-        return errors.AnswerLostError(text)
-    return errors.UnreachableError(text)
--- a/packages/adapters/foxtaildale_adapters/wire.py
+++ b/packages/adapters/foxtaildale_adapters/wire.py
@@ -20,6 +20,7 @@
 
 from foxtaildale import errors
 from foxtaildale import messages
+from foxtaildale_adapters import connections
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import wakes
 
@@ -73,7 +74,7 @@
         self, address: str, handler: Handler, workers: int = 4
     ) -> None:
         # What passed, for metrics and the state dump.
-        self.counts = peers.Counts()
+        self.counts = connections.Counts()
         self._address = address
         self._handler = handler
         self._closing = False
@@ -165,7 +166,7 @@
         # Anything may be connected to the port. What is no message of ours
         # gets no reply: there is no sequence number to trust, and a reply to
         # garbage would be garbage to its sender.
-        if len(frames) != 3 or len(frames[1]) != peers.SEQUENCE_BYTES:
+        if len(frames) != 3 or len(frames[1]) != connections.SEQUENCE_BYTES:
             self.counts.dropped += 1
             return
         identity, sequence, payload = frames
