A refused connection must not open the breaker; see each proof red

Cause: the library counts a refused connection as a kind of connect timeout, and the sorting of errors asked for the timeout first. A platform that restarts would have been held off for a second though refusing costs no wait. Seen red: test_a_store_that_restarts_is_reached_at_once before the change.

Found by taking the mechanisms out one by one: 20 of them, of which 3 left all tests green at first. One was this fault. One was a test that met only the connection that had just been closed; it now meets two forgotten ones at once and is red without the dropping of idle connections.

--- a/packages/adapters/foxtaildale_adapters/exchange.py
+++ b/packages/adapters/foxtaildale_adapters/exchange.py
@@ -193,17 +193,18 @@
             preload_content=False,
             decode_content=False,
         )
-    except urllib3.exceptions.ConnectTimeoutError as exc:
-        raise SilentError(str(exc)) from exc
-    except urllib3.exceptions.ReadTimeoutError as exc:
-        raise TimeoutLostError(str(exc)) from exc
     except (
+        # Also a ConnectTimeoutError, though it means refused.
         urllib3.exceptions.NewConnectionError,
         urllib3.exceptions.ClosedPoolError,
         urllib3.exceptions.EmptyPoolError,
         urllib3.exceptions.LocationValueError,
     ) as exc:
         raise errors.UnreachableError(str(exc)) from exc
+    except urllib3.exceptions.ConnectTimeoutError as exc:
+        raise SilentError(str(exc)) from exc
+    except urllib3.exceptions.ReadTimeoutError as exc:
+        raise TimeoutLostError(str(exc)) from exc
     except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
         raise errors.AnswerLostError(str(exc)) from exc
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -271,27 +271,52 @@
     store.thaw()
 
 
+def test_a_store_that_restarts_is_reached_at_once(procs: fleet.Fleet) -> None:
+    """The store's process is down and refuses connections, which costs no wait.
+
+    If that opened the breaker too, claims would be refused after its restart.
+    """
+    store = procs.standin('platform')
+    client = platform.Platform(store.address, 5.0, hold_off_s=3600.0)
+    store.kill()
+    with pytest.raises(errors.UnreachableError):
+        client.append('s', [b'a'])
+    procs.standin('platform', '--address', store.address)
+    assert client.append('s', [b'a']) == 0
+
+
 def test_a_silent_connection_is_replaced(store: fleet.Proc) -> None:
     """Something in between forgets an open connection; new ones work.
 
     A client that waits on the old one hangs for good, call after call.
     """
     with relay.Relay(store.address) as middle:
-        client = platform.Platform(middle.address, 0.5, hold_off_s=0.0)
-        # Two calls at once leave two idle connections behind.
-        faults(store, slow_ms=150)
-        threads = [threading.Thread(target=client.listing) for _ in range(2)]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        faults(store, slow_ms=0)
-        assert middle.accepted == 2
+        client = exchange.Exchange()
+        failed: list[errors.PortError] = []
+
+        def call() -> None:
+            try:
+                client.send(middle.address, 'GET', '/vms', timeout_s=0.5)
+            except errors.PortError as exc:
+                failed.append(exc)
+
+        def call_twice_at_once() -> None:
+            faults(store, slow_ms=150)
+            threads = [threading.Thread(target=call) for _ in range(2)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            faults(store, slow_ms=0)
+
+        # Leaves two idle connections behind.
+        call_twice_at_once()
+        assert (middle.accepted, failed) == (2, [])
         middle.silence()
-        with pytest.raises(errors.AnswerLostError):
-            client.read('silent', 0)
-        assert client.read('silent', 0).end == 0
-        assert middle.accepted == 3
+        call()
+        assert len(failed) == 1
+        call_twice_at_once()
+        assert (middle.accepted, len(failed)) == (4, 1)
 
 
 def test_a_call_never_meets_a_forgotten_connection(desk: fleet.Proc) -> None:
