--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -91,6 +91,20 @@
 KEY_BAD: Final = Code(
     'key-bad', 400, 'no', 'Not run: the Idempotency-Key is not valid.'
 )
+KEY_OLD: Final = Code(
+    'key-old',
+    409,
+    'unknown',
+    'Refused: the Idempotency-Key is older than what is remembered; whether'
+    ' it ran before is not known, it will not run again.',
+)
+CLAIM_UNSURE: Final = Code(
+    'claim-unsure',
+    503,
+    'unknown',
+    'This try did not run; the platform log does not answer, so whether an'
+    ' earlier try under this key ran is not known.',
+)
 OTHER_BODY: Final = Code(
     'other-body',
     422,
@@ -100,7 +114,8 @@
 IN_PROGRESS: Final = Code(
     'in-progress',
     409,
-    'yes',
+    # Its start may still be given up.
+    'unknown',
     'This identity is being run already; its outcome is not known yet.',
 )
 DONE_BEFORE: Final = Code(
@@ -127,6 +142,27 @@
 CANCELLED: Final = Code(
     'cancelled', 499, 'unknown', 'The caller went away; work was cancelled.'
 )
+GONE: Final = Code(
+    'gone', 499, 'no', 'Not run: the caller went away while it waited.'
+)
+NO_WITNESS: Final = Code(
+    'no-witness',
+    503,
+    'no',
+    'Not run: no other entry VM can be reached to witness a ticket.',
+)
+NO_OUTCOME: Final = Code(
+    'no-outcome',
+    404,
+    'unknown',
+    'No outcome of this request is kept here: {reason}.',
+)
+BACKEND_REFUSED: Final = Code(
+    'backend-refused',
+    503,
+    'no',
+    'Not run: the backend servers did not take it ({reason}).',
+)
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
 TOO_LARGE: Final = Code(
     'too-large',
@@ -134,6 +170,18 @@
     'no',
     'Not run: the body has {found} bytes, the limit is {limit}.',
 )
+SLOW_REQUEST: Final = Code(
+    'slow-request',
+    408,
+    'no',
+    'Not run: the request did not arrive whole within {limit_s} s.',
+)
+ENTRY_BUSY: Final = Code(
+    'entry-busy',
+    503,
+    'no',
+    'Not run: this entry VM serves {limit} requests already.',
+)
 NO_SERVICE: Final = Code(
     'no-service',
     404,
@@ -150,3 +198,9 @@
 ALL: Final[dict[str, Code]] = {
     code.name: code for code in list(vars().values()) if isinstance(code, Code)
 }
+
+
+def ran(name: str) -> Ran:
+    """Returns whether a request with this outcome ran at a backend server."""
+    code = ALL.get(name)
+    return code.ran if code else 'unknown'
--- /dev/null
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -0,0 +1,470 @@
+"""Answers of model services: prefill, transfer, decode, stream.
+
+One request goes through attempts. An attempt gets a slot, runs the prefill so
+that it ends when the slot is free, has the decode worker fetch the KV cache,
+and reads the stream. What fails before the caller was sent a first piece is
+tried again within the retry budget; after that only the same stream is read
+on, since another one might say something else.
+
+A service with claims runs at most once: its decode is begun at one engine and
+never again, whatever becomes of it.
+"""
+
+from collections.abc import Iterator
+import threading
+from typing import Final
+
+import msgspec
+
+from foxtaildale import backends
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import options
+from foxtaildale import ports
+from foxtaildale import streams
+from foxtaildale import values
+from foxtaildale_adapters import metrics
+from foxtaildaled import job as jobs
+from foxtaildaled import retries
+from foxtaildaled import sinks
+from foxtaildaled import slots
+from foxtaildaled import view
+
+# Times that a broken stream is read on.
+_RESUMES: Final = 5
+# Bounds on one prefill and one transfer, seconds. A stalled transfer is given
+# up while the prefill's result may still live.
+_PREFILL_S: Final = 60.0
+_TRANSFER_S: Final = 5.0
+# Attempts after which an engine's refusal counts as a failure like any other.
+_FREE_TRIES: Final = 4
+# The engines' word for a planned stop.
+_LEAVING: Final = 'leaving'
+
+_Items = Iterator[backends.Piece | backends.Last]
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """A finished prefill and where it lies."""
+
+    worker: str
+    address: str
+    reply: backends.PrefillReply
+    # When the engine evicts it; seconds, monotonic.
+    until: float
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """An attempt that did not end in a whole answer."""
+
+    # prefill-failed, transfer-failed, decode-failed
+    stage: str
+    reason: str
+    # Decode worker that it failed at, for the next attempt to avoid.
+    decode: str = ''
+    # Backend server that it failed at.
+    at: str = ''
+    # Whether the engine may have begun the answer itself.
+    begun: bool = False
+    # The engine's own word where it said that it did not act.
+    rejected: str = ''
+    # A finished prefill that may be fetched again.
+    ready: 'Ready | None' = None
+
+
+class Measured:
+    """How long the stages of one attempt took, milliseconds."""
+
+    __slots__ = ('decode_ms', 'output_tokens', 'prefill_ms', 'transfer_ms')
+
+    prefill_ms: int
+    transfer_ms: int
+    decode_ms: int
+    output_tokens: int
+
+    def __init__(self) -> None:
+        self.prefill_ms = 0
+        self.transfer_ms = 0
+        self.decode_ms = 0
+        self.output_tokens = 0
+
+
+class Answers:
+    """Runs requests of model services."""
+
+    __slots__ = (
+        '_cfg',
+        '_clock',
+        '_engines',
+        '_metrics',
+        '_retries',
+        '_slots',
+        '_view',
+    )
+
+    _cfg: options.Options
+    _engines: ports.Engines
+    _slots: slots.Slots
+    _retries: retries.Retries
+    _metrics: metrics.Metrics
+    _clock: ports.Clock
+    _view: view.View
+
+    def __init__(
+        self,
+        *,
+        cfg: options.Options,
+        engines: ports.Engines,
+        seen: view.View,
+        getter: slots.Slots,
+        budget: retries.Retries,
+        counts: metrics.Metrics,
+        clock: ports.Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._engines = engines
+        self._slots = getter
+        self._retries = budget
+        self._metrics = counts
+        self._clock = clock
+        self._view = seen
+
+    def run(self, job: jobs.Job, sink: sinks.Sink) -> slots.Refusal:
+        """Runs a request to its end and returns its code and figures."""
+        self._retries.first(job.name, job.snapshot)
+        last: Failure | None = None
+        while True:
+            job.attempt += 1
+            result = self._attempt(job, sink, last)
+            if isinstance(result, slots.Refusal):
+                return _refusal(job, result)
+            if job.gone.is_set():
+                return slots.Refusal(codes.CANCELLED)
+            self._report(job, result)
+            if not self._may_retry(job, sink, result):
+                return _given_up(job, result, sink)
+            last = result
+
+    def read_on(
+        self,
+        address: str,
+        event: streams.EventId,
+        holder: str,
+        sink: sinks.Sink,
+        gone: threading.Event,
+    ) -> codes.Code:
+        """Reads a stream on behind an event, for a caller that came back."""
+        request, _dot, attempt = event.stream.rpartition('.')
+        number = int(attempt) if attempt.isdecimal() else 0
+        sink.begin(event.worker, event.stream)
+        checker = streams.Checker(
+            request, number, event.stream, event.position + 1
+        )
+        try:
+            items = self._engines.resume(
+                address,
+                event.stream,
+                checker.position,
+                holder,
+                self._cfg.silence_s,
+            )
+            reason = _read(gone, sink, checker, items)
+        except errors.RejectedError:
+            return codes.NO_STREAM
+        except errors.PortError:
+            reason = 'the stream broke off'
+        if gone.is_set():
+            return codes.CANCELLED
+        return codes.BROKEN if reason else codes.OK
+
+    def _report(self, job: jobs.Job, failure: Failure) -> None:
+        """Tells the keepers of a backend server that refused as leaving."""
+        if failure.rejected == _LEAVING:
+            server = job.snapshot.server(failure.at)
+            if server is not None:
+                self._view.report_leaving(server)
+
+    def _may_retry(
+        self, job: jobs.Job, sink: sinks.Sink, failure: Failure
+    ) -> bool:
+        if sink.started:
+            return False
+        if failure.begun and job.service.once != 'none':
+            return False
+        if failure.rejected and job.attempt <= _FREE_TRIES:
+            # The engine did nothing, so this try has cost nothing; a planned
+            # stop of a backend server must not use up the budget.
+            return True
+        deadline = None
+        if job.first_answer_ms:
+            deadline = job.arrived_at + job.first_answer_ms / 1000
+        if not self._retries.take(job.name, job.snapshot, deadline):
+            return False
+        self._metrics.retries.add(1, job.name)
+        return True
+
+    def _attempt(
+        self, job: jobs.Job, sink: sinks.Sink, last: Failure | None
+    ) -> slots.Refusal | Failure:
+        ready = self._still_ready(last)
+        grant = self._slots.get(
+            job, ready.worker if ready else '', last.decode if last else ''
+        )
+        if isinstance(grant, slots.Refusal):
+            return grant
+        measured = Measured()
+        result: slots.Refusal | Failure | None = None
+        try:
+            job.gone.wait(grant.start_in_ms / 1000)
+            result = self._work(job, sink, grant, measured, ready)
+        finally:
+            if not isinstance(result, slots.Refusal) or job.gone.is_set():
+                job.abandon(_kept(result))
+            self._slots.end(job, _end(job, grant, measured, result))
+        return result
+
+    def _work(
+        self,
+        job: jobs.Job,
+        sink: sinks.Sink,
+        grant: messages.Granted,
+        measured: Measured,
+        ready: Ready | None,
+    ) -> slots.Refusal | Failure:
+        """Runs the three stages of one attempt."""
+        if ready is None:
+            prefilled = self._prefill(job, grant, measured)
+            if not isinstance(prefilled, Ready):
+                return prefilled
+            ready = prefilled
+        failure = self._transfer(job, grant, ready, measured)
+        if failure is not None:
+            if failure.ready is None:
+                self._metrics.wasted_prefill_tokens.add(
+                    ready.reply.tokens - ready.reply.cached, job.name
+                )
+            return failure
+        began_at = self._clock()
+        result = self._decode(job, sink, grant)
+        measured.decode_ms = round((self._clock() - began_at) * 1000)
+        return result
+
+    def _prefill(
+        self, job: jobs.Job, grant: messages.Granted, measured: Measured
+    ) -> Ready | Failure | slots.Refusal:
+        if not job.hold(grant.prefill_address):
+            return slots.Refusal(codes.GONE)
+        began_at = self._clock()
+        req = backends.PrefillReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            model=job.name,
+            prompt=job.prompt,
+            priority=job.service.priority,
+        )
+        try:
+            reply = self._engines.prefill(
+                grant.prefill_address, req, _PREFILL_S
+            )
+        except errors.PortError as exc:
+            return self._failed(job, 'prefill-failed', exc, grant.prefill)
+        measured.prefill_ms = round((self._clock() - began_at) * 1000)
+        self._metrics.prefill_tokens.add(reply.tokens - reply.cached, job.name)
+        if (reply.request, reply.attempt) != (job.request, job.attempt):
+            return Failure('prefill-failed', 'answer of another request')
+        job.sent = True
+        return Ready(
+            grant.prefill,
+            grant.prefill_address,
+            reply,
+            self._clock() + reply.lives_ms / 1000,
+        )
+
+    def _transfer(
+        self,
+        job: jobs.Job,
+        grant: messages.Granted,
+        ready: Ready,
+        measured: Measured,
+    ) -> Failure | None:
+        if not job.hold(grant.decode_address):
+            return Failure('transfer-failed', 'the caller went away')
+        began_at = self._clock()
+        req = backends.ImportReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            source=ready.address,
+            kv=ready.reply.kv,
+        )
+        try:
+            reply = self._engines.fetch(grant.decode_address, req, _TRANSFER_S)
+        except errors.PortError as exc:
+            failure = self._failed(job, 'transfer-failed', exc, grant.decode)
+            if self._clock() < ready.until:
+                return msgspec.structs.replace(failure, ready=ready)
+            return failure
+        measured.transfer_ms = round((self._clock() - began_at) * 1000)
+        if (reply.request, reply.attempt) != (job.request, job.attempt):
+            return Failure('transfer-failed', 'answer of another request')
+        job.let_go(ready.address)
+        return None
+
+    def _decode(
+        self, job: jobs.Job, sink: sinks.Sink, grant: messages.Granted
+    ) -> slots.Refusal | Failure:
+        """Reads the stream to its end, over new connections if need be."""
+        req = backends.DecodeReq(
+            request=job.request,
+            attempt=job.attempt,
+            holder=job.holder,
+            stream=job.stream,
+            max_tokens=job.max_tokens,
+            priority=job.service.priority,
+        )
+        checker = streams.Checker(job.request, job.attempt, job.stream)
+        sink.begin(grant.decode, job.stream)
+        reason = ''
+        for turn in range(_RESUMES + 1):
+            if job.gone.is_set():
+                break
+            try:
+                items = self._open(job, grant, req, checker, turn)
+                reason = _read(job.gone, sink, checker, items)
+            except errors.RejectedError as exc:
+                failure = self._failed(job, 'decode-failed', exc, grant.decode)
+                return msgspec.structs.replace(failure, begun=turn > 0)
+            except errors.UnreachableError as exc:
+                reason = str(exc)
+                if turn == 0:
+                    return self._failed(job, 'decode-failed', exc, grant.decode)
+            except errors.PortError as exc:
+                reason = str(exc)
+            if not reason:
+                job.let_go(grant.decode_address)
+                return slots.Refusal(codes.OK)
+        job.sent = True
+        return Failure('decode-failed', reason, grant.decode, begun=True)
+
+    def _still_ready(self, last: Failure | None) -> Ready | None:
+        """Returns the last attempt's prefill if it can still be fetched."""
+        if last is None or last.ready is None:
+            return None
+        return last.ready if self._clock() < last.ready.until else None
+
+    def _failed(
+        self, job: jobs.Job, stage: str, exc: errors.PortError, at: str
+    ) -> Failure:
+        rejected = exc.code if isinstance(exc, errors.RejectedError) else ''
+        if not rejected and not isinstance(exc, errors.UnreachableError):
+            job.sent = True
+        return Failure(
+            stage,
+            str(exc),
+            at if stage != 'prefill-failed' else '',
+            at=at,
+            rejected=rejected,
+        )
+
+    def _open(
+        self,
+        job: jobs.Job,
+        grant: messages.Granted,
+        req: backends.DecodeReq,
+        checker: streams.Checker,
+        turn: int,
+    ) -> _Items:
+        silence_s = self._cfg.silence_s
+        if turn == 0:
+            return self._engines.decode(grant.decode_address, req, silence_s)
+        return self._engines.resume(
+            grant.decode_address,
+            job.stream,
+            checker.position,
+            job.holder,
+            silence_s,
+        )
+
+
+def _read(
+    gone: threading.Event,
+    sink: sinks.Sink,
+    checker: streams.Checker,
+    items: _Items,
+) -> str:
+    """Reads pieces; returns '' for a whole answer, else what is wrong."""
+    for item in items:
+        if gone.is_set():
+            return 'the caller went away'
+        if isinstance(item, backends.Last):
+            verdict = checker.last(item)
+            if verdict is streams.Verdict.WHOLE:
+                sink.last(item)
+                return ''
+            return str(verdict.value)
+        verdict = checker.piece(item)
+        if verdict is streams.Verdict.ACCEPTED:
+            sink.piece(item)
+        elif verdict is not streams.Verdict.DUPLICATE:
+            return str(verdict.value)
+    return 'the stream ended early'
+
+
+def _kept(result: slots.Refusal | Failure | None) -> str:
+    """Returns the address whose prefill the next attempt fetches."""
+    if isinstance(result, Failure) and result.ready is not None:
+        return result.ready.address
+    return ''
+
+
+def _refusal(job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
+    """Returns a refusal as it is true after earlier attempts."""
+    if not job.sent or refusal.code.ran != 'no':
+        return refusal
+    # An earlier attempt was sent to a backend server: "not run" would not be
+    # true any more.
+    code = codes.CANCELLED if refusal.code is codes.GONE else codes.FAILED
+    return slots.Refusal(code, refusal.figures, refusal.retry_after_s)
+
+
+def _given_up(
+    job: jobs.Job, failure: Failure, sink: sinks.Sink
+) -> slots.Refusal:
+    code = codes.FAILED
+    if sink.started:
+        code = codes.BROKEN
+    elif not job.sent:
+        code = codes.BACKEND_REFUSED
+    return slots.Refusal(
+        code,
+        (
+            values.Figure('stage', failure.stage),
+            values.Figure('reason', failure.reason),
+        ),
+        1.0,
+    )
+
+
+def _end(
+    job: jobs.Job,
+    grant: messages.Granted,
+    measured: Measured,
+    result: slots.Refusal | Failure | None,
+) -> messages.EndSlot:
+    if job.gone.is_set():
+        outcome = 'cancelled'
+    elif isinstance(result, Failure):
+        outcome = result.stage
+    else:
+        outcome = 'done'
+    return messages.EndSlot(
+        service=job.name,
+        grant=grant.grant,
+        result=outcome,
+        prefill_ms=measured.prefill_ms,
+        transfer_ms=measured.transfer_ms,
+        decode_ms=measured.decode_ms,
+        output_tokens=measured.output_tokens,
+    )
