--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the real adapters; for people, not for CI."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -128,9 +128,13 @@
 
     def standin(self, module: str, *args: str, name: str = '') -> Proc:
         """Starts a stand-in and waits until it is ready."""
+        return self.module(f'tests.standins.{module}', *args, name=name)
+
+    def module(self, module: str, *args: str, name: str = '') -> Proc:
+        """Starts a module that prints its address; waits until it has."""
         proc = self._start(
             name or module,
-            [sys.executable, '-m', f'tests.standins.{module}', *args],
+            [sys.executable, '-m', module, *args],
             subprocess.PIPE,
         )
         proc.read_line()
