Ask for streams by HTTP/1.0, which has no chunks

Cause: with chunked coding each token paid for reading two lines more, in Python, under the socket's timeout. Most is still elsewhere.

--- a/packages/adapters/foxtaildale_adapters/exchange.py
+++ b/packages/adapters/foxtaildale_adapters/exchange.py
@@ -18,6 +18,7 @@
 
 import msgspec
 import urllib3
+import urllib3.connection
 import urllib3.exceptions
 
 from foxtaildale import errors
@@ -229,9 +230,23 @@
         raise errors.AnswerLostError(str(exc)) from exc
 
 
+class _Unchunked(urllib3.connection.HTTPConnection):
+    """Speaks HTTP/1.0, to which a server may not answer in chunks.
+
+    A stream of tokens would pay for two more reads of a line with each.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = 'HTTP/1.0'
+
+
+class _UnchunkedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Unchunked
+
+
 def connect(address: str) -> urllib3.HTTPConnectionPool:
-    """Returns a pool for one connection that is used once."""
-    return _connect(address, 1)
+    """Returns a pool for one stream, whose body ends with its connection."""
+    return _connect(address, 1, _UnchunkedPool)
 
 
 def quote(text: str) -> str:
@@ -239,10 +254,12 @@
     return urllib.parse.quote(text, safe='')
 
 
-def _connect(address: str, maxsize: int) -> urllib3.HTTPConnectionPool:
+def _connect(
+    address: str,
+    maxsize: int,
+    kind: type[urllib3.HTTPConnectionPool] = urllib3.HTTPConnectionPool,
+) -> urllib3.HTTPConnectionPool:
     host, _, port = address.rpartition(':')
     if not host or not port.isdecimal() or int(port) > 65535:
         raise errors.UnreachableError(f'not an address: {address!r}')
-    return urllib3.HTTPConnectionPool(
-        host, int(port), maxsize=maxsize, block=False
-    )
+    return kind(host, int(port), maxsize=maxsize, block=False)
--- a/tests/bench/reading.py
+++ b/tests/bench/reading.py
@@ -42,7 +42,7 @@
 
 def parse_us(tokens: int) -> float:
     """Returns the cost of parsing, microseconds a token."""
-    blocks = [chunk.split(b'\r\n')[1] for chunk in sender.chunks('r', tokens)]
+    blocks = sender.blocks('r', tokens)
     began = time.process_time()
     for _ in events.Stream(_Body(blocks), 60.0):
         pass
@@ -57,7 +57,7 @@
 def _receive(address: str) -> None:
     host, _, port = address.rpartition(':')
     with socket.create_connection((host, int(port))) as conn:
-        conn.sendall(b'GET / HTTP/1.1\r\n\r\n')
+        conn.sendall(b'GET / HTTP/1.0\r\n\r\n')
         while conn.recv(65536):
             pass
 
--- a/tests/bench/sender.py
+++ b/tests/bench/sender.py
@@ -1,7 +1,7 @@
 """Sends streams of events at a steady rate, as cheaply as it can.
 
-Each connection gets one piece every interval, in chunked coding like a model
-engine's, so that each piece wakes its reader once.
+Each connection gets one piece every interval, so that each piece wakes its
+reader once; in chunked coding, unless it asked by HTTP/1.0.
 """
 
 import json
@@ -17,14 +17,15 @@
 
 from foxtaildale import backends
 
-_HEAD: Final = (
+_PLAIN: Final = b'HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n'
+_CHUNKED: Final = (
     b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
 
 
-def chunks(request: str, tokens: int) -> list[bytes]:
-    """Returns the chunks of one stream."""
+def blocks(request: str, tokens: int, *, chunked: bool = False) -> list[bytes]:
+    """Returns the blocks of one stream."""
     events: list[msgspec.Struct] = [
         backends.Piece(
             request=request, attempt=1, stream='s', position=i, text=f'word{i} '
@@ -39,8 +40,9 @@
     found = []
     for i, event in enumerate(events):
         data = b'id: w/s/%d\ndata: %s\n\n' % (i, msgspec.json.encode(event))
-        found.append(b'%x\r\n%s\r\n' % (len(data), data))
-    found[-1] += b'0\r\n\r\n'
+        found.append(b'%x\r\n%s\r\n' % (len(data), data) if chunked else data)
+    if chunked:
+        found[-1] += b'0\r\n\r\n'
     return found
 
 
@@ -57,9 +59,10 @@
     print(json.dumps({'address': address}), flush=True)
     ready = selectors.DefaultSelector()
     ready.register(listener, selectors.EVENT_READ, listener)
-    stream = chunks('r', tokens)
-    # Time of the next piece, its number, and the connection.
-    due: list[tuple[float, int, socket.socket]] = []
+    plain = blocks('r', tokens)
+    chunked = blocks('r', tokens, chunked=True)
+    # Time of the next block, its number, all blocks, and the connection.
+    due: list[tuple[float, int, list[bytes], socket.socket]] = []
     while True:
         wait = max(0.0, due[0][0] - time.monotonic()) if due else None
         for key, _ in ready.select(wait):
@@ -70,18 +73,20 @@
             else:
                 conn = key.data
                 ready.unregister(conn)
-                conn.recv(65536)
-                conn.sendall(_HEAD)
-                due.append((time.monotonic() + interval_ms / 1000, 0, conn))
+                old = b'HTTP/1.0' in conn.recv(65536)
+                conn.sendall(_PLAIN if old else _CHUNKED)
+                stream = plain if old else chunked
+                at = time.monotonic() + interval_ms / 1000
+                due.append((at, 0, stream, conn))
                 due.sort(key=lambda item: item[0])
         while due and due[0][0] <= time.monotonic():
-            at, i, conn = due.pop(0)
+            at, i, stream, conn = due.pop(0)
             try:
                 conn.sendall(stream[i])
             except OSError:
                 continue
             if i + 1 < len(stream):
-                due.append((at + interval_ms / 1000, i + 1, conn))
+                due.append((at + interval_ms / 1000, i + 1, stream, conn))
             else:
                 conn.close()
 
