Receive a stream's pieces from its socket in one call each

Cause: a socket with a timeout waits in one system call and receives in another, each giving up the interpreter lock and fighting for it again, and the library's layers come on top. The first block still comes through the library; after it the kernel's own receive timeout bounds the silence.

--- a/packages/adapters/foxtaildale_adapters/engines.py
+++ b/packages/adapters/foxtaildale_adapters/engines.py
@@ -13,6 +13,7 @@
 
 from foxtaildale import backends
 from foxtaildale import errors
+from foxtaildale_adapters import body
 from foxtaildale_adapters import events
 from foxtaildale_adapters import exchange
 
@@ -54,8 +55,8 @@
         self, address: str, req: backends.DecodeReq, silence_s: float
     ) -> events.Stream:
         """Starts a stream; fails when silent for `silence_s`."""
-        body = msgspec.json.encode(req)
-        return self._stream(address, 'POST', '/decode', body, silence_s)
+        data = msgspec.json.encode(req)
+        return self._stream(address, 'POST', '/decode', data, silence_s)
 
     def resume(
         self,
@@ -141,7 +142,7 @@
         address: str,
         method: str,
         path: str,
-        body: bytes | None,
+        data: bytes | None,
         silence_s: float,
     ) -> events.Stream:
         resp = exchange.request(
@@ -150,11 +151,11 @@
             path,
             connect_s=exchange.CONNECT_S,
             silence_s=silence_s,
-            body=body,
+            body=data,
             headers=_ONCE,
         )
         if resp.status == 200:
-            return events.Stream(resp, silence_s)
+            return events.Stream(body.Body(resp, silence_s), silence_s)
         with contextlib.closing(resp):
             raise _fault(exchange.Answer(resp.status, exchange.read(resp)))
 
--- a/packages/adapters/foxtaildale_adapters/events.py
+++ b/packages/adapters/foxtaildale_adapters/events.py
@@ -4,17 +4,15 @@
 how the engine notices that its reader has gone.
 """
 
-import contextlib
 import time
 from typing import Final
+from typing import Protocol
 
 import msgspec
-import urllib3
 
 from foxtaildale import backends
 from foxtaildale import errors
 from foxtaildale import ports
-from foxtaildale_adapters import exchange
 
 # Longest event, bytes; an engine that sends more without an end is broken.
 MAX_EVENT: Final = 1024 * 1024
@@ -26,6 +24,20 @@
 _last: Final = msgspec.json.Decoder(backends.Last)
 
 
+class Body(Protocol):
+    """Blocks of bytes from an engine."""
+
+    def read(self) -> bytes:
+        """Waits for a block; empty at the end.
+
+        Raises:
+            errors.AnswerLostError: The connection broke or was silent.
+        """
+
+    def close(self) -> None:
+        """Closes the connection; may be called from any thread."""
+
+
 def parse(event: bytes) -> backends.Piece | backends.Last | None:
     """Returns what one event holds; None if it has no data, as a comment.
 
@@ -55,15 +67,15 @@
     request is judged by who knows the request.
     """
 
-    __slots__ = ('_clock', '_done', '_ready', '_resp', '_rest', '_silence_s')
+    __slots__ = ('_body', '_clock', '_done', '_ready', '_rest', '_silence_s')
 
     def __init__(
         self,
-        resp: urllib3.BaseHTTPResponse,
+        body: Body,
         silence_s: float,
         clock: ports.Clock = time.monotonic,
     ) -> None:
-        self._resp = resp
+        self._body = body
         self._silence_s = silence_s
         self._clock = clock
         # Events that have come and were not handed on, latest first.
@@ -89,16 +101,13 @@
 
     def close(self) -> None:
         """Closes the connection; may be called from another thread."""
-        # Closing alone would not wake a thread that waits in a read.
-        with contextlib.suppress(OSError, RuntimeError, ValueError):
-            self._resp.shutdown()
-        self._resp.close()
+        self._body.close()
 
     def _fill(self) -> None:
         deadline = self._clock() + self._silence_s
         try:
             while not self._ready:
-                chunk = exchange.read(self._resp)
+                chunk = self._body.read()
                 if not chunk:
                     raise errors.AnswerLostError('stream ended before its last')
                 self._take(chunk)
--- a/tests/bench/reading.py
+++ b/tests/bench/reading.py
@@ -13,7 +13,6 @@
 import time
 
 import defopt
-import urllib3
 
 from foxtaildale import backends
 from foxtaildale_adapters import engines
@@ -26,19 +25,18 @@
 )
 
 
-class _Body(urllib3.HTTPResponse):
+class _Body:
     """One piece at each read, without a socket."""
 
     def __init__(self, blocks: list[bytes]) -> None:
-        super().__init__(b'')
         self._blocks = blocks[::-1]
 
-    def read1(
-        self, amt: int | None = None, decode_content: bool | None = None
-    ) -> bytes:
-        del amt, decode_content
+    def read(self) -> bytes:
         return self._blocks.pop()
 
+    def close(self) -> None:
+        pass
+
 
 def parse_us(tokens: int) -> float:
     """Returns the cost of parsing, microseconds a token."""
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies
 import msgspec
 import pytest
-import urllib3
 
 from foxtaildale import backends
 from foxtaildale import errors
@@ -16,26 +15,25 @@
 _TEXTS = answers.answer('is stand four clear', 12)
 
 
-class _Body(urllib3.HTTPResponse):
+class _Body:
     """A body that arrives in given blocks; an error may end it."""
 
     def __init__(
         self, blocks: Sequence[bytes], error: Exception | None = None
     ) -> None:
-        super().__init__(b'')
         self._blocks = list(blocks)
         self._error = error
 
-    def read1(
-        self, amt: int | None = None, decode_content: bool | None = None
-    ) -> bytes:
-        del amt, decode_content
+    def read(self) -> bytes:
         if self._blocks:
             return self._blocks.pop(0)
         if self._error:
             raise self._error
         return b''
 
+    def close(self) -> None:
+        pass
+
 
 def _event(event: msgspec.Struct, position: int) -> bytes:
     data = msgspec.json.encode(event)
@@ -132,7 +130,7 @@
 
     They were generated and paid for; a resume starts behind them.
     """
-    cut = urllib3.exceptions.ProtocolError('cut')
+    cut = errors.AnswerLostError('cut')
     stream = events.Stream(_Body([_BYTES[: len(_BYTES) // 2]], cut), 60.0)
     got: list[backends.Piece | backends.Last] = []
     with pytest.raises(errors.AnswerLostError):
