--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
+bench: $(VENV)/.ready
+	PYTHONPATH=.:packages/core $(BIN)/python -m bench
+
 $(VENV)/.ready: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -137,7 +137,8 @@
 
     service: str
     grant: str
-    # done, cancelled, prefill-failed, transfer-failed, decode-failed
+    # done, cancelled, prefill-failed, transfer-failed, decode-failed, or
+    # evicted: the prefill's result had gone before its transfer began.
     result: str
     # What the holder measured, for the home's estimates; 0 for not reached.
     prefill_ms: int = 0
