Admit new requests up to half of the first-answer target

Cause: with a queue as long as the target allows, every answer of an overloaded pool comes at the edge of the target and any error of the estimate puts it behind. Requests that wait already are held to the whole target.

--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -33,6 +33,10 @@
 # A new home trusts load reports beside its ledger for so long, seconds: by
 # then every holder has repeated its grants.
 _REBUILD_S: Final = 2.5
+# Share of the target up to which a new request is admitted by the estimate.
+# At the whole target every answer of an overloaded pool would come at the edge
+# of it, and half of them behind it; a shorter queue keeps the workers as busy.
+_ADMIT_SHARE: Final = 0.5
 # Longest time that a refusal tells a caller to stay away, seconds.
 _RETRY_MOST_S: Final = 30.0
 
@@ -307,7 +311,9 @@
         token_s = self._estimates.token.at(self._limit(plan.decode))
         estimate_ms = msg.waited_ms + 1000 * (plan.decode_at - now + token_s)
         target_ms = self._service.first_answer_ms
-        if target_ms and estimate_ms > target_ms:
+        waits = msg.request in self._waiting
+        share = 1.0 if waits else _ADMIT_SHARE
+        if target_ms and estimate_ms > share * target_ms:
             return self._refuse(
                 now,
                 msg,
