Book prefills up to 0.6 s ahead

Cause: with prefill as the bottleneck (long patrol logs), both prefill workers were booked past the horizon and stood idle 11 to 14 % of the time until a queued request asked again.

--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -26,7 +26,7 @@
 
 # Prefills are booked at most this far ahead, seconds. Farther, the estimate of
 # the slot is worth less than asking again.
-HORIZON_S: Final = 0.3
+HORIZON_S: Final = 0.6
 # Shortest and longest time until a queued request asks again, seconds.
 _AGAIN_S: Final = 0.02
 _AGAIN_MOST_S: Final = 1.0
