Let a finished prefill move to whichever worker has a free slot

Which of the full workers frees a slot first is not known when a prefill starts. An import that finds its worker full now asks the home again with ready_at, and the home moves the grant. What is still evicted at peak-1.5 was looked at one by one: the mean decode time that books slots swings between 2.2 and 3.4 s (true: 3.0), so slots are overbooked while it is low; and slots stood free at workers whose held count included prefills not yet done.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -103,8 +103,16 @@
         self._ask()
 
     def _ask(self) -> None:
+        attempt = self._attempt
+        self._placer.ask(
+            self.vm,
+            self._ask_msg(),
+            lambda reply: self._answered(attempt, reply),
+        )
+
+    def _ask_msg(self) -> messages.AskSlot:
         arrival = self.arrival
-        msg = messages.AskSlot(
+        return messages.AskSlot(
             service=self._world.dep.model,
             request=arrival.request,
             attempt=self._attempt,
@@ -116,10 +124,6 @@
             ready_at=self._source,
             avoid=self._avoid,
         )
-        attempt = self._attempt
-        self._placer.ask(
-            self.vm, msg, lambda reply: self._answered(attempt, reply)
-        )
 
     def _answered(self, attempt: int, reply: Reply) -> None:
         if self._ended or attempt != self._attempt or self.granted:
@@ -161,7 +165,8 @@
             self._failed(self._attempt, 'evicted')
             return
         if not self._world.decodes[self.granted.decode].reserve(self._key):
-            self._later(_FULL_AGAIN_S, self._import)
+            again = self._move if self._placer.recovers else self._import
+            self._later(_FULL_AGAIN_S, again)
             return
         source.pin(self._key, True)
         self._sent_at = self._world.clock.now
@@ -173,6 +178,19 @@
         normal_s = self.arrival.prompt / workload.LINK_RATE
         self._later(normal_s * _STALL_FACTOR + _STALL_S, self._stalled)
 
+    def _move(self) -> None:
+        """The granted worker is full: is a slot free at another?"""
+        attempt = self._attempt
+
+        def moved(reply: Reply) -> None:
+            if self._ended or attempt != self._attempt:
+                return
+            if isinstance(reply, messages.Granted):
+                self.granted = reply
+            self._import()
+
+        self._placer.ask(self.vm, self._ask_msg(), moved)
+
     def _stalled(self) -> None:
         """The transfer is silent; the prefill's result may still live."""
         assert self.granted is not None
--- a/packages/core/foxtaildale/ledger.py
+++ b/packages/core/foxtaildale/ledger.py
@@ -122,6 +122,14 @@
         self._grants[grant.grant] = grant
         self._held.setdefault(grant.decode, {})[grant.grant] = grant
 
+    def move(self, now: float, grant: Grant, decode: str) -> None:
+        """Moves a grant to another decode worker."""
+        self.remove(now, grant.grant)
+        grant.decode = decode
+        grant.transfer_at = now
+        self._grants[grant.grant] = grant
+        self._held.setdefault(decode, {})[grant.grant] = grant
+
     def remove(self, now: float, grant: str) -> Grant | None:
         """Ends a grant; returns it, or None if it is not held."""
         found = self._grants.pop(grant, None)
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -156,6 +156,8 @@
         """Grants, queues or refuses; asking again is harmless."""
         grant = self._ledger.get(ledger.name(msg.request, msg.attempt))
         if grant is not None and grant.decode in self._workers:
+            if msg.ready_at:
+                self._move(now, grant)
             return self._granted(now, grant)
         self.expire(now)
         plan = self._plan(now, msg)
@@ -422,6 +424,24 @@
             lapses_ms=round(ledger.LAPSE_S * 1000),
         )
 
+    def _move(self, now: float, grant: ledger.Grant) -> None:
+        """Moves a grant whose prefill is done to a worker with a free slot.
+
+        Which of the full workers frees a slot first is not known when a
+        prefill starts. Left at the granted one, the result would be evicted
+        while a slot stands empty elsewhere.
+        """
+        free = [
+            worker
+            for worker in self._usable(now, self._slot_role())
+            if self._used(now, worker) < self._limit(worker)
+        ]
+        if free:
+            worker = min(
+                free, key=lambda w: self._used(now, w) / self._limit(w)
+            )
+            self._ledger.move(now, grant, worker.server.name)
+
     def _give_back(self, now: float, grant: ledger.Grant) -> None:
         """Frees booked time that was not used."""
         worker = self._workers.get(grant.prefill)
