--- a/packages/core/foxtaildale/estimates.py
+++ b/packages/core/foxtaildale/estimates.py
@@ -14,6 +14,10 @@
 TOKEN_S: Final = 0.025
 # Weight of a new measurement in an average.
 _WEIGHT: Final = 0.1
+# The same for decode times, which differ widely from answer to answer; and how
+# many measurements the assumption counts for, since short answers end first.
+_DECODE_WEIGHT: Final = 0.02
+_DECODE_PRIOR: Final = 20
 # Measurements of the token time that count, as a decay of the older ones.
 _DECAY: Final = 0.98
 # Measurements before the line through token times is trusted.
@@ -25,19 +29,25 @@
 class Average:
     """An exponentially weighted average that starts from an assumption."""
 
-    __slots__ = ('_seen', 'value')
+    __slots__ = ('_seen', '_weight', 'value')
 
     value: float
+    # Least weight of a measurement.
+    _weight: float
+    # Measurements so far, and those that the assumption counts for.
     _seen: int
 
-    def __init__(self, assumed: float) -> None:
+    def __init__(
+        self, assumed: float, weight: float = _WEIGHT, prior: int = 1
+    ) -> None:
         self.value = assumed
-        self._seen = 0
+        self._weight = weight
+        self._seen = prior
 
     def add(self, value: float) -> None:
         """Takes a measurement; the first ones weigh more."""
         self._seen += 1
-        weight = max(_WEIGHT, 1 / (self._seen + 1))
+        weight = max(self._weight, 1 / self._seen)
         self.value += weight * (value - self.value)
 
 
@@ -110,7 +120,9 @@
     def __init__(self, expected_tokens: int) -> None:
         self._prefill = {}
         self._transfer = {}
-        self.decode = Average(expected_tokens * TOKEN_S)
+        self.decode = Average(
+            expected_tokens * TOKEN_S, _DECODE_WEIGHT, _DECODE_PRIOR
+        )
         self.token = TokenTime()
 
     def prefill_s(self, worker: str, tokens: int) -> float:
