--- a/packages/core/foxtaildale/ledger.py
+++ b/packages/core/foxtaildale/ledger.py
@@ -29,6 +29,7 @@
         'grant',
         'holder',
         'lapses_at',
+        'parked',
         'prefill',
         'prompt_tokens',
         'request',
@@ -55,6 +56,8 @@
     decode_at: float
     # When it lapses unless its holder repeats it.
     lapses_at: float
+    # Whether its prefill is done and its decode worker was full.
+    parked: bool
 
     def __init__(
         self,
@@ -82,6 +85,7 @@
         self.transfer_at = transfer_at
         self.decode_at = decode_at
         self.lapses_at = start_at + LAPSE_S
+        self.parked = False
 
 
 def name(request: str, attempt: int) -> str:
@@ -116,6 +120,17 @@
         """Returns how many slots of a worker are granted."""
         return len(self._held.get(decode, ()))
 
+    def occupied(self, decode: str, now: float) -> int:
+        """Returns how many slots of a worker are in use by now.
+
+        Grants whose prefill still runs, or that found the worker full, are
+        held and not in use.
+        """
+        return sum(
+            grant.transfer_at <= now and not grant.parked
+            for grant in self._held.get(decode, {}).values()
+        )
+
     def add(self, grant: Grant) -> None:
         """Takes a new grant, in place of one of the same name."""
         self.remove(grant.given_at, grant.grant)
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -431,16 +431,21 @@
         prefill starts. Left at the granted one, the result would be evicted
         while a slot stands empty elsewhere.
         """
-        free = [
-            worker
-            for worker in self._usable(now, self._slot_role())
-            if self._used(now, worker) < self._limit(worker)
-        ]
-        if free:
-            worker = min(
-                free, key=lambda w: self._used(now, w) / self._limit(w)
-            )
-            self._ledger.move(now, grant, worker.server.name)
+        grant.parked = True
+        worker = min(
+            self._usable(now, self._slot_role()),
+            key=lambda w: (
+                self._ledger.occupied(w.server.name, now) / self._limit(w)
+            ),
+            default=None,
+        )
+        if worker is None:
+            return
+        name = worker.server.name
+        if self._ledger.occupied(name, now) < self._limit(worker):
+            # What is booked there and not yet done moves in its turn.
+            grant.parked = False
+            self._ledger.move(now, grant, name)
 
     def _give_back(self, now: float, grant: ledger.Grant) -> None:
         """Frees booked time that was not used."""
