--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -46,6 +46,13 @@
     'no',
     'Not run: no slot came free within {patience_ms} ms of waiting.',
 )
+LONG_WAIT: Final = Code(
+    'long-wait',
+    503,
+    'no',
+    'Not run: the first answer would take {estimate_ms} ms, a request of this'
+    ' service waits at most {patience_ms} ms.',
+)
 NO_BACKEND: Final = Code(
     'no-backend',
     503,
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -324,10 +324,20 @@
                 estimate_ms=round(estimate_ms),
                 target_ms=target_ms,
             )
+        patience_ms = self._service.patience_ms
+        if not target_ms and patience_ms and not waits:
+            if estimate_ms > patience_ms:
+                return self._refuse(
+                    now,
+                    msg,
+                    codes.LONG_WAIT,
+                    (estimate_ms - patience_ms) / 1000,
+                    estimate_ms=round(estimate_ms),
+                    patience_ms=patience_ms,
+                )
         if plan.start_at <= now + HORIZON_S:
             self._waiting.drop(msg.request)
             return self._granted(now, self._book(now, msg, plan))
-        patience_ms = self._service.patience_ms
         wait_s = plan.start_at - now
         if patience_ms and msg.waited_ms >= patience_ms:
             return self._refuse(
