--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -325,16 +325,16 @@
                 target_ms=target_ms,
             )
         patience_ms = self._service.patience_ms
-        if not target_ms and patience_ms and not waits:
-            if estimate_ms > patience_ms:
-                return self._refuse(
-                    now,
-                    msg,
-                    codes.LONG_WAIT,
-                    (estimate_ms - patience_ms) / 1000,
-                    estimate_ms=round(estimate_ms),
-                    patience_ms=patience_ms,
-                )
+        bounded = patience_ms and not target_ms and not waits
+        if bounded and estimate_ms > patience_ms:
+            return self._refuse(
+                now,
+                msg,
+                codes.LONG_WAIT,
+                (estimate_ms - patience_ms) / 1000,
+                estimate_ms=round(estimate_ms),
+                patience_ms=patience_ms,
+            )
         if plan.start_at <= now + HORIZON_S:
             self._waiting.drop(msg.request)
             return self._granted(now, self._book(now, msg, plan))
