--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -273,12 +273,12 @@
         if not usable:
             return None
         worker = min(usable, key=lambda w: self._used(now, w) / self._limit(w))
-        # Counted over all workers, since a finished prefill may move: full
-        # workers free their slots one after the other, in a decode time each.
-        slots = sum(self._limit(w) for w in usable)
-        used = sum(self._used(now, w) for w in usable)
-        short = max(0, used + ahead + 1 - slots)
-        return worker, now + short * self._estimates.decode.value / slots
+        limit = self._limit(worker)
+        short = self._used(now, worker) + ahead / len(usable) + 1 - limit
+        if short <= 0:
+            return worker, now
+        # A full worker frees its slots one decode time after the other.
+        return worker, now + short * self._estimates.decode.value / limit
 
     def _prefill(self, now: float, tokens: int) -> workers.Worker | None:
         """Returns the prefill worker that would be done first."""
