--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -82,9 +82,35 @@
             return Plan(None, decode, slot_at, slot_at, slot_at)
         if msg.ready_at:
             return self._plan_link(now, msg, decode, slot_at)
-        prefill = self._prefill(now, msg.prompt_tokens)
-        if prefill is None:
-            return None
+        plans = [
+            self._plan_at(
+                now,
+                msg,
+                prefill,
+                decode=decode,
+                slot_at=slot_at,
+                tokens=tokens,
+            )
+            for prefill in self.usable(now, 'prefill')
+        ]
+        # Where all wait for the slot alone, the less booked one is taken.
+        return min(
+            plans,
+            key=lambda p: (p.decode_at, p.prefill.free_at if p.prefill else 0),
+            default=None,
+        )
+
+    def _plan_at(
+        self,
+        now: float,
+        msg: messages.AskSlot,
+        prefill: workers.Worker,
+        *,
+        decode: workers.Worker,
+        slot_at: float,
+        tokens: int,
+    ) -> Plan:
+        """Plans with one prefill worker."""
         name = prefill.server.name
         ahead_s = self.rates.prefill_s(name, tokens) / len(
             self.usable(now, 'prefill')
@@ -165,17 +191,6 @@
         # A full worker frees its slots one decode time after the other.
         return worker, now + short * self.rates.decode.value / limit
 
-    def _prefill(self, now: float, tokens: int) -> workers.Worker | None:
-        """Returns the prefill worker that would be done first."""
-        return min(
-            self.usable(now, 'prefill'),
-            key=lambda w: (
-                max(now, w.free_at)
-                + self.rates.prefill_s(w.server.name, tokens)
-            ),
-            default=None,
-        )
-
     def _used(self, now: float, worker: workers.Worker) -> int:
         """Returns the slots taken, known or only reported."""
         held = self.grants.held(worker.server.name)
