Blame both ends of a failed transfer, never suspend all, report its time

Causes: a slow link behind one prefill worker suspended the decode workers one after the other (the transfer's failure was put on them alone), and callers were then refused with 'no live backend server is listed', which was not true.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -197,6 +197,7 @@
         source = self._world.prefills[self._source]
         source.link.cancel(self._key)
         source.pin(self._key, False)
+        self._transfer_s = self._world.clock.now - self._sent_at
         self._world.decodes[self.granted.decode].cancel(self._key)
         if self._placer.recovers and source.lives(self._key):
             self._world.meter.retries += 1
--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -128,12 +128,18 @@
         )
 
     def usable(self, now: float, role: values.Role) -> list[workers.Worker]:
-        """Returns the workers of a role that new work may go to."""
-        return [
+        """Returns the workers of a role that new work may go to.
+
+        Where all are suspended they count as usable again: what looks like
+        all of them failing is rather something that they share, and a refusal
+        that no backend server is listed would not be true.
+        """
+        live = [
             worker
             for worker in self.listed.values()
-            if worker.server.role == role and worker.usable(now)
+            if worker.server.role == role and worker.server.state == 'live'
         ]
+        return [worker for worker in live if worker.usable(now)] or live
 
     def slot_workers(self, now: float) -> list[workers.Worker]:
         """Returns the usable workers whose slots are granted."""
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -229,11 +229,16 @@
         """Suspends workers that fail and trusts those that work."""
         prefill = self._planner.listed.get(grant.prefill)
         decode = self._planner.listed.get(grant.decode)
-        if result == 'done':
-            for worker in (prefill, decode):
-                if worker is not None:
-                    worker.worked()
-        elif result == 'prefill-failed' and prefill is not None:
-            prefill.failed(now)
-        elif result in ('transfer-failed', 'decode-failed') and decode:
-            decode.failed(now)
+        blamed: tuple[workers.Worker | None, ...] = {
+            'prefill-failed': (prefill,),
+            # Whose side failed can't be told from one transfer. The worker
+            # that is well clears its name with the next success.
+            'transfer-failed': (prefill, decode),
+            'decode-failed': (decode,),
+        }.get(result, ())
+        for worker in (prefill, decode) if result == 'done' else ():
+            if worker is not None:
+                worker.worked()
+        for worker in blamed:
+            if worker is not None:
+                worker.failed(now)
