Prove that an answer is whole or said not to be

Real processes; engines whose streams break off, are cut, repeat pieces or mix in another's, go silent on open connections behind a relay; an entry that is killed in mid-stream and its caller resuming at another VM; sixteen callers at once; a claimed summary whose engine dies.

Ruled out: an engine-wide silence as the fault. Every new connection was silent too, so the answer was truthfully called broken; what is meant is one connection that was forgotten, which a relay does.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -61,6 +61,7 @@
         'listing',
         'platform',
         'procs',
+        'relayed',
         'revision',
         'vms',
         'workers',
@@ -77,6 +78,8 @@
     # The VM list as the platform was last given it.
     listing: values.Listing
     http: urllib3.PoolManager
+    # Addresses of relays that stand before backend servers, by name.
+    relayed: dict[str, str]
     # Switches made so far.
     revision: int
     _dir: pathlib.Path
@@ -100,6 +103,7 @@
         self.entries = {}
         self.vms = {}
         self.listing = values.Listing(0, (), ())
+        self.relayed = {}
         self.revision = 0
         self.http = urllib3.PoolManager(retries=False, maxsize=64, block=False)
 
@@ -147,7 +151,9 @@
         servers = tuple(
             values.BackendServer(
                 name=worker.name,
-                address=self.workers[worker.name].address,
+                address=self.relayed.get(
+                    worker.name, self.workers[worker.name].address
+                ),
                 data_centre=worker.data_centre,
                 service=worker.service,
                 role=worker.role,
@@ -168,6 +174,14 @@
             values.Listing(self.listing.version + 1, entry_vms, servers)
         )
 
+    def wait_listed(self) -> None:
+        """Waits until every entry works by the newest list."""
+        for entry in self.entries.values():
+            self.until(
+                functools.partial(self._has_listed, entry),
+                f'{entry.name} has the newest list',
+            )
+
     def put_list(self, listing: values.Listing) -> None:
         """Replaces the platform's VM list."""
         self.listing = listing
@@ -201,6 +215,10 @@
     def _works_by(self, entry: fleet.Proc, name: str) -> bool:
         return self.state(entry).get('preset') == name
 
+    def _has_listed(self, entry: fleet.Proc) -> bool:
+        found = self.state(entry).get('listing_version')
+        return found == self.listing.version
+
     def state(self, proc: fleet.Proc) -> dict[str, object]:
         """Returns the state dump of a daemon."""
         answer = self.get(proc.addresses['admin'], '/state')
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -8,13 +8,13 @@
 from collections.abc import Iterator
 import json
 import pathlib
-import socket
 from typing import Any
 from typing import Final
 
 import pytest
 
 from foxtaildale import values
+from tests import caller as caller_lib
 from tests import deployment
 
 _SERVICE: Final = 'enteis-llm'
@@ -55,48 +55,15 @@
         yield dep
 
 
-class Caller:
-    """Sends one request and can hang up at any time."""
-
-    def __init__(
-        self,
-        dep: deployment.Deployment,
-        entry_vm: str,
-        max_tokens: int = _LONG,
-        prompt: str = 'go or wait?',
-    ) -> None:
-        body = json.dumps(
-            {
-                'model': _SERVICE,
-                'stream': True,
-                'max_tokens': max_tokens,
-                'messages': [{'role': 'user', 'content': prompt}],
-            }
-        ).encode()
-        host, _, port = dep.caller(entry_vm).rpartition(':')
-        self._sock = socket.create_connection((host, int(port)))
-        self._sock.sendall(
-            b'POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n'
-            b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
-        )
-
-    def read(self, wanted: bytes) -> bytes:
-        """Reads until some bytes have come, or the end."""
-        data = b''
-        while wanted not in data:
-            block = self._sock.recv(65536)
-            if not block:
-                break
-            data += block
-        return data
-
-    def read_all(self) -> bytes:
-        """Reads to the end of the answer."""
-        return self.read(b'\r\n0\r\n\r\n')
-
-    def leave(self) -> None:
-        """Hangs up."""
-        self._sock.close()
+def _ask(
+    dep: deployment.Deployment,
+    entry_vm: str,
+    max_tokens: int = _LONG,
+    prompt: str = 'go or wait?',
+) -> caller_lib.Caller:
+    return caller_lib.Caller(
+        dep.caller(entry_vm), _SERVICE, prompt=prompt, max_tokens=max_tokens
+    )
 
 
 def _held(dep: deployment.Deployment) -> list[dict[str, Any]]:
@@ -126,7 +93,7 @@
     Were the stream kept, the decode worker would fill with answers that
     nobody reads, and the next dispatcher would be refused.
     """
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     caller.read(b'data: ')
     caller.leave()
     _wait_free(dep)
@@ -140,7 +107,7 @@
     The prefill would go on for a reader who is gone.
     """
     dep.faults(dep.workers['p1'], slow=50.0)
-    caller = Caller(dep, 'entry-1', prompt='fluid ' * 8000)
+    caller = _ask(dep, 'entry-1', prompt='fluid ' * 8000)
     _wait_held(dep, 'prefill', 'queued')
     caller.leave()
     _wait_free(dep)
@@ -154,7 +121,7 @@
     The slot that waits for the KV cache would stay taken.
     """
     dep.faults(dep.workers['p1'], stall_transfer=True)
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     _wait_held(dep, 'kv', 'slot')
     caller.leave()
     _wait_free(dep)
@@ -168,7 +135,7 @@
     The entry waits for the engine and must notice its caller all the same.
     """
     dep.faults(dep.workers['d1'], silent=True)
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     _wait_held(dep, 'stream')
     caller.leave()
     _wait_free(dep)
@@ -181,10 +148,10 @@
 
     Its prefill would be wasted, and its place would hold up others.
     """
-    running = [Caller(dep, 'entry-1') for _ in range(2)]
+    running = [_ask(dep, 'entry-1') for _ in range(2)]
     for caller in running:
         caller.read(b'data: ')
-    waiting = Caller(dep, 'entry-2', prompt='the one that waits')
+    waiting = _ask(dep, 'entry-2', prompt='the one that waits')
 
     def queued() -> int:
         return sum(
@@ -213,7 +180,7 @@
 
     Each such death would cost the decode worker a slot for good.
     """
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     caller.read(b'data: ')
     dep.entries['entry-1'].kill()
     _wait_free(dep)
@@ -223,7 +190,7 @@
     dep: deployment.Deployment,
 ) -> None:
     """A VM is lost with its keeper and its entry in mid-stream."""
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     caller.read(b'data: ')
     dep.entries['entry-1'].kill()
     dep.keepers['entry-1'].kill()
@@ -238,14 +205,14 @@
     Its callers can't read meanwhile. What it held is freed, and when it wakes
     it must not pass a part of the answer for the whole.
     """
-    caller = Caller(dep, 'entry-1')
+    caller = _ask(dep, 'entry-1')
     caller.read(b'data: ')
     dep.entries['entry-1'].freeze()
     _wait_free(dep)
     dep.entries['entry-1'].thaw()
-    rest = caller.read_all()
-    assert b'[DONE]' not in rest
-    assert b'"code":"broken"' in rest
+    caller.read_all()
+    assert not caller.whole()
+    assert '"code":"broken"' in caller.events()[-1].data
 
 
 def test_keepers_that_hear_nothing_of_a_vm_cancel_none_of_its_work(
@@ -256,9 +223,10 @@
     The others hear nothing of that VM for longer than the grace time. Were
     silence taken for death, they would cut its answers short.
     """
-    caller = Caller(dep, 'entry-1', max_tokens=900)
+    caller = _ask(dep, 'entry-1', max_tokens=900)
     caller.read(b'data: ')
     dep.keepers['entry-1'].freeze()
-    assert b'[DONE]' in caller.read_all()
+    caller.read_all()
+    assert caller.whole()
     dep.keepers['entry-1'].thaw()
     _wait_free(dep)
