--- a/packages/core/foxtaildale/appends.py
+++ b/packages/core/foxtaildale/appends.py
@@ -5,6 +5,8 @@
 tries back off, so that a log that is down isn't hammered by every VM.
 """
 
+from collections.abc import Hashable
+import itertools
 from typing import Final
 from typing import Generic
 from typing import TypeVar
@@ -14,7 +16,7 @@
 # Items of one append.
 _MAX_ITEMS: Final = 500
 
-_T = TypeVar('_T')
+_T = TypeVar('_T', bound=Hashable)
 
 
 class Appends(Generic[_T]):
@@ -33,7 +35,8 @@
     def __init__(self, interval_s: float) -> None:
         # Shortest time between two appends.
         self._interval_s = interval_s
-        self._items: list[_T] = []
+        # In order; a set, so that nothing gathers twice during an outage.
+        self._items: dict[_T, None] = {}
         # What the append in flight took along; None if there is none.
         self._in_flight: list[_T] | None = None
         self._next_at = float('-inf')
@@ -46,8 +49,8 @@
         return len(self._items) + len(self._in_flight or ())
 
     def add(self, item: _T) -> None:
-        """Adds an item behind the others."""
-        self._items.append(item)
+        """Adds an item behind the others, unless it waits already."""
+        self._items[item] = None
 
     def is_down(self, now: float) -> bool:
         """Whether the last try failed and the next is not due."""
@@ -63,8 +66,9 @@
             return []
         if now < max(self._next_at, self._retry_at):
             return []
-        taken = self._items[:_MAX_ITEMS]
-        del self._items[:_MAX_ITEMS]
+        taken = list(itertools.islice(self._items, _MAX_ITEMS))
+        for item in taken:
+            del self._items[item]
         self._in_flight = taken
         self._next_at = now + self._interval_s
         self.count += 1
@@ -84,7 +88,7 @@
             is kept: the owner adds again what is still to be said.
         """
         taken, self._in_flight = self._in_flight or [], None
-        waited, self._items = self._items, []
+        waited, self._items = list(self._items), {}
         self._retry_at = now + self._backoff_s
         self._backoff_s = min(2 * self._backoff_s, _LAST_BACKOFF_S)
         return taken, waited
--- a/packages/core/foxtaildale/claims.py
+++ b/packages/core/foxtaildale/claims.py
@@ -53,25 +53,36 @@
         self.holder = holder
 
 
-def refusal(reply: messages.ClaimReply, first_try: bool) -> codes.Code | None:
-    """Returns the code to refuse with; None for "won" and "lost".
+def covering(code: codes.Code, alone: bool) -> codes.Code:
+    """Returns the code that a try under a key may be refused with.
+
+    A caller takes "not run" for an answer to all that it sent under the key.
+    An earlier try may still be on its way through another VM and win later, so
+    each refusal of a key's request, for whatever reason, goes through here.
 
     Args:
-        reply: What the keeper said.
-        first_try: Whether the caller says that it never sent this key before.
-            An earlier try may run at another VM, whose claim can't be read
-            while the log is down, so only then "log-down" means "not run".
+        code: The reason of the refusal.
+        alone: Whether the caller says that it has no earlier try under this
+            key, or that each was answered "not run".
     """
+    if alone or code.ran != 'no' or code is codes.OTHER_BODY:
+        # The log binds a key to its first body; another one never runs.
+        return code
+    return codes.CLAIM_UNSURE
+
+
+def refusal(reply: messages.ClaimReply, alone: bool) -> codes.Code | None:
+    """Returns the code to refuse with; None for "won" and "lost"."""
     match reply.status:
         case 'won' | 'lost':
             return None
         case 'other-body':
             return codes.OTHER_BODY
         case 'bad':
-            return codes.KEY_BAD
+            return covering(codes.KEY_BAD, alone)
         case 'old':
             return codes.KEY_OLD
-    return codes.LOG_DOWN if first_try else codes.CLAIM_UNSURE
+    return covering(codes.LOG_DOWN, alone)
 
 
 class Claims:
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -102,8 +102,8 @@
     'claim-unsure',
     503,
     'unknown',
-    'This try did not run; the platform log does not answer, so whether an'
-    ' earlier try under this key ran is not known.',
+    'This try was refused and did not run; whether an earlier try under the'
+    ' same key ran is not known.',
 )
 OTHER_BODY: Final = Code(
     'other-body',
