--- a/bench/engines.py
+++ b/bench/engines.py
@@ -66,6 +66,8 @@
         self.events: list[tuple[float, backends.CacheEvent]] = []
         # Tokens worked through, for the waste figure.
         self.computed = 0
+        # Tokens found in the prefix cache instead.
+        self.cached = 0
         self._clock = clk
         self._queue: collections.deque[Prefill] = collections.deque()
         self._current: Prefill | None = None
@@ -137,6 +139,7 @@
             return
         if job.prefix in self._cache:
             job.cached = job.prefix_tokens
+            self.cached += job.cached
             self._cache.move_to_end(job.prefix)
         self._piece(job)
 
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -326,6 +326,7 @@
                 if self._decode_at
                 else 0,
                 output_tokens=self.arrival.answer if result == 'done' else 0,
+                cached_tokens=job.cached if job else 0,
             ),
         )
 
--- a/bench/home.py
+++ b/bench/home.py
@@ -44,6 +44,7 @@
         self._open: dict[int, Callable[[entry.Reply], None]] = {}
         self._asked = 0
         wld.on_load.append(self._on_load)
+        wld.on_cache.append(self._on_cache)
         wld.on_servers.append(self._on_servers)
         wld.clock.every(_BEAT_S, self._beat)
 
@@ -172,6 +173,9 @@
         for part in self._shares:
             part.on_load(name, load)
 
+    def _on_cache(self, name: str, event: backends.CacheEvent) -> None:
+        self._pool(self.home()).on_cache(name, (event,))
+
     def _beat(self) -> None:
         """Every entry VM repeats what it holds; the home's answer ends a cut."""
         home = self.home()
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -29,6 +29,8 @@
     # caller's own leaving does not explain.
     wasted: float
     wasted_own: float
+    # Prompt tokens found in a prefix cache, over all prompts prefilled.
+    reused: float = 0.0
     # Whole answers, whatever the targets.
     whole: int
     results: dict[str, int]
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -103,6 +103,7 @@
             self.world.clock.at(at, lambda: fault(self))
         self.world.clock.run(self._length_s + 3 * self._dep.first_answer_s + 60)
         computed = sum(p.computed for p in self.world.prefills.values())
+        cached = sum(p.cached for p in self.world.prefills.values())
         found = self.world.meter.figures(
             len(self._arrivals), self._length_s, computed
         )
@@ -111,6 +112,7 @@
         bound = limit.bound(self._dep, self._arrivals, self._length_s)
         return msgspec.structs.replace(
             found,
+            reused=round(cached / max(1, cached + computed), 4),
             of_planner=round(good / max(1, planner), 4),
             of_bound=round(good / max(1, bound), 4),
         )
--- a/packages/core/foxtaildale/ledger.py
+++ b/packages/core/foxtaildale/ledger.py
@@ -31,6 +31,7 @@
         'lapses_at',
         'parked',
         'prefill',
+        'prefixes',
         'prompt_tokens',
         'request',
         'start_at',
@@ -48,6 +49,8 @@
     prefill: str
     decode: str
     prompt_tokens: int
+    # Digests of the prompt's prefixes, to check cache hints by.
+    prefixes: tuple[str, ...]
     # Times on the home's monotonic clock, seconds: when it was given, when
     # prefill starts, the transfer starts and decode starts, by the plan.
     given_at: float
@@ -86,6 +89,7 @@
         self.decode_at = decode_at
         self.lapses_at = start_at + LAPSE_S
         self.parked = False
+        self.prefixes = ()
 
 
 def name(request: str, attempt: int) -> str:
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -144,8 +144,9 @@
     prefill_ms: int = 0
     transfer_ms: int = 0
     decode_ms: int = 0
-    # Tokens of the answer.
+    # Tokens of the answer, and prompt tokens that the prefix cache had.
     output_tokens: int = 0
+    cached_tokens: int = 0
 
 
 class KeepSlots(Wire, frozen=True):
--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from foxtaildale import estimates
+from foxtaildale import hints
 from foxtaildale import ledger
 from foxtaildale import messages
 from foxtaildale import values
@@ -47,12 +48,13 @@
 class Planner:
     """Knows the workers of one pool and plans over them."""
 
-    __slots__ = ('born_at', 'grants', 'listed', 'rates', 'service')
+    __slots__ = ('born_at', 'grants', 'hints', 'listed', 'rates', 'service')
 
     service: values.Service
     listed: dict[str, workers.Worker]
     grants: ledger.Ledger
     rates: estimates.Estimates
+    hints: hints.Hints
     # When this home learned of its first worker; None before.
     born_at: float | None
 
@@ -61,6 +63,7 @@
         self.listed = {}
         self.grants = ledger.Ledger()
         self.rates = estimates.Estimates(service.expected_tokens)
+        self.hints = hints.Hints()
         self.born_at = None
 
     def plan(
@@ -115,7 +118,8 @@
         ahead_s = self.rates.prefill_s(name, tokens) / len(
             self.usable(now, 'prefill')
         )
-        prefill_s = self.rates.prefill_s(name, msg.prompt_tokens)
+        saved = min(self.hints.expect(name, msg.prefixes), msg.prompt_tokens)
+        prefill_s = self.rates.prefill_s(name, msg.prompt_tokens - saved)
         transfer_s = self.rates.transfer_s(name, msg.prompt_tokens)
         ready_at = max(now, prefill.free_at) + ahead_s + prefill_s
         transfer_at = max(ready_at, slot_at, prefill.link_at)
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -79,6 +79,13 @@
         # Prefills that run slower than planned show up here only.
         worker.free_at = max(worker.free_at, reported_at + busy_s)
 
+    def on_cache(
+        self, server: str, events: Sequence[backends.CacheEvent]
+    ) -> None:
+        """Takes cache events of one prefill worker, late and with gaps."""
+        for event in events:
+            self._planner.hints.on_event(server, event)
+
     def ask(
         self, now: float, msg: messages.AskSlot
     ) -> messages.Granted | messages.Queued | messages.Refused:
@@ -162,6 +169,8 @@
         self._planner.grants.add(grant)
         if prefill is not None:
             prefill.free_at = plan.transfer_at
+            grant.prefixes = msg.prefixes
+            self._planner.hints.placed(prefill.server.name, msg.prefixes)
         source = prefill or self._planner.listed.get(msg.ready_at)
         if source is not None:
             source.link_at = plan.decode_at
@@ -213,8 +222,13 @@
         rates = self._planner.rates
         if grant.prefill and grant.prompt_tokens:
             if msg.prefill_ms:
+                self._planner.hints.checked(
+                    grant.prefill, grant.prefixes, msg.cached_tokens
+                )
                 rates.measured_prefill(
-                    grant.prefill, grant.prompt_tokens, msg.prefill_ms / 1000
+                    grant.prefill,
+                    grant.prompt_tokens - msg.cached_tokens,
+                    msg.prefill_ms / 1000,
                 )
             if msg.transfer_ms:
                 rates.measured_transfer(
