Among equal plans take the prefill worker with the least work left

Learned rates differ by a hair, so plans that all wait for the same slot never tied and the cache did not count.

--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -16,6 +16,9 @@
 # then every holder has repeated its grants.
 _REBUILD_S: Final = 2.5
 
+# Plans whose decode starts within this time count as equal, seconds.
+_TIE_S: Final = 0.05
+
 
 class Plan:
     """Workers and times for one request."""
@@ -45,6 +48,12 @@
         self.decode_at = decode_at
 
 
+def _rank(plan: Plan) -> tuple[float, float, float]:
+    free_at = plan.prefill.free_at if plan.prefill else 0.0
+    work_s = plan.transfer_at - plan.start_at
+    return plan.decode_at // _TIE_S, work_s, free_at
+
+
 class Planner:
     """Knows the workers of one pool and plans over them."""
 
@@ -96,12 +105,9 @@
             )
             for prefill in self.usable(now, 'prefill')
         ]
-        # Where all wait for the slot alone, the less booked one is taken.
-        return min(
-            plans,
-            key=lambda p: (p.decode_at, p.prefill.free_at if p.prefill else 0),
-            default=None,
-        )
+        # Where all wait for the slot alone, the one with the least work left
+        # by its cache is taken, then the least booked one.
+        return min(plans, key=_rank, default=None)
 
     def _plan_at(
         self,
