--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from foxtaildale import estimates
+from foxtaildale import hints
 from foxtaildale import ledger
 from foxtaildale import messages
 from foxtaildale import values
@@ -15,6 +16,9 @@
 # then every holder has repeated its grants.
 _REBUILD_S: Final = 2.5
 
+# Plans whose decode starts within this time count as equal, seconds.
+_TIE_S: Final = 0.05
+
 
 class Plan:
     """Workers and times for one request."""
@@ -44,15 +48,22 @@
         self.decode_at = decode_at
 
 
+def _rank(plan: Plan) -> tuple[float, float, float]:
+    free_at = plan.prefill.free_at if plan.prefill else 0.0
+    work_s = plan.transfer_at - plan.start_at
+    return plan.decode_at // _TIE_S, work_s, free_at
+
+
 class Planner:
     """Knows the workers of one pool and plans over them."""
 
-    __slots__ = ('born_at', 'grants', 'listed', 'rates', 'service')
+    __slots__ = ('born_at', 'grants', 'hints', 'listed', 'rates', 'service')
 
     service: values.Service
     listed: dict[str, workers.Worker]
     grants: ledger.Ledger
     rates: estimates.Estimates
+    hints: hints.Hints
     # When this home learned of its first worker; None before.
     born_at: float | None
 
@@ -61,6 +72,7 @@
         self.listed = {}
         self.grants = ledger.Ledger()
         self.rates = estimates.Estimates(service.expected_tokens)
+        self.hints = hints.Hints()
         self.born_at = None
 
     def plan(
@@ -93,12 +105,9 @@
             )
             for prefill in self.usable(now, 'prefill')
         ]
-        # Where all wait for the slot alone, the less booked one is taken.
-        return min(
-            plans,
-            key=lambda p: (p.decode_at, p.prefill.free_at if p.prefill else 0),
-            default=None,
-        )
+        # Where all wait for the slot alone, the one with the least work left
+        # by its cache is taken, then the least booked one.
+        return min(plans, key=_rank, default=None)
 
     def _plan_at(
         self,
@@ -115,7 +124,8 @@
         ahead_s = self.rates.prefill_s(name, tokens) / len(
             self.usable(now, 'prefill')
         )
-        prefill_s = self.rates.prefill_s(name, msg.prompt_tokens)
+        saved = min(self.hints.expect(name, msg.prefixes), msg.prompt_tokens)
+        prefill_s = self.rates.prefill_s(name, msg.prompt_tokens - saved)
         transfer_s = self.rates.transfer_s(name, msg.prompt_tokens)
         ready_at = max(now, prefill.free_at) + ahead_s + prefill_s
         transfer_at = max(ready_at, slot_at, prefill.link_at)
