Answer a refused retry only with what is true of the earlier try

Cause: the search of a key's states found that a caller takes 'not run' for an answer to all that it sent under a key, while an earlier try may run at another VM.

Behaviour of the paths is otherwise unchanged.

--- /dev/null
+++ b/packages/daemon/foxtaildaled/calls.py
@@ -0,0 +1,169 @@
+"""Requests of plain services, and the tickets that some of them take."""
+
+from typing import Annotated
+from typing import Final
+
+import msgspec
+
+from foxtaildale import codes
+from foxtaildale import messages
+from foxtaildale import tickets
+from foxtaildaled import claiming
+from foxtaildaled import desk
+from foxtaildaled import gate
+from foxtaildaled import plain
+from foxtaildaled import visit as visits
+
+PREFIX: Final = '/v1/services/'
+
+
+class TicketsReq(msgspec.Struct, frozen=True):
+    """Asks for tickets."""
+
+    service: str
+    count: Annotated[int, msgspec.Meta(ge=1, le=desk.MAX_COUNT)] = 1
+
+
+class TicketsReply(msgspec.Struct, frozen=True):
+    """Fresh tickets."""
+
+    service: str
+    tickets: tuple[str, ...]
+
+
+class Calls:
+    """Serves requests of plain services."""
+
+    __slots__ = ('_claiming', '_desk', '_gate', '_plain', '_replies')
+
+    _gate: gate.Gate
+    _replies: visits.Replies
+    _plain: plain.Plain
+    _desk: desk.Desk
+    _claiming: claiming.Claiming
+
+    def __init__(
+        self,
+        *,
+        admission: gate.Gate,
+        replies: visits.Replies,
+        services: plain.Plain,
+        ticket_desk: desk.Desk,
+        claim_desk: claiming.Claiming,
+    ) -> None:
+        self._gate = admission
+        self._replies = replies
+        self._plain = services
+        self._desk = ticket_desk
+        self._claiming = claim_desk
+
+    def call(self, visit: visits.Visit) -> None:
+        """Serves one call."""
+        path = visit.ex.path.removeprefix(PREFIX)
+        name, _slash, call = path.partition('/')
+        if not call:
+            self._replies.reject(visit, name, 'no call named')
+            return
+        service = self._gate.admit(visit, name, 'plain', call)
+        if service is None:
+            return
+        if service.once == 'ticket':
+            self._ticketed(visit, name, call)
+        elif service.once == 'claim':
+            self._claimed(visit, name, call)
+        else:
+            self._answer(visit, name, self._run(visit, name, call))
+
+    def mint(self, visit: visits.Visit) -> None:
+        """Hands out tickets."""
+        try:
+            req = msgspec.json.decode(visit.ex.body, type=TicketsReq)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            self._replies.reject(visit, '', str(exc))
+            return
+        service = self._gate.admit(visit, req.service, 'plain')
+        if service is None:
+            return
+        if service.once != 'ticket':
+            self._replies.reject(
+                visit, req.service, 'the service takes no tickets'
+            )
+            return
+        minted = self._desk.mint(req.service, req.count)
+        if minted:
+            self._replies.tell(visit, TicketsReply(req.service, minted))
+            return
+        self._replies.refuse(
+            visit,
+            req.service,
+            codes.NO_WITNESS,
+            retry_after_s=visits.AGAIN_S,
+        )
+
+    def _ticketed(self, visit: visits.Visit, name: str, call: str) -> None:
+        if not visit.ticket:
+            self._refuse_ticket(visit, name, codes.TICKET_NEEDED)
+            return
+        ticket = tickets.from_text(visit.ticket)
+        if ticket is None or self._desk.check(ticket, name) is not None:
+            self._refuse_ticket(visit, name, codes.TICKET_BAD)
+            return
+        reply = self._desk.run(ticket, call, visit.ex.body, visit.request)
+        self._end_ticket(visit, name, reply)
+
+    def _end_ticket(
+        self, visit: visits.Visit, name: str, reply: messages.RunReply
+    ) -> None:
+        if reply.outcome.request == visit.request:
+            self._replies.record(reply.outcome)
+        answer = desk.unpack(reply.answer)
+        if reply.outcome.code == codes.OK.name and answer is not None:
+            self._replies.pass_on(visit, reply.outcome, answer)
+            return
+        not_run = codes.ran(reply.outcome.code) == 'no'
+        fresh = self._desk.mint(name, 1) if not_run else ()
+        self._replies.end(visit, reply.outcome, fresh)
+
+    def _refuse_ticket(
+        self, visit: visits.Visit, name: str, code: codes.Code
+    ) -> None:
+        self._replies.refuse(visit, name, code, fresh=self._desk.mint(name, 1))
+
+    def _claimed(self, visit: visits.Visit, name: str, call: str) -> None:
+        refusal = self._claiming.claim(visit, name, call)
+        if refusal is not None:
+            self._replies.refuse(
+                visit,
+                name,
+                refusal.code,
+                figures=refusal.figures,
+                retry_after_s=refusal.retry_after_s,
+            )
+            return
+        result = self._run(visit, name, call)
+        truth = self._replies.stamp(
+            result.code, visit.request, name, visit.snapshot
+        )
+        self._claiming.end(name, visit.key, truth)
+        code = visit.covering(result.code)
+        self._answer(visit, name, msgspec.structs.replace(result, code=code))
+
+    def _run(self, visit: visits.Visit, name: str, call: str) -> plain.Result:
+        return self._plain.call(
+            visit.snapshot, name, call, visit.ex.body, visit.request
+        )
+
+    def _answer(
+        self, visit: visits.Visit, name: str, result: plain.Result
+    ) -> None:
+        outcome = self._replies.outcome(
+            visit,
+            name,
+            result.code,
+            figures=result.figures,
+            retry_after_s=result.retry_after_s,
+        )
+        if result.reply is None:
+            self._replies.end(visit, outcome)
+        else:
+            self._replies.pass_on(visit, outcome, result.reply)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/chats.py
@@ -0,0 +1,188 @@
+"""Requests of model services: new answers, and answers read on."""
+
+import threading
+from typing import Final
+
+import msgspec
+
+from foxtaildale import backends
+from foxtaildale import chat
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import options
+from foxtaildale import ports
+from foxtaildale import streams
+from foxtaildale import values
+from foxtaildaled import answers
+from foxtaildaled import cancels
+from foxtaildaled import claiming
+from foxtaildaled import gate
+from foxtaildaled import job as jobs
+from foxtaildaled import sinks
+from foxtaildaled import slots
+from foxtaildaled import visit as visits
+
+FIRST_ANSWER_HEADER: Final = 'foxtaildale-first-answer-ms'
+RESUME_HEADER: Final = 'foxtaildale-resume-within-s'
+EVENT_HEADER: Final = 'last-event-id'
+# Largest number taken from a header.
+_NUMBER_MAX: Final = 1e9
+
+
+class Chats:
+    """Serves requests of model services."""
+
+    __slots__ = (
+        '_answers',
+        '_cancels',
+        '_cfg',
+        '_claiming',
+        '_clock',
+        '_gate',
+        '_incarnation',
+        '_replies',
+    )
+
+    _cfg: options.Options
+    _incarnation: str
+    _gate: gate.Gate
+    _replies: visits.Replies
+    _answers: answers.Answers
+    _claiming: claiming.Claiming
+    _cancels: cancels.Cancels
+    _clock: ports.Clock
+
+    def __init__(
+        self,
+        *,
+        cfg: options.Options,
+        incarnation: str,
+        admission: gate.Gate,
+        replies: visits.Replies,
+        model: answers.Answers,
+        claim_desk: claiming.Claiming,
+        cancel_queue: cancels.Cancels,
+        clock: ports.Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._incarnation = incarnation
+        self._gate = admission
+        self._replies = replies
+        self._answers = model
+        self._claiming = claim_desk
+        self._cancels = cancel_queue
+        self._clock = clock
+
+    def complete(self, visit: visits.Visit) -> None:
+        """Serves a new answer."""
+        try:
+            req = chat.decode(visit.ex.body)
+        except errors.DecodeError as exc:
+            self._replies.reject(visit, '', str(exc))
+            return
+        service = self._gate.admit(visit, req.model, 'model')
+        if service is None:
+            return
+        job = self._job(visit, service, req)
+        sink = sinks.make(visit.ex, visit.request, req.model, stream=req.stream)
+        visit.ex.watch(job.on_gone)
+        if service.once == 'claim':
+            result = self._claimed(visit, job, sink)
+        else:
+            result = self._answers.run(job, sink)
+        sink.end(
+            self._replies.outcome(
+                visit,
+                job.name,
+                result.code,
+                figures=result.figures,
+                retry_after_s=result.retry_after_s,
+            )
+        )
+
+    def read_on(self, visit: visits.Visit) -> None:
+        """Reads on a stream that another connection, or VM, had begun."""
+        try:
+            event = streams.parse_id(visit.ex.headers.get(EVENT_HEADER, ''))
+        except errors.DecodeError as exc:
+            self._replies.reject(visit, '', str(exc))
+            return
+        server = visit.snapshot.server(event.worker)
+        if server is None:
+            self._replies.refuse(visit, '', codes.NO_STREAM)
+            return
+        self._cancels.drop(_request_of(event))
+        sink = sinks.EventSink(visit.ex, visit.request, server.service)
+        gone = self._watch(visit, server, event)
+        code = self._answers.read_on(
+            server.address, event, self._incarnation, sink, gone
+        )
+        sink.end(self._replies.outcome(visit, server.service, code))
+
+    def _job(
+        self, visit: visits.Visit, service: values.Service, req: chat.ChatReq
+    ) -> jobs.Job:
+        headers = visit.ex.headers
+        target = _number(headers.get(FIRST_ANSWER_HEADER, ''))
+        resume_s = _number(headers.get(RESUME_HEADER, ''))
+        return jobs.Job(
+            req=req,
+            request=visit.request,
+            service=service,
+            snapshot=visit.snapshot,
+            holder=self._incarnation,
+            cancel_queue=self._cancels,
+            arrived_at=self._clock(),
+            first_answer_ms=round(target) or service.first_answer_ms,
+            resume_s=min(resume_s, self._cfg.grace_s),
+        )
+
+    def _claimed(
+        self, visit: visits.Visit, job: jobs.Job, sink: sinks.Sink
+    ) -> slots.Refusal:
+        refusal = self._claiming.claim(visit, job.name, 'chat')
+        if refusal is not None:
+            return refusal
+        result = self._answers.run(job, sink)
+        outcome = self._replies.stamp(
+            result.code,
+            job.request,
+            job.name,
+            job.snapshot,
+            figures=result.figures,
+        )
+        self._claiming.end(job.name, visit.key, outcome)
+        return msgspec.structs.replace(result, code=visit.covering(result.code))
+
+    def _watch(
+        self,
+        visit: visits.Visit,
+        server: values.BackendServer,
+        event: streams.EventId,
+    ) -> threading.Event:
+        """Cancels a resumed stream when its caller goes away again."""
+        gone = threading.Event()
+        req = backends.CancelReq(
+            request=_request_of(event), holder=self._incarnation
+        )
+
+        def on_gone() -> None:
+            gone.set()
+            self._cancels.add(server.address, req)
+
+        visit.ex.watch(on_gone)
+        return gone
+
+
+def _request_of(event: streams.EventId) -> str:
+    """Returns the request whose attempt a stream belongs to."""
+    return event.stream.rpartition('.')[0]
+
+
+def _number(text: str) -> float:
+    """Returns the number in a header; 0 for none or nonsense."""
+    try:
+        number = float(text)
+    except ValueError:
+        return 0.0
+    return number if 0 < number < _NUMBER_MAX else 0.0
--- a/packages/daemon/foxtaildaled/claiming.py
+++ b/packages/daemon/foxtaildaled/claiming.py
@@ -15,6 +15,7 @@
 from foxtaildale import tickets
 from foxtaildale import values
 from foxtaildaled import slots
+from foxtaildaled import visit as visits
 
 # Longest wait for the log to settle a claim, seconds.
 _CLAIM_S: Final = 6.0
@@ -42,27 +43,27 @@
         self._peers = peers
 
     def claim(
-        self, name: str, request: str, key: str, call: str, body: bytes
+        self, visit: visits.Visit, name: str, call: str
     ) -> slots.Refusal | None:
-        """Claims a key for a request; None means that it may run."""
-        if not key:
+        """Claims a request's key; None means that it may run."""
+        if not visit.key:
             return slots.Refusal(codes.KEY_NEEDED)
         msg = messages.AskClaim(
             service=name,
-            key=key,
-            body=tickets.digest(call, body),
-            request=request,
+            key=visit.key,
+            body=tickets.digest(call, visit.ex.body),
+            request=visit.request,
             holder=self._holder,
         )
         try:
             reply = self._peers.ask(self._cfg.keeper, msg, _CLAIM_S)
         except errors.UnreachableError:
-            return slots.Refusal(codes.LOG_DOWN, (), _AGAIN_S)
+            return _down(visit)
         except errors.PortError:
             # The claim may be in the log under this request, which will never
             # run; but an earlier try of the same key may.
             return slots.Refusal(codes.CLAIM_UNSURE, (), _AGAIN_S)
-        return self._judge(name, key, reply)
+        return self._judge(visit, name, reply)
 
     def end(self, name: str, key: str, outcome: values.Outcome) -> None:
         """Tells the keeper what came of a claim."""
@@ -74,17 +75,15 @@
             return
 
     def _judge(
-        self, name: str, key: str, reply: messages.Any
+        self, visit: visits.Visit, name: str, reply: messages.Any
     ) -> slots.Refusal | None:
         if not isinstance(reply, messages.ClaimReply):
-            return slots.Refusal(codes.LOG_DOWN, (), _AGAIN_S)
+            return _down(visit)
         if reply.status == 'won':
             return None
         if reply.status == 'lost':
-            return self._look_up(name, key, reply)
-        # Nobody says that this is the key's first try, so an earlier one may
-        # be running at another VM.
-        code = claims.refusal(reply, first_try=False) or codes.CLAIM_UNSURE
+            return self._look_up(name, visit.key, reply)
+        code = claims.refusal(reply, visit.alone) or codes.CLAIM_UNSURE
         return slots.Refusal(code, (), reply.retry_after_ms / 1000)
 
     def _look_up(
@@ -104,6 +103,11 @@
         return _seen(claim, reply.outcome.code)
 
 
+def _down(visit: visits.Visit) -> slots.Refusal:
+    code = claims.covering(codes.LOG_DOWN, visit.alone)
+    return slots.Refusal(code, (), _AGAIN_S)
+
+
 def _seen(claim: messages.ClaimReply, found: str) -> slots.Refusal:
     """Returns the answer to one who asks for what another request did."""
     code = codes.ALL.get(found, codes.UNKNOWN)
--- a/packages/daemon/foxtaildaled/desk.py
+++ b/packages/daemon/foxtaildaled/desk.py
@@ -118,7 +118,7 @@
             reply = None
         if isinstance(reply, messages.RunReply):
             return reply
-        return self._void(ticket, call, body, request)
+        return self.void(ticket, call, body, request)
 
     def serve(self, msg: messages.RunTicket) -> messages.Any:
         """Runs a ticket that another entry passed on."""
@@ -180,7 +180,7 @@
         if isinstance(admission, tickets.Refuse):
             return self._reply(admission.code, ticket, request)
         if isinstance(admission, tickets.Stranger):
-            return self._void(ticket, call, body, request)
+            return self.void(ticket, call, body, request)
         reply = self._ask_witness(admission.address, admission.note)
         decision = self._owner.run(
             lambda state, now: state.on_witness(now, ticket.identity, reply)
@@ -219,9 +219,10 @@
         if tell is not None:
             self._ask_witness(ticket.witness_address, tell)
 
-    def _void(
+    def void(
         self, ticket: messages.Ticket, call: str, body: bytes, request: str
     ) -> messages.RunReply:
+        """Voids a ticket, or returns what is known of it."""
         msg = tickets.void(ticket, call, body)
         verdict = tickets.verdict(
             self._ask_witness(ticket.witness_address, msg)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/visit.py
@@ -0,0 +1,174 @@
+"""One HTTP request of a caller, and the answers that end it."""
+
+import time
+from typing import Final
+
+import msgspec
+
+from foxtaildale import claims
+from foxtaildale import codes
+from foxtaildale import outcomes
+from foxtaildale import ports
+from foxtaildale import values
+from foxtaildale_adapters import incoming
+from foxtaildaled import records
+from foxtaildaled import view
+
+KEY_HEADER: Final = 'idempotency-key'
+TICKET_HEADER: Final = 'foxtaildale-ticket'
+# Says that no earlier try under this key is open.
+FIRST_TRY_HEADER: Final = 'foxtaildale-first-try'
+_TRUE: Final = 'true'
+# When to come back where nothing better is known, seconds.
+AGAIN_S: Final = 1.0
+
+
+class Visit:
+    """What the steps of one request share."""
+
+    __slots__ = ('ex', 'request', 'snapshot')
+
+    ex: incoming.Exchange
+    # Identifies the request for callers and operators.
+    request: str
+    # What was known when it came; it is served by it to its end.
+    snapshot: view.Snapshot
+
+    def __init__(
+        self, ex: incoming.Exchange, request: str, snapshot: view.Snapshot
+    ) -> None:
+        self.ex = ex
+        self.request = request
+        self.snapshot = snapshot
+
+    @property
+    def key(self) -> str:
+        """The caller's idempotency key; empty if there is none."""
+        return self.ex.headers.get(KEY_HEADER, '')
+
+    @property
+    def ticket(self) -> str:
+        """The caller's ticket as text; empty if there is none."""
+        return self.ex.headers.get(TICKET_HEADER, '')
+
+    @property
+    def alone(self) -> bool:
+        """Whether the caller says that no earlier try is open."""
+        return self.ex.headers.get(FIRST_TRY_HEADER, '').lower() == _TRUE
+
+    def covering(self, code: codes.Code) -> codes.Code:
+        """Returns the code that this caller may be refused with.
+
+        A caller takes "not run" for an answer to all that it sent under a key;
+        an earlier try may still be running at another VM.
+        """
+        return claims.covering(code, self.alone) if self.key else code
+
+
+class Replies:
+    """Makes outcomes, records them, and answers with them."""
+
+    __slots__ = ('_entry_vm', '_records')
+
+    _entry_vm: str
+    _records: records.Records
+
+    def __init__(self, entry_vm: str, kept: records.Records) -> None:
+        self._entry_vm = entry_vm
+        self._records = kept
+
+    def stamp(
+        self,
+        code: codes.Code,
+        request: str,
+        service: str,
+        snapshot: view.Snapshot,
+        *,
+        figures: tuple[values.Figure, ...] = (),
+        retry_after_s: float = 0.0,
+    ) -> values.Outcome:
+        """Returns an outcome that names this entry VM."""
+        source = outcomes.Source(
+            request=request,
+            service=service,
+            revision=snapshot.revision,
+            entry_vm=self._entry_vm,
+            at=time.time(),
+        )
+        return outcomes.make(code, source, figures, retry_after_s)
+
+    def outcome(
+        self,
+        visit: Visit,
+        service: str,
+        code: codes.Code,
+        *,
+        figures: tuple[values.Figure, ...] = (),
+        retry_after_s: float = 0.0,
+    ) -> values.Outcome:
+        """Returns the final outcome of a request, recorded."""
+        outcome = self.stamp(
+            code,
+            visit.request,
+            service,
+            visit.snapshot,
+            figures=figures,
+            retry_after_s=retry_after_s,
+        )
+        self._records.add(outcome)
+        return outcome
+
+    def refuse(
+        self,
+        visit: Visit,
+        service: str,
+        code: codes.Code,
+        *,
+        figures: tuple[values.Figure, ...] = (),
+        retry_after_s: float = 0.0,
+        fresh: tuple[str, ...] = (),
+    ) -> None:
+        """Ends a request with a code, and fresh tickets if there are any."""
+        outcome = self.outcome(
+            visit,
+            service,
+            code,
+            figures=figures,
+            retry_after_s=retry_after_s,
+        )
+        self.end(visit, outcome, fresh)
+
+    def reject(self, visit: Visit, service: str, reason: str) -> None:
+        """Ends a request that makes no sense."""
+        figures = (values.Figure('reason', reason),)
+        code = visit.covering(codes.BAD_REQUEST)
+        self.refuse(visit, service, code, figures=figures)
+
+    def end(
+        self,
+        visit: Visit,
+        outcome: values.Outcome,
+        fresh: tuple[str, ...] = (),
+    ) -> None:
+        """Answers with an outcome that is no plain success."""
+        visit.ex.respond(
+            codes.ALL[outcome.code].status,
+            outcomes.headers(outcome),
+            outcomes.body(outcome, fresh),
+        )
+
+    def record(self, outcome: values.Outcome) -> None:
+        """Takes an outcome that was made elsewhere."""
+        self._records.add(outcome)
+
+    def pass_on(
+        self, visit: Visit, outcome: values.Outcome, reply: ports.Reply
+    ) -> None:
+        """Answers with what a plain service said."""
+        visit.ex.respond(reply.status, outcomes.headers(outcome), reply.body)
+
+    def tell(self, visit: Visit, document: msgspec.Struct) -> None:
+        """Answers with a document of this entry's own."""
+        visit.ex.respond(
+            200, {'Content-Type': outcomes.JSON}, msgspec.json.encode(document)
+        )
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -28,11 +28,14 @@
 from foxtaildale_adapters import wire
 from foxtaildaled import actors
 from foxtaildaled import answers
+from foxtaildaled import calls
 from foxtaildaled import cancels
+from foxtaildaled import chats
 from foxtaildaled import claiming
 from foxtaildaled import desk
 from foxtaildaled import entry
 from foxtaildaled import follow
+from foxtaildaled import gate
 from foxtaildaled import gossip
 from foxtaildaled import keeper
 from foxtaildaled import plain
@@ -41,6 +44,7 @@
 from foxtaildaled import retries
 from foxtaildaled import slots
 from foxtaildaled import view
+from foxtaildaled import visit
 
 # Threads that answer other processes. A claim holds one until the log has
 # settled it, a ticket that was passed on until its call has ended.
@@ -186,7 +190,7 @@
         '_cancels',
         '_cfg',
         '_desk',
-        '_entry',
+        '_gate',
         '_incarnation',
         '_loops',
         '_peers',
@@ -204,7 +208,7 @@
     _desk: desk.Desk
     _records: records.Records
     _cancels: cancels.Cancels
-    _entry: entry.Entry
+    _gate: gate.Gate
     _server: callers.Server
     _admin: admin.Admin
     _loops: list[process.Loop]
@@ -237,7 +241,7 @@
 
     def stop(self) -> None:
         """Not ready, no new connections, drain, flush, goodbye."""
-        self._entry.stopping = True
+        self._gate.stopping = True
         self._server.stop_accepting()
         drained = self._server.drain(self._cfg.drain_s)
         logs.event(absl_logging.INFO, 'drained', whole=drained)
@@ -256,14 +260,14 @@
         clock = time.monotonic
         store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
         workers = engines.Engines()
-        stamp = entry.Stamp(cfg.entry_vm)
         budget = retries.Retries(clock)
         self._view = view.View(
             cfg, self._incarnation, address, self._peers, clock
         )
         self._records = records.Records(store, counts)
+        replies = visit.Replies(cfg.entry_vm, self._records)
         self._cancels = cancels.Cancels(workers, clock)
-        calls = plain.Plain(services.Services(), budget)
+        plain_calls = plain.Plain(services.Services(), budget)
         own = slots.Slots(
             self._peers, self._view, cfg.entry_vm, self._incarnation, clock
         )
@@ -290,26 +294,38 @@
             incarnation=self._incarnation,
             owner=executor,
             peers=self._peers,
-            calls=calls,
+            calls=plain_calls,
             seen=self._view,
-            stamp=stamp,
+            stamp=replies.stamp,
         )
-        self._entry = entry.Entry(
-            cfg=cfg,
-            incarnation=self._incarnation,
+        self._gate = gate.Gate(self._desk, replies)
+        claim_desk = claiming.Claiming(cfg, self._incarnation, self._peers)
+        handler = entry.Entry(
+            entry_vm=cfg.entry_vm,
             seen=self._view,
-            model=model,
-            calls=calls,
-            ticket_desk=self._desk,
-            claim_desk=claiming.Claiming(cfg, self._incarnation, self._peers),
+            model=chats.Chats(
+                cfg=cfg,
+                incarnation=self._incarnation,
+                admission=self._gate,
+                replies=replies,
+                model=model,
+                claim_desk=claim_desk,
+                cancel_queue=self._cancels,
+                clock=clock,
+            ),
+            services=calls.Calls(
+                admission=self._gate,
+                replies=replies,
+                services=plain_calls,
+                ticket_desk=self._desk,
+                claim_desk=claim_desk,
+            ),
+            replies=replies,
             kept=self._records,
-            cancel_queue=self._cancels,
-            stamp=stamp,
-            clock=clock,
         )
         self._server = callers.Server(
             cfg.caller_address,
-            self._entry,
+            handler,
             cfg.threads,
             cfg.caller_timeout_s,
             _BODY_MAX,
@@ -333,7 +349,7 @@
         return messages.Fail(code='not-for-an-entry')
 
     def _ready(self) -> str:
-        if self._entry.stopping:
+        if self._gate.stopping:
             return 'being stopped'
         if self._view.now.in_force is None:
             return 'no preset in force is known'
@@ -345,7 +361,7 @@
             'role': 'entry',
             'incarnation': self._incarnation,
             'entry_vm': self._cfg.entry_vm,
-            'stopping': self._entry.stopping,
+            'stopping': self._gate.stopping,
             'revision': snapshot.revision,
             'preset': (
                 snapshot.in_force.preset.name if snapshot.in_force else None
