--- a/packages/client/foxtaildale_client/presets.py
+++ b/packages/client/foxtaildale_client/presets.py
@@ -43,7 +43,7 @@
     preset = settings.preset(content, file)
     digest = changes.digest_of(changes.canonical(preset))
     learnt = submitter.publish(preset)
-    return _changed(learnt, preset.name, digest)
+    return _changed(learnt, 'publish', preset.name, digest)
 
 
 def switch(
@@ -59,7 +59,7 @@
     if found is None:
         return _not_found(which)
     learnt = submitter.switch(found.name, found.digest, expects)
-    return _changed(learnt, found.name, found.digest)
+    return _changed(learnt, 'switch', found.name, found.digest)
 
 
 def outcome(
@@ -70,7 +70,7 @@
     Raises:
         errors.PortError: The log could not be read.
     """
-    return _changed(submitter.ask(change_id, base), '', '')
+    return _changed(submitter.ask(change_id, base))
 
 
 def listed(reader: reading.Reader) -> results.Result:
@@ -182,6 +182,7 @@
         base=learnt.base,
         reason=learnt.reason,
         revision=learnt.revision,
+        change=change,
         name=name,
         digest=digest,
     )
--- a/packages/client/foxtaildale_client/results.py
+++ b/packages/client/foxtaildale_client/results.py
@@ -82,6 +82,8 @@
     reason: str = ''
     # In force after the record; 0 for none.
     revision: int = 0
+    # What was asked for: publish, switch, or empty when only the id is known.
+    change: str = ''
     # The preset it was about; empty when only the id is known.
     name: str = ''
     digest: str = ''
@@ -100,6 +102,8 @@
 
     def _sentence(self) -> str:
         match self.result:
+            case 'accepted' if self.change == 'publish':
+                return f'published, not switched to; {self._in_force()}'
             case 'accepted':
                 return f'accepted; {self._in_force()}'
             case 'rejected':
