--- a/packages/client/foxtaildale_client/presets.py
+++ b/packages/client/foxtaildale_client/presets.py
@@ -175,7 +175,9 @@
         yield from _fields(inner, f'{path}.{key}' if path else key)
 
 
-def _changed(learnt: submit.Learnt, name: str, digest: str) -> results.Changed:
+def _changed(
+    learnt: submit.Learnt, change: str = '', name: str = '', digest: str = ''
+) -> results.Changed:
     return results.Changed(
         result=learnt.result,
         id=learnt.id,
