Bound the wait and not the whole estimate; let the weights set the caution

At ordinary load, prompts of 8,000 tokens were refused although no one else waited: their own prefill and transfer take more than half of the target.

The wait that is expected for a slot is stretched by a caution.

--- a/bench/home.py
+++ b/bench/home.py
@@ -32,7 +32,7 @@
         self, wld: world.World, weights: values.Weights | None = None
     ) -> None:
         self._world = wld
-        self._weights = weights or values.Weights()
+        self._weights = weights or wld.dep.weights
         self._members = list(wld.vms)
         self._pools: dict[str, pool.Pool] = {}
         self._shares = [self._share(vm) for vm in wld.vms]
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -38,6 +38,8 @@
     prefills: int
     decodes: int
     service: values.Service
+    # What its operators weigh more.
+    weights: values.Weights
     # The plain service beside it.
     plain: str
     # Targets that answers are measured by, seconds.
@@ -67,6 +69,7 @@
         between_tokens_ms=30,
         expected_tokens=128,
     ),
+    weights=values.Weights(goodput=3, wasted_prefill=1),
     plain='queue-app',
     first_answer_s=1.0,
     between_tokens_s=0.030,
@@ -93,6 +96,7 @@
         queue_limit=200,
         expected_tokens=600,
     ),
+    weights=values.Weights(goodput=1, wasted_prefill=3),
     plain='dispatch-desk',
     first_answer_s=25.0,
     between_tokens_s=0.060,
--- a/packages/core/foxtaildale/admission.py
+++ b/packages/core/foxtaildale/admission.py
@@ -15,10 +15,11 @@
 # Shortest and longest time until a queued request asks again, seconds.
 _AGAIN_S: Final = 0.02
 _AGAIN_MOST_S: Final = 1.0
-# Share of the target up to which a new request is admitted by the estimate.
-# At the whole target every answer of an overloaded pool would come at the edge
-# of it, and half of them behind it; a shorter queue keeps the workers as busy.
-_ADMIT_SHARE: Final = 0.5
+# Share of the target's spare time (what the request's own prefill and transfer
+# leave of it) that a new request may wait. With all of it every answer of an
+# overloaded pool would come at the edge of the target, and half of them behind
+# it; a shorter queue keeps the workers as busy.
+_ADMIT_SHARE: Final = 0.45
 # Longest time that a refusal tells a caller to stay away, seconds.
 _RETRY_MOST_S: Final = 30.0
 
@@ -44,7 +45,8 @@
         """Returns the answer to an ask, or None where it is to be granted."""
         token_s = self._planner.rates.token.at(self._planner.limit(plan.decode))
         estimate_ms = msg.waited_ms + 1000 * (plan.decode_at - now + token_s)
-        refused = self._hopeless(now, msg, estimate_ms)
+        own_ms = 1000 * (plan.own_s + token_s)
+        refused = self._hopeless(now, msg, estimate_ms, own_ms)
         if refused is not None:
             return refused
         wait_s = plan.start_at - now
@@ -54,14 +56,19 @@
         return self._full(now, msg, wait_s) or self._queue(now, msg, wait_s)
 
     def _hopeless(
-        self, now: float, msg: messages.AskSlot, estimate_ms: float
+        self,
+        now: float,
+        msg: messages.AskSlot,
+        estimate_ms: float,
+        own_ms: float,
     ) -> messages.Refused | None:
         """Refuses what the estimate says would come too late."""
         service = self._planner.service
         waits = msg.request in self.waiting
         target_ms = service.first_answer_ms
         share = 1.0 if waits else _ADMIT_SHARE
-        if target_ms and estimate_ms > share * target_ms:
+        bound_ms = own_ms + share * max(0, target_ms - own_ms)
+        if target_ms and estimate_ms > min(bound_ms, target_ms):
             return self._refuse(
                 now,
                 msg,
--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -16,6 +16,10 @@
 # then every holder has repeated its grants.
 _REBUILD_S: Final = 2.5
 
+# How expected waits for a slot are stretched: where only goodput counts, and
+# where only wasted prefill counts.
+_CAUTION_LEAST: Final = 0.9
+_CAUTION_MOST: Final = 1.5
 # Plans whose decode starts within this time count as equal, seconds.
 _TIE_S: Final = 0.05
 
@@ -23,7 +27,14 @@
 class Plan:
     """Workers and times for one request."""
 
-    __slots__ = ('decode', 'decode_at', 'prefill', 'start_at', 'transfer_at')
+    __slots__ = (
+        'decode',
+        'decode_at',
+        'own_s',
+        'prefill',
+        'start_at',
+        'transfer_at',
+    )
 
     # None where the prefill is done, or for a plain service.
     prefill: workers.Worker | None
@@ -32,20 +43,25 @@
     start_at: float
     transfer_at: float
     decode_at: float
+    # Part of the time that is the request's own work and not waiting, seconds.
+    own_s: float
 
     def __init__(
         self,
         prefill: workers.Worker | None,
         decode: workers.Worker,
+        *,
         start_at: float,
         transfer_at: float,
         decode_at: float,
+        own_s: float = 0.0,
     ) -> None:
         self.prefill = prefill
         self.decode = decode
         self.start_at = start_at
         self.transfer_at = transfer_at
         self.decode_at = decode_at
+        self.own_s = own_s
 
 
 def _rank(plan: Plan) -> tuple[float, float, float]:
@@ -57,9 +73,18 @@
 class Planner:
     """Knows the workers of one pool and plans over them."""
 
-    __slots__ = ('born_at', 'grants', 'hints', 'listed', 'rates', 'service')
+    __slots__ = (
+        'born_at',
+        'grants',
+        'hints',
+        'listed',
+        'rates',
+        'service',
+        'weights',
+    )
 
     service: values.Service
+    weights: values.Weights
     listed: dict[str, workers.Worker]
     grants: ledger.Ledger
     rates: estimates.Estimates
@@ -69,6 +94,7 @@
 
     def __init__(self, service: values.Service) -> None:
         self.service = service
+        self.weights = values.Weights()
         self.listed = {}
         self.grants = ledger.Ledger()
         self.rates = estimates.Estimates(service.expected_tokens)
@@ -91,7 +117,13 @@
             return None
         decode, slot_at = found
         if self.service.kind == 'plain':
-            return Plan(None, decode, slot_at, slot_at, slot_at)
+            return Plan(
+                None,
+                decode,
+                start_at=slot_at,
+                transfer_at=slot_at,
+                decode_at=slot_at,
+            )
         if msg.ready_at:
             return self._plan_link(now, msg, decode, slot_at)
         plans = [
@@ -132,9 +164,10 @@
         return Plan(
             prefill,
             decode,
-            transfer_at - prefill_s,
-            transfer_at,
-            transfer_at + transfer_s,
+            start_at=transfer_at - prefill_s,
+            transfer_at=transfer_at,
+            decode_at=transfer_at + transfer_s,
+            own_s=prefill_s + transfer_s,
         )
 
     def usable(self, now: float, role: values.Role) -> list[workers.Worker]:
@@ -188,7 +221,12 @@
         transfer_at = max(now, slot_at, link_at)
         took_s = self.rates.transfer_s(msg.ready_at, msg.prompt_tokens)
         return Plan(
-            None, decode, transfer_at, transfer_at, transfer_at + took_s
+            None,
+            decode,
+            start_at=transfer_at,
+            transfer_at=transfer_at,
+            decode_at=transfer_at + took_s,
+            own_s=took_s,
         )
 
     def _slot(
@@ -205,7 +243,20 @@
         if short <= 0:
             return worker, now
         # A full worker frees its slots one decode time after the other.
-        return worker, now + short * self.rates.decode.value / limit
+        wait_s = short * self.rates.decode.value / limit
+        return worker, now + self._caution() * wait_s
+
+    def _caution(self) -> float:
+        """Returns by how much expected waits for slots are stretched.
+
+        Short waits keep every slot busy and let some prefills be evicted;
+        long ones let some slots stand empty and waste nothing.
+        """
+        total = self.weights.goodput + self.weights.wasted_prefill
+        if total <= 0:
+            return _CAUTION_LEAST
+        share = self.weights.wasted_prefill / total
+        return _CAUTION_LEAST + (_CAUTION_MOST - _CAUTION_LEAST) * share
 
     def _used(self, now: float, worker: workers.Worker) -> int:
         """Returns the slots taken, known or only reported."""
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -28,16 +28,14 @@
 class Pool:
     """Slots, prefill time and link time of one service."""
 
-    __slots__ = ('_admission', '_name', '_planner', '_weights')
+    __slots__ = ('_admission', '_name', '_planner')
 
     _name: str
-    _weights: values.Weights
     _planner: planning.Planner
     _admission: admission.Admission
 
     def __init__(self, service_name: str) -> None:
         self._name = service_name
-        self._weights = values.Weights()
         self._planner = planning.Planner(values.Service(kind='model'))
         self._admission = admission.Admission(self._planner)
 
@@ -49,7 +47,7 @@
         if service.expected_tokens != planner.service.expected_tokens:
             planner.rates = estimates.Estimates(service.expected_tokens)
         planner.service = service
-        self._weights = weights
+        planner.weights = weights
 
     def on_servers(
         self, now: float, servers: Sequence[values.BackendServer]
