--- a/bench/limit.py
+++ b/bench/limit.py
@@ -10,16 +10,37 @@
 """
 
 import heapq
+import math
+
+import msgspec
 
 from bench import workload
 
 
-def planner(dep: workload.Deployment, arrivals: list[workload.Arrival]) -> int:
-    """Returns how many answers the clairvoyant planner gives in time."""
+class Loss(msgspec.Struct, frozen=True):
+    """A worker that is gone from some time on."""
+
+    at: float = math.inf
+    decode: bool = True
+
+
+def planner(
+    dep: workload.Deployment,
+    arrivals: list[workload.Arrival],
+    loss: Loss | None = None,
+) -> int:
+    """Returns how many answers the clairvoyant planner gives in time.
+
+    Of a lost worker it knows too: nothing is on it when it goes.
+    """
+    loss = loss or Loss()
     slots = [0.0] * (dep.decodes * workload.SLOTS)
     prefill_free = 0.0
     good = 0
     for arrival in arrivals:
+        if arrival.at >= loss.at:
+            dep, slots = _without(dep, slots, loss.decode)
+            loss = Loss()
         tokens = arrival.prompt - arrival.prefix_tokens
         pooled = tokens / (workload.PREFILL_RATE * dep.prefills)
         alone = tokens / workload.PREFILL_RATE
@@ -42,6 +63,15 @@
     return good
 
 
+def _without(
+    dep: workload.Deployment, slots: list[float], decode: bool
+) -> tuple[workload.Deployment, list[float]]:
+    if not decode:
+        return msgspec.structs.replace(dep, prefills=dep.prefills - 1), slots
+    left = sorted(slots)[: len(slots) - workload.SLOTS]
+    return msgspec.structs.replace(dep, decodes=dep.decodes - 1), left
+
+
 def _batch(slots: list[float], now: float, dep: workload.Deployment) -> float:
     """Returns the mean batch size at a time, this request included."""
     return (sum(end > now for end in slots) + 1) / dep.decodes
