--- a/packages/client/foxtaildale_client/main.py
+++ b/packages/client/foxtaildale_client/main.py
@@ -248,7 +248,9 @@
         return _problem(exits.Exit.BAD_FILE, str(exc))
     except (errors.PortError, reading.UnknownStateError) as exc:
         # Raised before anything is sent only; see `submit`.
-        return _problem(exits.Exit.UNAVAILABLE, f'nothing was changed: {exc}')
+        return _problem(
+            exits.Exit.UNAVAILABLE, f'this command changed nothing: {exc}'
+        )
 
 
 def _problem(status_code: exits.Exit, *problems: str) -> results.Problem:
