Beat to two peers where there are many keepers, measured

A full mesh costs a keeper 872 B of payload a beat for each peer in both directions: 6,104 B at 8 keepers and about 600 kB at 690, against 2 KB/s. Since a beat is answered by a beat, a switch that one keeper has read reaches all 690 in 6 beats with a fan-out of two (3 where clocks are not in step) for 1,744 B; one peer takes 9, three take 5 for 2,616 B. Chosen: everyone up to 9 keepers, two peers beyond. python -m tests.spread_bench prints the table; the figures are exact, so tests bound them.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -1,10 +1,13 @@
 """One keeper's follower, event by event."""
 
+import pytest
+
 from foxtaildale import changes
 from foxtaildale import fold
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import spread
+from tests import spread_bench
 from tests import test_fold
 
 
@@ -352,3 +355,20 @@
     assert new.offset == 0
     assert not new.vouched(0)
     assert fold.from_bytes(b'\x93', changes.digest_of(b'\x93')) is None
+
+
+@pytest.mark.parametrize(
+    ('keepers', 'beats', 'payload'),
+    [(8, 1, 6200), (64, 4, 2000), (690, 6, 2000)],
+)
+def test_what_one_keeper_has_read_spreads_within_a_few_beats(
+    keepers: int, beats: int, payload: int
+) -> None:
+    """The log goes down, or is cut off, when one keeper has read a switch.
+
+    Bounds are those of docs/design/presets.md: beats, all keepers beating at
+    the same moment, and bytes of a beat sent and received by one keeper.
+    """
+    found = spread_bench.run(keepers)
+    assert found.beats_in_step <= beats
+    assert found.beat_bytes <= payload
