--- a/tests/test_claimsearch.py
+++ b/tests/test_claimsearch.py
@@ -43,7 +43,7 @@
         return reply
 
 
-class _RunAfterLostAppend(claims.Claims):
+class RunAfterLostAppend(claims.Claims):
     """Takes an append without an answer for one that took effect."""
 
     __slots__ = ()
@@ -115,7 +115,7 @@
     [
         (claimworld.Rules(keeper=_RunUnread, failures=0), _TWICE, 4),
         (
-            claimworld.Rules(keeper=_RunAfterLostAppend, failures=1),
+            claimworld.Rules(keeper=RunAfterLostAppend, failures=1),
             _TWICE,
             8,
         ),
--- a/tests/test_ticketsearch.py
+++ b/tests/test_ticketsearch.py
@@ -21,7 +21,7 @@
 _CROSSED = 'told the answer of another request'
 
 
-class _StartWithoutNote(tickets.Executor):
+class StartWithoutNote(tickets.Executor):
     """Starts without hearing from the witness."""
 
     __slots__ = ()
@@ -84,7 +84,7 @@
     return verdict
 
 
-_START_WITHOUT_NOTE = ticketworld.Rules(executor_type=_StartWithoutNote)
+_START_WITHOUT_NOTE = ticketworld.Rules(executor_type=StartWithoutNote)
 _TAKE_EVERY_REPLY = ticketworld.Rules(executor_type=_TakeEveryReply)
 _NO_FLOOR = ticketworld.Rules(executor_type=_NoFloor)
 _FORGETFUL_WITNESS = ticketworld.Rules(witness_type=_ForgetfulWitness)
