--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -36,6 +36,7 @@
 # How long unread input is thrown away before a close, seconds.
 LINGER_S: Final = 1.0
 _READ_BYTES: Final = 4096
+_HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
 
@@ -131,6 +132,28 @@
             pass
 
 
+class _ChunkFile:
+    """Checks the size lines of a chunked body.
+
+    The library's int() takes '-5' for the end of the body and '0x5' for a
+    size, so a broken body would pass for a whole one.
+    """
+
+    __slots__ = ('_reader', 'read')
+
+    def __init__(self, reader: files.Reader) -> None:
+        self._reader = reader
+        self.read = reader.read
+
+    def readline(self) -> bytes:
+        """Reads the size line of a chunk."""
+        line = self._reader.readline()
+        size = line.split(b';')[0].strip()
+        if size.strip(_HEX_DIGITS):
+            raise ValueError('a chunk size is not a hexadecimal number')
+        return line
+
+
 class _Gateway(server.Gateway):
     """Reads the body, calls the handler, and cuts what it left open."""
 
@@ -206,8 +229,10 @@
         # Small reads: the library joins what a read takes chunk by chunk,
         # which is quadratic in the size of the read.
         parts = []
+        self.req.rfile.rfile = _ChunkFile(self.req.conn.rfile)
         while part := self.req.rfile.read(_READ_BYTES):
             parts.append(part)
+        self.req.rfile.rfile = self.req.conn.rfile
         for _ in self.req.rfile.read_trailer_lines():
             pass
         # Whatever this caller takes for the end of a body, no second
@@ -224,6 +249,8 @@
 
     ConnectionClass = _Connection
     request_queue_size = 512
+    # Also how long a close waits for the selector, seconds.
+    expiration_interval = 0.1
     keep_alive_conn_limit = IDLE_CONNECTIONS
     max_request_header_size = files.HEAD_BYTES
 
--- a/packages/adapters/foxtaildale_adapters/logs.py
+++ b/packages/adapters/foxtaildale_adapters/logs.py
@@ -12,13 +12,6 @@
 from absl import logging as absl_logging
 import msgspec
 
-LEVELS: Final = {
-    'debug': logging.DEBUG,
-    'info': logging.INFO,
-    'warning': logging.WARNING,
-    'error': logging.ERROR,
-}
-
 # Set on a record by `event`; a library's record has none.
 _FIELDS: Final = 'foxtaildale_fields'
 
@@ -53,15 +46,16 @@
     Args:
         role: Role of the process, for every line.
         entry_vm: Name of the VM, for every line.
-        level: Lowest severity that is logged, a key of `LEVELS`.
+        level: Lowest severity that is logged: debug, info, warning, error.
     """
     if not flags.FLAGS.is_parsed():
         # Else the library writes a line of plain text about it.
         flags.FLAGS.mark_as_parsed()
+    flags.FLAGS['logtostderr'].value = True
     absl_logging.use_absl_handler()
     absl_logging.get_absl_handler().setFormatter(_Formatter(role, entry_vm))
-    absl_logging.set_verbosity(LEVELS[level])
-    absl_logging.set_stderrthreshold('debug')
+    # By name: absl's numbers are not those of the standard library.
+    absl_logging.set_verbosity(level)
 
 
 def event(level: int, name: str, **fields: object) -> None:
