Prove planned stops, leaving backend servers and presets in outages

Cause found: a keeper started while the platform was down never learned the preset. It has no VM list, so it beat to nobody; its peers' beats told it that they were ahead, and the keeper only answered them. It now pulls from a peer that beats to it and is ahead; and the setting seeds names keepers to ask where no list can be read.

--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -34,6 +34,9 @@
     admin_address: _Address = '127.0.0.1:0'
     # The keeper of this VM; only an entry needs it.
     keeper: _Address = '127.0.0.1:1'
+    # Other keepers, asked while the platform's VM list can't be read; a VM that
+    # is started in an outage would otherwise know nobody.
+    seeds: tuple[_Address, ...] = ()
     # The platform's log and VM list.
     platform: _Address
     # Secret that tickets are signed with; the same on every entry VM.
--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -82,6 +82,8 @@
             self._fan.call(
                 address, functools.partial(self._beat, address, beat)
             )
+        for address in self._owner.run(lambda state, _now: state.take_ahead()):
+            self._fan.call(address, functools.partial(self._pull, address))
 
     def goodbye(self) -> None:
         """Tells the peers that this keeper ends by plan."""
@@ -96,9 +98,12 @@
         if not isinstance(reply, messages.Beat):
             return
         behind = self._owner.run(lambda state, now: state.on_beat(now, reply))
-        if not behind:
-            return
-        pulled = self._ask(address, messages.Pull(offset=beat.offset))
+        if behind:
+            self._pull(address)
+
+    def _pull(self, address: str) -> None:
+        offset = self._owner.run(lambda state, _now: state.follower.offset)
+        pulled = self._ask(address, messages.Pull(offset=offset))
         if isinstance(pulled, messages.PullReply):
             self._owner.run(lambda state, now: state.on_pull(now, pulled))
 
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -57,6 +57,7 @@
     """State of a keeper and its answers."""
 
     __slots__ = (
+        'ahead',
         'claims',
         'departed',
         'entries',
@@ -65,6 +66,7 @@
         'me',
         'members',
         'pools',
+        'seeds',
         'silence_s',
         'stopping',
         'waiting',
@@ -89,6 +91,10 @@
     # Incarnations that ended by plan, oldest first; their last beats may
     # still be on the way.
     departed: dict[str, None]
+    # Addresses of peers that beat to this keeper and are ahead of it.
+    ahead: dict[str, None]
+    # Keepers to beat to while no list is known.
+    seeds: tuple[str, ...]
     # Whether this process is being stopped.
     stopping: bool
 
@@ -104,6 +110,8 @@
         self.entries = {}
         self.waiting = {}
         self.departed = {}
+        self.ahead = {}
+        self.seeds = cfg.seeds
         self.stopping = False
 
     def handle(self, now: float, msg: messages.Any) -> messages.Any:
@@ -224,8 +232,8 @@
     def targets(self, now: float) -> tuple[str, ...]:
         """Returns the addresses of the keepers to beat to."""
         del now
-        peers = self.members.peers()
-        return self.gossip.targets([vm.keeper for vm in peers])
+        addresses = [vm.keeper for vm in self.members.peers()]
+        return self.gossip.targets(addresses or self.seeds)
 
     def keepers(self, now: float) -> tuple[values.Keeper, ...]:
         """Returns the keepers that are there, this one among them."""
@@ -297,9 +305,18 @@
         )
 
     def _beat(self, now: float, msg: messages.Beat) -> messages.Any:
-        self.on_beat(now, msg)
+        if self.on_beat(now, msg):
+            # A VM that was started in an outage has no list and so beats to
+            # nobody; its peers' beats are all that it hears.
+            self.ahead[msg.address] = None
         return self.beat()
 
+    def take_ahead(self) -> tuple[str, ...]:
+        """Returns the peers to pull from that beat to this keeper, once."""
+        ahead = tuple(self.ahead)
+        self.ahead.clear()
+        return ahead
+
     def _bye(self, _now: float, msg: messages.Bye) -> messages.Any:
         self.entries.pop(msg.incarnation, None)
         self.departed[msg.incarnation] = None
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -22,6 +22,7 @@
 from foxtaildale import values
 from foxtaildale_adapters import platform
 from tests import fleet
+from tests.standins import relay
 
 SECRET: Final = 'a secret of the tests, not of anyone'
 # Longest wait for a condition, seconds; only a broken run gets there.
@@ -60,6 +61,7 @@
         'keepers',
         'listing',
         'platform',
+        'platform_relays',
         'procs',
         'relayed',
         'revision',
@@ -78,6 +80,8 @@
     # The VM list as the platform was last given it.
     listing: values.Listing
     http: urllib3.PoolManager
+    # Relays between an entry VM and the platform, by entry VM.
+    platform_relays: dict[str, relay.Relay]
     # Addresses of relays that stand before backend servers, by name.
     relayed: dict[str, str]
     # Switches made so far.
@@ -103,6 +107,7 @@
         self.entries = {}
         self.vms = {}
         self.listing = values.Listing(0, (), ())
+        self.platform_relays = {}
         self.relayed = {}
         self.revision = 0
         self.http = urllib3.PoolManager(retries=False, maxsize=64, block=False)
@@ -112,15 +117,29 @@
 
     def __exit__(self, *_: object) -> None:
         self.procs.close()
+        for item in self.platform_relays.values():
+            item.close()
 
     def start(
         self,
         workers: tuple[Worker, ...],
         vms: tuple[Vm, ...],
         platform_args: tuple[str, ...] = ('--list-lag-s', '0.1'),
+        *,
+        relayed: tuple[str, ...] = (),
     ) -> None:
-        """Starts everything and waits until the entries are up."""
+        """Starts everything and waits until the entries are up.
+
+        Args:
+            workers: The backend servers.
+            vms: The entry VMs.
+            platform_args: Further arguments of the platform's stand-in.
+            relayed: Entry VMs that reach the platform through a relay.
+        """
         self.platform = self.procs.standin('platform', *platform_args)
+        self.platform_relays = {
+            name: relay.Relay(self.platform.address) for name in relayed
+        }
         self.vms |= {vm.name: vm for vm in vms}
         names = [vm.name for vm in vms]
         with futures.ThreadPoolExecutor() as pool:
@@ -276,6 +295,10 @@
                 raise AssertionError(f'never came about: {what}')
             time.sleep(_LOOK_S)
 
+    def _platform_of(self, vm: str) -> str:
+        item = self.platform_relays.get(vm)
+        return item.address if item else self.platform.address
+
     def _start_worker(self, worker: Worker) -> None:
         module = 'service' if worker.role == 'plain' else 'engine'
         args = ['--name', worker.name, *worker.args]
@@ -295,7 +318,7 @@
             'role': role,
             'entry_vm': vm,
             'data_centre': self.vms[vm].data_centre,
-            'platform': self.platform.address,
+            'platform': self._platform_of(vm),
             'secret': SECRET,
             'address_file': str(addresses),
         }
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -91,6 +91,8 @@
         self._prefiller = prefiller.Prefiller(prefill, self._record)
         self._decoder = decoder.Decoder(decode, self._record)
         self._faults = Faults()
+        # New work refused as leaving.
+        self._refused = 0
         self._lock = threading.Lock()
         # Value and fencing number by kind of order.
         self._orders = {
@@ -117,6 +119,7 @@
             'POST orders': self._order,
             'GET orders': self._observe,
             'POST faults': self._set_faults,
+            'GET refused': lambda _: serving.as_json(self._refused),
             'GET record': lambda _: serving.as_json(self._record.entries()),
         }
 
@@ -317,6 +320,7 @@
 
     def _refuses(self, role: str) -> serving.Response | None:
         if self._faults.leaving:
+            self._refused += 1
             return _fault('leaving')
         if self._orders['role'][0] != role:
             return _fault('wrong-role')
