Let a keeper not vouch below a revision that its entries work by

A keeper restarted in an outage may learn from a peer that was cut off before the last switch; its entries would be taken back to the older preset. Entries say which revision they work by, and the follower does not vouch below it. Seen red with the comparison taken out (the older preset was vouched for).

--- a/packages/core/foxtaildale/spread.py
+++ b/packages/core/foxtaildale/spread.py
@@ -42,6 +42,7 @@
         '_fold',
         '_freshness_s',
         '_gap',
+        '_heard_revision',
         '_known',
         '_lag_s',
         '_log_at',
@@ -64,6 +65,8 @@
     _seek: int | None
     # Records below this offset can't be read any more.
     _gap: int
+    # Highest revision that somebody on this VM has worked by.
+    _heard_revision: int
     # Highest offset that is known to exist.
     _top: int
     # When the log last brought us up to date, and when log or peer did.
@@ -99,6 +102,7 @@
         self._known = False
         self._seek = None
         self._gap = 0
+        self._heard_revision = 0
         self._top = 0
         self._log_at = None
         self._contact_at = None
@@ -132,8 +136,19 @@
         """Tells whether `in_force` may be acted on."""
         if not self._known or self._gap > self.offset:
             return False
+        if self._fold.revision < self._heard_revision:
+            return False
         return _within(now, self._contact_at, self._freshness_s)
 
+    def on_revision(self, revision: int) -> None:
+        """Takes the revision that an entry of this VM says it works by.
+
+        A restarted keeper may learn from a peer that was cut off before the
+        last switch. Its entries still know of it; told the older preset as
+        the one in force, they would go back to it.
+        """
+        self._heard_revision = max(self._heard_revision, revision)
+
     def log_age(self, now: float) -> float | None:
         """Returns the seconds since the log last told us everything."""
         return None if self._log_at is None else now - self._log_at
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -129,6 +129,26 @@
     assert new.vouched(5)
 
 
+def test_a_restarted_keeper_does_not_take_its_entries_back() -> None:
+    """A keeper is restarted while the log is down.
+
+    The peer that it learns from was cut off before the last switch; the
+    entries of its VM work by that switch already.
+    """
+    stream = peak_stream()
+    behind, again = spread.Follower('a'), spread.Follower('b')
+    poll(0, behind, stream)
+    stream.publish('calm')
+    stream.switch('calm', 1)
+    again.on_revision(2)
+    again.on_peer(1, beat(behind))
+    again.on_pull(1, behind.pull_reply())
+    assert name_in_force(again) == 'peak'
+    assert not again.vouched(1)
+    poll(2, again, stream)
+    assert again.vouched(2)
+
+
 def test_an_older_state_is_not_taken() -> None:
     """A peer that was cut off answers a pull late, with what was replaced."""
     stream = peak_stream()
