--- a/bench/engines.py
+++ b/bench/engines.py
@@ -317,6 +317,10 @@
         self._imports.discard(key)
         self._streams.pop(key, None)
 
+    def streams(self) -> list[str]:
+        """Returns the keys of the streams that it generates."""
+        return list(self._streams)
+
     def running(self) -> int:
         """Returns how many slots are taken."""
         return len(self._imports) + len(self._streams)
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -146,6 +146,7 @@
         attempt = self._attempt
         self._source = self.granted.prefill
         self._key = ledger.name(self.arrival.request, attempt)
+        self._world.holders[self._key] = self.vm
         self._prefill = engines.Prefill(
             self._key,
             self.arrival,
--- a/bench/home.py
+++ b/bench/home.py
@@ -40,6 +40,9 @@
         self._held: list[dict[str, str]] = [{} for _ in wld.vms]
         # Entry VMs whose last ask of the home timed out.
         self._cut_off: set[int] = set()
+        # When the home heard of each entry VM, and since when it is home.
+        self._heard = dict.fromkeys(range(len(wld.vms)), 0.0)
+        self._reaper = self.home()
         # Asks without a reply, by entry VM and ask number.
         self._open: dict[int, Callable[[entry.Reply], None]] = {}
         self._asked = 0
@@ -182,10 +185,8 @@
         for vm in range(len(self._world.vms)):
             if vm not in self._world.dead_vms:
                 self._keep(vm, home)
-        now = self._world.clock.now
-        for grant in self._pool(home).expire(now):
-            request, _, _ = grant.rpartition('/')
-            self._reap(request)
+        self._pool(home).expire(self._world.clock.now)
+        self._reap(home)
 
     def _keep(self, vm: int, home: int) -> None:
         msg = messages.KeepSlots(
@@ -195,6 +196,7 @@
         )
 
         def at_home() -> None:
+            self._heard[vm] = self._world.clock.now
             self._pool(home).keep(self._world.clock.now, msg)
             self._world.send(home, vm, messages.Pong(), back)
 
@@ -203,11 +205,18 @@
 
         self._world.send(vm, home, msg, at_home)
 
-    def _reap(self, request: str) -> None:
-        """A lapsed grant's holdings at the engines are cancelled."""
-        for attempt in (1, 2, 3):
-            key = f'{request}/{attempt}'
-            for prefill in self._world.prefills.values():
-                prefill.cancel(key)
-            for decode in self._world.decodes.values():
-                decode.cancel(key)
+    def _reap(self, home: int) -> None:
+        """Cancels what silent holders left at the engines.
+
+        The ledger can't tell: with home and holder on one VM both are gone at
+        once, and the new home never hears of the grants. So it goes by what
+        the engines hold. A holder that is only cut off still reads its
+        streams, which an engine sees; those are left alone.
+        """
+        now = self._world.clock.now
+        if home != self._reaper:
+            self._reaper = home
+            self._heard = dict.fromkeys(range(len(self._world.vms)), now)
+        for vm in sorted(self._world.dead_vms):
+            if self._heard[vm] <= now - _SILENCE_S:
+                self._world.cancel_holder(vm)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -76,7 +76,7 @@
         self._dep = dep
         self._scenario = scenario
         self._length_s = length_s
-        self._arrivals = workload.arrivals(dep, scenario.load, length_s, seed)
+        self.arrivals = workload.arrivals(dep, scenario.load, length_s, seed)
         self.world = world.World(dep)
         self.placer = make(self.world)
         self._budgets = [
@@ -93,7 +93,7 @@
         """Runs it and returns the figures."""
         if self._scenario.maintenance:
             self.world.drop('d2')
-        for arrival in self._arrivals:
+        for arrival in self.arrivals:
             self.world.clock.at(
                 arrival.at, functools.partial(self._arrive, arrival)
             )
@@ -105,11 +105,11 @@
         computed = sum(p.computed for p in self.world.prefills.values())
         cached = sum(p.cached for p in self.world.prefills.values())
         found = self.world.meter.figures(
-            len(self._arrivals), self._length_s, computed
+            len(self.arrivals), self._length_s, computed
         )
         good = found.results.get(meter.GOOD, 0)
-        planner = limit.planner(self._dep, self._arrivals, self._loss())
-        bound = limit.bound(self._dep, self._arrivals, self._length_s)
+        planner = limit.planner(self._dep, self.arrivals, self._loss())
+        bound = limit.bound(self._dep, self.arrivals, self._length_s)
         return msgspec.structs.replace(
             found,
             reused=round(cached / max(1, cached + computed), 4),
--- a/bench/world.py
+++ b/bench/world.py
@@ -51,6 +51,8 @@
         self.dead_vms: set[int] = set()
         # VMs whose keeper no other VM reaches.
         self.cut_vms: set[int] = set()
+        # Key of each attempt at the engines to the VM that works on it.
+        self.holders: dict[str, int] = {}
         self.frozen = False
         self.listed = self._servers()
         self.on_load: list[OnLoad] = []
@@ -78,6 +80,16 @@
                 return
         self.clock.after(delay, deliver)
 
+    def cancel_holder(self, vm: int) -> None:
+        """Cancels everything that the engines hold for an entry VM."""
+        for key in [k for k, holder in self.holders.items() if holder == vm]:
+            del self.holders[key]
+            for prefill in self.prefills.values():
+                prefill.link.cancel(key)
+                prefill.cancel(key)
+            for decode in self.decodes.values():
+                decode.cancel(key)
+
     def drop(self, worker: str) -> None:
         """The platform's list drops a worker."""
         self.listed = tuple(s for s in self.listed if s.name != worker)
--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -180,7 +180,7 @@
         live = [
             worker
             for worker in self.listed.values()
-            if worker.server.role == role and worker.server.state == 'live'
+            if worker.server.role == role and worker.live()
         ]
         return [worker for worker in live if worker.usable(now)] or live
 
--- a/packages/core/foxtaildale/workers.py
+++ b/packages/core/foxtaildale/workers.py
@@ -45,9 +45,13 @@
         self._suspend_s = _SUSPEND_S
         self._suspended_until = 0.0
 
+    def live(self) -> bool:
+        """Whether the list says that new work may go there."""
+        return self.server.state == 'live'
+
     def usable(self, now: float) -> bool:
-        """Whether new work may go there."""
-        return self.server.state == 'live' and self._suspended_until <= now
+        """Whether it is live and not suspended."""
+        return self.live() and self._suspended_until <= now
 
     def worked(self) -> None:
         """Takes a success."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -64,6 +64,9 @@
     assert isinstance(again, messages.Granted)
     assert again.grant == first.grant
     assert home.dump()['granted'] == 1
+    once = make()
+    once.ask(0, ask('r'))
+    assert home.ask(0.05, ask('s')) == once.ask(0.05, ask('s'))
 
 
 def test_a_full_pool_refuses_at_once_and_spreads_the_return() -> None:
