--- a/bench/report.py
+++ b/bench/report.py
@@ -1,11 +1,18 @@
 """Runs scenarios and prints their figures as tables."""
 
 from collections.abc import Sequence
+import statistics
 import sys
+from typing import Final
 
+from bench import entry
+from bench import home
 from bench import meter
 from bench import scenario
 from bench import workload
+from bench import world
+
+_SEEDS: Final = (1, 2, 3, 4)
 
 _HEAD = (
     f'{"policy":13}{"good/s":>8}{"planner":>9}{"bound":>8}{"wasted":>9}'
@@ -39,6 +46,54 @@
                     sys.stdout.flush()
 
 
+def seeds(words: Sequence[str]) -> None:
+    """Prints the pool's means over four seeds, long form."""
+    for dep in workload.ALL:
+        for scn in scenario.SCENARIOS:
+            if not words or scn.name in words:
+                make = scenario.POLICIES['pool']
+                print(_mean(f'{dep.name:11}{scn.name:17}', dep, scn, make))
+
+
+def weights() -> None:
+    """Prints both deployments under each other's weights, side by side."""
+    for dep in workload.ALL:
+        for scn in scenario.SCENARIOS[1:3]:
+            for other in workload.ALL:
+                name = f'{dep.name:11}{scn.name:9}weights of {other.name:11}'
+
+                def make(
+                    wld: world.World, other: workload.Deployment = other
+                ) -> entry.Placer:
+                    return home.HomePlacer(wld, other.weights)
+
+                print(_mean(name, dep, scn, make))
+
+
+def _mean(
+    name: str,
+    dep: workload.Deployment,
+    scn: scenario.Scenario,
+    make: scenario.MakePlacer,
+) -> str:
+    figs = [
+        scenario.Run(dep, scn, make, dep.long_s, seed).figures()
+        for seed in _SEEDS
+    ]
+
+    def mean(field: str) -> float:
+        return statistics.mean(getattr(fig, field) for fig in figs)
+
+    return (
+        f'{name} good/s {mean("goodput"):.3f}'
+        f' of planner {mean("of_planner"):.2%} of bound {mean("of_bound"):.1%}'
+        f' wasted {mean("wasted"):.3%} own {mean("wasted_own"):.3%}'
+        f' reused {mean("reused"):.2%} whole {mean("whole"):.0f}'
+        f' retries {mean("retries"):.1f} messages {mean("messages"):.1f}'
+        f' bytes {mean("bytes"):.0f} unfair {mean("unfair"):.3f}'
+    )
+
+
 def _row(policy: str, fig: meter.Figures) -> str:
     results = ' '.join(f'{k}={v}' for k, v in fig.results.items())
     return (
