--- a/bench/report.py
+++ b/bench/report.py
@@ -82,7 +82,7 @@
     ]
 
     def mean(field: str) -> float:
-        return statistics.mean(getattr(fig, field) for fig in figs)
+        return statistics.mean(float(getattr(fig, field)) for fig in figs)
 
     return (
         f'{name} good/s {mean("goodput"):.3f}'
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -81,7 +81,11 @@
             for i in range(10)
         ),
     )
-    found = {'AskSlot': ask, 'Granted': granted, 'EndSlot': end}
+    found: dict[str, messages.Any] = {
+        'AskSlot': ask,
+        'Granted': granted,
+        'EndSlot': end,
+    }
     sizes = {k: len(messages.encode(v)) for k, v in found.items()}
     sizes['KeepSlots of 10'] = len(messages.encode(keep))
     return sizes
--- a/packages/core/foxtaildale/estimates.py
+++ b/packages/core/foxtaildale/estimates.py
@@ -58,7 +58,7 @@
     older points fade, and it answers the largest batch under a target.
     """
 
-    __slots__ = ('_n', '_x', '_xx', '_xy', '_y')
+    __slots__ = ('_largest', '_n', '_x', '_xx', '_xy', '_y')
 
     # Faded sums over points of batch size x and token time y.
     _n: float
@@ -66,12 +66,17 @@
     _y: float
     _xx: float
     _xy: float
+    # Answers of `largest_batch` since the last measurement; each ask needs
+    # one for every worker of the pool.
+    _largest: dict[tuple[int, float], int]
 
     def __init__(self) -> None:
+        self._largest = {}
         self._n = self._x = self._y = self._xx = self._xy = 0.0
 
     def add(self, batch: float, token_s: float) -> None:
         """Takes a measurement at a batch size."""
+        self._largest.clear()
         self._n = self._n * _DECAY + 1
         self._x = self._x * _DECAY + batch
         self._y = self._y * _DECAY + token_s
@@ -88,6 +93,13 @@
 
     def largest_batch(self, slots: int, target_s: float) -> int:
         """Returns the largest batch that keeps a target; at least 1."""
+        found = self._largest.get((slots, target_s))
+        if found is None:
+            found = self._fit(slots, target_s)
+            self._largest[slots, target_s] = found
+        return found
+
+    def _fit(self, slots: int, target_s: float) -> int:
         slope = self._slope()
         if target_s <= 0 or slope <= 0 or self.at(slots) <= target_s:
             return slots
@@ -125,7 +137,7 @@
         )
         self.token = TokenTime()
 
-    def prefill_s(self, worker: str, tokens: int) -> float:
+    def prefill_s(self, worker: str, tokens: float) -> float:
         """Returns how long a worker takes to prefill a prompt, seconds."""
         rate = self._prefill.get(worker)
         return tokens * (rate.value if rate else PREFILL_S)
--- a/packages/core/foxtaildale/planning.py
+++ b/packages/core/foxtaildale/planning.py
@@ -126,6 +126,7 @@
             )
         if msg.ready_at:
             return self._plan_link(now, msg, decode, slot_at)
+        usable = self.usable(now, 'prefill')
         plans = [
             self._plan_at(
                 now,
@@ -133,9 +134,9 @@
                 prefill,
                 decode=decode,
                 slot_at=slot_at,
-                tokens=tokens,
+                tokens=tokens / len(usable),
             )
-            for prefill in self.usable(now, 'prefill')
+            for prefill in usable
         ]
         # Where all wait for the slot alone, the one with the least work left
         # by its cache is taken, then the least booked one.
@@ -149,13 +150,11 @@
         *,
         decode: workers.Worker,
         slot_at: float,
-        tokens: int,
+        tokens: float,
     ) -> Plan:
-        """Plans with one prefill worker."""
+        """Plans with one prefill worker and its part of the tokens ahead."""
         name = prefill.server.name
-        ahead_s = self.rates.prefill_s(name, tokens) / len(
-            self.usable(now, 'prefill')
-        )
+        ahead_s = self.rates.prefill_s(name, tokens)
         saved = min(self.hints.expect(name, msg.prefixes), msg.prompt_tokens)
         prefill_s = self.rates.prefill_s(name, msg.prompt_tokens - saved)
         transfer_s = self.rates.transfer_s(name, msg.prompt_tokens)
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Sequence
+from typing import Final
 
 from foxtaildale import admission
 from foxtaildale import backends
@@ -24,20 +25,26 @@
 from foxtaildale import values
 from foxtaildale import workers
 
+# Time between looks for lapsed grants and waiters, seconds.
+_EXPIRE_S: Final = 0.1
+
 
 class Pool:
     """Slots, prefill time and link time of one service."""
 
-    __slots__ = ('_admission', '_name', '_planner')
+    __slots__ = ('_admission', '_expire_at', '_name', '_planner')
 
     _name: str
     _planner: planning.Planner
     _admission: admission.Admission
+    # When lapsed grants and waiters are next looked for, seconds.
+    _expire_at: float
 
     def __init__(self, service_name: str) -> None:
         self._name = service_name
         self._planner = planning.Planner(values.Service(kind='model'))
         self._admission = admission.Admission(self._planner)
+        self._expire_at = 0.0
 
     def on_service(
         self, service: values.Service, weights: values.Weights
@@ -94,7 +101,11 @@
             if msg.ready_at:
                 self._move(now, grant)
             return self._granted(now, grant)
-        self.expire(now)
+        if now >= self._expire_at:
+            # Lapsing matters at the scale of a beat; done at every ask it
+            # would cost more than all the rest in a large pool.
+            self._expire_at = now + _EXPIRE_S
+            self.expire(now)
         waiting = self._admission.waiting
         arrived_at = now - msg.waited_ms / 1000
         count, tokens = waiting.ahead(msg.request, arrived_at)
