--- a/packages/adapters/foxtaildale_adapters/files.py
+++ b/packages/adapters/foxtaildale_adapters/files.py
@@ -6,6 +6,7 @@
 import io
 import select
 import socket
+import struct
 import time
 from typing import Any
 from typing import Final
@@ -14,6 +15,18 @@
 HEAD_BYTES: Final = 64 * 1024
 
 
+def bound_sends(sock: socket.socket, timeout_s: float) -> None:
+    """Lets the kernel bound each send, seconds.
+
+    A socket object with a timeout waits in one system call and sends in
+    another, and gives up the interpreter lock for both.
+    """
+    whole, part = divmod(timeout_s, 1.0)
+    limit = struct.pack('ll', int(whole), max(1, int(part * 1e6)))
+    sock.settimeout(None)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
+
 class _Input(io.RawIOBase):
     """Reads a socket under one deadline for the whole request."""
 
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -83,6 +83,7 @@
         super().__init__(http_server, sock, files.make)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         hangups.keep_alive(sock)
+        files.bound_sends(sock, http_server.timeout)
         # False until it has been put with the idle ones once.
         self.parked = False
         self.drop_input = False
