--- a/tests/test_preset_processes.py
+++ b/tests/test_preset_processes.py
@@ -21,6 +21,8 @@
 from foxtaildale import fold
 from foxtaildale import values
 from foxtaildale_adapters import platform
+from foxtaildale_client import exits
+from foxtaildale_client import main
 from foxtaildale_client import submit
 from tests import deployment
 from tests import fleet
@@ -177,6 +179,22 @@
     assert site.sampler.meant[2] == set(won)
 
 
+def test_the_operators_program_sees_what_is_wrong(
+    site: Site, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """An operator looks at the deployment before and after a keeper dies."""
+    dep = site.dep
+    arg = f'--platform={dep.platform.address}'
+    dep.until(lambda: main.run(['status', arg]) == 0, 'nothing is wrong')
+    assert 'no problems' in capsys.readouterr().out
+    keeper = dep.keepers[_VMS[2].name]
+    assert main.run(['state', keeper.addresses['admin']]) == 0
+    assert '"preset": "ordinary"' in capsys.readouterr().out
+    keeper.kill()
+    assert main.run(['status', arg]) == exits.Exit.DEGRADED
+    assert f'{_VMS[2].name}: keeper not reached' in capsys.readouterr().out
+
+
 def test_vms_replaced_in_an_outage_of_the_log_learn_from_peers(
     site: Site,
 ) -> None:
