--- a/packages/client/foxtaildale_client/main.py
+++ b/packages/client/foxtaildale_client/main.py
@@ -300,3 +300,7 @@
         return status_lib.glance(_platform(platform), peers, keeper, timeout_s)
     finally:
         peers.close()
+
+
+if __name__ == '__main__':
+    main()
