--- a/packages/core/foxtaildale/spread.py
+++ b/packages/core/foxtaildale/spread.py
@@ -153,6 +153,22 @@
         """Returns the seconds since the log last told us everything."""
         return None if self._log_at is None else now - self._log_at
 
+    def dump(self, now: float) -> dict[str, object]:
+        """Returns the state for operators."""
+        in_force = self.in_force
+        return {
+            'revision': self._fold.revision,
+            'preset': in_force.preset.name if in_force else None,
+            'offset': self.offset,
+            'digest': self.digest,
+            'vouched': self.vouched(now),
+            'log_age_s': self.log_age(now),
+            'log_behind': self.log_behind,
+            # Records below this are gone; above `offset` it is a gap.
+            'lapsed_below': self._gap,
+            'divergences': self.divergences.all,
+        }
+
     def on_batch(self, now: float, batch: ports.Batch) -> bool:
         """Takes what the log gave; returns whether `in_force` changed."""
         if batch.end < self.offset:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -321,6 +321,7 @@
     poll(0, bad, other)
     assert not good.on_peer(0, beat(bad))
     assert [found.source for found in good.divergences.all] == ['b']
+    assert good.dump(0)['divergences'] == good.divergences.all
     for second in range(30):
         poll(second, good, stream)
         assert good.checkpoint_due(second, 1) is None
