--- a/packages/adapters/foxtaildale_adapters/engines.py
+++ b/packages/adapters/foxtaildale_adapters/engines.py
@@ -27,7 +27,7 @@
 
 
 class Engines:
-    """Implements `ports.Engines`."""
+    """Implements `ports.Engines` and `ports.Orders`."""
 
     __slots__ = ('_exchange', '_short_s')
 
@@ -100,6 +100,10 @@
             address, 'POST', '/orders', backends.OrderReply, order
         )
 
+    def observe(self, address: str) -> backends.Observed:
+        """Reads what the backend server is in fact set to."""
+        return self._short(address, 'GET', '/orders', backends.Observed)
+
     def _short(
         self,
         address: str,
--- a/packages/core/foxtaildale/backends.py
+++ b/packages/core/foxtaildale/backends.py
@@ -195,10 +195,13 @@
     events: tuple[CacheEvent, ...]
 
 
+OrderKind = Literal['load', 'adapter', 'version', 'role']
+
+
 class Order(msgspec.Struct, frozen=True, kw_only=True):
     """States the wanted state of a backend server."""
 
-    kind: Literal['load', 'adapter', 'version', 'role']
+    kind: OrderKind
     value: str
     # Offset of the log record that asks for it: the fencing number.
     fence: int
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -107,6 +107,16 @@
         """Orders a wanted state."""
 
 
+class Orders(Protocol):
+    """Orders to backend servers, by address."""
+
+    def order(self, address: str, order: backends.Order) -> backends.OrderReply:
+        """Orders a wanted state."""
+
+    def observe(self, address: str) -> backends.Observed:
+        """Reads what the backend server is in fact set to."""
+
+
 class Reply(msgspec.Struct, frozen=True):
     """A plain service's answer."""
 
