--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -10,7 +10,7 @@
 never again, whatever becomes of it.
 """
 
-from collections.abc import Iterator
+import itertools
 import threading
 from typing import Final
 
@@ -26,6 +26,7 @@
 from foxtaildale import values
 from foxtaildale_adapters import metrics
 from foxtaildaled import job as jobs
+from foxtaildaled import reading
 from foxtaildaled import retries
 from foxtaildaled import sinks
 from foxtaildaled import slots
@@ -42,8 +43,6 @@
 # The engines' word for a planned stop.
 _LEAVING: Final = 'leaving'
 
-_Items = Iterator[backends.Piece | backends.Last]
-
 
 class Ready(msgspec.Struct, frozen=True):
     """A finished prefill and where it lies."""
@@ -161,6 +160,9 @@
         checker = streams.Checker(
             request, number, event.stream, event.position + 1
         )
+        reader = reading.Reader(
+            gone=gone, sink=sink, checker=checker, clock=self._clock, times=[]
+        )
         try:
             items = self._engines.resume(
                 address,
@@ -169,7 +171,7 @@
                 holder,
                 self._cfg.silence_s,
             )
-            reason = _read(gone, sink, checker, items)
+            reason = reader.read(items)
         except errors.RejectedError:
             return codes.NO_STREAM
         except errors.PortError:
@@ -326,13 +328,22 @@
         )
         checker = streams.Checker(job.request, job.attempt, job.stream)
         sink.begin(grant.decode, job.stream)
+        job.times.clear()
+        reader = reading.Reader(
+            gone=job.gone,
+            sink=sink,
+            checker=checker,
+            clock=self._clock,
+            times=job.times,
+        )
         reason = ''
         for turn in range(_RESUMES + 1):
             if job.gone.is_set():
                 break
             try:
                 items = self._open(job, grant, req, checker, turn)
-                reason = _read(job.gone, sink, checker, items)
+                with job.reading(items):
+                    reason = reader.read(items)
             except errors.RejectedError as exc:
                 failure = self._failed(job, 'decode-failed', exc, grant.decode)
                 return msgspec.structs.replace(failure, begun=turn > 0)
@@ -344,10 +355,23 @@
                 reason = str(exc)
             if not reason:
                 job.let_go(grant.decode_address)
+                self._observe(job)
                 return slots.Refusal(codes.OK)
         job.sent = True
         return Failure('decode-failed', reason, grant.decode, begun=True)
 
+    def _observe(self, job: jobs.Job) -> None:
+        times = job.times
+        if not times:
+            return
+        self._metrics.first_answer_seconds.observe(
+            [times[0] - job.arrived_at], job.name
+        )
+        self._metrics.between_tokens_seconds.observe(
+            [later - earlier for earlier, later in itertools.pairwise(times)],
+            job.name,
+        )
+
     def _still_ready(self, last: Failure | None) -> Ready | None:
         """Returns the last attempt's prefill if it can still be fetched."""
         if last is None or last.ready is None:
@@ -375,7 +399,7 @@
         req: backends.DecodeReq,
         checker: streams.Checker,
         turn: int,
-    ) -> _Items:
+    ) -> ports.Pieces:
         silence_s = self._cfg.silence_s
         if turn == 0:
             return self._engines.decode(grant.decode_address, req, silence_s)
@@ -388,30 +412,6 @@
         )
 
 
-def _read(
-    gone: threading.Event,
-    sink: sinks.Sink,
-    checker: streams.Checker,
-    items: _Items,
-) -> str:
-    """Reads pieces; returns '' for a whole answer, else what is wrong."""
-    for item in items:
-        if gone.is_set():
-            return 'the caller went away'
-        if isinstance(item, backends.Last):
-            verdict = checker.last(item)
-            if verdict is streams.Verdict.WHOLE:
-                sink.last(item)
-                return ''
-            return str(verdict.value)
-        verdict = checker.piece(item)
-        if verdict is streams.Verdict.ACCEPTED:
-            sink.piece(item)
-        elif verdict is not streams.Verdict.DUPLICATE:
-            return str(verdict.value)
-    return 'the stream ended early'
-
-
 def _kept(result: slots.Refusal | Failure | None) -> str:
     """Returns the address whose prefill the next attempt fetches."""
     if isinstance(result, Failure) and result.ready is not None:
