Split the engine stand-in: faults and settings apart

The check of an order's fencing number and its effect are one step now, as on an engine that means it: checked beforehand, an older order could pass and take effect behind a newer one.

--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -1,12 +1,10 @@
 """A model engine with the interface that `foxtaildale.backends` describes.
 
 Its role is prefill or decode, and an order may change it. Faults are fields of
-`Faults`, set over `POST /faults`; those that count pieces count each reader's.
+`spoiler.Faults`, set over `POST /faults`.
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
-import os
 import threading
 import time
 from typing import Final
@@ -20,6 +18,8 @@
 from tests.standins import decoder
 from tests.standins import prefiller
 from tests.standins import serving
+from tests.standins import settings
+from tests.standins import spoiler
 
 # Longest wait of a transfer for the other side, seconds.
 _TRANSFER_S: Final = 30.0
@@ -37,33 +37,6 @@
 }
 
 
-class Faults(msgspec.Struct):
-    """What is wrong with the engine just now."""
-
-    # The process dies after so many further pieces.
-    die_after: int = 0
-    # Streams send nothing, though tokens are made.
-    silent: bool = False
-    # A stream ends in good order after so many pieces, without its last.
-    truncate: int = 0
-    # A stream's connection is cut after so many pieces.
-    cut_after: int = 0
-    # Every so many-th piece comes twice.
-    duplicate: int = 0
-    # Every so many-th piece is followed by one of another request.
-    cross: int = 0
-    # The KV cache is not handed out, and the transfer not refused either.
-    stall_transfer: bool = False
-    # Steps take so many times as long.
-    slow: float = 1.0
-    # The load report stays as it is.
-    freeze_load: bool = False
-    # New work is refused.
-    leaving: bool = False
-    # Answers other than streams come so much later.
-    late_ms: float = 0.0
-
-
 class Config(msgspec.Struct, frozen=True):
     """What an engine is started with."""
 
@@ -90,15 +63,11 @@
         self._record = serving.Record()
         self._prefiller = prefiller.Prefiller(prefill, self._record)
         self._decoder = decoder.Decoder(decode, self._record)
-        self._faults = Faults()
+        self._spoiler = spoiler.Spoiler(cfg.name, self._decoder)
         self._lock = threading.Lock()
-        # Value and fencing number by kind of order.
-        self._orders = {
-            'load': (cfg.model, 0),
-            'adapter': ('', 0),
-            'version': ('1', 0),
-            'role': (cfg.role, 0),
-        }
+        self._settings = settings.Settings(
+            cfg.model, cfg.role, cfg.fenced, cfg.order_ms
+        )
         self._link_free = 0.0
         self._load = self._measure()
         self._load_at = time.monotonic()
@@ -120,6 +89,10 @@
             'GET record': lambda _: serving.as_json(self._record.entries()),
         }
 
+    @property
+    def _faults(self) -> spoiler.Faults:
+        return self._spoiler.faults
+
     def start(self) -> None:
         """Starts the threads that work."""
         for work in (
@@ -147,7 +120,7 @@
         refused = self._refuses('prefill')
         if refused:
             return refused
-        model = self._orders['load'][0]
+        model = self._settings.value('load')
         if model and req.model != model:
             return _fault('bad-request', f'model {req.model} is not loaded')
         return _answer(self._prefiller.prefill(req, raw.hung_up))
@@ -213,46 +186,9 @@
             return _fault('gone')
         events = self._decoder.read(slot, position, raw.hung_up)
         return serving.Response(
-            self._spoil(slot, events), kind='text/event-stream'
+            self._spoiler.spoil(slot, events), kind='text/event-stream'
         )
 
-    def _spoil(
-        self,
-        slot: decoder.Slot,
-        events: Iterator[backends.Piece | backends.Last | None],
-    ) -> Iterator[bytes]:
-        """Encodes events and does to them what the faults say."""
-        sent = 0
-        for event in events:
-            while self._faults.silent:
-                time.sleep(_LOOK_S)
-            if event is None:
-                continue
-            yield self._encode(event)
-            sent += 1
-            faults = self._faults
-            if faults.duplicate and sent % faults.duplicate == 0:
-                yield self._encode(event)
-            if faults.cross and sent % faults.cross == 0:
-                yield self._encode(self._decoder.other(slot))
-            if faults.die_after:
-                faults.die_after -= 1
-                if not faults.die_after:
-                    os._exit(1)
-            if sent == faults.truncate:
-                return
-            if sent == faults.cut_after:
-                raise serving.Cut
-
-    def _encode(self, event: backends.Piece | backends.Last) -> bytes:
-        if isinstance(event, backends.Piece):
-            position = event.position
-        else:
-            position = event.count
-        data = msgspec.json.encode(event)
-        head = f'id: {self._cfg.name}/{event.stream}/{position}\ndata: '
-        return head.encode() + data + b'\n\n'
-
     def _cancel(self, raw: serving.Request) -> serving.Response:
         req = msgspec.json.decode(raw.body, type=backends.CancelReq)
         if not (req.request or req.attempt or req.holder):
@@ -285,40 +221,21 @@
 
     def _order(self, raw: serving.Request) -> serving.Response:
         order = msgspec.json.decode(raw.body, type=backends.Order)
-        with self._lock:
-            fence = self._orders[order.kind][1]
-        if self._cfg.fenced and order.fence < fence:
-            return _fault('stale-order', f'the fence stands at {fence}')
-        time.sleep(self._cfg.order_ms / 1000)
-        with self._lock:
-            self._orders[order.kind] = (order.value, order.fence)
-        return serving.as_json(
-            backends.OrderReply(
-                kind=order.kind, value=order.value, fence=order.fence
-            )
-        )
+        return _answer(self._settings.take(order))
 
     def _observe(self, _: serving.Request) -> serving.Response:
-        with self._lock:
-            found = dict(self._orders)
-        return serving.as_json(
-            backends.Observed(
-                tuple(
-                    backends.OrderReply(kind=kind, value=value, fence=fence)
-                    for kind, (value, fence) in found.items()
-                )
-            )
-        )
+        return serving.as_json(self._settings.observed())
 
     def _set_faults(self, raw: serving.Request) -> serving.Response:
-        self._faults = serving.merge(self._faults, raw.body)
-        self._prefiller.slow = self._decoder.slow = self._faults.slow
-        return serving.as_json(self._faults)
+        faults = serving.merge(self._faults, raw.body)
+        self._spoiler.faults = faults
+        self._prefiller.slow = self._decoder.slow = faults.slow
+        return serving.as_json(faults)
 
     def _refuses(self, role: str) -> serving.Response | None:
         if self._faults.leaving:
             return _fault('leaving')
-        if self._orders['role'][0] != role:
+        if self._settings.value('role') != role:
             return _fault('wrong-role')
         return None
 
