--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,4 +1,4 @@
-"""The HTTP clients against the stand-ins and against broken servers."""
+"""The HTTP clients against plain services and against broken servers."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -9,30 +9,16 @@
 from hypothesis import strategies
 import msgspec
 import pytest
-import urllib3
 
 from foxtaildale import backends
 from foxtaildale import errors
-from foxtaildale import values
 from foxtaildale_adapters import engines
 from foxtaildale_adapters import exchange
 from foxtaildale_adapters import platform
 from foxtaildale_adapters import services
 from tests import fleet
+from tests.standins import control
 from tests.standins import relay
-from tests.standins import serving
-
-_HTTP = urllib3.PoolManager()
-_PROMPT = 'is stand four clear ' * 10
-
-
-def faults(proc: fleet.Proc, **fields: object) -> None:
-    _HTTP.request('POST', f'http://{proc.address}/faults', json=fields)
-
-
-def record(proc: fleet.Proc, path: str = 'record') -> list[serving.Execution]:
-    resp = _HTTP.request('GET', f'http://{proc.address}/{path}')
-    return msgspec.json.decode(resp.data, type=list[serving.Execution])
 
 
 class _Raw:
@@ -72,11 +58,6 @@
         yield started
 
 
-@pytest.fixture(scope='module')
-def store(procs: fleet.Fleet) -> fleet.Proc:
-    return procs.standin('platform', '--list-lag-s', '0')
-
-
 @pytest.fixture(scope='module')
 def desk(procs: fleet.Fleet) -> fleet.Proc:
     return procs.standin('service')
@@ -172,151 +153,11 @@
 
 def test_a_header_that_cannot_be_sent_is_not_sent(desk: fleet.Proc) -> None:
     """A caller puts a line break into an id to smuggle a header in."""
-    before = len(record(desk))
+    before = len(control.record(desk))
     for request in ('a\r\nX-Evil: 1', 'é', '\x00'):
         with pytest.raises(errors.UnreachableError):
             services.Services().call(desk.address, 'c', b'', request, 5.0)
-    assert len(record(desk)) == before
-
-
-def test_records_come_back_in_order(store: fleet.Proc) -> None:
-    client = platform.Platform(store.address, 5.0)
-    assert client.append('order', [b'a', b'b']) == 0
-    assert client.append('order', [b'c']) == 2
-    batch = client.read('order', 1)
-    assert [(r.offset, r.data) for r in batch.records] == [(1, b'b'), (2, b'c')]
-    assert (batch.first, batch.end) == (0, 3)
-
-
-def test_lapsed_records_name_the_oldest_one(procs: fleet.Fleet) -> None:
-    """A VM starts after the records that it needs have been dropped.
-
-    Told of an empty log it would believe that no preset was ever published.
-    """
-    store = procs.standin('platform', '--keep-records', '2')
-    client = platform.Platform(store.address, 5.0)
-    client.append('s', [b'a', b'b', b'c', b'd', b'e'])
-    with pytest.raises(errors.LapsedError) as caught:
-        client.read('s', 0)
-    assert caught.value.first == 3
-    assert client.read('s', 3).records[0].data == b'd'
-
-
-def test_a_lost_append_may_have_taken_effect(store: fleet.Proc) -> None:
-    """The log takes a claim and the answer is lost on its way back.
-
-    A client that repeated it, or said "not written", would have the summary
-    billed twice or refused though it is claimed.
-    """
-    client = platform.Platform(store.address, 5.0)
-    faults(store, lose_answers=1)
-    with pytest.raises(errors.AnswerLostError):
-        client.append('lost', [b'claim'])
-    assert [r.data for r in client.read('lost', 0).records] == [b'claim']
-    assert client.append('lost', [b'next']) == 1
-
-
-def test_a_store_that_is_down_says_so(store: fleet.Proc) -> None:
-    client = platform.Platform(store.address, 5.0)
-    faults(store, down=True)
-    try:
-        with pytest.raises(errors.RejectedError) as caught:
-            client.append('down', [b'a'])
-    finally:
-        faults(store, down=False)
-    assert caught.value.code == 'down'
-    assert client.read('down', 0).end == 0
-
-
-def test_the_list_grows_in_version_and_can_freeze(store: fleet.Proc) -> None:
-    client = platform.Platform(store.address, 5.0)
-    listing = values.Listing(
-        0,
-        (),
-        (
-            values.BackendServer(
-                name='w',
-                address='127.0.0.1:1',
-                data_centre='halle-nord',
-                service='enteis-llm',
-                role='decode',
-            ),
-        ),
-    )
-    url = f'http://{store.address}/vms'
-    _HTTP.request('PUT', url, body=msgspec.json.encode(listing))
-    shown = client.listing()
-    assert shown.backend_servers == listing.backend_servers
-    faults(store, list_frozen=True)
-    _HTTP.request('PUT', url, body=msgspec.json.encode(listing))
-    assert client.listing() == shown
-    faults(store, list_frozen=False)
-    assert client.listing().version == shown.version + 1
-
-
-def test_a_hung_store_costs_one_bounded_wait(procs: fleet.Fleet) -> None:
-    """The store's process hangs: connections open, answers never come.
-
-    Without a breaker each request of a caller waits for the whole timeout.
-    """
-    store = procs.standin('platform')
-    client = platform.Platform(store.address, 0.3, hold_off_s=3600.0)
-    client.append('s', [b'a'])
-    store.freeze()
-    with pytest.raises(errors.AnswerLostError):
-        client.append('s', [b'b'])
-    for _ in range(100):
-        with pytest.raises(errors.UnreachableError, match='not answering'):
-            client.append('s', [b'c'])
-    store.thaw()
-
-
-def test_a_store_that_restarts_is_reached_at_once(procs: fleet.Fleet) -> None:
-    """The store's process is down and refuses connections, which costs no wait.
-
-    If that opened the breaker too, claims would be refused after its restart.
-    """
-    store = procs.standin('platform')
-    client = platform.Platform(store.address, 5.0, hold_off_s=3600.0)
-    store.kill()
-    with pytest.raises(errors.UnreachableError):
-        client.append('s', [b'a'])
-    procs.standin('platform', '--address', store.address)
-    assert client.append('s', [b'a']) == 0
-
-
-def test_a_silent_connection_is_replaced(store: fleet.Proc) -> None:
-    """Something in between forgets an open connection; new ones work.
-
-    A client that waits on the old one hangs for good, call after call.
-    """
-    with relay.Relay(store.address) as middle:
-        client = exchange.Exchange()
-        failed: list[errors.PortError] = []
-
-        def call() -> None:
-            try:
-                client.send(middle.address, 'GET', '/vms', timeout_s=0.5)
-            except errors.PortError as exc:
-                failed.append(exc)
-
-        def call_twice_at_once() -> None:
-            faults(store, slow_ms=150)
-            threads = [threading.Thread(target=call) for _ in range(2)]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
-            faults(store, slow_ms=0)
-
-        # Leaves two idle connections behind.
-        call_twice_at_once()
-        assert (middle.accepted, failed) == (2, [])
-        middle.silence()
-        call()
-        assert len(failed) == 1
-        call_twice_at_once()
-        assert (middle.accepted, len(failed)) == (4, 1)
+    assert len(control.record(desk)) == before
 
 
 def test_a_call_never_meets_a_forgotten_connection(desk: fleet.Proc) -> None:
@@ -349,31 +190,15 @@
         client.send(raw.address, 'GET', '/vms', timeout_s=5.0)
 
 
-def test_an_idle_connection_is_not_used_again(store: fleet.Proc) -> None:
-    """A server closes idle connections just as the next request leaves.
-
-    That request's fate is unknown, though the server never saw it.
-    """
-    now = 0.0
-    with relay.Relay(store.address) as middle:
-        client = exchange.Exchange(lambda: now)
-        for _ in range(2):
-            client.send(middle.address, 'GET', '/vms', timeout_s=5.0)
-        assert middle.accepted == 1
-        now = exchange.IDLE_S + 1.0
-        client.send(middle.address, 'GET', '/vms', timeout_s=5.0)
-        assert middle.accepted == 2
-
-
 def test_a_call_whose_answer_is_lost_ran_once(desk: fleet.Proc) -> None:
     """The desk logs a check-in and its answer is lost.
 
     A client that repeats the call by itself logs the lineman twice.
     """
-    faults(desk, lose_answers=1)
+    control.faults(desk, lose_answers=1)
     with pytest.raises(errors.AnswerLostError):
         services.Services().call(desk.address, 'check-in', b'{}', 'lost', 5.0)
-    ran = [e for e in record(desk, 'executions') if e.request == 'lost']
+    ran = [e for e in control.record(desk, 'executions') if e.request == 'lost']
     assert len(ran) == 1
 
 
@@ -382,15 +207,17 @@
 
     "Not run" would have been a lie.
     """
-    faults(desk, late_ms=400)
+    control.faults(desk, late_ms=400)
     try:
         with pytest.raises(errors.AnswerLostError):
             services.Services().call(
                 desk.address, 'check-in', b'{}', 'late', 0.1
             )
-        fleet.until(lambda: [e for e in record(desk) if e.request == 'late'])
+        fleet.until(
+            lambda: [e for e in control.record(desk) if e.request == 'late']
+        )
     finally:
-        faults(desk, late_ms=0)
+        control.faults(desk, late_ms=0)
 
 
 def test_a_cut_before_the_answer_is_lost_not_unsent(desk: fleet.Proc) -> None:
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -12,8 +12,8 @@
 from foxtaildale_adapters import events
 from foxtaildale_adapters import hub
 from tests import fleet
-from tests import test_clients
 from tests.standins import answers
+from tests.standins import control
 
 _MODELS = engines.Engines(short_s=5.0)
 _HUB = hub.Hub()
@@ -164,7 +164,7 @@
             ended.set()
 
     threading.Thread(target=run, daemon=True).start()
-    test_clients.faults(decode, die_after=4)
+    control.faults(decode, die_after=4)
     cut = _start(prefill, decode, 'lost')
 
     def run_cut() -> None:
@@ -189,7 +189,7 @@
     def take(event: _Event) -> bool:
         got.append(event)
         if len(got) == 3:
-            test_clients.faults(decode, silent=True)
+            control.faults(decode, silent=True)
         return True
 
     stream = _start(prefill, decode, 'silent', 200, 0.5)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -11,8 +11,8 @@
 from foxtaildale import errors
 from foxtaildale_adapters import engines
 from tests import fleet
-from tests import test_clients
 from tests.standins import answers
+from tests.standins import control
 from tests.standins import relay
 from tests.standins import serving
 
@@ -88,7 +88,7 @@
 def _count(proc: fleet.Proc, kind: str, phase: str, request: str) -> int:
     return sum(
         (e.kind, e.phase, e.request) == (kind, phase, request)
-        for e in test_clients.record(proc)
+        for e in control.record(proc)
     )
 
 
@@ -108,7 +108,7 @@
     yield
     for proc in (pair.prefill, pair.decode):
         if proc.running():
-            test_clients.faults(
+            control.faults(
                 proc,
                 silent=False,
                 truncate=0,
@@ -140,12 +140,12 @@
     The caller must see the rest, and the engine must not start over.
     """
     pair.ready('cut')
-    test_clients.faults(pair.decode, cut_after=7)
+    control.faults(pair.decode, cut_after=7)
     got: list[backends.Piece | backends.Last] = []
     with pytest.raises(errors.AnswerLostError):
         for event in pair.start('cut'):
             got.append(event)
-    test_clients.faults(pair.decode, cut_after=0)
+    control.faults(pair.decode, cut_after=0)
     got += _MODELS.resume(
         pair.decode.address, 'stream-cut', len(got), 'other', 5.0
     )
@@ -156,7 +156,7 @@
 def test_a_truncated_stream_is_not_whole(pair: _Pair) -> None:
     """An engine ends its stream in good order, but too early."""
     pair.ready('truncated')
-    test_clients.faults(pair.decode, truncate=5)
+    control.faults(pair.decode, truncate=5)
     with pytest.raises(errors.AnswerLostError, match='before its last'):
         list(pair.start('truncated'))
 
@@ -167,7 +167,7 @@
     The caller would wait for the next word for ever.
     """
     pair.ready('silent')
-    test_clients.faults(pair.decode, silent=True)
+    control.faults(pair.decode, silent=True)
     req = backends.DecodeReq(
         request='silent', attempt=1, holder='h', stream='q', max_tokens=5
     )
@@ -210,7 +210,7 @@
     """
     request = f'closed-{pieces}'
     pair.ready(request)
-    test_clients.faults(pair.decode, silent=not pieces)
+    control.faults(pair.decode, silent=not pieces)
     stream = _MODELS.decode(
         pair.decode.address,
         backends.DecodeReq(
@@ -224,7 +224,7 @@
     )
     for _ in range(pieces):
         next(stream)
-    test_clients.faults(pair.decode, silent=True)
+    control.faults(pair.decode, silent=True)
     ended = threading.Event()
 
     def read() -> None:
@@ -244,7 +244,7 @@
 def test_doubled_and_crossed_pieces_come_through(pair: _Pair) -> None:
     """An engine repeats a piece and mixes in one of another request."""
     pair.ready('crossed')
-    test_clients.faults(pair.decode, duplicate=4, cross=6)
+    control.faults(pair.decode, duplicate=4, cross=6)
     events = list(pair.start('crossed'))
     pieces = [e for e in events if isinstance(e, backends.Piece)]
     assert {p.request for p in pieces} > {'crossed'}
@@ -257,7 +257,7 @@
     """An engine's process dies while it sends an answer."""
     pair = _Pair(procs)
     pair.ready('dying')
-    test_clients.faults(pair.decode, die_after=3)
+    control.faults(pair.decode, die_after=3)
     with pytest.raises(errors.AnswerLostError):
         list(pair.start('dying'))
     assert pair.decode.wait() == 1
@@ -286,7 +286,7 @@
     Until someone cancels, the decode slot is taken for nothing.
     """
     reply = _MODELS.prefill(pair.prefill.address, _prefill('stalled'), 20.0)
-    test_clients.faults(pair.prefill, stall_transfer=True)
+    control.faults(pair.prefill, stall_transfer=True)
     req = backends.ImportReq(
         request='stalled',
         attempt=1,
@@ -337,9 +337,7 @@
     for thread in threads:
         thread.join()
     begun = [
-        e.request
-        for e in test_clients.record(pair.prefill)
-        if e.phase == 'begun'
+        e.request for e in control.record(pair.prefill) if e.phase == 'begun'
     ]
     assert begun.index('urgent') < begun.index('third')
 
@@ -367,7 +365,7 @@
     """An engine is about to be stopped while it still sends answers."""
     pair.ready('staying')
     for proc in (pair.prefill, pair.decode):
-        test_clients.faults(proc, leaving=True)
+        control.faults(proc, leaving=True)
     with pytest.raises(errors.RejectedError) as caught:
         _MODELS.prefill(pair.prefill.address, _prefill('new'), 20.0)
     assert caught.value.code == 'leaving'
@@ -436,10 +434,10 @@
 
 def test_load_lags_and_can_freeze(procs: fleet.Fleet) -> None:
     pair = _Pair(procs, '--load-lag-s', '0.05')
-    test_clients.faults(pair.decode, freeze_load=True)
+    control.faults(pair.decode, freeze_load=True)
     pair.ready('unseen')
     assert _MODELS.load(pair.decode.address).running == 0
-    test_clients.faults(pair.decode, freeze_load=False)
+    control.faults(pair.decode, freeze_load=False)
     fleet.until(lambda: _MODELS.load(pair.decode.address).running == 1)
 
 
