Refuse faults that a stand-in doesn't know

Cause: an unknown name was ignored, so a proof whose fault is misspelt passes with nothing wrong. Seen red: the three tests without the check of the names.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -16,7 +16,7 @@
 from tests.standins import serving
 
 
-class Faults(msgspec.Struct):
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """What is wrong with the platform just now."""
 
     down: bool = False
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -20,7 +20,7 @@
 from tests.standins import serving
 
 
-class Faults(msgspec.Struct):
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """What is wrong with the service just now."""
 
     lose_answers: int = 0
--- a/tests/standins/spoiler.py
+++ b/tests/standins/spoiler.py
@@ -18,7 +18,7 @@
 _LOOK_S: Final = 0.02
 
 
-class Faults(msgspec.Struct):
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
     """What is wrong with the engine just now."""
 
     # The process dies after so many further pieces.
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -459,3 +459,16 @@
         ).tokens
         == 3
     )
+
+
+@pytest.mark.parametrize('module', ['platform', 'engine', 'service'])
+def test_a_fault_that_is_misspelt_is_refused(
+    procs: fleet.Fleet, module: str
+) -> None:
+    """A test misspells the fault that it wants.
+
+    Were the name ignored, the test would pass without any failure in it.
+    """
+    proc = procs.standin(module)
+    with pytest.raises(AssertionError):
+        control.faults(proc, stall_transfers=True)
