--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -12,8 +12,8 @@
 from foxtaildale_adapters import events
 from foxtaildale_adapters import hub
 from tests import fleet
-from tests import test_clients
 from tests.standins import answers
+from tests.standins import control
 
 _MODELS = engines.Engines(short_s=5.0)
 _HUB = hub.Hub()
@@ -164,9 +164,14 @@
             ended.set()
 
     threading.Thread(target=run, daemon=True).start()
-    test_clients.faults(decode, die_after=4)
-    with pytest.raises(errors.AnswerLostError):
-        _HUB.drive(_start(prefill, decode, 'lost'), _keep(lost))
+    control.faults(decode, die_after=4)
+    cut = _start(prefill, decode, 'lost')
+
+    def run_cut() -> None:
+        with pytest.raises(errors.AnswerLostError):
+            _HUB.drive(cut, _keep(lost))
+
+    _ends(run_cut)
     assert len(lost) == 4
     assert ended.wait(20.0)
     assert _texts(whole) == answers.answer(_PROMPT + 'kept', 20)
@@ -184,7 +189,7 @@
     def take(event: _Event) -> bool:
         got.append(event)
         if len(got) == 3:
-            test_clients.faults(decode, silent=True)
+            control.faults(decode, silent=True)
         return True
 
     stream = _start(prefill, decode, 'silent', 200, 0.5)
