--- a/packages/core/foxtaildale/claims.py
+++ b/packages/core/foxtaildale/claims.py
@@ -53,7 +53,7 @@
         self.holder = holder
 
 
-def covering(code: codes.Code, alone: bool) -> codes.Code:
+def covering(code: codes.Code, first_try: bool) -> codes.Code:
     """Returns the code that a try under a key may be refused with.
 
     A caller takes "not run" for an answer to all that it sent under the key.
@@ -62,16 +62,16 @@
 
     Args:
         code: The reason of the refusal.
-        alone: Whether the caller says that it has no earlier try under this
-            key, or that each was answered "not run".
+        first_try: Whether the caller says that it has no earlier try under
+            this key, or that each was answered "not run".
     """
-    if alone or code.ran != 'no' or code is codes.OTHER_BODY:
+    if first_try or code.ran != 'no' or code is codes.OTHER_BODY:
         # The log binds a key to its first body; another one never runs.
         return code
     return codes.CLAIM_UNSURE
 
 
-def refusal(reply: messages.ClaimReply, alone: bool) -> codes.Code | None:
+def refusal(reply: messages.ClaimReply, first_try: bool) -> codes.Code | None:
     """Returns the code to refuse with; None for "won" and "lost"."""
     match reply.status:
         case 'won' | 'lost':
@@ -79,10 +79,10 @@
         case 'other-body':
             return codes.OTHER_BODY
         case 'bad':
-            return covering(codes.KEY_BAD, alone)
+            return covering(codes.KEY_BAD, first_try)
         case 'old':
             return codes.KEY_OLD
-    return covering(codes.LOG_DOWN, alone)
+    return covering(codes.LOG_DOWN, first_try)
 
 
 class Claims:
@@ -286,6 +286,15 @@
             if asked.holder == holder
         ]
 
+    def holder_gone(self, holder: str) -> None:
+        """An entry died: nobody knows what came of the claims it had won.
+
+        Without this, whoever asks for one of them would be told for ever that
+        it is in progress.
+        """
+        for request in self.held_by(holder):
+            del self._held[request]
+
     def unwritten(self) -> int:
         """Returns how many items wait to be appended, for a planned stop."""
         return len(self._appends)
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -46,6 +46,13 @@
     'no',
     'Not run: no slot came free within {patience_ms} ms of waiting.',
 )
+LONG_WAIT: Final = Code(
+    'long-wait',
+    503,
+    'no',
+    'Not run: the first answer would take {estimate_ms} ms, a request of this'
+    ' service waits at most {patience_ms} ms.',
+)
 NO_BACKEND: Final = Code(
     'no-backend',
     503,
@@ -142,6 +149,27 @@
 CANCELLED: Final = Code(
     'cancelled', 499, 'unknown', 'The caller went away; work was cancelled.'
 )
+GONE: Final = Code(
+    'gone', 499, 'no', 'Not run: the caller went away while it waited.'
+)
+NO_WITNESS: Final = Code(
+    'no-witness',
+    503,
+    'no',
+    'Not run: no other entry VM can be reached to witness a ticket.',
+)
+NO_OUTCOME: Final = Code(
+    'no-outcome',
+    404,
+    'unknown',
+    'No outcome of this request is kept here: {reason}.',
+)
+BACKEND_REFUSED: Final = Code(
+    'backend-refused',
+    503,
+    'no',
+    'Not run: the backend servers did not take it ({reason}).',
+)
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
 TOO_LARGE: Final = Code(
     'too-large',
@@ -149,6 +177,18 @@
     'no',
     'Not run: the body has {found} bytes, the limit is {limit}.',
 )
+SLOW_REQUEST: Final = Code(
+    'slow-request',
+    408,
+    'no',
+    'Not run: the request did not arrive whole within {limit_s} s.',
+)
+ENTRY_BUSY: Final = Code(
+    'entry-busy',
+    503,
+    'no',
+    'Not run: this entry VM serves {limit} requests already.',
+)
 NO_SERVICE: Final = Code(
     'no-service',
     404,
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -41,6 +41,8 @@
     address: str
     # Revision it works by.
     revision: int
+    # Backend servers that refused work as leaving, `NAME@ADDRESS`.
+    leaving: tuple[str, ...] = ()
 
 
 class HelloReply(Wire, frozen=True):
@@ -50,12 +52,20 @@
     # None while the keeper does not know.
     in_force: values.InForce | None
     listing: values.Listing | None
-    # The keeper's members: entry VMs it has heard of lately.
-    keepers: tuple[tuple[str, str], ...] = ()
+    # Keepers heard of lately, this one among them.
+    keepers: tuple[values.Keeper, ...] = ()
+    # Beginning of new idempotency keys; empty while it is not known.
+    key_prefix: str = ''
+
+
+class Bye(Wire, frozen=True):
+    """From a process that ends by plan: it is gone from now on."""
+
+    incarnation: str
 
 
 class Beat(Wire, frozen=True):
-    """Between keepers, about once a second."""
+    """Between keepers, about once a second; answered by the other's own."""
 
     entry_vm: str
     incarnation: str
@@ -67,6 +77,10 @@
     listing_version: int
     # Incarnations of the entries on this VM.
     entries: tuple[str, ...] = ()
+    # Whether this process is being stopped by plan.
+    stopping: bool = False
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Pull(Wire, frozen=True):
@@ -97,6 +111,11 @@
     prefixes: tuple[str, ...] = ()
     # Time since the request arrived, milliseconds.
     waited_ms: int = 0
+    # Prefill worker that holds a finished prefill of this request; only link
+    # time and a decode slot are asked for then.
+    ready_at: str = ''
+    # Decode worker that an earlier attempt failed at; not granted again.
+    avoid: str = ''
 
 
 class Granted(Wire, frozen=True):
@@ -132,8 +151,15 @@
 
     service: str
     grant: str
-    # done, cancelled, prefill-failed, transfer-failed, decode-failed
+    # done, cancelled, prefill-failed, transfer-failed, decode-failed, or
+    # evicted: the prefill's result had gone before its transfer began.
     result: str
+    # What the holder measured, for the home's estimates; 0 for not reached.
+    prefill_ms: int = 0
+    transfer_ms: int = 0
+    decode_ms: int = 0
+    # Tokens of the answer.
+    output_tokens: int = 0
 
 
 class KeepSlots(Wire, frozen=True):
@@ -287,6 +313,7 @@
     | Pong
     | Hello
     | HelloReply
+    | Bye
     | Beat
     | Pull
     | PullReply
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -162,7 +162,7 @@
     log.keep(0)
     reply = _keeper(log, 'y').ask(0.0, _ask('r2'))
     assert reply is not None
-    assert claims.refusal(reply, alone=True) is codes.KEY_OLD
+    assert claims.refusal(reply, first_try=True) is codes.KEY_OLD
     first.on_records(0.0, log.read(first.next_offset()))
     reply = first.ask(0.0, _ask('r2'))
     assert reply is not None
@@ -243,7 +243,7 @@
     assert keys.stamp(key) is None
     reply = _keeper(fakelog.FakeLog()).ask(0.0, _ask('r1', key))
     assert reply is not None
-    assert claims.refusal(reply, alone=True) is codes.KEY_BAD
+    assert claims.refusal(reply, first_try=True) is codes.KEY_BAD
 
 
 @hypothesis.settings(derandomize=True, deadline=None)
