Never leave an undecided note open to a run

Cause: for a note that was decided before, or whose identity had to be forgotten, on_witness returned None. The entry that is wired to it takes all but a giving up for the right to run, so a check-in that was forgotten under load would have run without its note (found by reading; no run showed it).

It now returns a giving up with outcome-unknown, which no wiring can take for a run. A test forgets an identity while its note is out.

--- a/packages/core/foxtaildale/tickets.py
+++ b/packages/core/foxtaildale/tickets.py
@@ -295,19 +295,17 @@
 
     def on_witness(
         self, now: float, identity: str, reply: messages.WitnessReply | None
-    ) -> Run | GiveUp | None:
+    ) -> Run | GiveUp:
         """Decides on the witness's reply to a note; None: no reply came.
 
-        The note may be sent again before this is called, not afterwards.
-
-        Returns:
-            None if it was decided before, as when a reply comes twice, or the
-            identity was forgotten: there is nothing to do, and a caller that
-            still waits is told that the outcome is unknown.
+        The note may be sent again before this is called, not afterwards. If it
+        was decided before, as when a reply comes twice, or the identity had to
+        be forgotten meanwhile, the code is `codes.UNKNOWN`: whoever still
+        waits is told so, and `finish` is not called for it.
         """
         entry = self._entries.get(identity)
         if entry is None or entry.status != 'noting':
-            return None
+            return GiveUp(identity, codes.UNKNOWN)
         if reply is not None:
             self.on_reading(now, entry.witness, reply)
         if now - entry.stamp > self._life_s:
--- a/tests/oncevms.py
+++ b/tests/oncevms.py
@@ -270,10 +270,10 @@
                         lambda: self._ended(req, reply, answer)
                     ),
                 )
+            case tickets.GiveUp(code=code) if code is codes.UNKNOWN:
+                self._refuse(req, reply, code)
             case tickets.GiveUp(code=code):
                 self._finish(req, reply, code, b'')
-            case None:
-                self._refuse(req, reply, codes.UNKNOWN)
 
     def _ended(
         self, req: oncebench.Request, reply: oncebench.Reply, answer: bytes
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -204,3 +204,18 @@
     assert verdict == tickets.Verdict(codes.DONE_BEFORE, _outcome(), b'answer')
     other = tickets.void(ticket, 'c', b'other')
     assert tickets.verdict(keeper.void(0.0, other)).code is codes.OTHER_BODY
+
+
+def test_an_identity_forgotten_before_its_note_is_answered_never_runs() -> None:
+    """So many check-ins arrive that one is forgotten while its note is out.
+
+    The executor no longer knows whether it started it, so it must not.
+    """
+    executor = _executor(limit=1)
+    first = _ticket(executor)
+    executor.admit(0.0, first, 'c', b'')
+    executor.admit(0.0, _ticket(executor), 'c', b'')
+    noted = messages.WitnessReply(status='noted')
+    decision = executor.on_witness(0.0, first.identity, noted)
+    assert decision == tickets.GiveUp(first.identity, codes.UNKNOWN)
+    assert executor.finish(0.0, first.identity, _outcome()) is None
--- a/tests/test_ticketsearch.py
+++ b/tests/test_ticketsearch.py
@@ -28,7 +28,7 @@
 
     def on_witness(
         self, now: float, identity: str, reply: messages.WitnessReply | None
-    ) -> tickets.Run | tickets.GiveUp | None:
+    ) -> tickets.Run | tickets.GiveUp:
         noted = messages.WitnessReply(status='noted')
         return super().on_witness(now, identity, noted)
 
@@ -40,7 +40,7 @@
 
     def on_witness(
         self, now: float, identity: str, reply: messages.WitnessReply | None
-    ) -> tickets.Run | tickets.GiveUp | None:
+    ) -> tickets.Run | tickets.GiveUp:
         if reply is not None and reply.status == 'noted':
             return tickets.Run(identity)
         return super().on_witness(now, identity, reply)
--- a/tests/ticketworld.py
+++ b/tests/ticketworld.py
@@ -218,7 +218,7 @@
     match decided:
         case tickets.Run():
             world.in_hand = (*world.in_hand, _noted_body(world))
-        case tickets.GiveUp(code=code):
+        case tickets.GiveUp(code=code) if code is not codes.UNKNOWN:
             _finish(world, _noted_body(world), outcome(code), b'')
 
 
