Share the appends of claims among all keepers

Cause: each keeper appended every 50 ms whatever their number, so 40 of them may take 800 appends a second, more than the log gives everybody.

on_members(count) lengthens the interval so that all keepers together append 160 times a second at most. The test was red without it: 100 appends in place of 5.

Ruled out: giving the claims to few keepers, which needs an agreement on who they are for no gain at today's size.

--- a/packages/core/foxtaildale/appends.py
+++ b/packages/core/foxtaildale/appends.py
@@ -25,16 +25,16 @@
     __slots__ = (
         '_backoff_s',
         '_in_flight',
-        '_interval_s',
         '_items',
         '_next_at',
         '_retry_at',
         'count',
+        'interval_s',
     )
 
     def __init__(self, interval_s: float) -> None:
         # Shortest time between two appends.
-        self._interval_s = interval_s
+        self.interval_s = interval_s
         # In order; a set, so that nothing gathers twice during an outage.
         self._items: dict[_T, None] = {}
         # What the append in flight took along; None if there is none.
@@ -58,7 +58,7 @@
 
     def wait_s(self, now: float) -> float:
         """Returns how long until the next append may begin."""
-        return max(self._retry_at - now, self._interval_s)
+        return max(self._retry_at - now, self.interval_s)
 
     def take(self, now: float) -> list[_T]:
         """Begins an append; empty if there is nothing or it is too early."""
@@ -70,7 +70,7 @@
         for item in taken:
             del self._items[item]
         self._in_flight = taken
-        self._next_at = now + self._interval_s
+        self._next_at = now + self.interval_s
         self.count += 1
         return taken
 
--- a/packages/core/foxtaildale/claims.py
+++ b/packages/core/foxtaildale/claims.py
@@ -24,10 +24,12 @@
 from foxtaildale import ports
 from foxtaildale import values
 
-# One keeper appends at most this often, so that all of them together stay
-# under the few hundred appends a second that the log takes.
+# One keeper appends at most this often.
 _DEFAULT_INTERVAL_S: Final = 0.05
-# Longest wait for a claim to be read back.
+# Appends a second of all keepers together. The log takes several hundred from
+# everybody; were it flooded with claims, presets could not be switched.
+_ALL_APPENDS_PER_S: Final = 160
+# Longest wait for a claim to be read back, beyond two intervals.
 _DEFAULT_PATIENCE_S: Final = 3.0
 # Silence of the log's reader after which asks are refused at once.
 _DEFAULT_STALE_S: Final = 3.0
@@ -99,6 +101,7 @@
         '_given_up',
         '_held',
         '_incarnation',
+        '_interval_s',
         '_next',
         '_patience_s',
         '_read_at',
@@ -118,6 +121,7 @@
     ) -> None:
         self._incarnation = incarnation
         self._address = address
+        self._interval_s = interval_s
         self._appends: appends.Appends[_Item] = appends.Appends(interval_s)
         self._patience_s = patience_s
         self._stale_s = stale_s
@@ -136,6 +140,11 @@
         # Outcomes that are not read back yet, by identity.
         self._unlogged: dict[bytes, values.Outcome] = {}
 
+    def on_members(self, keepers: int) -> None:
+        """Takes the number of keepers; more of them append less often each."""
+        shared_s = keepers / _ALL_APPENDS_PER_S
+        self._appends.interval_s = max(self._interval_s, shared_s)
+
     def key_prefix(self) -> str | None:
         """Returns the beginning of new keys; None while it is not known."""
         if self._next is None or not self._caught_up:
@@ -234,10 +243,11 @@
 
     def expire(self, now: float) -> list[Settled]:
         """Refuses those that waited too long."""
+        patience_s = self._patience_s + 2 * self._appends.interval_s
         late = [
             request
             for request, asked in self._waiting.items()
-            if now - asked.asked_at >= self._patience_s
+            if now - asked.asked_at >= patience_s
         ]
         return self._give_up(now, late)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -195,6 +195,23 @@
     assert late == []
 
 
+def test_many_keepers_share_the_appends() -> None:
+    """The deployment grows to hundreds of VMs that all claim.
+
+    If each went on appending as often, the log would have no room left for
+    a switch of presets.
+    """
+    log = fakelog.FakeLog()
+    keeper = _keeper(log)
+    keeper.on_members(320)
+    for tick in range(100):
+        now = tick * 0.1
+        keeper.ask(now, _ask(f'r{tick}', f'c0.k{tick}'))
+        assert keeper.expire(now) == []
+        fakelog.step(log, keeper, now)
+    assert log.appends == 5
+
+
 def test_an_ask_that_comes_after_its_end_wins_nothing() -> None:
     """A message from an entry overtakes an earlier one."""
     keeper = _keeper(fakelog.FakeLog())
