--- a/packages/core/foxtaildale/claims.py
+++ b/packages/core/foxtaildale/claims.py
@@ -24,10 +24,12 @@
 from foxtaildale import ports
 from foxtaildale import values
 
-# One keeper appends at most this often, so that all of them together stay
-# under the few hundred appends a second that the log takes.
+# One keeper appends at most this often.
 _DEFAULT_INTERVAL_S: Final = 0.05
-# Longest wait for a claim to be read back.
+# Appends a second of all keepers together. The log takes several hundred from
+# everybody; were it flooded with claims, presets could not be switched.
+_ALL_APPENDS_PER_S: Final = 160
+# Longest wait for a claim to be read back, beyond two intervals.
 _DEFAULT_PATIENCE_S: Final = 3.0
 # Silence of the log's reader after which asks are refused at once.
 _DEFAULT_STALE_S: Final = 3.0
@@ -53,7 +55,7 @@
         self.holder = holder
 
 
-def covering(code: codes.Code, alone: bool) -> codes.Code:
+def covering(code: codes.Code, first_try: bool) -> codes.Code:
     """Returns the code that a try under a key may be refused with.
 
     A caller takes "not run" for an answer to all that it sent under the key.
@@ -62,16 +64,16 @@
 
     Args:
         code: The reason of the refusal.
-        alone: Whether the caller says that it has no earlier try under this
-            key, or that each was answered "not run".
+        first_try: Whether the caller says that it has no earlier try under
+            this key, or that each was answered "not run".
     """
-    if alone or code.ran != 'no' or code is codes.OTHER_BODY:
+    if first_try or code.ran != 'no' or code is codes.OTHER_BODY:
         # The log binds a key to its first body; another one never runs.
         return code
     return codes.CLAIM_UNSURE
 
 
-def refusal(reply: messages.ClaimReply, alone: bool) -> codes.Code | None:
+def refusal(reply: messages.ClaimReply, first_try: bool) -> codes.Code | None:
     """Returns the code to refuse with; None for "won" and "lost"."""
     match reply.status:
         case 'won' | 'lost':
@@ -79,10 +81,10 @@
         case 'other-body':
             return codes.OTHER_BODY
         case 'bad':
-            return covering(codes.KEY_BAD, alone)
+            return covering(codes.KEY_BAD, first_try)
         case 'old':
             return codes.KEY_OLD
-    return covering(codes.LOG_DOWN, alone)
+    return covering(codes.LOG_DOWN, first_try)
 
 
 class Claims:
@@ -99,6 +101,7 @@
         '_given_up',
         '_held',
         '_incarnation',
+        '_interval_s',
         '_next',
         '_patience_s',
         '_read_at',
@@ -118,6 +121,7 @@
     ) -> None:
         self._incarnation = incarnation
         self._address = address
+        self._interval_s = interval_s
         self._appends: appends.Appends[_Item] = appends.Appends(interval_s)
         self._patience_s = patience_s
         self._stale_s = stale_s
@@ -136,6 +140,11 @@
         # Outcomes that are not read back yet, by identity.
         self._unlogged: dict[bytes, values.Outcome] = {}
 
+    def on_members(self, keepers: int) -> None:
+        """Takes the number of keepers; more of them append less often each."""
+        shared_s = keepers / _ALL_APPENDS_PER_S
+        self._appends.interval_s = max(self._interval_s, shared_s)
+
     def key_prefix(self) -> str | None:
         """Returns the beginning of new keys; None while it is not known."""
         if self._next is None or not self._caught_up:
@@ -234,10 +243,11 @@
 
     def expire(self, now: float) -> list[Settled]:
         """Refuses those that waited too long."""
+        patience_s = self._patience_s + 2 * self._appends.interval_s
         late = [
             request
             for request, asked in self._waiting.items()
-            if now - asked.asked_at >= self._patience_s
+            if now - asked.asked_at >= patience_s
         ]
         return self._give_up(now, late)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -162,7 +162,7 @@
     log.keep(0)
     reply = _keeper(log, 'y').ask(0.0, _ask('r2'))
     assert reply is not None
-    assert claims.refusal(reply, alone=True) is codes.KEY_OLD
+    assert claims.refusal(reply, first_try=True) is codes.KEY_OLD
     first.on_records(0.0, log.read(first.next_offset()))
     reply = first.ask(0.0, _ask('r2'))
     assert reply is not None
@@ -195,6 +195,23 @@
     assert late == []
 
 
+def test_many_keepers_share_the_appends() -> None:
+    """The deployment grows to hundreds of VMs that all claim.
+
+    If each went on appending as often, the log would have no room left for
+    a switch of presets.
+    """
+    log = fakelog.FakeLog()
+    keeper = _keeper(log)
+    keeper.on_members(320)
+    for tick in range(100):
+        now = tick * 0.1
+        keeper.ask(now, _ask(f'r{tick}', f'c0.k{tick}'))
+        assert keeper.expire(now) == []
+        fakelog.step(log, keeper, now)
+    assert log.appends == 5
+
+
 def test_an_ask_that_comes_after_its_end_wins_nothing() -> None:
     """A message from an entry overtakes an earlier one."""
     keeper = _keeper(fakelog.FakeLog())
@@ -243,7 +260,7 @@
     assert keys.stamp(key) is None
     reply = _keeper(fakelog.FakeLog()).ask(0.0, _ask('r1', key))
     assert reply is not None
-    assert claims.refusal(reply, alone=True) is codes.KEY_BAD
+    assert claims.refusal(reply, first_try=True) is codes.KEY_BAD
 
 
 @hypothesis.settings(derandomize=True, deadline=None)
--- a/tests/test_claimsearch.py
+++ b/tests/test_claimsearch.py
@@ -87,7 +87,7 @@
         super()._release(holding, own)
 
 
-def _not_run(code: codes.Code, alone: bool) -> codes.Code:
+def _not_run(code: codes.Code, first_try: bool) -> codes.Code:
     return code
 
 
