Read many streams in one thread

Cause: with a thread for each stream a token pays for a wake-up, the interpreter lock and a sleep; reading, checking, framing and sending are the smaller part. Seen red: events cut between blocks lost; foreign pieces shown; an endless event kept; a blocking send and a lost rest with a slow caller; no flush, which would pile the answer up.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,6 +1,7 @@
 """Processor time of relaying one token, on the product's own streaming path.
 
     python -m bench.relay [--streams 100] [--seconds 5] [--rate 40]
+                          [--way pump|threads]
 
 Three processes: engines that send tokens of many streams as server-sent
 events, twenty streams an engine in step; the relay, which is what is measured;
@@ -27,8 +28,12 @@
 
 from foxtaildale import backends
 from foxtaildale import streams
+from foxtaildale_adapters import body as bodies
 from foxtaildale_adapters import callers
 from foxtaildale_adapters import engines
+from foxtaildale_adapters import events
+from foxtaildale_adapters import flow
+from foxtaildale_adapters import pump
 from foxtaildaled import reading
 from foxtaildaled import sinks
 
@@ -102,7 +107,7 @@
 class Relay:
     """The measured process: the product's server, reader, checker, sink."""
 
-    def __init__(self, source: str, count: int) -> None:
+    def __init__(self, source: str, count: int, *, pumped: bool) -> None:
         self._source = source
         self._count = count
         self._engines = engines.Engines()
@@ -112,6 +117,9 @@
         self._whole = 0
         self._cpu = 0.0
         self.done = threading.Event()
+        self._pump = pump.Pump() if pumped else None
+        if self._pump is not None:
+            self._pump.start()
 
     def handle(self, exchange: callers.Exchange) -> None:
         """Relays one stream."""
@@ -124,18 +132,15 @@
             if self._begun == self._count:
                 # Set-up of the streams is not what is measured.
                 self._cpu = time.process_time()
-        sink = sinks.EventSink(exchange, 'r', 'm')
-        sink.begin('w', 's')
         times: list[float] = []
-        reader = reading.Reader(
-            gone=threading.Event(),
-            sink=sink,
-            checker=streams.Checker('r', 1, 's'),
-            clock=time.monotonic,
-            times=times,
-        )
-        fault = reader.read(pieces)
+        checker = streams.Checker('r', 1, 's')
+        exchange.start(200, {'Content-Type': 'text/event-stream'})
+        if self._pump is None:
+            fault = _read(exchange, pieces, checker, times)
+        else:
+            fault = _carry(self._pump, exchange, pieces, checker, times)
         exchange.finish()
+        pieces.close()
         with self._lock:
             self._pieces += len(times)
             self._whole += not fault
@@ -150,9 +155,54 @@
         )
 
 
-def run_relay(source: str, count: int) -> None:
+def _read(
+    exchange: callers.Exchange,
+    pieces: events.Stream,
+    checker: streams.Checker,
+    times: list[float],
+) -> str:
+    """Relays in the stream's own thread, as the daemon's reader does."""
+    sink = sinks.EventSink(exchange, 'r', 'm')
+    sink.begin('w', 's')
+    reader = reading.Reader(
+        gone=threading.Event(),
+        sink=sink,
+        checker=checker,
+        clock=time.monotonic,
+        times=times,
+    )
+    return reader.read(pieces)
+
+
+def _carry(
+    carrier: pump.Pump,
+    exchange: callers.Exchange,
+    pieces: events.Stream,
+    checker: streams.Checker,
+    times: list[float],
+) -> str:
+    """Relays through the shared thread."""
+    # Reads the first block through the library, then has its socket.
+    first = next(pieces)
+    found = flow.Flow(
+        exchange=exchange,
+        checker=checker,
+        framer=streams.Framer('r', 'w', 's', 'm', 0),
+        clock=time.monotonic,
+        times=times,
+        rest=pieces._rest,
+    )
+    found.take([first, *reversed(pieces._ready)])
+    body = pieces._body
+    assert isinstance(body, bodies.Body)
+    assert body._sock is not None
+    found.run(carrier, body._sock.fileno(), _LIMIT_S)
+    return found.fault
+
+
+def run_relay(source: str, count: int, *, pumped: bool) -> None:
     """Serves until every stream was relayed whole."""
-    relay = Relay(source, count)
+    relay = Relay(source, count, pumped=pumped)
     server = callers.Server('127.0.0.1:0', relay, count + 4, 30.0, 1024)
     print(server.start(), flush=True)
     if not relay.done.wait(_LIMIT_S):
@@ -234,10 +284,10 @@
     return sorted(values)[int(share * (len(values) - 1))] * 1000
 
 
-def run(count: int, rate: float, seconds: float) -> None:
+def run(count: int, rate: float, seconds: float, way: str) -> None:
     """Measures once and prints one line of JSON."""
     shape = ['--streams', str(count), '--rate', str(rate)]
-    shape += ['--seconds', str(seconds)]
+    shape += ['--seconds', str(seconds), '--way', way]
     with (
         _started('--role', 'source', *shape) as (_, port),
         _started('--role', f'127.0.0.1:{port}', *shape) as (relay, address),
@@ -247,6 +297,7 @@
         assert relay.stdout is not None
         found = json.loads(relay.stdout.readline())
     found |= {
+        'way': way,
         'streams': count,
         'rate': rate,
         'whole': reader.whole,
@@ -264,14 +315,15 @@
     parser.add_argument('--streams', type=int, default=100)
     parser.add_argument('--rate', type=float, default=40.0)
     parser.add_argument('--seconds', type=float, default=5.0)
+    parser.add_argument('--way', choices=['pump', 'threads'], default='pump')
     parser.add_argument('--role', default='run', help=argparse.SUPPRESS)
     args = parser.parse_args()
     if args.role == 'run':
-        run(args.streams, args.rate, args.seconds)
+        run(args.streams, args.rate, args.seconds, args.way)
     elif args.role == 'source':
         Source(args.streams, args.rate, args.seconds).run()
     else:
-        run_relay(args.role, args.streams)
+        run_relay(args.role, args.streams, pumped=args.way == 'pump')
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/adapters/foxtaildale_adapters/flow.py
@@ -0,0 +1,127 @@
+"""The way of one answer's pieces from an engine's bytes to a caller's."""
+
+from collections.abc import Iterable
+from typing import Final
+from typing import Protocol
+
+from foxtaildale import backends
+from foxtaildale import errors
+from foxtaildale import ports
+from foxtaildale import streams
+from foxtaildale_adapters import events
+from foxtaildale_adapters import pump
+
+_END: Final = b'\n\n'
+
+
+class Caller(Protocol):
+    """Where the framed pieces go; `incoming.Exchange` is one."""
+
+    def offer(self, data: bytes) -> bool:
+        """Sends without waiting; False if `flush` must follow."""
+
+    def flush(self) -> bool:
+        """Waits until all is sent; False if the caller is gone."""
+
+
+class Flow:
+    """Checks, frames and sends the pieces of one answer.
+
+    All pieces of a block leave in one send. `run` reads through the pump, and
+    takes over itself for as long as the caller reads slower than the engine
+    writes.
+
+    Args:
+        exchange: The caller's exchange; its answer has been started.
+        checker: Knows which pieces belong to the answer.
+        framer: Frames them.
+        clock: Monotonic seconds.
+        times: Receives when each piece was sent on.
+        rest: Start of an event that was read already.
+    """
+
+    __slots__ = (
+        '_checker',
+        '_clock',
+        '_exchange',
+        '_framer',
+        '_rest',
+        '_times',
+        'fault',
+        'last',
+    )
+
+    def __init__(
+        self,
+        *,
+        exchange: Caller,
+        checker: streams.Checker,
+        framer: streams.Framer,
+        clock: ports.Clock,
+        times: list[float],
+        rest: bytes = b'',
+    ) -> None:
+        self._exchange = exchange
+        self._checker = checker
+        self._framer = framer
+        self._clock = clock
+        self._times = times
+        self._rest = rest
+        # What is wrong with the stream, a value of `streams.Verdict`.
+        self.fault = ''
+        # The end of the whole answer.
+        self.last: backends.Last | None = None
+
+    def run(self, carrier: pump.Pump, fd: int, silence_s: float) -> None:
+        """Reads until the answer is whole, at fault, or the caller is gone.
+
+        Raises:
+            errors.AnswerLostError: The engine's stream broke or was silent.
+        """
+        while not self.ended:
+            carrier.carry(fd, self, silence_s)
+            # Waits here, in the stream's own thread, for a slow caller.
+            if not self._exchange.flush():
+                return
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more is wanted of the stream."""
+        return self.last is not None or bool(self.fault)
+
+    def feed(self, block: bytes) -> bool:
+        """Takes bytes of the engine; see `pump.Feed`."""
+        found = (self._rest + block).split(_END)
+        self._rest = found.pop()
+        if len(self._rest) > events.MAX_EVENT:
+            raise errors.AnswerLostError('event without an end')
+        return self.take(
+            item for item in map(events.parse, found) if item is not None
+        )
+
+    def take(self, items: Iterable[backends.Piece | backends.Last]) -> bool:
+        """Takes pieces; False if the flow ended or the caller lags behind."""
+        framed: list[bytes] = []
+        for item in items:
+            if isinstance(item, backends.Last):
+                self._end(item, framed)
+                break
+            verdict = self._checker.piece(item)
+            if verdict is streams.Verdict.ACCEPTED:
+                framed.append(self._framer.piece(item.position, item.text))
+            elif verdict is not streams.Verdict.DUPLICATE:
+                self.fault = verdict.value
+                break
+        sent = self._exchange.offer(b''.join(framed))
+        now = self._clock()
+        pieces = len(framed) - (self.last is not None)
+        self._times.extend([now] * pieces)
+        return sent and not self.ended
+
+    def _end(self, last: backends.Last, framed: list[bytes]) -> None:
+        verdict = self._checker.last(last)
+        if verdict is streams.Verdict.WHOLE:
+            self.last = last
+            framed.append(self._framer.last(last))
+        else:
+            self.fault = verdict.value
--- a/packages/adapters/foxtaildale_adapters/incoming.py
+++ b/packages/adapters/foxtaildale_adapters/incoming.py
@@ -62,6 +62,7 @@
         '_gone',
         '_lock',
         '_req',
+        '_rest',
         '_sock',
         '_state',
         '_watcher',
@@ -97,6 +98,8 @@
         # Whether the answer is an event stream.
         self._events = False
         self._gone = False
+        # What `offer` could not send yet.
+        self._rest = b''
 
     @property
     def started(self) -> bool:
@@ -141,9 +144,39 @@
         """
         if not data:
             return not self._gone
-        if self._chunked:
-            data = b'%x\r\n%b\r\n' % (len(data), data)
-        return self._write(data)
+        return self._write(self._chunk(data))
+
+    def offer(self, data: bytes) -> bool:
+        """Sends a piece of the body as far as it goes without waiting.
+
+        Returns:
+            False if `flush` must be called before more is offered, which may
+            wait for the caller to read.
+        """
+        if not data:
+            return not self._gone
+        chunk = self._chunk(data)
+        with self._lock:
+            if self._gone or self._rest:
+                self._rest += chunk
+                return False
+            try:
+                sent = self._sock.send(chunk, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._gone = True
+                return False
+            self._rest = chunk[sent:]
+        return not self._rest
+
+    def flush(self) -> bool:
+        """Waits until all that was offered is sent.
+
+        Returns:
+            False if the caller is gone or does not read.
+        """
+        return self._write(b'')
 
     def finish(self) -> bool:
         """Ends the body.
@@ -225,11 +258,18 @@
         self._req.chunked_write = False
         return catcher.data + (body if self.method != 'HEAD' else b'')
 
+    def _chunk(self, data: bytes) -> bytes:
+        if self._chunked:
+            return b'%x\r\n%b\r\n' % (len(data), data)
+        return data
+
     def _write(self, data: bytes) -> bool:
         if self._gone:
             return False
         try:
             with self._lock:
+                data = self._rest + data
+                self._rest = b''
                 self._sock.sendall(data)
         except OSError:
             # Reset, or not reading for the whole timeout: in both cases a
@@ -257,6 +297,9 @@
         if self._state == 'waiting':
             modern = self._req.response_protocol == 'HTTP/1.1'
             return _INTERIM if modern else b''
+        if self._rest:
+            # In the middle of a chunk.
+            return b''
         if self._state == 'started' and self._events and self._chunked:
             return _COMMENT
         return b''
