--- a/packages/adapters/foxtaildale_adapters/flow.py
+++ b/packages/adapters/foxtaildale_adapters/flow.py
@@ -12,6 +12,7 @@
 from foxtaildale_adapters import pump
 
 _END: Final = b'\n\n'
+_ACCEPTED: Final = streams.Verdict.ACCEPTED
 
 
 class Caller(Protocol):
@@ -91,28 +92,35 @@
 
     def feed(self, block: bytes) -> bool:
         """Takes bytes of the engine; see `pump.Feed`."""
-        found = (self._rest + block).split(_END)
+        if self._rest:
+            block = self._rest + block
+        found = block.split(_END)
         self._rest = found.pop()
         if len(self._rest) > events.MAX_EVENT:
             raise errors.AnswerLostError('event without an end')
-        return self.take(
-            item for item in map(events.parse, found) if item is not None
-        )
+        return self.take([events.parse(event) for event in found])
 
-    def take(self, items: Iterable[backends.Piece | backends.Last]) -> bool:
+    def take(
+        self, items: Iterable[backends.Piece | backends.Last | None]
+    ) -> bool:
         """Takes pieces; False if the flow ended or the caller lags behind."""
         framed: list[bytes] = []
         for item in items:
-            if isinstance(item, backends.Last):
+            if type(item) is backends.Piece:
+                verdict = self._checker.piece(item)
+                if verdict is _ACCEPTED:
+                    framed.append(self._framer.piece(item.position, item.text))
+                elif verdict is not streams.Verdict.DUPLICATE:
+                    self.fault = verdict.value
+                    break
+            elif type(item) is backends.Last:
                 self._end(item, framed)
                 break
-            verdict = self._checker.piece(item)
-            if verdict is streams.Verdict.ACCEPTED:
-                framed.append(self._framer.piece(item.position, item.text))
-            elif verdict is not streams.Verdict.DUPLICATE:
-                self.fault = verdict.value
-                break
-        sent = self._exchange.offer(b''.join(framed))
+        if not framed:
+            return not self.ended
+        sent = self._exchange.offer(
+            framed[0] if len(framed) == 1 else b''.join(framed)
+        )
         now = self._clock()
         pieces = len(framed) - (self.last is not None)
         self._times.extend([now] * pieces)
