--- a/packages/adapters/foxtaildale_adapters/flow.py
+++ b/packages/adapters/foxtaildale_adapters/flow.py
@@ -12,7 +12,6 @@
 from foxtaildale_adapters import pump
 
 _END: Final = b'\n\n'
-_ACCEPTED: Final = streams.Verdict.ACCEPTED
 
 
 class Caller(Protocol):
@@ -92,35 +91,28 @@
 
     def feed(self, block: bytes) -> bool:
         """Takes bytes of the engine; see `pump.Feed`."""
-        if self._rest:
-            block = self._rest + block
-        found = block.split(_END)
+        found = (self._rest + block).split(_END)
         self._rest = found.pop()
         if len(self._rest) > events.MAX_EVENT:
             raise errors.AnswerLostError('event without an end')
-        return self.take([events.parse(event) for event in found])
+        return self.take(
+            item for item in map(events.parse, found) if item is not None
+        )
 
-    def take(
-        self, items: Iterable[backends.Piece | backends.Last | None]
-    ) -> bool:
+    def take(self, items: Iterable[backends.Piece | backends.Last]) -> bool:
         """Takes pieces; False if the flow ended or the caller lags behind."""
         framed: list[bytes] = []
         for item in items:
-            if type(item) is backends.Piece:
-                verdict = self._checker.piece(item)
-                if verdict is _ACCEPTED:
-                    framed.append(self._framer.piece(item.position, item.text))
-                elif verdict is not streams.Verdict.DUPLICATE:
-                    self.fault = verdict.value
-                    break
-            elif type(item) is backends.Last:
+            if isinstance(item, backends.Last):
                 self._end(item, framed)
                 break
-        if not framed:
-            return not self.ended
-        sent = self._exchange.offer(
-            framed[0] if len(framed) == 1 else b''.join(framed)
-        )
+            verdict = self._checker.piece(item)
+            if verdict is streams.Verdict.ACCEPTED:
+                framed.append(self._framer.piece(item.position, item.text))
+            elif verdict is not streams.Verdict.DUPLICATE:
+                self.fault = verdict.value
+                break
+        sent = self._exchange.offer(b''.join(framed))
         now = self._clock()
         pieces = len(framed) - (self.last is not None)
         self._times.extend([now] * pieces)
