Close the callers' server also while a handler hangs

Cause: the library joins its threads without a bound, so one handler that never returns kept a stopped process for good.

--- a/packages/adapters/foxtaildale_adapters/callers.py
+++ b/packages/adapters/foxtaildale_adapters/callers.py
@@ -1,11 +1,15 @@
 """The HTTP server that faces callers; `httpd` says how it treats them."""
 
 import threading
+from typing import Final
 
 from foxtaildale import errors
 from foxtaildale_adapters import httpd
 from foxtaildale_adapters import incoming
 
+# How long `close` waits for handlers that are still at work, seconds.
+CLOSE_S: Final = 3.0
+
 Exchange = incoming.Exchange
 Handler = incoming.Handler
 
@@ -96,10 +100,17 @@
         return self._server.busy
 
     def close(self) -> None:
-        """Closes every connection, also those in use."""
+        """Closes every connection, also those in use.
+
+        Takes a few seconds at most, whatever the handlers do.
+        """
         if self._thread is None or not self._thread.is_alive():
             return
         self.stop_accepting()
-        self._server.stop()
-        self._thread.join()
+        # The library waits for its threads without a bound; a handler that
+        # hangs would keep a stopped process alive for good.
+        stop = threading.Thread(target=self._server.stop, daemon=True)
+        stop.start()
+        stop.join(CLOSE_S)
+        self._thread.join(CLOSE_S)
         self._server.watcher.close()
--- a/packages/adapters/foxtaildale_adapters/hangups.py
+++ b/packages/adapters/foxtaildale_adapters/hangups.py
@@ -118,7 +118,10 @@
 
     def close(self) -> None:
         """Ends the thread; nothing is called back after this."""
-        self._closing = True
+        with self._lock:
+            # Handlers that outlive the server still call `remove`.
+            self._watched.clear()
+            self._closing = True
         self._wake.set()
         self._thread.join()
         self._epoll.close()
@@ -132,6 +135,8 @@
     ) -> None:
         """Calls back once when the caller behind `fd` is gone."""
         with self._lock:
+            if self._closing:
+                return
             self._watched[fd] = _Watched(probe, callback)
             # Edge-triggered: a FIN that stays is reported once.
             self._epoll.register(fd, select.EPOLLRDHUP | select.EPOLLET)
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -250,6 +250,8 @@
 
     ConnectionClass = _Connection
     request_queue_size = 512
+    # After this the connections in use are shut down, seconds.
+    shutdown_timeout = 1
     # Also how long a close waits for the selector, seconds.
     expiration_interval = 0.1
     keep_alive_conn_limit = IDLE_CONNECTIONS
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -499,6 +499,23 @@
     running.server.close()
 
 
+def test_a_handler_that_hangs_does_not_keep_the_process() -> None:
+    """The drain is over and one handler still waits for something.
+
+    A process that never ends holds up the replacement of its VM.
+    """
+    running = Running()
+    with running.connect() as sock:
+        sock.sendall(b'GET /hold HTTP/1.1\r\nHost: x\r\n\r\n')
+        until(lambda: bool(running.script.seen))
+        assert not running.server.drain(0.01)
+        closer = threading.Thread(target=running.server.close)
+        closer.start()
+        closer.join(PATIENCE_S / 2)
+        assert not closer.is_alive()
+        running.script.release.set()
+
+
 def test_a_cut_between_caller_and_server_frees_the_thread(
     running: Running,
 ) -> None:
