Keep the listening socket's attribute while a server drains

The selector's thread may be about to accept on it: None would end its round with an AttributeError in the log, a closed socket is passed over. Found by reading; no test brings about that race.

--- a/packages/adapters/foxtaildale_adapters/callers.py
+++ b/packages/adapters/foxtaildale_adapters/callers.py
@@ -81,7 +81,7 @@
 
     def stop_accepting(self) -> None:
         """Takes no new connections; answers close the ones there are."""
-        if self._server.socket is not None:
+        if not self._server.draining:
             self._server.stop_accepting()
 
     def drain(self, timeout_s: float) -> bool:
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -308,9 +308,10 @@
 
         Closing at once would reset callers whose request is under way.
         """
-        sock = self.socket
-        self.socket = None
         self.draining = True
+        # The attribute stays: the selector's thread may be about to use it,
+        # and the library passes over a closed socket, but not over None.
+        sock = self.socket
         self._connections._selector.unregister(sock.fileno())
         sock.setblocking(False)
         while (conn := self._connections._from_server_socket(sock)) is not None:
