Take an engine's stream over from its iterator

flow.take_over gives what was read ahead and a handle of the connection that nobody else closes. The pump had made its own handle from a descriptor number: a stream closed just before would have lent it another stream's bytes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -28,7 +28,6 @@
 
 from foxtaildale import backends
 from foxtaildale import streams
-from foxtaildale_adapters import body as bodies
 from foxtaildale_adapters import callers
 from foxtaildale_adapters import engines
 from foxtaildale_adapters import events
@@ -184,19 +183,19 @@
     """Relays through the shared thread."""
     # Reads the first block through the library, then has its socket.
     first = next(pieces)
+    taken = flow.take_over(pieces)
+    assert taken.sock is not None
     found = flow.Flow(
         exchange=exchange,
         checker=checker,
         framer=streams.Framer('r', 'w', 's', 'm', 0),
         clock=time.monotonic,
         times=times,
-        rest=pieces._rest,
+        rest=taken.rest,
     )
-    found.take([first, *reversed(pieces._ready)])
-    body = pieces._body
-    assert isinstance(body, bodies.Body)
-    assert body._sock is not None
-    found.run(carrier, body._sock.fileno(), _LIMIT_S)
+    found.take([first, *taken.items])
+    with taken.sock:
+        found.run(carrier, taken.sock, _LIMIT_S)
     return found.fault
 
 
--- a/packages/adapters/foxtaildale_adapters/flow.py
+++ b/packages/adapters/foxtaildale_adapters/flow.py
@@ -1,6 +1,7 @@
 """The way of one answer's pieces from an engine's bytes to a caller's."""
 
 from collections.abc import Iterable
+import socket
 from typing import Final
 from typing import Protocol
 
@@ -8,12 +9,59 @@
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import streams
+from foxtaildale_adapters import body
 from foxtaildale_adapters import events
 from foxtaildale_adapters import pump
 
 _END: Final = b'\n\n'
 
 
+class Taken:
+    """What an engine's stream had read ahead, and where to read on."""
+
+    __slots__ = ('items', 'rest', 'sock')
+
+    def __init__(
+        self,
+        items: list[backends.Piece | backends.Last],
+        rest: bytes,
+        sock: socket.socket | None,
+    ) -> None:
+        # Read and understood, but not handed on yet.
+        self.items = items
+        # Start of an event whose end has not come.
+        self.rest = rest
+        # A handle of the connection for `Flow.run`, to be closed by who took
+        # it; None if the stream must be read through its iterator.
+        self.sock = sock
+
+
+def take_over(stream: events.Stream) -> Taken:
+    """Takes a stream from its iterator, after the first event.
+
+    The stream still owns the connection: closing it ends `Flow.run`.
+
+    Raises:
+        errors.AnswerLostError: The stream was closed.
+    """
+    # Private fields of neighbours: this belongs there as a method.
+    items = list(reversed(stream._ready))
+    stream._ready.clear()
+    return Taken(items, stream._rest, _handle(stream._body))
+
+
+def _handle(source: events.Body) -> socket.socket | None:
+    if not isinstance(source, body.Body) or source._sock is None:
+        return None
+    # Under the lock of `close`: the number of a closed handle may already
+    # be another stream's.
+    with source._lock:
+        try:
+            return source._sock.dup()
+        except OSError as exc:
+            raise errors.AnswerLostError('closed') from exc
+
+
 class Caller(Protocol):
     """Where the framed pieces go; `incoming.Exchange` is one."""
 
@@ -72,14 +120,16 @@
         # The end of the whole answer.
         self.last: backends.Last | None = None
 
-    def run(self, carrier: pump.Pump, fd: int, silence_s: float) -> None:
+    def run(
+        self, carrier: pump.Pump, sock: socket.socket, silence_s: float
+    ) -> None:
         """Reads until the answer is whole, at fault, or the caller is gone.
 
         Raises:
             errors.AnswerLostError: The engine's stream broke or was silent.
         """
         while not self.ended:
-            carrier.carry(fd, self, silence_s)
+            carrier.carry(sock, self, silence_s)
             # Waits here, in the stream's own thread, for a slow caller.
             if not self._exchange.flush():
                 return
--- a/packages/adapters/foxtaildale_adapters/pump.py
+++ b/packages/adapters/foxtaildale_adapters/pump.py
@@ -9,7 +9,6 @@
 back to its own thread, which may wait; see `flow`.
 """
 
-import os
 import select
 import socket
 import threading
@@ -93,24 +92,24 @@
         self._wake.set()
         self._thread.join()
 
-    def carry(self, fd: int, feed: Feed, silence_s: float) -> None:
+    def carry(self, sock: socket.socket, feed: Feed, silence_s: float) -> None:
         """Feeds what comes on a socket until `feed` has enough.
 
-        Another thread ends it by shutting the connection down. Closing the
-        descriptor alone would go unnoticed, so the pump has one of its own.
+        Another thread ends it by shutting the connection down. Nobody may
+        close this handle of it meanwhile: its number could become another
+        stream's, whose bytes would then be fed here.
 
         Raises:
             errors.AnswerLostError: The stream broke, ended, or was silent
                 for `silence_s` seconds.
         """
-        with socket.socket(fileno=os.dup(fd)) as sock:
-            stream = _Stream(sock, feed, silence_s, self._clock())
-            with self._lock:
-                if self._closing:
-                    raise errors.AnswerLostError('closed')
-                self._streams[sock.fileno()] = stream
-                self._epoll.register(sock.fileno(), select.EPOLLIN)
-            stream.done.wait()
+        stream = _Stream(sock, feed, silence_s, self._clock())
+        with self._lock:
+            if self._closing:
+                raise errors.AnswerLostError('closed')
+            self._streams[sock.fileno()] = stream
+            self._epoll.register(sock.fileno(), select.EPOLLIN)
+        stream.done.wait()
         if stream.exc is not None:
             raise stream.exc
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -18,6 +18,7 @@
 from foxtaildale import errors
 from foxtaildale import streams
 from foxtaildale_adapters import callers
+from foxtaildale_adapters import engines
 from foxtaildale_adapters import flow
 from foxtaildale_adapters import pump
 
@@ -56,13 +57,14 @@
     return b''.join(pieces) + b'data: %b\n\n' % msgspec.json.encode(last)
 
 
-def make(caller: flow.Caller) -> flow.Flow:
+def make(caller: flow.Caller, rest: bytes = b'') -> flow.Flow:
     return flow.Flow(
         exchange=caller,
         checker=streams.Checker('r', 1, 's'),
         framer=streams.Framer('r', 'w', 's', 'm', 7),
         clock=time.monotonic,
         times=[],
+        rest=rest,
     )
 
 
@@ -125,7 +127,7 @@
         kept = [Kept() for _ in pairs]
         flows = [make(caller) for caller in kept]
         futs = [
-            pool.submit(found.run, carrier, near.fileno(), PATIENCE_S)
+            pool.submit(found.run, carrier, near, PATIENCE_S)
             for found, (near, _) in zip(flows, pairs, strict=True)
         ]
         data = answer(texts)
@@ -148,7 +150,7 @@
     far.close()
     found = make(Kept())
     with near, pytest.raises(errors.AnswerLostError, match='ended'):
-        found.run(carrier, near.fileno(), PATIENCE_S)
+        found.run(carrier, near, PATIENCE_S)
     assert found.last is None
 
 
@@ -156,18 +158,20 @@
     """Something between forgot the connection; no end will ever come."""
     near, far = socket.socketpair()
     with near, far, pytest.raises(errors.AnswerLostError, match='silent'):
-        make(Kept()).run(carrier, near.fileno(), 0.1)
+        make(Kept()).run(carrier, near, 0.1)
 
 
 def test_a_shutdown_from_elsewhere_ends_a_stream(carrier: pump.Pump) -> None:
     """The caller went away; the slot must come free without another token."""
     near, far = socket.socketpair()
     with near, far, concurrent.futures.ThreadPoolExecutor(1) as pool:
-        fut = pool.submit(make(Kept()).run, carrier, near.fileno(), PATIENCE_S)
+        handle = near.dup()
+        fut = pool.submit(make(Kept()).run, carrier, handle, PATIENCE_S)
         near.shutdown(socket.SHUT_RDWR)
         near.close()
         with pytest.raises(errors.AnswerLostError):
             fut.result(PATIENCE_S)
+        handle.close()
 
 
 def test_a_fault_of_one_stream_leaves_the_others(carrier: pump.Pump) -> None:
@@ -176,10 +180,8 @@
     other_near, other_far = socket.socketpair()
     kept = Kept()
     with concurrent.futures.ThreadPoolExecutor(2) as pool:
-        bad = pool.submit(make(Kept()).run, carrier, near.fileno(), PATIENCE_S)
-        good = pool.submit(
-            make(kept).run, carrier, other_near.fileno(), PATIENCE_S
-        )
+        bad = pool.submit(make(Kept()).run, carrier, near, PATIENCE_S)
+        good = pool.submit(make(kept).run, carrier, other_near, PATIENCE_S)
         far.sendall(b'data: {garbage\n\n')
         with pytest.raises(errors.AnswerLostError):
             bad.result(PATIENCE_S)
@@ -195,12 +197,12 @@
     carrier.start()
     near, far = socket.socketpair()
     with near, far, concurrent.futures.ThreadPoolExecutor(1) as pool:
-        fut = pool.submit(make(Kept()).run, carrier, near.fileno(), PATIENCE_S)
+        fut = pool.submit(make(Kept()).run, carrier, near, PATIENCE_S)
         carrier.close()
         with pytest.raises(errors.AnswerLostError):
             fut.result(PATIENCE_S)
         with pytest.raises(errors.AnswerLostError):
-            carrier.carry(near.fileno(), make(Kept()), PATIENCE_S)
+            carrier.carry(near, make(Kept()), PATIENCE_S)
 
 
 class Spy:
@@ -227,6 +229,76 @@
         return self._exchange.flush()
 
 
+def test_a_stream_is_taken_over_from_its_iterator() -> None:
+    """What the iterator had read ahead must neither be lost nor repeated.
+
+    A block holds two pieces and the start of a third when the shared thread
+    takes the stream.
+    """
+    data = answer(['a', 'b', 'c'])
+    head = b'HTTP/1.0 200 OK\r\n\r\n'
+    cut = data.index(b'"position":2')
+
+    def serve(listener: socket.socket) -> None:
+        conn, _ = listener.accept()
+        with conn:
+            conn.recv(65536)
+            conn.sendall(head + data[:cut])
+            assert taken.wait(PATIENCE_S)
+            conn.sendall(data[cut:])
+
+    taken = threading.Event()
+    carrier = pump.Pump()
+    carrier.start()
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        engine = threading.Thread(target=serve, args=(listener,))
+        engine.start()
+        req = backends.DecodeReq(
+            request='r', attempt=1, holder='h', stream='s', max_tokens=3
+        )
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+        stream = engines.Engines().decode(address, req, PATIENCE_S)
+        first = next(stream)
+        found = flow.take_over(stream)
+        taken.set()
+        assert found.sock is not None
+        kept = Kept()
+        relayed = make(kept, found.rest)
+        assert relayed.take([first, *found.items])
+        with found.sock:
+            relayed.run(carrier, found.sock, PATIENCE_S)
+        stream.close()
+        engine.join()
+    carrier.close()
+    assert relayed.last is not None
+    assert kept.data.count(b'"content":') == 3
+
+
+def test_a_closed_stream_is_not_taken_over() -> None:
+    """The caller went away just before; its handle may be another's."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+
+        def serve() -> None:
+            conn, _ = listener.accept()
+            with conn:
+                conn.recv(65536)
+                conn.sendall(b'HTTP/1.0 200 OK\r\n\r\n' + piece(0, 'a'))
+                conn.recv(1)
+
+        engine = threading.Thread(target=serve)
+        engine.start()
+        req = backends.DecodeReq(
+            request='r', attempt=1, holder='h', stream='s', max_tokens=3
+        )
+        stream = engines.Engines().decode(address, req, PATIENCE_S)
+        next(stream)
+        stream.close()
+        with pytest.raises(errors.AnswerLostError):
+            flow.take_over(stream)
+        engine.join()
+
+
 class Relayed:
     """A handler that relays from one end of a socket pair."""
 
@@ -246,7 +318,7 @@
         exchange.start(200, {'Content-Type': 'text/event-stream'})
         found = make(Spy(exchange, self.lagged))
         with self._near[exchange.path] as near:
-            found.run(self._carrier, near.fileno(), PATIENCE_S)
+            found.run(self._carrier, near, PATIENCE_S)
         exchange.finish()
         self.ended.release()
 
