Measure the pool with one mechanism taken out at a time

Goodput with returning callers counts answers given after the last arrival too, so it is no share of the planner's.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,8 @@
         print(bounds.propose(), end='')
     elif words[:1] == ['weights']:
         report.weights()
+    elif words[:1] == ['without']:
+        report.mechanisms(words[1:])
     elif words[:1] == ['seeds']:
         report.seeds(words[1:])
     else:
--- a/bench/report.py
+++ b/bench/report.py
@@ -9,10 +9,19 @@
 from bench import home
 from bench import meter
 from bench import scenario
+from bench import without
 from bench import workload
 from bench import world
 
 _SEEDS: Final = (1, 2, 3, 4)
+# Scenarios in which the mechanisms of `without` are at work.
+_TELLING: Final = (
+    'peak-1.5',
+    'peak-1.5-returns',
+    'transfer-stalls',
+    'worker-dies',
+    'link-slows',
+)
 
 _HEAD = (
     f'{"policy":13}{"good/s":>8}{"planner":>9}{"bound":>8}{"wasted":>9}'
@@ -70,6 +79,20 @@
                 print(_mean(name, dep, scn, make))
 
 
+def mechanisms(words: Sequence[str]) -> None:
+    """Prints the pool with one mechanism taken out at a time."""
+    for dep in workload.ALL:
+        for scn in scenario.SCENARIOS:
+            if scn.name in (words or _TELLING):
+                for case in without.CASES:
+                    name = f'{dep.name:11}{scn.name:17}{case.name:20}'
+                    figs = [
+                        without.make_run(case, dep, scn, seed).figures()
+                        for seed in _SEEDS
+                    ]
+                    print(_means(name, figs))
+
+
 def _mean(
     name: str,
     dep: workload.Deployment,
@@ -80,6 +103,11 @@
         scenario.Run(dep, scn, make, dep.long_s, seed).figures()
         for seed in _SEEDS
     ]
+    return _means(name, figs)
+
+
+def _means(name: str, figs: Sequence[meter.Figures]) -> str:
+    """Returns a line with the means of several runs."""
 
     def mean(field: str) -> float:
         return statistics.mean(float(getattr(fig, field)) for fig in figs)
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -79,7 +79,7 @@
         self.arrivals = workload.arrivals(dep, scenario.load, length_s, seed)
         self.world = world.World(dep)
         self.placer = make(self.world)
-        self._budgets = [
+        self.budgets = [
             budget.Budget(
                 values.Preset(name='', services={}).retry_ratio,
                 values.Preset(name='', services={}).retry_burst,
@@ -145,7 +145,7 @@
         call = entry.Call(
             self.world,
             self.placer,
-            self._budgets[vm],
+            self.budgets[vm],
             arrival if tries == 0 else again,
             vm=vm,
             over=lambda call, reply: self._over(arrival, call, reply),
