--- a/packages/core/foxtaildale/admission.py
+++ b/packages/core/foxtaildale/admission.py
@@ -114,7 +114,9 @@
     def _queue(
         self, now: float, msg: messages.AskSlot, wait_s: float
     ) -> messages.Queued:
-        again_s = min(max(wait_s - HORIZON_S / 2, _AGAIN_S), _AGAIN_MOST_S)
+        # A third of a long wait: those ahead may leave, and the rank is kept.
+        again_s = max(_AGAIN_S, wait_s - HORIZON_S / 2)
+        again_s = min(again_s, max(_AGAIN_MOST_S, wait_s / 3))
         arrived_at = now - msg.waited_ms / 1000
         self.waiting.put(
             msg.request, arrived_at, now + again_s, msg.prompt_tokens
