--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -41,6 +41,8 @@
     address: str
     # Revision it works by.
     revision: int
+    # Backend servers that refused work as leaving, `NAME@ADDRESS`.
+    leaving: tuple[str, ...] = ()
 
 
 class HelloReply(Wire, frozen=True):
@@ -50,12 +52,20 @@
     # None while the keeper does not know.
     in_force: values.InForce | None
     listing: values.Listing | None
-    # The keeper's members: entry VMs it has heard of lately.
-    keepers: tuple[tuple[str, str], ...] = ()
+    # Keepers heard of lately, this one among them.
+    keepers: tuple[values.Keeper, ...] = ()
+    # Beginning of new idempotency keys; empty while it is not known.
+    key_prefix: str = ''
+
+
+class Bye(Wire, frozen=True):
+    """From a process that ends by plan: it is gone from now on."""
+
+    incarnation: str
 
 
 class Beat(Wire, frozen=True):
-    """Between keepers, about once a second."""
+    """Between keepers, about once a second; answered by the other's own."""
 
     entry_vm: str
     incarnation: str
@@ -67,6 +77,10 @@
     listing_version: int
     # Incarnations of the entries on this VM.
     entries: tuple[str, ...] = ()
+    # Whether this process is being stopped by plan.
+    stopping: bool = False
+    # Reported leaving, `NAME@ADDRESS`, before the listing says so.
+    leaving: tuple[str, ...] = ()
 
 
 class Pull(Wire, frozen=True):
@@ -172,7 +186,7 @@
 class ClaimReply(Wire, frozen=True):
     """What the log says of a key.
 
-    Status is one of won, lost, other-body, log-down, old.
+    Status is one of won, lost, other-body, bad, log-down, old.
     """
 
     status: str
@@ -180,6 +194,8 @@
     owner_address: str = ''
     request: str = ''
     retry_after_ms: int = 0
+    # Of a lost claim, if the log has its end already.
+    outcome: values.Outcome | None = None
 
 
 class EndClaim(Wire, frozen=True):
@@ -203,6 +219,8 @@
     witness_address: str
     # Seconds on the executor's own monotonic clock.
     minted_at: float
+    # A reading of the witness's own monotonic clock from before the minting.
+    witness_at: float
     # Hex HMAC-SHA256 of the fields above.
     mac: str = ''
 
@@ -213,8 +231,8 @@
     identity: str
     witness: str
     body: str
-    # How long the witness remembers it, seconds.
-    life_s: float
+    # From the ticket; the witness tells by it what it may have forgotten.
+    witness_at: float
 
 
 class Void(Wire, frozen=True):
@@ -223,7 +241,7 @@
     identity: str
     witness: str
     body: str
-    life_s: float
+    witness_at: float
 
 
 class Tell(Wire, frozen=True):
@@ -231,17 +249,28 @@
 
     identity: str
     witness: str
+    body: str
+    witness_at: float
     outcome: values.Outcome
     answer: bytes = b''
 
 
+class AskReading(Wire, frozen=True):
+    """From an executor to a witness: what does your clock read?"""
+
+    witness: str
+
+
 class WitnessReply(Wire, frozen=True):
-    """Status is one of noted, voided, told, stranger.
+    """Status is one of noted, voided, told, other-body, old, reading, stranger.
 
-    A stranger is a keeper of another incarnation than the ticket names.
+    Old means that the witness may have known the identity and forgotten it. A
+    stranger is a keeper of another incarnation than the ticket names.
     """
 
     status: str
+    # The witness's clock, seconds; each reply carries it for later tickets.
+    at: float = 0.0
     outcome: values.Outcome | None = None
     answer: bytes = b''
 
@@ -285,6 +314,7 @@
     | Pong
     | Hello
     | HelloReply
+    | Bye
     | Beat
     | Pull
     | PullReply
@@ -301,6 +331,7 @@
     | Note
     | Void
     | Tell
+    | AskReading
     | WitnessReply
     | RunTicket
     | RunReply
