--- a/bench/lists.py
+++ b/bench/lists.py
@@ -20,7 +20,9 @@
 from foxtaildale import gossip
 from foxtaildale import homes
 from foxtaildale import messages
+from foxtaildale import options
 from foxtaildale import values
+from foxtaildaled import keeper
 
 # Entry VMs and backend servers: small, a tenth, the two-year size.
 SIZES: Final = ((8, 16), (69, 260), (690, 2_600))
@@ -76,6 +78,47 @@
     )
 
 
+def homes_ms(listed: values.Listing) -> float:
+    """Returns what a keeper spends on finding the workers at home with it.
+
+    It does so twice a second for loads, and once for the reaper by another
+    name of the home.
+    """
+    first, *others = listed.entry_vms
+    cfg = options.Options(
+        role='keeper',
+        entry_vm=first.name,
+        data_centre=first.data_centre,
+        platform='127.0.0.1:1',
+        secret='0123456789abcdef',
+    )
+    me = values.Keeper(
+        name=first.name,
+        incarnation=f'keeper.{first.name}.0',
+        address=first.keeper,
+        data_centre=first.data_centre,
+    )
+    made = keeper.Keeper(me, cfg)
+    made.on_listing(0.0, listed)
+    for vm in others:
+        made.on_beat(
+            0.0,
+            messages.Beat(
+                entry_vm=vm.name,
+                incarnation=f'keeper.{vm.name}.0',
+                data_centre=vm.data_centre,
+                address=vm.keeper,
+                offset=0,
+                digest='',
+                listing_version=1,
+            ),
+        )
+    start = time.process_time()
+    made.homed(0.0)
+    made.reaped(0.0)
+    return (time.process_time() - start) * 1e3 / 2
+
+
 def outcome() -> values.Outcome:
     """Returns an outcome with figures, as a refusal has them."""
     return values.Outcome(
@@ -121,7 +164,7 @@
     return (
         f'{entry_vms:4} {servers:5} {len(text):8} {read_ms:7.3f}'
         f' {size / 1e6:7.2f} {len(wire):8} {tell_ms:7.3f}'
-        f' {home_us:7.1f}  {bound}'
+        f' {home_us:7.1f} {homes_ms(listed):8.2f}  {bound}'
     )
 
 
@@ -157,7 +200,7 @@
 def main() -> None:
     """Prints all figures."""
     print(
-        ' VMs  srvs  list B  read ms  MB held  hello B  tell ms home us  gone after'
+        ' VMs  srvs  list B  read ms  MB held  hello B  tell ms home us homes ms  gone after'
     )
     for entry_vms, servers in SIZES:
         print(row(entry_vms, servers))
