--- a/tests/demo.py
+++ b/tests/demo.py
@@ -6,11 +6,14 @@
 """
 
 import json
+import os
 import pathlib
+import subprocess
 import sys
 import tempfile
 from typing import Final
 
+import msgspec
 import urllib3
 
 from foxtaildale import values
@@ -85,9 +88,7 @@
     ):
         dep.start(WORKERS, VMS)
         say('started', ', '.join(proc.name for proc in dep.procs.procs))
-        dep.publish(PRESET)
-        dep.wait_in_force(PRESET.name)
-        say('in force', PRESET.name)
+        publish(dep, pathlib.Path(work))
         ask_question(dep)
         send_patrol_log(dep)
         check_in(dep)
@@ -95,6 +96,39 @@
         return stop(dep)
 
 
+def publish(dep: deployment.Deployment, work: pathlib.Path) -> None:
+    """Publishes a preset and switches to it, as an operator does."""
+    path = work / 'ordinary.json5'
+    path.write_bytes(b'// The demonstration.\n' + msgspec.json.encode(PRESET))
+    for command in (
+        ('check', str(path)),
+        ('publish', str(path)),
+        ('switch', PRESET.name, '--expects', '0'),
+        ('current',),
+    ):
+        operate(dep, 'preset', *command)
+    dep.wait_in_force(PRESET.name)
+
+
+def operate(
+    dep: deployment.Deployment, *command: str, quiet: bool = False
+) -> int:
+    """Runs the operators' program; returns its exit status."""
+    if not quiet:
+        say('operator', f'foxtaildale {" ".join(command)}')
+    env = os.environ | {
+        'FOXTAILDALE_PLATFORM': dep.platform.address,
+        'PYTHONPATH': os.pathsep.join(path for path in sys.path if path),
+    }
+    done = subprocess.run(
+        [sys.executable, '-m', 'foxtaildale_client.main', *command],
+        env=env,
+        capture_output=quiet,
+        check=False,
+    )
+    return done.returncode
+
+
 def ask_question(dep: deployment.Deployment) -> None:
     """Streams a dispatcher's question."""
     body = {
@@ -163,8 +197,13 @@
     )
     error = json.loads(answer.data)['error']
     say('refused', f'{answer.status} {error["code"]}: {error["message"]}')
-    told = dep.get(dep.caller('entry-1'), f'/v1/outcomes/{error["request"]}')
-    say('explained', shorten(told.data))
+    # The entry writes its outcomes to the log about once a second.
+    dep.until(
+        lambda: operate(dep, 'explain', error['request'], quiet=True) == 0,
+        'the refusal is in the log',
+    )
+    operate(dep, 'explain', error['request'])
+    operate(dep, 'status')
 
 
 def stop(dep: deployment.Deployment) -> int:
