Say 'not run' at the edge only where no key or ticket was seen

Cause: entry-busy and slow-request are answered before a handler sees the request, as 'not run'. A caller that repeats itself under a key takes that for an answer to its earlier try, which may be running at another VM. The edge now looks for the two headers in what has come; with one of them ran is unknown. Red with the look taken out: test_callers_beyond_the_threads. Ruled out: saying unknown wherever the head was not whole; a caller without identity would never learn that garbage did not run.

--- a/packages/adapters/foxtaildale_adapters/files.py
+++ b/packages/adapters/foxtaildale_adapters/files.py
@@ -67,11 +67,15 @@
 
     def has_data(self) -> bool:
         """Whether more input came behind the last request."""
+        return bool(self.head())
+
+    def head(self) -> bytes:
+        """Returns the beginning of what has come and was not read."""
         self._input.deadline = 0.0
         try:
-            return bool(self.peek(1))
+            return self.peek(1)
         except OSError:
-            return False
+            return b''
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Reads a line or the start of one that is too long."""
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -69,7 +69,9 @@
             return
         self.sent_headers = True
         self.conn.drop_input = True
-        self.conn.answer(code, figures)
+        names = b''.join(b'%b:\r\n' % name for name in self.inheaders)
+        sure = not incoming.has_identity(names)
+        self.conn.answer(code, figures, sure=sure)
 
 
 class _Connection(server.HTTPConnection):
@@ -96,10 +98,14 @@
         finally:
             self.server.count(-1)
 
-    def answer(self, code: codes.Code, figures: incoming.Figures) -> None:
+    def answer(
+        self, code: codes.Code, figures: incoming.Figures, *, sure: bool
+    ) -> None:
         """Sends an error and nothing after it."""
         retry_s = BUSY_RETRY_S if code is codes.ENTRY_BUSY else 0
-        body = incoming.error_body(code, figures, self.server.entry_vm, retry_s)
+        body = incoming.error_body(
+            code, figures, self.server.entry_vm, retry_s, sure=sure
+        )
         head = (
             f'HTTP/1.1 {code.status} {code.name}\r\n'
             'Content-Type: application/json\r\n'
@@ -299,8 +305,12 @@
             conn.close()
 
     def _turn_away(self, conn: _Connection) -> None:
-        conn.rfile.has_data()
-        conn.answer(codes.ENTRY_BUSY, {'limit': self.threads})
+        head = conn.rfile.head()
+        conn.answer(
+            codes.ENTRY_BUSY,
+            {'limit': self.threads},
+            sure=not incoming.has_identity(head),
+        )
         conn.close()
 
     def stop_accepting(self) -> None:
--- a/packages/adapters/foxtaildale_adapters/incoming.py
+++ b/packages/adapters/foxtaildale_adapters/incoming.py
@@ -23,17 +23,45 @@
 _INTERIM: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _COMMENT: Final = b'3\r\n:\n\n\r\n'
 
+# Said to a caller whose earlier try may be running elsewhere.
+EARLIER: Final = 'This is of this try alone; an earlier one may have run.'
+_IDENTITIES: Final = (b'idempotency-key:', b'foxtaildale-ticket:')
+
 Figures = Mapping[str, float | str]
 
 
+def has_identity(head: bytes) -> bool:
+    """Whether what came of a request's head names a key or a ticket."""
+    lowered = head.partition(b'\r\n\r\n')[0].lower()
+    return any(name in lowered for name in _IDENTITIES)
+
+
 def error_body(
-    code: codes.Code, figures: Figures, entry_vm: str, retry_after_s: float = 0
+    code: codes.Code,
+    figures: Figures,
+    entry_vm: str,
+    retry_after_s: float = 0,
+    *,
+    sure: bool = True,
 ) -> bytes:
-    """Returns the JSON body of an error that no request id stands for."""
+    """Returns the JSON body of an error that no request id stands for.
+
+    Args:
+        code: What is wrong.
+        figures: For its sentence.
+        entry_vm: Where it was found.
+        retry_after_s: When to come back, seconds.
+        sure: Whether "not run" may be said. A caller under a key or ticket
+            takes it for an answer to its earlier tries too, and one of them
+            may be running at another VM.
+    """
+    ran, message = code.ran, code.sentence.format(**figures)
+    if not sure and ran == 'no':
+        ran, message = 'unknown', f'{message} {EARLIER}'
     error = {
         'code': code.name,
-        'message': code.sentence.format(**figures),
-        'ran': code.ran,
+        'message': message,
+        'ran': ran,
         'figures': dict(figures),
         'entry_vm': entry_vm,
         'retry_after_s': retry_after_s,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -461,6 +461,10 @@
     found = error_of(answer)
     assert found['code'] == 'entry-busy'
     assert found['retry_after_s'] == 1
+    assert found['ran'] == 'no'
+    again = running.raw(b'GET / HTTP/1.1\r\nidempotency-key: k\r\n\r\n')
+    # An earlier try under this key may be running at another VM.
+    assert b'"ran":"unknown"' in again
     running.script.release.set()
     for sock in socks:
         assert read_until(sock, b'held')
