--- a/packages/core/foxtaildale/settings.py
+++ b/packages/core/foxtaildale/settings.py
@@ -47,6 +47,9 @@
 # Where the parser says at which character it stopped.
 _NEAR: Final = re.compile(r' near (\d+).*')
 
+# What separates a field from the rest of a path in a fault.
+_INNER: Final = re.compile(r'[.\[]')
+
 _T = TypeVar('_T')
 
 
@@ -122,10 +125,12 @@
 ) -> list[rules.Fault]:
     """Compares the fields of options that are right by themselves."""
     known = options_lib.Options.__struct_fields__
+    # A fault within a list names the item; its field is wrong as a whole.
+    tops = {_INNER.split(path, maxsplit=1)[0] for path in wrong}
     right = {
         key: value
         for key, value in found.items()
-        if key in known and key not in wrong
+        if key in known and key not in tops
     }
     cfg = msgspec.convert({**_PLACEHOLDERS, **right}, options_lib.Options)
     return [
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -2,10 +2,9 @@
 
 Three entry VMs. VMs and entries are killed and started anew, entries and
 keepers stand still past every bound and wake, the log is down or its answers
-are lost, services execute and their answers are lost; in two seeded rows
-that go on side by side. Whatever happens, no identity is executed twice, and
-whoever was
-told "not run" was told the truth.
+are lost, services execute and their answers are lost; in two seeded rows that
+go on side by side. Whatever happens, no identity is executed twice, and
+whoever was told "not run" was told the truth.
 """
 
 import pathlib
