Split the stages from the answers, show wire counts, forget old holders

Messages and bytes between processes are in the metrics of each process. The reaper's list of missed holders was never shortened: found by reading, it is now.

--- a/packages/core/foxtaildale/reaper.py
+++ b/packages/core/foxtaildale/reaper.py
@@ -14,11 +14,16 @@
   longer than the grace time, which the worker itself reports.
 """
 
+from typing import Final
+
 import msgspec
 
 from foxtaildale import backends
 from foxtaildale import incarnations
 
+# Grace times after which a missed holder is forgotten.
+_FORGET_GRACES: Final = 100
+
 
 class Census(msgspec.Struct, frozen=True, kw_only=True):
     """What a keeper knows of the living at one moment."""
@@ -58,10 +63,15 @@
             return True
         return not holding.attached and holding.age_ms > self._grace_s * 1000
 
-    def forget(self, now: float, after_s: float) -> None:
-        """Drops holders missed for long, which no worker names any more."""
+    def forget(self, now: float) -> None:
+        """Drops holders missed for long, which no worker names any more.
+
+        Entries are replaced by the hundred a day; without this their names
+        would be kept for ever. One that is still named is missed anew.
+        """
+        bound_s = _FORGET_GRACES * self._grace_s
         self._missing = {
             holder: since
             for holder, since in self._missing.items()
-            if now - since <= after_s
+            if now - since <= bound_s
         }
--- a/packages/daemon/foxtaildaled/answers.py
+++ b/packages/daemon/foxtaildaled/answers.py
@@ -21,7 +21,6 @@
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import options
-from foxtaildale import pace
 from foxtaildale import ports
 from foxtaildale import streams
 from foxtaildale import values
@@ -32,75 +31,15 @@
 from foxtaildaled import retries
 from foxtaildaled import sinks
 from foxtaildaled import slots
+from foxtaildaled import stages
 from foxtaildaled import view
 
 # Times that a broken stream is read on.
 _RESUMES: Final = 5
-# Bound on one prefill, seconds.
-_PREFILL_S: Final = 60.0
-# Time before a finished prefill asks again for a slot, seconds.
-_FULL_WAIT_S: Final = 0.025
 # Attempts after which an engine's refusal counts as a failure like any other.
 _FREE_TRIES: Final = 4
 # The engines' word for a planned stop.
 _LEAVING: Final = 'leaving'
-# Their words for no slot free, and for something they do not hold any more.
-_FULL: Final = 'full'
-_GONE: Final = 'gone'
-
-
-class Ready(msgspec.Struct, frozen=True):
-    """A finished prefill and where it lies."""
-
-    worker: str
-    address: str
-    reply: backends.PrefillReply
-    # When the engine evicts it; seconds, monotonic.
-    until: float
-
-
-class Failure(msgspec.Struct, frozen=True):
-    """An attempt that did not end in a whole answer."""
-
-    # prefill-failed, transfer-failed, decode-failed
-    stage: str
-    reason: str
-    # Decode worker that it failed at, for the next attempt to avoid.
-    decode: str = ''
-    # Backend server that it failed at.
-    at: str = ''
-    # Whether the engine may have begun the answer itself.
-    begun: bool = False
-    # The engine's own word where it said that it did not act.
-    rejected: str = ''
-    # A finished prefill that may be fetched again.
-    ready: 'Ready | None' = None
-
-
-class Measured:
-    """How long the stages of one attempt took, milliseconds."""
-
-    __slots__ = (
-        'cached_tokens',
-        'decode_ms',
-        'output_tokens',
-        'prefill_ms',
-        'transfer_ms',
-    )
-
-    prefill_ms: int
-    transfer_ms: int
-    decode_ms: int
-    output_tokens: int
-    # Prompt tokens that the prefix cache had.
-    cached_tokens: int
-
-    def __init__(self) -> None:
-        self.cached_tokens = 0
-        self.prefill_ms = 0
-        self.transfer_ms = 0
-        self.decode_ms = 0
-        self.output_tokens = 0
 
 
 class Answers:
@@ -111,10 +50,10 @@
         '_clock',
         '_engines',
         '_metrics',
-        '_pace',
         '_pump',
         '_retries',
         '_slots',
+        '_stages',
         '_view',
     )
 
@@ -126,7 +65,7 @@
     _clock: ports.Clock
     _view: view.View
     _pump: pump.Pump
-    _pace: pace.Pace
+    _stages: stages.Stages
 
     def __init__(
         self,
@@ -148,12 +87,12 @@
         self._clock = clock
         self._view = seen
         self._pump = carrier
-        self._pace = pace.Pace()
+        self._stages = stages.Stages(engines, getter, counts, clock)
 
     def run(self, job: jobs.Job, sink: sinks.Sink) -> slots.Refusal:
         """Runs a request to its end and returns its code and figures."""
         self._retries.first(job.name, job.snapshot)
-        last: Failure | None = None
+        last: stages.Failure | None = None
         while True:
             job.attempt += 1
             result = self._attempt(job, sink, last)
@@ -207,7 +146,7 @@
             return codes.CANCELLED
         return codes.BROKEN if reason else codes.OK
 
-    def _report(self, job: jobs.Job, failure: Failure) -> None:
+    def _report(self, job: jobs.Job, failure: stages.Failure) -> None:
         """Tells the keepers of a backend server that refused as leaving."""
         if failure.rejected == _LEAVING:
             server = job.snapshot.server(failure.at)
@@ -215,7 +154,7 @@
                 self._view.report_leaving(server)
 
     def _may_retry(
-        self, job: jobs.Job, sink: sinks.Sink, failure: Failure
+        self, job: jobs.Job, sink: sinks.Sink, failure: stages.Failure
     ) -> bool:
         if sink.started:
             return False
@@ -234,22 +173,22 @@
         return True
 
     def _attempt(
-        self, job: jobs.Job, sink: sinks.Sink, last: Failure | None
-    ) -> slots.Refusal | Failure:
-        ready = self._still_ready(last)
+        self, job: jobs.Job, sink: sinks.Sink, last: stages.Failure | None
+    ) -> slots.Refusal | stages.Failure:
+        ready = self._stages.still_ready(last)
         grant = self._slots.get(
             job, ready.worker if ready else '', last.decode if last else ''
         )
         if isinstance(grant, slots.Refusal):
             return grant
-        measured = Measured()
-        result: slots.Refusal | Failure | None = None
+        measured = stages.Measured()
+        result: slots.Refusal | stages.Failure | None = None
         try:
             job.gone.wait(grant.start_in_ms / 1000)
             result = self._work(job, sink, grant, measured, ready)
         finally:
             if not isinstance(result, slots.Refusal) or job.gone.is_set():
-                job.abandon(_kept(result))
+                job.abandon(stages.kept(result))
             self._slots.end(job, _end(job, grant, measured, result))
         return result
 
@@ -258,137 +197,31 @@
         job: jobs.Job,
         sink: sinks.Sink,
         grant: messages.Granted,
-        measured: Measured,
-        ready: Ready | None,
-    ) -> slots.Refusal | Failure:
+        measured: stages.Measured,
+        ready: stages.Ready | None,
+    ) -> slots.Refusal | stages.Failure:
         """Runs the three stages of one attempt."""
         if ready is None:
-            prefilled = self._prefill(job, grant, measured)
-            if not isinstance(prefilled, Ready):
+            prefilled = self._stages.prefill(job, grant, measured)
+            if not isinstance(prefilled, stages.Ready):
                 return prefilled
             ready = prefilled
-        moved = self._transfer(job, grant, ready, measured)
+        moved = self._stages.transfer(job, grant, ready, measured)
         if not isinstance(moved, messages.Granted):
-            if not _kept(moved):
+            if not stages.kept(moved):
                 self._metrics.wasted_prefill_tokens.add(
                     ready.reply.tokens - ready.reply.cached, job.name
                 )
             return moved
         began_at = self._clock()
         result = self._decode(job, sink, moved)
-        measured.decode_ms = self._since(began_at)
+        measured.decode_ms = self._stages.since(began_at)
         measured.output_tokens = len(job.times)
         return result
 
-    def _prefill(
-        self, job: jobs.Job, grant: messages.Granted, measured: Measured
-    ) -> Ready | Failure | slots.Refusal:
-        if not job.hold(grant.prefill_address):
-            return slots.Refusal(codes.GONE)
-        began_at = self._clock()
-        req = backends.PrefillReq(
-            request=job.request,
-            attempt=job.attempt,
-            holder=job.holder,
-            model=job.name,
-            prompt=job.prompt,
-            priority=job.service.priority,
-        )
-        try:
-            reply = self._engines.prefill(
-                grant.prefill_address, req, _PREFILL_S
-            )
-        except errors.PortError as exc:
-            return self._failed(job, 'prefill-failed', exc, grant.prefill)
-        measured.prefill_ms = self._since(began_at)
-        self._metrics.prefill_tokens.add(reply.tokens - reply.cached, job.name)
-        if (reply.request, reply.attempt) != (job.request, job.attempt):
-            return Failure('prefill-failed', 'answer of another request')
-        measured.cached_tokens = reply.cached
-        job.sent = True
-        return Ready(
-            grant.prefill,
-            grant.prefill_address,
-            reply,
-            self._clock() + reply.lives_ms / 1000,
-        )
-
-    def _transfer(
-        self,
-        job: jobs.Job,
-        grant: messages.Granted,
-        ready: Ready,
-        measured: Measured,
-    ) -> messages.Granted | Failure | slots.Refusal:
-        """Has a decode worker fetch the KV cache; returns its grant."""
-        while True:
-            failure = self._fetch(job, grant, ready, measured)
-            if failure is None:
-                job.let_go(ready.address)
-                return grant
-            if failure.rejected != _FULL or self._clock() >= ready.until:
-                return failure
-            # The slot that was to be free is not yet. Nothing was lost: the
-            # result may go to whichever worker has a slot now.
-            job.gone.wait(_FULL_WAIT_S)
-            moved = self._slots.get(job, ready.worker, '')
-            if isinstance(moved, slots.Refusal):
-                return moved
-            grant = moved
-
-    def _fetch(
-        self,
-        job: jobs.Job,
-        grant: messages.Granted,
-        ready: Ready,
-        measured: Measured,
-    ) -> Failure | None:
-        if not job.hold(grant.decode_address):
-            return Failure('transfer-failed', 'the caller went away')
-        began_at = self._clock()
-        req = backends.ImportReq(
-            request=job.request,
-            attempt=job.attempt,
-            holder=job.holder,
-            source=ready.address,
-            kv=ready.reply.kv,
-        )
-        bound_s = self._pace.bound_s(
-            ready.reply.tokens, ready.reply.lives_ms / 1000
-        )
-        try:
-            reply = self._engines.fetch(grant.decode_address, req, bound_s)
-        except errors.PortError as exc:
-            measured.transfer_ms = self._since(began_at)
-            return self._lost_transfer(job, grant, ready, exc)
-        measured.transfer_ms = self._since(began_at)
-        self._pace.learn(ready.reply.tokens, self._clock() - began_at)
-        if (reply.request, reply.attempt) != (job.request, job.attempt):
-            return Failure('transfer-failed', 'answer of another request')
-        return None
-
-    def _lost_transfer(
-        self,
-        job: jobs.Job,
-        grant: messages.Granted,
-        ready: Ready,
-        exc: errors.PortError,
-    ) -> Failure:
-        failure = self._failed(job, 'transfer-failed', exc, grant.decode)
-        if failure.rejected == _GONE:
-            # Evicted before its transfer began: nobody is to blame.
-            return msgspec.structs.replace(failure, stage='evicted', decode='')
-        if self._clock() < ready.until:
-            return msgspec.structs.replace(failure, ready=ready)
-        return failure
-
-    def _since(self, began_at: float) -> int:
-        """Returns the milliseconds since a time."""
-        return round((self._clock() - began_at) * 1000)
-
     def _decode(
         self, job: jobs.Job, sink: sinks.Sink, grant: messages.Granted
-    ) -> slots.Refusal | Failure:
+    ) -> slots.Refusal | stages.Failure:
         """Reads the stream to its end, over new connections if need be."""
         req = backends.DecodeReq(
             request=job.request,
@@ -419,12 +252,16 @@
                 with job.reading(items):
                     reason = reader.read(items)
             except errors.RejectedError as exc:
-                failure = self._failed(job, 'decode-failed', exc, grant.decode)
+                failure = self._stages.failed(
+                    job, 'decode-failed', exc, grant.decode
+                )
                 return msgspec.structs.replace(failure, begun=turn > 0)
             except errors.UnreachableError as exc:
                 reason = str(exc)
                 if turn == 0:
-                    return self._failed(job, 'decode-failed', exc, grant.decode)
+                    return self._stages.failed(
+                        job, 'decode-failed', exc, grant.decode
+                    )
             except errors.PortError as exc:
                 reason = str(exc)
             if not reason:
@@ -432,7 +269,7 @@
                 self._observe(job)
                 return slots.Refusal(codes.OK)
         job.sent = True
-        return Failure('decode-failed', reason, grant.decode, begun=True)
+        return stages.Failure('decode-failed', reason, grant.decode, begun=True)
 
     def _observe(self, job: jobs.Job) -> None:
         times = job.times
@@ -446,26 +283,6 @@
             job.name,
         )
 
-    def _still_ready(self, last: Failure | None) -> Ready | None:
-        """Returns the last attempt's prefill if it can still be fetched."""
-        if last is None or last.ready is None:
-            return None
-        return last.ready if self._clock() < last.ready.until else None
-
-    def _failed(
-        self, job: jobs.Job, stage: str, exc: errors.PortError, at: str
-    ) -> Failure:
-        rejected = exc.code if isinstance(exc, errors.RejectedError) else ''
-        if not rejected and not isinstance(exc, errors.UnreachableError):
-            job.sent = True
-        return Failure(
-            stage,
-            str(exc),
-            at if stage != 'prefill-failed' else '',
-            at=at,
-            rejected=rejected,
-        )
-
     def _open(
         self,
         job: jobs.Job,
@@ -486,13 +303,6 @@
         )
 
 
-def _kept(result: slots.Refusal | Failure | None) -> str:
-    """Returns the address whose prefill the next attempt fetches."""
-    if isinstance(result, Failure) and result.ready is not None:
-        return result.ready.address
-    return ''
-
-
 def _refusal(job: jobs.Job, refusal: slots.Refusal) -> slots.Refusal:
     """Returns a refusal as it is true after earlier attempts."""
     if not job.sent or refusal.code.ran != 'no':
@@ -504,7 +314,7 @@
 
 
 def _given_up(
-    job: jobs.Job, failure: Failure, sink: sinks.Sink
+    job: jobs.Job, failure: stages.Failure, sink: sinks.Sink
 ) -> slots.Refusal:
     code = codes.FAILED
     if sink.started:
@@ -524,12 +334,12 @@
 def _end(
     job: jobs.Job,
     grant: messages.Granted,
-    measured: Measured,
-    result: slots.Refusal | Failure | None,
+    measured: stages.Measured,
+    result: slots.Refusal | stages.Failure | None,
 ) -> messages.EndSlot:
     if job.gone.is_set():
         outcome = 'cancelled'
-    elif isinstance(result, Failure):
+    elif isinstance(result, stages.Failure):
         outcome = result.stage
     else:
         outcome = 'done'
--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -189,6 +189,7 @@
 
     def step(self) -> None:
         """Looks once at each worker that this keeper reaps."""
+        self._owner.run(lambda _state, now: self._reaper.forget(now))
         for server in self._owner.run(lambda state, now: state.reaped(now)):
             self._fan.call(
                 server.address, functools.partial(self._reap, server)
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -81,6 +81,7 @@
         '_cfg',
         '_gossip',
         '_loops',
+        '_metrics',
         '_owner',
         '_peers',
         '_responder',
@@ -90,6 +91,7 @@
     _cfg: options.Options
     _peers: peers.Peers
     _responder: wire.Responder
+    _metrics: metrics.Metrics
     _owner: actors.Owner[keeper.Keeper]
     _gossip: gossip.Gossip
     _settle: process.Loop
@@ -114,7 +116,7 @@
             data_centre=cfg.data_centre,
         )
         self._owner = actors.Owner(keeper.Keeper(me, cfg), time.monotonic)
-        counts = metrics.Metrics()
+        self._metrics = metrics.Metrics()
         store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
         claims_store = platform.Platform(cfg.platform, cfg.platform_timeout_s)
         workers = engines.Engines()
@@ -142,7 +144,7 @@
             ),
         ]
         self._admin = admin.Admin(
-            cfg.admin_address, self._ready, self._state, counts.render
+            cfg.admin_address, self._ready, self._state, self._render
         )
         for loop in self._loops:
             loop.start()
@@ -173,6 +175,9 @@
             return messages.DumpReply(state=self._state())
         return self._owner.run(lambda state, now: state.handle(now, msg))
 
+    def _render(self) -> bytes:
+        return _render(self._metrics, self._peers, self._responder)
+
     def _ready(self) -> str:
         vouched = self._owner.run(
             lambda state, now: state.follower.vouched(now)
@@ -194,6 +199,7 @@
         '_gate',
         '_incarnation',
         '_loops',
+        '_metrics',
         '_peers',
         '_pump',
         '_records',
@@ -206,6 +212,7 @@
     _incarnation: str
     _peers: peers.Peers
     _responder: wire.Responder
+    _metrics: metrics.Metrics
     _view: view.View
     _desk: desk.Desk
     _pump: pump.Pump
@@ -228,12 +235,12 @@
         """Binds, then starts the loops and serves callers."""
         cfg = self._cfg
         address = self._responder.start()
-        counts = metrics.Metrics()
+        counts = self._metrics = metrics.Metrics()
         self._wire(address, counts)
         for loop in self._loops:
             loop.start()
         self._admin = admin.Admin(
-            cfg.admin_address, self._ready, self._state, counts.render
+            cfg.admin_address, self._ready, self._state, self._render
         )
         _announce(
             cfg,
@@ -357,6 +364,9 @@
             return messages.DumpReply(state=self._state())
         return messages.Fail(code='not-for-an-entry')
 
+    def _render(self) -> bytes:
+        return _render(self._metrics, self._peers, self._responder)
+
     def _ready(self) -> str:
         if self._gate.stopping:
             return 'being stopped'
@@ -393,6 +403,28 @@
     return bool(state.entries) or state.claims.unwritten() > 0
 
 
+def _render(
+    counts: metrics.Metrics, asked: peers.Peers, served: wire.Responder
+) -> bytes:
+    """Returns the metrics, with what passed between processes so far."""
+    sides = (asked.counts, served.counts)
+    for direction, total, size in (
+        (
+            'sent',
+            sum(side.sent for side in sides),
+            sum(side.sent_bytes for side in sides),
+        ),
+        (
+            'received',
+            sum(side.received for side in sides),
+            sum(side.received_bytes for side in sides),
+        ),
+    ):
+        counts.messages.set(total, direction)
+        counts.message_bytes.set(size, direction)
+    return counts.render()
+
+
 def _announce(cfg: options.Options, **addresses: str) -> None:
     """Tells the addresses in use, for settings that leave them to the kernel."""
     logs.event(absl_logging.INFO, 'started', **addresses)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -121,6 +121,15 @@
     assert json.loads(told.data)['error']['message'] == error['message']
 
 
+def test_metrics_count_what_passes_between_processes(
+    dep: deployment.Deployment,
+) -> None:
+    for proc in (dep.entries['entry-1'], dep.keepers['entry-1']):
+        page = dep.get(proc.addresses['admin'], '/metrics').data.decode()
+        assert 'foxtaildale_messages_total{direction="sent"}' in page
+        assert 'foxtaildale_message_bytes_total{direction="received"}' in page
+
+
 def test_a_planned_stop_ends_with_status_0(
     dep: deployment.Deployment,
 ) -> None:
