--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -51,7 +51,7 @@
     threads: float
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
     """Returns the processor time used, user and system, seconds."""
     text = (_PROC / str(pid) / 'stat').read_text()
     # The name in brackets may hold spaces; what counts comes after it.
@@ -59,7 +59,7 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS
 
 
-def _status(pid: int, field: str) -> int:
+def status(pid: int, field: str) -> int:
     """Returns a figure of the process's status; sizes are in KiB."""
     for line in (_PROC / str(pid) / 'status').read_text().splitlines():
         name, _, rest = line.partition(':')
@@ -80,7 +80,7 @@
     ) as proc:
         assert proc.stdout is not None
         proc.stdout.readline()
-        resident = _status(proc.pid, 'VmRSS')
+        resident = status(proc.pid, 'VmRSS')
         proc.communicate()
     return resident
 
@@ -112,23 +112,23 @@
             'entry': [proc.pid for proc in dep.entries.values()],
         }
         every = [pid for group in pids.values() for pid in group]
-        before = {pid: (_cpu_s(pid), _status(pid, 'VmRSS')) for pid in every}
+        before = {pid: (cpu_s(pid), status(pid, 'VmRSS')) for pid in every}
         start = time.monotonic()
         time.sleep(seconds)
         took = time.monotonic() - start
-        after = {pid: (_cpu_s(pid), _status(pid, 'VmRSS')) for pid in every}
-        threads = {pid: _status(pid, 'Threads') for pid in every}
+        after = {pid: (cpu_s(pid), status(pid, 'VmRSS')) for pid in every}
+        threads = {pid: status(pid, 'Threads') for pid in every}
     costs = []
     for role, group in pids.items():
         count = len(group)
-        cpu_s = sum(after[pid][0] - before[pid][0] for pid in group)
+        spent_s = sum(after[pid][0] - before[pid][0] for pid in group)
         resident = sum(after[pid][1] for pid in group)
         grown = resident - sum(before[pid][1] for pid in group)
         costs.append(
             Cost(
                 role=role,
                 entry_vms=entry_vms,
-                cpu_ms=1_000 * cpu_s / took / count,
+                cpu_ms=1_000 * spent_s / took / count,
                 resident_kib=resident / count,
                 grown_kib=grown / count,
                 threads=sum(threads[pid] for pid in group) / count,
--- a/tests/caller.py
+++ b/tests/caller.py
@@ -1,6 +1,7 @@
 """A caller of the tests: sends one chat request over a socket of its own."""
 
 import json
+import re
 import socket
 from typing import Final
 
@@ -9,6 +10,8 @@
 # Longest wait for a byte, seconds; only a broken run gets there.
 _WAIT_S: Final = 30.0
 _END: Final = b'\r\n0\r\n\r\n'
+# In the chunk that ends a whole answer, which is no piece.
+_FINISH: Final = b'"delta":{},"finish_reason":"stop"'
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -74,6 +77,18 @@
             self._data += block
         return self._data
 
+    def read_block(self) -> None:
+        """Reads what comes next."""
+        self._data += self._sock.recv(65536) or _END
+
+    def ended(self) -> bool:
+        """Tells whether the answer has come to its end."""
+        return self._data.endswith(_END) or self._is_document()
+
+    def count_pieces(self) -> int:
+        """Returns how many pieces have come."""
+        return self._data.count(b'"delta":{') - self._data.count(_FINISH)
+
     def read_all(self) -> bytes:
         """Reads to the end of the answer."""
         return self.read(_END)
@@ -101,17 +116,28 @@
         """Hangs up."""
         self._sock.close()
 
+    def _is_document(self) -> bool:
+        """Tells whether a whole document came in place of a stream."""
+        head, _, body = _without_interim(self._data).partition(b'\r\n\r\n')
+        found = re.search(rb'Content-Length: (\d+)', head, re.IGNORECASE)
+        return found is not None and len(body) >= int(found[1])
+
     def _send(self, address: str, data: bytes) -> None:
         host, _, port = address.rpartition(':')
         self._sock = socket.create_connection((host, int(port)), _WAIT_S)
         self._sock.sendall(data)
 
 
-def _chunks(data: bytes) -> list[bytes]:
-    """Returns the bodies of the whole chunks in an answer."""
+def _without_interim(data: bytes) -> bytes:
+    """Returns an answer behind its interim responses."""
     while data.startswith(b'HTTP/1.1 100'):
         data = data.partition(b'\r\n\r\n')[2]
-    rest = data.partition(b'\r\n\r\n')[2]
+    return data
+
+
+def _chunks(data: bytes) -> list[bytes]:
+    """Returns the bodies of the whole chunks in an answer."""
+    rest = _without_interim(data).partition(b'\r\n\r\n')[2]
     chunks = []
     while b'\r\n' in rest:
         head, _, rest = rest.partition(b'\r\n')
