Let no dead or hanging engine hold up the cancels for others

Cause, found while writing tests for the queue: cancels were tried one after the other, each failing one with its own time-out, ten times a second, and the rule that drops those for engines that have left the list was never called. An engine that hangs would have delayed the cancels for all others by its time-out for each of its own, and a dead one been asked for ever.

Now an engine that fails one cancel is left alone for the step and half a second, and the loop forgets engines that are no longer listed.

--- a/packages/daemon/foxtaildaled/cancels.py
+++ b/packages/daemon/foxtaildaled/cancels.py
@@ -19,6 +19,8 @@
 # Cancels that wait, at most; beyond it the oldest go, and the engine's own
 # time-outs must do.
 _WAITING_MAX: Final = 10_000
+# Time between two tries at an engine that failed, seconds.
+_AGAIN_S: Final = 0.5
 
 
 class Cancel(msgspec.Struct, frozen=True):
@@ -64,15 +66,26 @@
             self._keep(lambda cancel: cancel.req.request != request)
 
     def step(self) -> None:
-        """Tries each waiting cancel once."""
+        """Tries each waiting cancel once.
+
+        An engine that fails one is not asked again in this step, and the rest
+        for it wait: one that hangs would otherwise hold up the cancels for all
+        others by its time-out for each of its own.
+        """
         with self._lock:
             now = self._clock()
             batch = [c for c in self._waiting if c.due_at <= now]
             self._keep(lambda cancel: cancel.due_at > now)
+        failed: set[str] = set()
         for cancel in batch:
-            if not self._try(cancel):
-                with self._lock:
-                    self._waiting.append(cancel)
+            if cancel.address not in failed and self._try(cancel):
+                continue
+            failed.add(cancel.address)
+            again = msgspec.structs.replace(
+                cancel, due_at=self._clock() + _AGAIN_S
+            )
+            with self._lock:
+                self._waiting.append(again)
 
     def forget(self, listed: frozenset[str]) -> None:
         """Drops cancels for engines that are no longer listed."""
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -347,7 +347,7 @@
             _BODY_MAX,
             entry_vm=cfg.entry_vm,
         )
-        cancel_loop = process.Loop('cancels', _QUICK_S, self._cancels.step)
+        cancel_loop = process.Loop('cancels', _QUICK_S, self._cancel)
         self._cancels.wake = cancel_loop.wake
         self._loops = [
             process.Loop('view', cfg.heartbeat_s, self._view.step),
@@ -357,6 +357,15 @@
             cancel_loop,
         ]
 
+    def _cancel(self) -> None:
+        """Sends what cancels are due, but none to engines that are gone."""
+        listing = self._view.now.listing
+        if listing.version:
+            self._cancels.forget(
+                frozenset(s.address for s in listing.backend_servers)
+            )
+        self._cancels.step()
+
     def _handle(self, msg: messages.Any) -> messages.Any:
         if isinstance(msg, messages.RunTicket):
             return self._desk.serve(msg)
