Set engines to what the preset in force says, by fenced orders

Cause: orders were decided in the core, but nothing said what engines should be set to and no keeper gave orders.

Ruled out: a record of its own for each setting; operators drive presets, and a switch back must set the engines back. Roles are left out.

The settings page's test now reads defaults that are made anew too.

--- a/packages/core/foxtaildale/orders.py
+++ b/packages/core/foxtaildale/orders.py
@@ -110,6 +110,10 @@
         """Leaves a backend server to its new home, or to nobody."""
         self._servers.pop(server, None)
 
+    def servers(self) -> frozenset[str]:
+        """Returns the backend servers that something is wanted of."""
+        return frozenset(self._servers)
+
     def due(self, now: float) -> tuple[str, ...]:
         """Returns the backend servers to look at now."""
         return tuple(
--- a/packages/core/foxtaildale/rules.py
+++ b/packages/core/foxtaildale/rules.py
@@ -167,6 +167,14 @@
             for name in ('first_answer_ms', 'between_tokens_ms')
             if getattr(service, name)
         ]
+    if service.kind == 'plain' and service.engine_settings:
+        faults.append(
+            Fault(
+                f'{path}.engine_settings',
+                str(service.engine_settings),
+                'none, since a plain service has no engine',
+            )
+        )
     if service.kind == 'model' and service.once == 'ticket':
         # A ticket's outcome travels whole between VMs; a stream can't.
         faults.append(
--- a/packages/core/foxtaildale/values.py
+++ b/packages/core/foxtaildale/values.py
@@ -18,6 +18,8 @@
 
 Role = Literal['prefill', 'decode', 'plain']
 State = Literal['live', 'leaving']
+# What an operator may set of a model engine.
+EngineSetting = Literal['load', 'adapter', 'version']
 Once = Literal['none', 'claim', 'ticket']
 
 
@@ -132,6 +134,8 @@
     expected_tokens: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 128
     # How long a call to a plain service may take, milliseconds.
     call_timeout_ms: Annotated[int, msgspec.Meta(ge=1, le=3_600_000)] = 5_000
+    # What every engine of the service is set to; others are left alone.
+    engine_settings: dict[EngineSetting, str] = {}
 
 
 class Weights(msgspec.Struct, frozen=True):
--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -2,7 +2,8 @@
 
 `Gossip` tells the other keepers its offset and digest, and pulls the state of
 one that is ahead. `Watch` reads the load of the workers whose pools are at
-home here. `Reap` cancels what dead holders left in the workers' memory.
+home here. `Reap` cancels what dead holders left in the workers' memory. `Steer`
+sets engines to what the preset in force says.
 """
 
 from collections.abc import Callable
@@ -217,3 +218,45 @@
         except errors.PortError:
             # The next round finds the holding again.
             return
+
+
+class Steer:
+    """Sets engines to what the preset in force says."""
+
+    __slots__ = ('_engines', '_fan', '_owner')
+
+    _owner: actors.Owner[keeper.Keeper]
+    _engines: ports.Orders
+    _fan: Fan
+
+    def __init__(
+        self, owner: actors.Owner[keeper.Keeper], engines: ports.Orders
+    ) -> None:
+        self._owner = owner
+        self._engines = engines
+        self._fan = Fan('steer')
+
+    def step(self) -> None:
+        """Looks at each worker that is due, and orders what differs."""
+        for server in self._owner.run(lambda state, now: state.orders_due(now)):
+            self._fan.call(
+                server.address, functools.partial(self._steer, server)
+            )
+
+    def _steer(self, server: values.BackendServer) -> None:
+        name = server.name
+        try:
+            observed = self._engines.observe(server.address)
+        except errors.PortError:
+            self._owner.run(lambda state, now: state.orders.unseen(name, now))
+            return
+        given = self._owner.run(
+            lambda state, now: state.orders.seen(
+                name, observed, state.follower.offset, now
+            )
+        )
+        for order in given:
+            # Its answer proves nothing: the next look shows what came of it.
+            follow.quietly(
+                functools.partial(self._engines.order, server.address, order)
+            )
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -23,6 +23,7 @@
 from foxtaildale import members
 from foxtaildale import messages
 from foxtaildale import options
+from foxtaildale import orders
 from foxtaildale import pool
 from foxtaildale import ports
 from foxtaildale import reaper
@@ -68,6 +69,8 @@
         'homes',
         'me',
         'members',
+        'ordered_by',
+        'orders',
         'pools',
         'seeds',
         'silence_s',
@@ -92,6 +95,9 @@
     entries: dict[str, EntryState]
     # Claims not settled yet, by request.
     waiting: dict[str, pykka.Future[messages.ClaimReply]]
+    orders: orders.Orders
+    # Offset of the switch whose settings are ordered now; -1 before one.
+    ordered_by: int
     gossip: gossip.Gossip
     homes: homes.Homes
     # Incarnations that ended by plan, oldest first; their last beats may
@@ -110,6 +116,8 @@
         self.follower = spread.Follower(me.name, freshness_s=cfg.freshness_s)
         self.members = members.Members(me.name, cfg.silence_s, cfg.heartbeat_s)
         self.gossip = gossip.Gossip(me.name)
+        self.orders = orders.Orders()
+        self.ordered_by = -1
         self.homes = homes.Homes()
         self.claims = claims.Claims(me.incarnation, me.address)
         self.answers = kept.Answers()
@@ -279,6 +287,38 @@
         if item is not None:
             item.on_cache(server, events.events)
 
+    def orders_due(self, now: float) -> tuple[values.BackendServer, ...]:
+        """Returns the workers to look at for their settings now.
+
+        None while the preset in force may be an old one: an order by it would
+        undo the newer one's.
+        """
+        if not self.follower.vouched(now):
+            return ()
+        self._want(now)
+        due = frozenset(self.orders.due(now))
+        return tuple(s for s in self.reaped(now) if s.name in due)
+
+    def _want(self, now: float) -> None:
+        """Wants what the preset in force says of the workers at home here."""
+        in_force = self.follower.in_force
+        if in_force is None:
+            return
+        if in_force.offset != self.ordered_by:
+            # What an earlier preset wanted and this one does not mention is
+            # wanted no more.
+            self.orders = orders.Orders()
+            self.ordered_by = in_force.offset
+        mine = self.reaped(now)
+        for name in self.orders.servers() - {server.name for server in mine}:
+            self.orders.forget(name)
+        for server in mine:
+            service = in_force.preset.services.get(server.service)
+            if service is None:
+                continue
+            for kind, value in service.engine_settings.items():
+                self.orders.want(server.name, kind, value, in_force.offset)
+
     def on_load(self, now: float, server: str, load: backends.Load) -> None:
         """Takes a worker's load report."""
         for item in self.pools.values():
@@ -297,6 +337,7 @@
             'pools': {name: p.dump() for name, p in self.pools.items()},
             'claims': self.claims.dump(),
             'witness': self.witness.dump(),
+            'orders': self.orders.status(),
         } | self.follower.dump(now)
         return msgspec.json.encode(state, order='sorted')
 
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -135,6 +135,9 @@
             process.Loop(
                 'watch', cfg.poll_s, gossip.Watch(self._owner, workers).step
             ),
+            process.Loop(
+                'steer', cfg.poll_s, gossip.Steer(self._owner, workers).step
+            ),
             process.Loop(
                 'reap',
                 cfg.heartbeat_s,
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -38,7 +38,10 @@
             assert field.default == values.Weights(1.0, 1.0)
         else:
             assert not needed
-            found = str(field.default) or 'none'
+            default_value = field.default
+            if field.default_factory is not msgspec.NODEFAULT:
+                default_value = field.default_factory()
+            found = str(default_value) or 'none'
             assert found.removesuffix('.0') == default
 
 
