--- a/tests/demo.py
+++ b/tests/demo.py
@@ -31,6 +31,7 @@
         service='enteis-llm',
         role='decode',
         data_centre='halle-sued',
+        fenced=True,
     ),
     deployment.Worker(
         name='patrol-p1',
@@ -63,6 +64,7 @@
             priority=1,
             first_answer_ms=2_000,
             between_tokens_ms=100,
+            engine_settings={'version': '2'},
             patience_ms=1_500,
             expected_tokens=16,
         ),
@@ -89,6 +91,7 @@
         dep.start(WORKERS, VMS)
         say('started', ', '.join(proc.name for proc in dep.procs.procs))
         publish(dep, pathlib.Path(work))
+        show_engines(dep)
         ask_question(dep)
         send_patrol_log(dep)
         check_in(dep)
@@ -110,6 +113,17 @@
     dep.wait_in_force(PRESET.name)
 
 
+def show_engines(dep: deployment.Deployment) -> None:
+    """Waits until the engines are set as the preset says."""
+    for name in ('enteis-p1', 'enteis-d1'):
+        address = dep.workers[name].address
+        dep.until(
+            lambda a=address: b'"2"' in dep.get(a, '/orders').data,  # type: ignore[misc]
+            f'{name} has version 2',
+        )
+        say('engine', f'{name} is set to version 2')
+
+
 def operate(
     dep: deployment.Deployment, *command: str, quiet: bool = False
 ) -> int:
@@ -221,7 +235,8 @@
 
 def show_stream(answer: urllib3.BaseHTTPResponse) -> None:
     """Prints an answer as it streams."""
-    for line in answer.read().decode().splitlines():
+    for raw in answer:
+        line = raw.decode().rstrip()
         if line.startswith('data: '):
             print('   ', line[:160], flush=True)
 
