--- a/packages/daemon/foxtaildaled/gossip.py
+++ b/packages/daemon/foxtaildaled/gossip.py
@@ -147,7 +147,7 @@
         load = follow.quietly(lambda: self._engines.load(server.address))
         if load is not None:
             self._owner.run(
-                lambda state, now: state.on_load(now, server.name, load)
+                lambda state, now: state.pools.on_load(now, server.name, load)
             )
         if server.role == 'prefill':
             self._read_cache(server)
@@ -161,7 +161,7 @@
             return
         self._seen[server.address] = events.events[-1].number
         self._owner.run(
-            lambda state, _now: state.on_cache(
+            lambda state, _now: state.pools.on_cache(
                 server.name, server.service, events
             )
         )
--- a/packages/daemon/foxtaildaled/keeper.py
+++ b/packages/daemon/foxtaildaled/keeper.py
@@ -14,9 +14,7 @@
 import msgspec
 import pykka
 
-from foxtaildale import backends
 from foxtaildale import claims
-from foxtaildale import errors
 from foxtaildale import gossip
 from foxtaildale import homes
 from foxtaildale import kept
@@ -24,12 +22,12 @@
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import orders
-from foxtaildale import pool
 from foxtaildale import ports
 from foxtaildale import reaper
 from foxtaildale import spread
 from foxtaildale import values
 from foxtaildale import witness
+from foxtaildaled import pools
 
 # Longest wait of an entry for its claim to be read back, seconds.
 CLAIM_WAIT_S: Final = 5.0
@@ -89,8 +87,7 @@
     # Whole answers of claims, for callers that lost theirs.
     answers: kept.Answers
     witness: witness.Witness
-    # Pools of services, by name; made when first asked for.
-    pools: dict[str, pool.Pool]
+    pools: pools.Pools
     # Entries of this VM, by incarnation.
     entries: dict[str, EntryState]
     # Claims not settled yet, by request.
@@ -124,7 +121,7 @@
         self.witness = witness.Witness(
             me.incarnation, remember_s=2 * cfg.ticket_life_s
         )
-        self.pools = {}
+        self.pools = pools.Pools(self.follower, self.members)
         self.entries = {}
         self.waiting = {}
         self.departed = {}
@@ -141,9 +138,9 @@
             messages.Beat: self._beat,
             messages.Bye: self._bye,
             messages.Pull: self._pull,
-            messages.AskSlot: self._ask_slot,
-            messages.EndSlot: self._end_slot,
-            messages.KeepSlots: self._keep_slots,
+            messages.AskSlot: self.pools.ask,
+            messages.EndSlot: self.pools.end,
+            messages.KeepSlots: self.pools.keep,
             messages.EndClaim: self._end_claim,
             messages.AskOutcome: self._ask_outcome,
             messages.AskReading: self.witness.read,
@@ -198,17 +195,17 @@
     def on_listing(self, now: float, listing: values.Listing | None) -> None:
         """Takes the platform's or a peer's list of VMs."""
         if self.members.on_listing(now, listing):
-            self._serve_pools(now)
+            self.pools.serve(now)
 
     def on_config(self, now: float, batch: ports.Batch) -> None:
         """Takes records of the configuration stream."""
         if self.follower.on_batch(now, batch):
-            self._serve_pools(now)
+            self.pools.serve(now)
 
     def on_pull(self, now: float, reply: messages.PullReply) -> None:
         """Takes the folded state of a peer that is ahead."""
         if self.follower.on_pull(now, reply):
-            self._serve_pools(now)
+            self.pools.serve(now)
         self.on_listing(now, reply.listing)
 
     def tick(self, now: float) -> None:
@@ -217,8 +214,7 @@
         self.members.forget(now)
         self.claims.on_members(len(self.keepers(now)))
         self.settle(self.claims.expire(now))
-        for item in self.pools.values():
-            item.expire(now)
+        self.pools.expire(now)
         silent = [
             name
             for name, entry in self.entries.items()
@@ -279,14 +275,6 @@
             alive=frozenset(alive), heard=frozenset(heard), at=now
         )
 
-    def on_cache(
-        self, server: str, service: str, events: backends.CacheEvents
-    ) -> None:
-        """Takes a prefill worker's cache events."""
-        item = self.pools.get(service)
-        if item is not None:
-            item.on_cache(server, events.events)
-
     def orders_due(self, now: float) -> tuple[values.BackendServer, ...]:
         """Returns the workers to look at for their settings now.
 
@@ -319,11 +307,6 @@
             for kind, value in service.engine_settings.items():
                 self.orders.want(server.name, kind, value, in_force.offset)
 
-    def on_load(self, now: float, server: str, load: backends.Load) -> None:
-        """Takes a worker's load report."""
-        for item in self.pools.values():
-            item.on_load(now, server, load)
-
     def dump(self, now: float) -> bytes:
         """Returns the state as JSON."""
         state: dict[str, object] = {
@@ -334,7 +317,7 @@
             'keepers': self.keepers(now),
             'leaving': self.members.leaving,
             'entries': sorted(self.entries),
-            'pools': {name: p.dump() for name, p in self.pools.items()},
+            'pools': self.pools.dump(),
             'claims': self.claims.dump(),
             'witness': self.witness.dump(),
             'orders': self.orders.status(),
@@ -349,7 +332,7 @@
         self.follower.on_revision(msg.revision)
         news = [self.members.on_leaving(key) for key in msg.leaving]
         if any(news):
-            self._serve_pools(now)
+            self.pools.serve(now)
         vouched = self.follower.vouched(now)
         return messages.HelloReply(
             keeper=self.me.incarnation,
@@ -384,24 +367,6 @@
             self.follower.pull_reply(), listing=self.members.listing
         )
 
-    def _ask_slot(self, now: float, msg: messages.AskSlot) -> messages.Any:
-        item = self._pool(now, msg.service)
-        if item is None:
-            return messages.Fail(code='no-service')
-        return item.ask(now, msg)
-
-    def _end_slot(self, now: float, msg: messages.EndSlot) -> messages.Any:
-        item = self._pool(now, msg.service)
-        if item is not None:
-            item.end(now, msg)
-        return messages.Pong()
-
-    def _keep_slots(self, now: float, msg: messages.KeepSlots) -> messages.Any:
-        item = self._pool(now, msg.service)
-        if item is not None:
-            item.keep(now, msg)
-        return messages.Pong()
-
     def _end_claim(self, now: float, msg: messages.EndClaim) -> messages.Any:
         self.claims.end(now, msg)
         if msg.answer:
@@ -416,31 +381,3 @@
             answer = self.answers.get(msg.service, msg.key)
             return messages.RunReply(outcome=found, answer=answer)
         return messages.Fail(code=found.name)
-
-    def _pool(self, now: float, name: str) -> pool.Pool | None:
-        in_force = self.follower.in_force
-        if in_force is None or name not in in_force.preset.services:
-            return None
-        if name not in self.pools:
-            self.pools[name] = pool.Pool(name)
-            self._serve_pool(now, name)
-        return self.pools[name]
-
-    def _serve_pools(self, now: float) -> None:
-        for name in self.pools:
-            self._serve_pool(now, name)
-
-    def _serve_pool(self, now: float, name: str) -> None:
-        in_force = self.follower.in_force
-        if in_force is None:
-            raise errors.InvariantError('a pool without a preset in force')
-        service = in_force.preset.services.get(name)
-        item = self.pools[name]
-        if service is not None:
-            item.on_service(service, in_force.preset.weights)
-        servers = tuple(
-            server
-            for role in ('prefill', 'decode')
-            for server in self.members.servers(name, role)
-        )
-        item.on_servers(now, servers)
