Drop what nobody reads, and take each list once

Cause, found by reading the whole change: the ledger kept a list of ended grants at every end, which only an unused method read; an entry worked its share of the workers out anew for every ask and end, by the same list; an owner's turn without waiting was never run.

--- a/packages/core/foxtaildale/ledger.py
+++ b/packages/core/foxtaildale/ledger.py
@@ -6,7 +6,6 @@
 never runs a request twice, since no grant is proof of anything.
 """
 
-import collections
 from typing import Final
 
 # A grant that its holder does not repeat for this long lapses, seconds.
@@ -14,8 +13,6 @@
 # A repeat that lacks a grant older than this gives the grant up, seconds.
 # Younger ones may have crossed the repeat on the way.
 CROSSING_S: Final = 1.0
-# Ended grants are remembered this long, to read lagging reports, seconds.
-REMEMBER_S: Final = 5.0
 
 
 class Grant:
@@ -100,18 +97,15 @@
 class Ledger:
     """Grants by name, by decode worker and by holder."""
 
-    __slots__ = ('_ended', '_grants', '_held')
+    __slots__ = ('_grants', '_held')
 
     _grants: dict[str, Grant]
     # Decode worker to its grants.
     _held: dict[str, dict[str, Grant]]
-    # Decode worker to (transfer start, end) of grants that ended lately.
-    _ended: dict[str, collections.deque[tuple[float, float]]]
 
     def __init__(self) -> None:
         self._grants = {}
         self._held = {}
-        self._ended = {}
 
     def __len__(self) -> int:
         return len(self._grants)
@@ -137,45 +131,26 @@
 
     def add(self, grant: Grant) -> None:
         """Takes a new grant, in place of one of the same name."""
-        self.remove(grant.given_at, grant.grant)
+        self.remove(grant.grant)
         self._grants[grant.grant] = grant
         self._held.setdefault(grant.decode, {})[grant.grant] = grant
 
     def move(self, now: float, grant: Grant, decode: str) -> None:
         """Moves a grant to another decode worker."""
-        self.remove(now, grant.grant)
+        self.remove(grant.grant)
         grant.decode = decode
         grant.transfer_at = now
         self._grants[grant.grant] = grant
         self._held.setdefault(decode, {})[grant.grant] = grant
 
-    def remove(self, now: float, grant: str) -> Grant | None:
+    def remove(self, grant: str) -> Grant | None:
         """Ends a grant; returns it, or None if it is not held."""
         found = self._grants.pop(grant, None)
         if found is None:
             return None
         del self._held[found.decode][grant]
-        ended = self._ended.setdefault(found.decode, collections.deque())
-        ended.append((found.transfer_at, now))
-        while ended and ended[0][1] < now - REMEMBER_S:
-            ended.popleft()
         return found
 
-    def at_engine(self, decode: str, then: float) -> int:
-        """Returns how many grants were at a worker at an earlier time.
-
-        A load report speaks of the past; compared with what was granted then,
-        it shows requests that this ledger does not know of.
-        """
-        now_held = sum(
-            grant.transfer_at <= then
-            for grant in self._held.get(decode, {}).values()
-        )
-        ended = sum(
-            began <= then < end for began, end in self._ended.get(decode, ())
-        )
-        return now_held + ended
-
     def keep(
         self, now: float, holder: str, grants: tuple[tuple[str, str], ...]
     ) -> tuple[str, ...]:
@@ -191,7 +166,7 @@
             and grant.given_at <= now - CROSSING_S
         )
         for grant in gone:
-            self.remove(now, grant)
+            self.remove(grant)
         return gone
 
     def expire(self, now: float) -> tuple[str, ...]:
@@ -202,7 +177,7 @@
             if grant.lapses_at <= now
         )
         for grant in gone:
-            self.remove(now, grant)
+            self.remove(grant)
         return gone
 
     def grants(self) -> tuple[Grant, ...]:
--- a/packages/core/foxtaildale/pool.py
+++ b/packages/core/foxtaildale/pool.py
@@ -126,7 +126,7 @@
             self._admission.waiting.drop(request)
             return
         batch = self._planner.grants.held(grant.decode)
-        self._planner.grants.remove(now, msg.grant)
+        self._planner.grants.remove(msg.grant)
         self._give_back(now, grant)
         self._learn(grant, msg, batch)
         self._judge(now, grant, msg.result)
--- a/packages/core/foxtaildale/share.py
+++ b/packages/core/foxtaildale/share.py
@@ -120,7 +120,7 @@
 
     def end(self, now: float, msg: messages.EndSlot) -> None:
         """Gives a grant back."""
-        grant = self._ledger.remove(now, msg.grant)
+        grant = self._ledger.remove(msg.grant)
         if grant is None:
             return
         failed = {
--- a/packages/daemon/foxtaildaled/actors.py
+++ b/packages/daemon/foxtaildaled/actors.py
@@ -56,10 +56,6 @@
         """
         return cast(_Result, self._ref.ask(cast(Any, turn)))
 
-    def post(self, turn: Callable[[_State, float], object]) -> None:
-        """Runs a turn without waiting."""
-        self._ref.tell(cast(Any, turn))
-
     def stop(self) -> None:
         """Ends the actor after the turns already given."""
         self._ref.stop()
--- a/packages/daemon/foxtaildaled/slots.py
+++ b/packages/daemon/foxtaildaled/slots.py
@@ -43,6 +43,7 @@
         '_entry_vm',
         '_held',
         '_holder',
+        '_listed',
         '_lock',
         '_peers',
         '_shares',
@@ -59,6 +60,8 @@
     _held: dict[str, tuple[str, str]]
     # Fallbacks, by service.
     _shares: dict[str, share.Share]
+    # List that each of them has taken last, by service.
+    _listed: dict[str, values.Listing]
     _lock: threading.Lock
 
     def __init__(
@@ -76,6 +79,7 @@
         self._entry_vm = entry_vm
         self._clock = clock
         self._shares = {}
+        self._listed = {}
         self._lock = threading.Lock()
 
     def get(
@@ -198,5 +202,9 @@
         if own is None:
             own = self._shares[job.name] = share.Share(job.name, self._entry_vm)
         own.on_service(job.service)
-        own.on_listing(job.snapshot.listing)
+        # A share works its servers out anew from each list; that need not be
+        # done for every ask and end by the same one.
+        if self._listed.get(job.name) is not job.snapshot.listing:
+            own.on_listing(job.snapshot.listing)
+            self._listed[job.name] = job.snapshot.listing
         return own
