--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/core packages/adapters packages/daemon packages/client
+PACKAGES := packages/core packages/adapters platform packages/daemon packages/client
 
 .PHONY: demo test check lock bench
 
@@ -32,3 +32,6 @@
 	$(BIN)/pip install --quiet pip-tools
 	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --no-emit-index-url \
 	  --no-emit-trusted-host --strip-extras --no-header -o requirements.lock requirements.in
+	$(BIN)/pip-compile --quiet --generate-hashes --no-emit-index-url \
+	  --no-emit-trusted-host --strip-extras --no-header -c requirements.lock \
+	  -o deploy/requirements.lock deploy/requirements.in
--- a/packages/adapters/foxtaildale_adapters/callers.py
+++ b/packages/adapters/foxtaildale_adapters/callers.py
@@ -9,6 +9,9 @@
 
 # How long `close` waits for handlers that are still at work, seconds.
 CLOSE_S: Final = 3.0
+# An idle timeout of minus this closes every idle connection at the library's
+# next look, whatever the time of day did meanwhile; seconds.
+NEVER_IDLE_S: Final = 1e6
 
 Exchange = incoming.Exchange
 Handler = incoming.Handler
@@ -25,6 +28,9 @@
             caller that does not read its answer, seconds.
         max_body_bytes: Longest body taken.
         entry_vm: Name for errors that no handler sees.
+        half_close: Whether a caller that closed its sending side may still
+            listen; it is probed then. Where callers never do that, a FIN
+            alone says that the caller is gone.
     """
 
     __slots__ = ('_server', '_thread')
@@ -38,12 +44,14 @@
         max_body_bytes: int,
         *,
         entry_vm: str = '',
+        half_close: bool = True,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._server = httpd.HttpServer((host, int(port)), handler, threads)
         self._server.timeout = timeout_s  # type: ignore[assignment]
         self._server.max_request_body_size = max_body_bytes
         self._server.entry_vm = entry_vm
+        self._server.half_close = half_close
         self._thread: threading.Thread | None = None
 
     def start(self) -> str:
@@ -79,11 +87,35 @@
         host, port = self._server.bind_addr
         return f'{host}:{port}'
 
+    def on_limits(self, idle_s: float, read_s: float, body_bytes: int) -> None:
+        """Takes new limits; requests in progress keep what they began with.
+
+        Args:
+            idle_s: How long a connection may wait for its next request.
+            read_s: Time for a request to arrive whole.
+            body_bytes: Longest body taken.
+        """
+        self._server.timeout = idle_s  # type: ignore[assignment]
+        self._server.read_s = read_s
+        self._server.max_request_body_size = body_bytes
+
+    def announce_stop(self) -> None:
+        """Goes on accepting; every answer closes its connection."""
+        self._server.draining = True
+
     def stop_accepting(self) -> None:
         """Takes no new connections; answers close the ones there are."""
-        if not self._server.draining:
+        if self._server.accepting:
+            self._server.accepting = False
             self._server.stop_accepting()
 
+    def close_idle(self) -> None:
+        """Closes connections that wait for a request, within a moment.
+
+        One whose request is under way is answered and closes after it.
+        """
+        self._server.timeout = -NEVER_IDLE_S  # type: ignore[assignment]
+
     def drain(self, timeout_s: float) -> bool:
         """Waits until every exchange ended.
 
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -36,14 +36,50 @@
 # How long unread input is thrown away before a close, seconds.
 LINGER_S: Final = 1.0
 _READ_BYTES: Final = 4096
+# Our own headers carry identities and limits of a request.
+OWN_PREFIX: Final = b'Foxtaildale-'
 _HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
 
 
+# Headers whose repetition leaves open where the body ends or whose request it
+# is; two parties that choose differently see two different requests.
+_ONCE: Final = frozenset((b'Content-Length', b'Transfer-Encoding', b'Host'))
+
+
+class _Headers(server.HeaderReader):
+    """Refuses heads that another parser would read otherwise."""
+
+    def __call__(
+        self, rfile: files.Reader, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        found: dict[bytes, bytes] = {} if hdict is None else hdict
+        size = 0
+        while (line := rfile.readline()) != b'\r\n':
+            size += len(line)
+            if size > files.HEAD_BYTES:
+                raise ValueError('the head is too long')
+            if not line.endswith(b'\r\n'):
+                raise ValueError('a line of the head does not end in CRLF')
+            name, colon, value = line.partition(b':')
+            if not colon or not name or name.strip(b' \t') != name:
+                raise ValueError('a line of the head is not a header')
+            name, value = name.title(), value.strip()
+            if name not in found:
+                found[name] = value
+            elif name in _ONCE or name.startswith(OWN_PREFIX):
+                raise ValueError(f'header {name.decode("latin-1")} comes twice')
+            else:
+                found[name] += b', ' + value
+        return found
+
+
 class _Request(server.HTTPRequest):
     """Says with typed JSON what the library says with plain text."""
 
+    header_reader = _Headers()
+
     def simple_response(self, status: str, msg: str = '') -> None:
         number = int(str(status)[:3])
         if number == _STATUS_TIMEOUT:
@@ -92,7 +128,7 @@
 
     def communicate(self) -> bool:
         try:
-            self.rfile.begin(self.server.timeout)
+            self.rfile.begin(self.server.read_s or self.server.timeout)
             keep: bool = super().communicate()  # type: ignore[no-untyped-call]
             return keep and not self.server.draining
         finally:
@@ -270,7 +306,13 @@
         self.handler = handler
         self.threads = threads
         self.entry_vm = ''
+        # Whether answers close their connections.
         self.draining = False
+        self.accepting = True
+        # Time for a request to arrive whole, seconds; 0: the idle timeout.
+        self.read_s = 0.0
+        # Whether a caller that closed its sending side may still listen.
+        self.half_close = True
         self.watcher = hangups.Watcher(
             lambda exc: logs.event(logging.ERROR, 'watch failed', exc=exc)
         )
--- a/packages/adapters/foxtaildale_adapters/incoming.py
+++ b/packages/adapters/foxtaildale_adapters/incoming.py
@@ -99,6 +99,7 @@
         'method',
         'path',
         'query',
+        'target',
     )
 
     def __init__(
@@ -110,6 +111,8 @@
         self.method: str = req.method.decode('latin-1')
         self.path: str = req.path.decode('utf-8', 'replace')
         self.query: str = req.qs.decode('latin-1')
+        # Path and query as the caller sent them.
+        self.target: str = req.uri.decode('latin-1')
         # Names in lower case.
         self.headers: dict[str, str] = {
             name.decode('latin-1').lower(): value.decode('latin-1')
@@ -223,7 +226,7 @@
         """Whether the caller hung up, as far as TCP tells; see `hangups`."""
         if not self._gone:
             reset, fin = hangups.look(self._sock)
-            if reset or (fin and not self._probe()):
+            if reset or (fin and not self._listening()):
                 self._gone = True
         return self._gone
 
@@ -237,7 +240,7 @@
             self._gone = True
             callback()
 
-        self._watcher.add(self._sock.fileno(), self._probe, note)
+        self._watcher.add(self._sock.fileno(), self._listening, note)
 
     def end(self) -> None:
         """Ends the watch; called by the server when the handler is through."""
@@ -257,7 +260,10 @@
     ) -> None:
         assert self._state == 'waiting', self._state
         req = self._req
-        phrase = http.HTTPStatus(status).phrase if status != 499 else 'Gone'
+        try:
+            phrase = http.HTTPStatus(status).phrase
+        except ValueError:
+            phrase = 'Other'
         # The library's own code wants bytes here, its stub says str.
         line: Any = f'{status} {phrase}'.encode('latin-1')
         req.status = line
@@ -306,6 +312,10 @@
             return False
         return True
 
+    def _listening(self) -> bool:
+        """Whether a caller that sent a FIN still reads."""
+        return self._req.server.half_close and self._probe()
+
     def _probe(self) -> bool:
         """Sends bytes that a listening caller skips; False if it is gone."""
         if not self._lock.acquire(blocking=False):
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -189,6 +189,15 @@
     'no',
     'Not run: this entry VM serves {limit} requests already.',
 )
+NO_ROUTE: Final = Code(
+    'no-route', 404, 'no', 'Not run: version {version} has no such route.'
+)
+TIMED_OUT: Final = Code(
+    'timed-out',
+    504,
+    'unknown',
+    'No answer within {limit_ms} ms; the request may have run.',
+)
 NO_SERVICE: Final = Code(
     'no-service',
     404,
--- /dev/null
+++ b/packages/core/foxtaildale/comeback.py
@@ -0,0 +1,27 @@
+"""When a refused caller should come back.
+
+Callers that are refused together and told the same time come back together
+and meet the same overload, so the time is drawn from a range. Callers heed it
+up to a third of the time that they have left; a longer one is not heeded, and
+they would come back at once or not at all.
+"""
+
+import random
+from typing import Final
+
+# Least time, seconds: a slot of a plain service comes free about this fast.
+MIN_S: Final = 0.1
+# Part of the time left that is used at most; under a third, for the way.
+PART: Final = 0.28
+
+
+def retry_after_s(wait_s: float, left_s: float, rng: random.Random) -> float:
+    """Returns when to come back, seconds.
+
+    Args:
+        wait_s: How long the cause is thought to last.
+        left_s: How long the caller still waits.
+        rng: Spreads callers that are refused together.
+    """
+    spread = wait_s * rng.uniform(0.7, 1.6)
+    return max(MIN_S, min(spread, left_s * PART))
--- /dev/null
+++ b/packages/core/foxtaildale/fleet.py
@@ -0,0 +1,236 @@
+"""What one entry VM knows of the backend servers, and which one it chooses.
+
+Every entry VM sees only its own requests and what answers tell, so the choice
+weighs three things for each candidate: the load that its last answer told (as
+long as that is fresh), the requests that this entry VM has with it now, and how
+it treated the last ones. A server that fails, stalls or sheds loses weight for
+a few seconds and then gets a request again, so that one which recovered is
+found without probes.
+
+Nothing here does I/O; the time is an argument.
+"""
+
+from collections.abc import Iterable
+import math
+import random
+from typing import Final
+
+from foxtaildale import forwarding
+
+# A load report counts for this long, seconds. Requests of plain services take
+# some 60 ms, so an older one says nothing about who runs there now.
+LOAD_FRESH_S: Final = 0.5
+# A failure loses half of its weight in this time, seconds: a grey server is
+# tried again about every three seconds at the rates of the smallest site.
+FAULT_HALF_S: Final = 3.0
+# Weight of one failure, in requests of queue that a candidate must be shorter
+# to be chosen all the same. Six slots a plain server: one failure is as bad
+# as a server that is full.
+FAULT_WEIGHT: Final = 6.0
+# A server that refused for want of room is passed over for this long, seconds,
+# about the time in which one in ten slots comes free.
+FULL_S: Final = 0.08
+# A server that vanished from the list while the store was not well is used on
+# for this long, seconds. Entries of living servers come back within two
+# seconds of the store's return; a leaving one must get nothing two seconds
+# after it was seen to leave, so the time stays under that bound.
+VANISHED_S: Final = 1.5
+# How much a new measurement of the time a request takes counts.
+_SPEED_SHARE: Final = 0.2
+
+
+class Tally:
+    """What is known of one backend server beyond its entry."""
+
+    __slots__ = (
+        'backend',
+        'fault_at',
+        'faults',
+        'full_until',
+        'held_tokens',
+        'in_flight',
+        'load',
+        'load_at',
+        'load_mine',
+        'took_s',
+        'vanished_at',
+    )
+
+    def __init__(self, backend: forwarding.Backend) -> None:
+        self.backend = backend
+        # Requests of this entry VM that it has now, and KV memory of those.
+        self.in_flight = 0
+        self.held_tokens = 0
+        self.load: forwarding.Load | None = None
+        self.load_at = 0.0
+        # How many of this entry VM's requests the load contains.
+        self.load_mine = 0
+        # Decaying count of failures, as of `fault_at`.
+        self.faults = 0.0
+        self.fault_at = 0.0
+        self.full_until = 0.0
+        # Smoothed time of one request, seconds; 0 until one was measured.
+        self.took_s = 0.0
+        # When it vanished from the list; None while it is listed.
+        self.vanished_at: float | None = None
+
+    def faults_now(self, now: float) -> float:
+        """Returns the decayed count of failures."""
+        if not self.faults:
+            return 0.0
+        return self.faults * math.exp2((self.fault_at - now) / FAULT_HALF_S)
+
+    def busy(self, now: float) -> float:
+        """Returns how many requests it is thought to have."""
+        others = 0
+        if self.load is not None and now - self.load_at < LOAD_FRESH_S:
+            told = self.load.running + self.load.waiting
+            others = max(0, told - self.load_mine)
+        return self.in_flight + others
+
+
+class Fleet:
+    """All backend servers; owned by one actor."""
+
+    __slots__ = ('_data_centre', '_random', '_tallies')
+
+    # By id.
+    _tallies: dict[str, Tally]
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._random = rng
+        self._tallies = {}
+
+    def put(self, backend: forwarding.Backend) -> None:
+        """Takes a new or changed entry of the list."""
+        tally = self._tallies.get(backend.id)
+        if tally is None:
+            self._tallies[backend.id] = Tally(backend)
+            return
+        tally.backend = backend
+        tally.vanished_at = None
+
+    def remove(self, server: str, now: float, *, store_well: bool) -> None:
+        """Takes the end of an entry.
+
+        Args:
+            server: The backend server's id.
+            now: Seconds.
+            store_well: Whether the store answered all the while. If it did
+                not, the entry may have lapsed although the server lives.
+        """
+        tally = self._tallies.get(server)
+        if tally is None:
+            return
+        if store_well or tally.backend.leaving:
+            del self._tallies[server]
+        elif tally.vanished_at is None:
+            tally.vanished_at = now
+
+    def tally(self, server: str) -> Tally | None:
+        """Returns what is known of one backend server."""
+        return self._tallies.get(server)
+
+    def known(self) -> list[Tally]:
+        """Returns all backend servers."""
+        return list(self._tallies.values())
+
+    def candidates(
+        self,
+        service: str,
+        now: float,
+        stage: forwarding.Stage = '',
+        avoid: Iterable[str] = (),
+    ) -> list[Tally]:
+        """Returns the servers that may get work of a service, best first."""
+        self._forget(now)
+        passed = frozenset(avoid)
+        found = [
+            tally
+            for tally in self._tallies.values()
+            if tally.backend.service == service
+            and tally.backend.stage == stage
+            and not tally.backend.leaving
+            and tally.backend.id not in passed
+        ]
+        self._random.shuffle(found)
+        typical_s = _typical(found)
+        found.sort(key=lambda tally: self._cost(tally, now, typical_s))
+        return found
+
+    def sent(self, server: str, tokens: int = 0) -> None:
+        """Counts a request that is on its way to a server."""
+        tally = self._tallies.get(server)
+        if tally is not None:
+            tally.in_flight += 1
+            tally.held_tokens += tokens
+
+    def ended(self, server: str, tokens: int = 0) -> None:
+        """Counts the end of a request."""
+        tally = self._tallies.get(server)
+        if tally is not None:
+            tally.in_flight = max(0, tally.in_flight - 1)
+            tally.held_tokens = max(0, tally.held_tokens - tokens)
+
+    def answered(
+        self,
+        server: str,
+        now: float,
+        load: forwarding.Load | None,
+        took_s: float | None = None,
+    ) -> None:
+        """Takes a good answer, with the load that it told."""
+        tally = self._tallies.get(server)
+        if tally is None:
+            return
+        if load is not None:
+            tally.load = load
+            tally.load_at = now
+            tally.load_mine = tally.in_flight
+        if took_s is not None:
+            old_s = tally.took_s or took_s
+            tally.took_s = old_s + _SPEED_SHARE * (took_s - old_s)
+        tally.faults = tally.faults_now(now) * 0.5
+        tally.fault_at = now
+
+    def failed(self, server: str, now: float) -> None:
+        """Takes a reset, a garbled answer, silence or an error."""
+        tally = self._tallies.get(server)
+        if tally is not None:
+            tally.faults = tally.faults_now(now) + 1.0
+            tally.fault_at = now
+
+    def full(self, server: str, now: float) -> None:
+        """Takes a refusal for want of room."""
+        tally = self._tallies.get(server)
+        if tally is not None:
+            tally.full_until = now + FULL_S
+
+    def replaced(self, server: str) -> None:
+        """Takes the word that another server has this one's address now."""
+        self._tallies.pop(server, None)
+
+    def _forget(self, now: float) -> None:
+        for server, tally in list(self._tallies.items()):
+            vanished_at = tally.vanished_at
+            if vanished_at is not None and now - vanished_at > VANISHED_S:
+                del self._tallies[server]
+
+    def _cost(self, tally: Tally, now: float, typical_s: float) -> float:
+        """Returns how long a new request would wait there, in requests."""
+        speed = tally.took_s / typical_s if typical_s and tally.took_s else 1.0
+        cost = (tally.busy(now) + 1.0) * max(speed, 0.5)
+        cost += FAULT_WEIGHT * tally.faults_now(now)
+        if tally.full_until > now:
+            cost += FAULT_WEIGHT
+        if tally.backend.data_centre != self._data_centre:
+            # Breaks ties only: bytes between data centres cost a little.
+            cost += 0.1
+        return cost
+
+
+def _typical(tallies: list[Tally]) -> float:
+    """Returns the median time of a request, seconds; 0 if none was measured."""
+    times = sorted(tally.took_s for tally in tallies if tally.took_s)
+    return times[len(times) // 2] if times else 0.0
--- /dev/null
+++ b/packages/core/foxtaildale/forwarding.py
@@ -0,0 +1,92 @@
+"""Values of a request that is forwarded to backend servers as it came.
+
+The product's own interface has `backends`; these are for deployments whose
+callers and backend servers share a protocol, so that method, path, headers and
+body pass through and only what the system decides is added.
+"""
+
+from typing import Literal
+
+import msgspec
+
+Stage = Literal['', 'prefill', 'decode']
+# 'no' is a promise of the backend server; anything else may have run.
+Ran = Literal['no', 'maybe']
+
+
+class Backend(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of one backend server, as the store lists it."""
+
+    # Names this start alone; a restart has another.
+    id: str
+    service: str
+    address: str
+    data_centre: str = ''
+    slots: int = 1
+    # Whether it announced that it leaves; it takes no new work.
+    leaving: bool = False
+    # What a model engine does; empty for a plain service.
+    stage: Stage = ''
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """One request of a caller."""
+
+    # The caller's id of this try.
+    id: str
+    method: str
+    # Path and query, byte by byte as they came.
+    target: str
+    path: str
+    host: str
+    # What is passed on, in the order that it came.
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    # How long the caller waits from the start of the request, seconds.
+    patience_s: float | None = None
+    # Prompt and largest answer of a request for a model, tokens.
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    # The caller's guess of the length of the answer, tokens; 0 if none.
+    hinted_tokens: int = 0
+    # Position that a resumed stream goes on after; None at its start.
+    after_event: int | None = None
+
+
+class Load(msgspec.Struct, frozen=True):
+    """What a backend server said of its load with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and headers of a backend server's answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    ran: Ran = 'maybe'
+    load: Load | None = None
+    # Whether the answer is for the request that was sent.
+    matches: bool = True
+
+    @property
+    def ok(self) -> bool:
+        """Whether it is a success."""
+        return 200 <= self.status < 300
+
+
+class Prefilled(msgspec.Struct, frozen=True):
+    """A prompt that a prefill worker holds for a decode worker."""
+
+    worker: Backend
+    handle: str
+
+
+class Reserved(msgspec.Struct, frozen=True):
+    """Memory and a slot that a decode worker keeps for one request."""
+
+    worker: Backend
+    hold: str
+    tokens: int
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -310,6 +310,24 @@
     state: bytes
 
 
+class AskRecords(Wire, frozen=True):
+    """Asks another entry VM for newer records of the store's keyed topics."""
+
+    # For each topic, the offset up to which the asker knows it.
+    ends: dict[str, int]
+
+
+class RecordsReply(Wire, frozen=True):
+    """What an entry VM knows beyond that."""
+
+    # For each topic: key, offset, value of each newer record.
+    records: dict[str, tuple[tuple[str, int, bytes], ...]]
+    # For each topic, the offset up to which this entry VM knows it.
+    ends: dict[str, int]
+    # Time since this entry VM last had an answer of the store, seconds.
+    age_s: float
+
+
 Any = (
     Fail
     | Ping
@@ -340,6 +358,8 @@
     | AskOutcome
     | Dump
     | DumpReply
+    | AskRecords
+    | RecordsReply
 )
 
 # Longest message between processes, bytes; a longer one is not looked at.
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -66,3 +66,36 @@
     caller_timeout_s: _Seconds = 10.0
     # Lowest severity that is logged.
     log_level: Literal['debug', 'info', 'warning', 'error'] = 'info'
+
+
+class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """What a router is told at its start; its adapter reads the file."""
+
+    # Name of the VM that it runs on.
+    entry_vm: str
+    # Data centre of the VM.
+    data_centre: str
+    # Where callers connect.
+    caller_address: str
+    # Where the balancer asks whether this VM takes callers.
+    ready_address: str
+    # Where the other entry VMs connect.
+    peer_address: str
+    # IP number on which operators read state and metrics.
+    admin_host: str
+    # The platform's store.
+    store: str
+    # Peer addresses of some entry VMs, which may be down.
+    seeds: tuple[str, ...] = ()
+    # Time after which a leaving backend server must get nothing new, seconds.
+    leaving_s: float = 2.0
+    # Time between SIGTERM and SIGKILL, seconds.
+    grace_s: float = 8.0
+    # Further sends that all entry VMs together may make: for each request, and
+    # beyond that, in any window of this length (seconds).
+    retry_ratio: float = 0.2
+    retry_burst: float = 0.0
+    retry_window_s: float = 10.0
+    # Requests of callers at once. A small VM has 128 MB; a thread that waits
+    # takes some 0.1 MB.
+    threads: int = 96
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -13,7 +13,10 @@
 import msgspec
 
 from foxtaildale import backends
+from foxtaildale import forwarding
 from foxtaildale import messages
+from foxtaildale import mirror
+from foxtaildale import routes
 from foxtaildale import values
 
 # Seconds on a monotonic clock.
@@ -51,6 +54,135 @@
         """
 
 
+class Keyed(msgspec.Struct, frozen=True):
+    """What a keyed topic gave."""
+
+    # Offset that the next record will get, as far as this answer knows.
+    end: int
+    entries: tuple[mirror.Entry, ...]
+
+
+class Topics(Protocol):
+    """Keyed topics of the platform's store: the newest record of each key."""
+
+    def newest(self, topic: str) -> Keyed:
+        """Reads the newest record of every key."""
+
+    def follow(self, topic: str, offset: int, wait_s: float) -> Keyed:
+        """Waits for records from an offset on; none if none came in time.
+
+        Raises:
+            errors.LapsedError: The offset is older than what is kept.
+        """
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes the newest record of a key; an empty value removes it."""
+
+    def move(self, address: str) -> None:
+        """Goes to another address from the next call on."""
+
+
+class RecordCodec(Protocol):
+    """What the records of the keyed topics mean.
+
+    Each decoder raises `errors.DecodeError` for a value that is none.
+    """
+
+    # Names of the topics: the operators' configuration, under one key; the
+    # backend servers, under their ids; the entry VMs, under their names.
+    config_topic: str
+    config_key: str
+    servers_topic: str
+    members_topic: str
+
+    def table(self, value: bytes) -> routes.Table:
+        """Decodes a version of the configuration."""
+
+    def server(self, key: str, value: bytes) -> forwarding.Backend:
+        """Decodes a backend server."""
+
+    def member(self, key: str, value: bytes) -> str:
+        """Decodes the peer address of an entry VM."""
+
+    def encode_member(self, peer_address: str) -> bytes:
+        """Encodes the entry of an entry VM."""
+
+
+class Flight(Protocol):
+    """One request on its way to one backend server."""
+
+    def send(self, timeout_s: float) -> None:
+        """Connects and sends.
+
+        Raises:
+            errors.UnreachableError: Nothing was sent.
+            errors.AnswerLostError: A part may have been.
+        """
+
+    def head(self, timeout_s: float) -> forwarding.Head:
+        """Waits for the head of the answer."""
+
+    def read(self, timeout_s: float) -> bytes:
+        """Waits for a piece of the body; empty at its proper end."""
+
+    def cancel(self) -> None:
+        """Ends it now, from any thread; the backend server sees a close."""
+
+    def close(self) -> None:
+        """Frees the connection; only the thread that reads calls it."""
+
+
+class Workers(Protocol):
+    """Backend servers that take requests as they came."""
+
+    def plain(
+        self, call: forwarding.Call, server: forwarding.Backend, left_s: float
+    ) -> Flight:
+        """Prepares a request as the caller sent it."""
+
+    def prefill(
+        self, call: forwarding.Call, server: forwarding.Backend, left_s: float
+    ) -> Flight:
+        """Prepares a prefill of a request's prompt."""
+
+    def decode(
+        self,
+        call: forwarding.Call,
+        reserved: forwarding.Reserved,
+        prefilled: forwarding.Prefilled | None,
+        left_s: float,
+    ) -> Flight:
+        """Prepares the decoding of a request."""
+
+    def handle(self, body: bytes) -> str:
+        """Returns the handle that the answer of a prefill names.
+
+        Raises:
+            errors.DecodeError: It names none.
+        """
+
+    def reserve(
+        self, server: forwarding.Backend, tokens: int, ttl_s: float
+    ) -> str:
+        """Reserves a slot and memory; returns its name, empty if full."""
+
+    def release(self, reserved: forwarding.Reserved) -> None:
+        """Gives up a reservation that was not used."""
+
+    def free(self, prefilled: forwarding.Prefilled) -> None:
+        """Frees a prefilled prompt that was not taken."""
+
+
+class Tidy(Protocol):
+    """Gives back what engines keep, without making anybody wait."""
+
+    def release(self, reserved: forwarding.Reserved) -> None:
+        """Gives up a reservation."""
+
+    def free(self, prefilled: forwarding.Prefilled) -> None:
+        """Frees a prefilled prompt."""
+
+
 class Directory(Protocol):
     """The platform's lagging list of VMs."""
 
--- /dev/null
+++ b/packages/core/foxtaildale/room.py
@@ -0,0 +1,46 @@
+"""How much KV memory a request is given, and how long it may wait for it.
+
+Load answered: bursts of twice the usual traffic, in which the decode workers'
+memory is full for seconds. A place at a decode worker is reserved before the
+prompt is read, since a prefilled prompt lives half a second and one that finds
+no place is a prefill in vain.
+"""
+
+from typing import Final
+
+from foxtaildale import forwarding
+from foxtaildale import routes
+
+# Engines count memory in blocks of this many tokens.
+BLOCK: Final = 16
+# Part of the expected answer that is reserved.
+OUTPUT_SHARE: Final = 1.25
+# A caller of a stream leaves after a silence of two seconds, or of four times
+# the target for the first event if that is longer. What waits this many times
+# the target still leaves the time for prefill and a first event.
+PATIENCE_TARGETS: Final = 2.6
+PATIENCE_S: Final = 1.4
+# Life of a reservation beyond which the prefill has failed, seconds.
+HOLD_S: Final = 2.0
+
+
+def tokens(call: forwarding.Call) -> int:
+    """Returns the KV memory that a request grows to, tokens."""
+    hinted = call.hinted_tokens or call.output_tokens
+    grown = min(call.output_tokens, hinted) * OUTPUT_SHARE
+    need = call.prompt_tokens + int(grown)
+    return -(-need // BLOCK) * BLOCK
+
+
+def patience_s(route: routes.Route) -> float:
+    """Returns how long a request may wait for a place, seconds."""
+    return max(PATIENCE_S, PATIENCE_TARGETS * route.target_s)
+
+
+def is_late(route: routes.Route, age_s: float) -> bool:
+    """Whether the target for the first event can't be met any more.
+
+    Those that can still meet it go first: serving a late one before them makes
+    two late.
+    """
+    return age_s > 0.8 * route.target_s
--- /dev/null
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -0,0 +1,209 @@
+"""What a router believes of configuration, backend servers and entry VMs.
+
+All of it comes from records of the store's keyed topics, read from the store
+or, while that can't be reached, from other entry VMs. Owned by one actor.
+"""
+
+import logging
+import random
+
+from foxtaildale import errors
+from foxtaildale import fleet
+from foxtaildale import messages
+from foxtaildale import mirror
+from foxtaildale import ports
+from foxtaildale import routes
+from foxtaildale_adapters import logs
+
+# A store that failed within this time may have let entries of living servers
+# lapse, seconds: servers write every 1.2 s, entries lapse after three of
+# those, and living ones are back two seconds after the store is.
+_UNWELL_S = 4.0
+
+
+class Beliefs:
+    """State of a router; the time is an argument."""
+
+    __slots__ = (
+        '_codec',
+        '_mirrors',
+        '_peer_address',
+        '_seeds',
+        'entry_vms',
+        'failed_at',
+        'fleet',
+        'matcher',
+        'read_at',
+        'servers_known',
+    )
+
+    def __init__(
+        self,
+        codec: ports.RecordCodec,
+        peer_address: str,
+        seeds: tuple[str, ...],
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        self._codec = codec
+        self._peer_address = peer_address
+        self._seeds = seeds
+        self._mirrors = {
+            codec.config_topic: mirror.Mirror(),
+            codec.servers_topic: mirror.Mirror(),
+            codec.members_topic: mirror.Mirror(),
+        }
+        self.fleet = fleet.Fleet(data_centre, rng)
+        # The configuration in force; None while none is known.
+        self.matcher: routes.Matcher | None = None
+        # Whether the list of servers was read once.
+        self.servers_known = False
+        # Peer addresses of the entry VMs, by name.
+        self.entry_vms: dict[str, str] = {}
+        # When the store last answered, and when it last failed to.
+        self.read_at: float | None = None
+        self.failed_at: float | None = None
+
+    def end(self, topic: str) -> int:
+        """Returns the offset up to which a topic is known."""
+        return self._mirrors[topic].end
+
+    def take(
+        self, topic: str, keyed: ports.Keyed, now: float, *, whole: bool
+    ) -> None:
+        """Takes an answer of the store."""
+        known = self._mirrors[topic]
+        take = known.snapshot if whole else known.apply
+        news = take(keyed.entries, keyed.end)
+        self.read_at = now
+        if topic == self._codec.servers_topic:
+            self.servers_known = True
+        self._learn(topic, news, now, 'store')
+
+    def take_reply(self, reply: messages.RecordsReply, now: float) -> None:
+        """Takes what another entry VM knows."""
+        for topic, records in reply.records.items():
+            known = self._mirrors.get(topic)
+            if known is None:
+                continue
+            entries = [mirror.Entry(*record) for record in records]
+            end = reply.ends.get(topic, 0)
+            news = known.apply(entries, end)
+            if topic == self._codec.servers_topic and end:
+                self.servers_known = True
+            self._learn(topic, news, now, 'peer')
+
+    def reply(
+        self, ask: messages.AskRecords, now: float
+    ) -> messages.RecordsReply:
+        """Returns what another entry VM lacks."""
+        records = {
+            topic: tuple(
+                (entry.key, entry.offset, entry.value)
+                for entry in known.since(ask.ends.get(topic, 0))
+            )
+            for topic, known in self._mirrors.items()
+        }
+        ends = {topic: known.end for topic, known in self._mirrors.items()}
+        age_s = now - self.read_at if self.read_at is not None else 1e9
+        return messages.RecordsReply(records=records, ends=ends, age_s=age_s)
+
+    def ask(self) -> messages.AskRecords:
+        """Returns the question for another entry VM."""
+        return messages.AskRecords(
+            ends={topic: known.end for topic, known in self._mirrors.items()}
+        )
+
+    def on_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes changed settings."""
+        self._seeds = seeds
+
+    def failed(self, now: float) -> None:
+        """Takes a failed call to the store."""
+        self.failed_at = now
+
+    def peers(self) -> list[str]:
+        """Returns the peer addresses of the other entry VMs."""
+        addresses = {*self.entry_vms.values(), *self._seeds}
+        addresses.discard(self._peer_address)
+        return sorted(addresses)
+
+    def _learn(
+        self, topic: str, news: list[mirror.Entry], now: float, source: str
+    ) -> None:
+        for entry in news:
+            try:
+                if topic == self._codec.config_topic:
+                    self._learn_table(entry, source)
+                elif topic == self._codec.servers_topic:
+                    self._learn_server(entry, now, source)
+                else:
+                    self._learn_member(entry)
+            except errors.DecodeError as exc:
+                # What was known before stays.
+                logs.event(
+                    logging.ERROR,
+                    'record not readable',
+                    topic=topic,
+                    key=entry.key,
+                    offset=entry.offset,
+                    source=source,
+                    error=str(exc),
+                )
+
+    def _learn_table(self, entry: mirror.Entry, source: str) -> None:
+        if entry.key != self._codec.config_key or not entry.value:
+            return
+        table = self._codec.table(entry.value)
+        if self.matcher and table.version <= self.matcher.table.version:
+            return
+        self.matcher = routes.Matcher(table)
+        logs.event(
+            logging.INFO,
+            'configuration in force',
+            version=table.version,
+            offset=entry.offset,
+            routes=len(table.routes),
+            source=source,
+        )
+
+    def _learn_server(
+        self, entry: mirror.Entry, now: float, source: str
+    ) -> None:
+        before = self.fleet.tally(entry.key)
+        if not entry.value:
+            if before is None:
+                return
+            well = self.failed_at is None or now - self.failed_at > _UNWELL_S
+            self.fleet.remove(entry.key, now, store_well=well)
+            event = 'backend server gone' if well else 'backend server vanished'
+            logs.event(
+                logging.INFO,
+                event,
+                server=entry.key,
+                offset=entry.offset,
+                source=source,
+            )
+            return
+        backend = self._codec.server(entry.key, entry.value)
+        self.fleet.put(backend)
+        if before is None or before.backend.leaving != backend.leaving:
+            logs.event(
+                logging.INFO,
+                'backend server leaving'
+                if backend.leaving
+                else 'backend server known',
+                server=entry.key,
+                service=backend.service,
+                address=backend.address,
+                stage=backend.stage,
+                offset=entry.offset,
+                source=source,
+            )
+
+    def _learn_member(self, entry: mirror.Entry) -> None:
+        if entry.value:
+            address = self._codec.member(entry.key, entry.value)
+            self.entry_vms[entry.key] = address
+        else:
+            self.entry_vms.pop(entry.key, None)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -0,0 +1,270 @@
+"""Requests of plain services, forwarded whole.
+
+A request that may have run is sent again only if its route says that it may be
+repeated; one that surely did not run may be sent on within the attempts of its
+route. An answer is read whole before the caller gets any of it, so that one
+which breaks off can still be replaced.
+"""
+
+import random
+from typing import Final
+
+from foxtaildale import codes
+from foxtaildale import comeback
+from foxtaildale import errors
+from foxtaildale import forwarding
+from foxtaildale import ports
+from foxtaildaled import actors
+from foxtaildaled import beliefs
+from foxtaildaled import passage
+from foxtaildaled import sends
+
+# Connections that may fail to open before a request is given up; nothing was
+# sent by those, so they are no attempts.
+CONNECTS: Final = 3
+# An idempotent request without an answer is sent elsewhere after this many
+# times its target, and no sooner than the least, seconds: a server that hangs
+# would keep it until its deadline.
+STALLED_TARGETS: Final = 2.0
+STALLED_S: Final = 0.5
+# Longest answer held in memory, bytes.
+MAX_BODY: Final = 16 * 1024 * 1024
+# How long a full service stays full, seconds: about the time of a request.
+FULL_WAIT_S: Final = 0.2
+
+
+class _Whole:
+    """A whole answer of a backend server."""
+
+    __slots__ = ('body', 'head')
+
+    def __init__(self, head: forwarding.Head, body: bytes) -> None:
+        self.head = head
+        self.body = body
+
+
+class _Tries:
+    """What was tried for one request."""
+
+    __slots__ = ('last', 'may_have_run', 'sent', 'servers', 'unopened')
+
+    def __init__(self) -> None:
+        # Ids of the servers, in order.
+        self.servers: list[str] = []
+        # Requests that left, and connections that did not open.
+        self.sent = 0
+        self.unopened = 0
+        # The last answer; None if the last send got none.
+        self.last: _Whole | None = None
+        # Whether a send may have run without an answer that says so.
+        self.may_have_run = False
+
+
+class Forward:
+    """Serves requests of plain services."""
+
+    __slots__ = ('_clock', '_owner', '_rng', '_sends', '_workers')
+
+    def __init__(
+        self,
+        *,
+        owner: actors.Owner[beliefs.Beliefs],
+        workers: ports.Workers,
+        budget: sends.Sends,
+        clock: ports.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._owner = owner
+        self._workers = workers
+        self._sends = budget
+        self._clock = clock
+        self._rng = rng
+
+    def serve(self, req: passage.Passage) -> None:
+        """Answers one request before it returns."""
+        self._sends.first(req.service.name)
+        tries = _Tries()
+        while self._step(req, tries):
+            pass
+
+    def _step(self, req: passage.Passage, tries: _Tries) -> bool:
+        """Tries one server; returns whether to go on with another."""
+        if req.caller_gone():
+            req.refuse(codes.CANCELLED if tries.sent else codes.GONE)
+            return False
+        server = self._choose(req, tries.servers)
+        if server is None or not self._may_send(req, tries, server):
+            self._give_up(req, tries)
+            return False
+        tries.servers.append(server.id)
+        req.log('sent', server=server.id, attempt=tries.sent + 1)
+        outcome = self._send(req, server, tries.sent)
+        if isinstance(outcome, _Whole):
+            return self._on_answer(req, tries, outcome)
+        return self._on_error(req, tries, outcome)
+
+    def _on_answer(
+        self, req: passage.Passage, tries: _Tries, got: _Whole
+    ) -> bool:
+        tries.sent += 1
+        tries.last = got
+        if self._again(req, got, tries.sent):
+            req.log(
+                'answer put aside',
+                server=tries.servers[-1],
+                status=got.head.status,
+                ran=got.head.ran,
+            )
+            return True
+        self._deliver(req, got)
+        return False
+
+    def _on_error(
+        self, req: passage.Passage, tries: _Tries, exc: errors.PortError
+    ) -> bool:
+        if isinstance(exc, errors.UnreachableError):
+            tries.unopened += 1
+            return True
+        tries.sent += 1
+        tries.last = None
+        tries.may_have_run = True
+        if req.gone.is_set():
+            req.refuse(codes.CANCELLED)
+            return False
+        if not req.route.repeatable:
+            self._fail(req)
+            return False
+        return True
+
+    def _choose(
+        self, req: passage.Passage, tried: list[str]
+    ) -> forwarding.Backend | None:
+        """Returns the best server that was not tried, else any."""
+        service = req.service.name
+
+        def turn(
+            state: beliefs.Beliefs, now: float
+        ) -> forwarding.Backend | None:
+            found = state.fleet.candidates(service, now, avoid=tried)
+            return found[0].backend if found else None
+
+        return self._owner.run(turn)
+
+    def _may_send(
+        self, req: passage.Passage, tries: _Tries, server: forwarding.Backend
+    ) -> bool:
+        if tries.unopened >= CONNECTS or req.left_s() < passage.MIN_LEFT_S:
+            return False
+        if not tries.sent:
+            return True
+        if tries.sent >= req.route.max_attempts:
+            return False
+        allowed = self._sends.take(req.service.name, req.deadline)
+        req.log('retry', server=server.id, allowed=allowed)
+        return allowed
+
+    def _send(
+        self, req: passage.Passage, server: forwarding.Backend, sent: int
+    ) -> _Whole | errors.PortError:
+        """Sends once; an error says whether anything was sent."""
+        left_s = req.left_s()
+        flight = self._workers.plain(req.call, server, left_s)
+        self._owner.run(lambda state, _: state.fleet.sent(server.id))
+        began = self._clock()
+        try:
+            req.attach(flight)
+            flight.send(left_s)
+            head = flight.head(self._patience(req, sent))
+            if not head.matches:
+                raise errors.AnswerLostError('answer to another request')
+            whole = _Whole(head, _read(flight, req))
+        except errors.PortError as exc:
+            req.log('send failed', server=server.id, error=str(exc))
+            if not req.gone.is_set():
+                self._owner.run(
+                    lambda state, now: state.fleet.failed(server.id, now)
+                )
+            return exc
+        finally:
+            req.attach(None)
+            flight.close()
+            self._owner.run(lambda state, _: state.fleet.ended(server.id))
+        self._note(server, whole.head, self._clock() - began)
+        return whole
+
+    def _patience(self, req: passage.Passage, sent: int) -> float:
+        left_s = req.left_s()
+        if not req.route.repeatable or sent + 1 >= req.route.max_attempts:
+            return left_s
+        return min(left_s, max(STALLED_S, STALLED_TARGETS * req.route.target_s))
+
+    def _note(
+        self, server: forwarding.Backend, head: forwarding.Head, took_s: float
+    ) -> None:
+        def turn(state: beliefs.Beliefs, now: float) -> None:
+            known = state.fleet
+            if head.ran == 'no':
+                if head.status == 421:
+                    known.replaced(server.id)
+                else:
+                    known.full(server.id, now)
+            elif head.status >= 500:
+                known.failed(server.id, now)
+            else:
+                known.answered(server.id, now, head.load, took_s)
+
+        self._owner.run(turn)
+
+    def _again(self, req: passage.Passage, got: _Whole, sent: int) -> bool:
+        """Whether another server should be tried after this answer."""
+        if got.head.ran == 'no':
+            return True
+        return (
+            got.head.status >= 500
+            and req.route.repeatable
+            and sent < req.route.max_attempts
+        )
+
+    def _give_up(self, req: passage.Passage, tries: _Tries) -> None:
+        last = tries.last
+        if last is not None and last.head.ran != 'no':
+            self._deliver(req, last)
+        elif tries.may_have_run:
+            self._fail(req)
+        else:
+            code, figures = codes.NO_BACKEND, {}
+            if tries.sent:
+                code, figures = codes.BACKEND_REFUSED, {'reason': 'full'}
+            retry_s = comeback.retry_after_s(
+                FULL_WAIT_S, req.left_s(), self._rng
+            )
+            req.refuse(code, figures, retry_s)
+
+    def _fail(self, req: passage.Passage) -> None:
+        if req.left_s() < passage.MIN_LEFT_S:
+            limit_ms = int((req.deadline - req.started_at) * 1000)
+            req.refuse(codes.TIMED_OUT, {'limit_ms': limit_ms})
+        else:
+            req.refuse(codes.UNKNOWN)
+
+    def _deliver(self, req: passage.Passage, got: _Whole) -> None:
+        whole = req.ex.respond(
+            got.head.status, dict(got.head.headers), got.body
+        )
+        req.log('answered', status=got.head.status, whole=whole)
+
+
+def _read(flight: ports.Flight, req: passage.Passage) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+        errors.AnswerLostError: It broke off, or is too long.
+    """
+    parts = []
+    size = 0
+    while part := flight.read(req.left_s()):
+        parts.append(part)
+        size += len(part)
+        if size > MAX_BODY:
+            raise errors.AnswerLostError(f'answer above {MAX_BODY} bytes')
+    return b''.join(parts)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -0,0 +1,152 @@
+"""One request of a caller on its way through a router.
+
+It knows how long it may take and whether its caller is still there. Whatever
+is on its way for it to a backend server is registered here, so that a caller
+that hangs up ends it at once, whatever stage it is in.
+"""
+
+from collections.abc import Mapping
+import logging
+import threading
+from typing import Final
+
+from foxtaildale import codes
+from foxtaildale import forwarding
+from foxtaildale import ports
+from foxtaildale import routes
+from foxtaildale_adapters import incoming
+from foxtaildale_adapters import logs
+
+# Least time that a send is worth, seconds: a backend server that gets less can
+# only time out.
+MIN_LEFT_S: Final = 0.03
+
+
+class Passage:
+    """A request, its route, its time and its caller."""
+
+    __slots__ = (
+        '_clock',
+        '_flight',
+        '_lock',
+        'call',
+        'deadline',
+        'entry_vm',
+        'ex',
+        'gone',
+        'route',
+        'service',
+        'started_at',
+        'version',
+    )
+
+    def __init__(
+        self,
+        exchange: incoming.Exchange,
+        *,
+        call: forwarding.Call,
+        route: routes.Route,
+        service: routes.Service,
+        version: int,
+        entry_vm: str,
+        clock: ports.Clock,
+    ) -> None:
+        self.ex = exchange
+        self.call = call
+        self.route = route
+        self.service = service
+        # Of the configuration that it is served by.
+        self.version = version
+        self.entry_vm = entry_vm
+        self._clock = clock
+        self.started_at = clock()
+        limit_s = route.timeout_s
+        if call.patience_s is not None:
+            limit_s = min(limit_s, call.patience_s)
+        # When its final answer is due.
+        self.deadline = self.started_at + limit_s
+        # Set when the caller has hung up.
+        self.gone = threading.Event()
+        # Guards the flight against a hang-up that comes as it starts.
+        self._lock = threading.Lock()
+        self._flight: ports.Flight | None = None
+
+    def watch(self) -> None:
+        """Begins to watch the caller."""
+        self.ex.watch(self._on_gone)
+
+    def left_s(self) -> float:
+        """Returns how much time is left, seconds."""
+        return self.deadline - self._clock()
+
+    def age_s(self) -> float:
+        """Returns how long ago it came, seconds."""
+        return self._clock() - self.started_at
+
+    def caller_gone(self) -> bool:
+        """Whether the caller has hung up; looks at the connection."""
+        if not self.gone.is_set() and self.ex.gone():
+            self.gone.set()
+        return self.gone.is_set()
+
+    def attach(self, flight: ports.Flight | None) -> None:
+        """Names what a hang-up must end; None for nothing."""
+        with self._lock:
+            self._flight = flight
+            gone = self.gone.is_set()
+        if gone and flight is not None:
+            flight.cancel()
+
+    def refuse(
+        self,
+        code: codes.Code,
+        figures: Mapping[str, float | str] | None = None,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Gives the final answer of one that no backend server answered."""
+        figures = figures or {}
+        self.log(
+            'refused' if code.ran == 'no' else 'failed',
+            code=code.name,
+            status=code.status,
+            retry_after_s=round(retry_after_s, 2),
+            **figures,
+        )
+        if code.status == codes.CANCELLED.status:
+            self.ex.cut()
+            return
+        refuse(self.ex, code, figures, self.entry_vm, retry_after_s)
+
+    def log(self, event: str, **fields: object) -> None:
+        """Logs a decision on this request."""
+        logs.event(
+            logging.INFO,
+            event,
+            request=self.call.id,
+            route=self.route.name,
+            version=self.version,
+            age_ms=int(self.age_s() * 1000),
+            **fields,
+        )
+
+    def _on_gone(self) -> None:
+        with self._lock:
+            self.gone.set()
+            flight = self._flight
+        if flight is not None:
+            flight.cancel()
+
+
+def refuse(
+    exchange: incoming.Exchange,
+    code: codes.Code,
+    figures: Mapping[str, float | str],
+    entry_vm: str,
+    retry_after_s: float = 0.0,
+) -> None:
+    """Answers with an error; says when to come back if it did not run."""
+    body = incoming.error_body(code, figures, entry_vm, retry_after_s)
+    headers = dict(incoming.JSON)
+    if retry_after_s > 0:
+        headers['Retry-After'] = f'{retry_after_s:.2f}'
+    exchange.respond(code.status, headers, body)
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -18,6 +18,8 @@
 
 # Status of a process that stopped because an invariant broke.
 BROKEN_STATUS = 70
+# Longest time until a reload is noticed, seconds.
+SIGNAL_POLL_S = 0.5
 
 
 class Loop:
@@ -96,14 +98,23 @@
     threading.excepthook = on_exception
 
 
-def wait_for_stop() -> None:
-    """Returns when the process is told to stop."""
+def wait_for_stop(reload: Callable[[], None] | None = None) -> None:
+    """Returns when the process is told to stop.
+
+    Args:
+        reload: Called on SIGHUP; without it the signal is ignored. Its default
+            would end the process and cut every request in progress.
+    """
     stop = threading.Event()
+    changed = threading.Event()
 
     def on_signal(_number: int, _frame: types.FrameType | None) -> None:
         stop.set()
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    while not stop.wait(1.0):
-        pass
+    signal.signal(signal.SIGHUP, lambda _number, _frame: changed.set())
+    while not stop.wait(SIGNAL_POLL_S):
+        if changed.is_set() and reload is not None:
+            changed.clear()
+            reload()
--- /dev/null
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -0,0 +1,327 @@
+"""Composition root of the router role, and its start and stop.
+
+One process a VM. At a planned stop it first says that it is not ready and goes
+on serving until the balancer has noticed, then takes no new connections, then
+ends when its requests have ended or the time before SIGKILL is over.
+"""
+
+from collections.abc import Callable
+import json
+import logging
+import random
+import threading
+import time
+from typing import Final
+
+from foxtaildale import messages
+from foxtaildale import options
+from foxtaildale import ports
+from foxtaildale_adapters import admin
+from foxtaildale_adapters import callers
+from foxtaildale_adapters import logs
+from foxtaildale_adapters import metrics
+from foxtaildale_adapters import peers
+from foxtaildale_adapters import wire
+from foxtaildaled import actors
+from foxtaildaled import beliefs
+from foxtaildaled import forward
+from foxtaildaled import generate
+from foxtaildaled import process
+from foxtaildaled import router
+from foxtaildaled import sends
+from foxtaildaled import syncing
+from foxtaildaled import tidy
+
+# Time after the stop signal in which new connections are still taken, seconds:
+# the balancer asks once a second and takes a VM out after two misses.
+LAME_S: Final = 2.8
+# Kept before SIGKILL for closing what is open, seconds.
+CLOSE_S: Final = 0.5
+# Threads that answer other entry VMs.
+_PEER_THREADS: Final = 2
+# Heartbeats of connections between entry VMs, and the silence after which one
+# is replaced, seconds. They are open only while the store fails.
+_HEARTBEAT_S: Final = 0.5
+_SILENCE_S: Final = 1.5
+# Beyond the idle time that callers are told, seconds, so that a request which
+# comes at the last moment still finds its connection open.
+_IDLE_MARGIN_S: Final = 3.0
+# Time for a whole request to arrive after its head's bound, seconds.
+_BODY_S: Final = 7.0
+_READY_THREADS: Final = 2
+_READY_TIMEOUT_S: Final = 30.0
+_READY_BODY: Final = 1024
+_STOP_POLL_S: Final = 0.05
+# Longest body before a configuration is known, bytes.
+_BODY_BYTES: Final = 4_194_304
+
+
+def clock() -> float:
+    """Seconds, monotonic, running on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Adapters:
+    """What a platform's adapter gives to the router."""
+
+    __slots__ = ('codec', 'decode', 'store', 'workers')
+
+    def __init__(
+        self,
+        *,
+        codec: ports.RecordCodec,
+        store: Callable[[str], ports.Topics],
+        decode: router.Decode,
+        workers: ports.Workers,
+    ) -> None:
+        self.codec = codec
+        # Makes a client of the store, given its address.
+        self.store = store
+        self.decode = decode
+        self.workers = workers
+
+
+class _Readiness:
+    """Answers the balancer."""
+
+    __slots__ = ('_ready',)
+
+    def __init__(self, ready: Callable[[], str]) -> None:
+        self._ready = ready
+
+    def handle(self, exchange: callers.Exchange) -> None:
+        reason = self._ready()
+        status = 503 if reason else 200
+        exchange.respond(status, admin.TEXT, f'{reason or "ready"}\n'.encode())
+
+
+class RouterDaemon:
+    """The router of an entry VM."""
+
+    __slots__ = (
+        '_admin',
+        '_cfg',
+        '_codec',
+        '_limits_version',
+        '_loops',
+        '_metrics',
+        '_owner',
+        '_peers',
+        '_readiness',
+        '_responder',
+        '_server',
+        '_state',
+        '_stopping',
+        '_stores',
+        '_tidy',
+    )
+
+    def __init__(
+        self, cfg: options.RouterOptions, made: Adapters, metrics_port: int
+    ) -> None:
+        self._cfg = cfg
+        self._codec = made.codec
+        rng = random.Random()
+        self._stopping = threading.Event()
+        self._limits_version = -1
+        # Each loop has a client of its own: one that waits holds up no other.
+        self._stores: list[ports.Topics] = []
+        self._metrics = metrics.Metrics()
+        self._state = beliefs.Beliefs(
+            made.codec, cfg.peer_address, cfg.seeds, cfg.data_centre, rng
+        )
+        owner = self._owner = actors.Owner(self._state, clock)
+        self._peers = peers.Peers(_HEARTBEAT_S, _SILENCE_S)
+        self._responder = wire.Responder(
+            cfg.peer_address, self._handle, _PEER_THREADS
+        )
+        self._tidy = tidy.Tidy(made.workers)
+        budget = sends.Sends(cfg.retry_ratio, cfg.retry_burst, owner, clock)
+        handler = router.Router(
+            entry_vm=cfg.entry_vm,
+            matcher=lambda: self._state.matcher,
+            decode=made.decode,
+            plain=forward.Forward(
+                owner=owner,
+                workers=made.workers,
+                budget=budget,
+                clock=clock,
+                rng=rng,
+            ),
+            model=generate.Generate(
+                owner=owner,
+                workers=made.workers,
+                budget=budget,
+                tidy=self._tidy,
+                clock=clock,
+                rng=rng,
+            ),
+            clock=clock,
+        )
+        self._server = callers.Server(
+            cfg.caller_address,
+            handler,
+            cfg.threads,
+            _READY_TIMEOUT_S,
+            _BODY_BYTES,
+            entry_vm=cfg.entry_vm,
+            half_close=False,
+        )
+        self._readiness = callers.Server(
+            cfg.ready_address,
+            _Readiness(self._unready),
+            _READY_THREADS,
+            _READY_TIMEOUT_S,
+            _READY_BODY,
+        )
+        self._admin = admin.Admin(
+            f'{cfg.admin_host}:{metrics_port}',
+            self._unready,
+            self._dump,
+            self._metrics.render,
+        )
+        self._loops = self._make_loops(made, rng)
+
+    def start(self) -> None:
+        """Starts the loops, then serves."""
+        self._responder.start()
+        self._tidy.start()
+        for loop in self._loops:
+            loop.start()
+        self._admin.start()
+        caller = self._server.start()
+        ready = self._readiness.start()
+        logs.event(logging.INFO, 'started', caller=caller, ready=ready)
+
+    def stop(self) -> None:
+        """Ends gracefully: cuts no request in progress."""
+        began = clock()
+        self._stopping.set()
+        self._server.announce_stop()
+        logs.event(logging.INFO, 'stopping', busy=self._server.busy())
+        time.sleep(LAME_S)
+        self._server.stop_accepting()
+        self._server.close_idle()
+        end = began + self._cfg.grace_s - CLOSE_S
+        while self._server.busy() and clock() < end:
+            time.sleep(_STOP_POLL_S)
+        logs.event(logging.INFO, 'stopped', busy=self._server.busy())
+
+    def reload(self, cfg: options.RouterOptions) -> None:
+        """Takes changed settings; addresses to listen on stay as they are."""
+        if cfg == self._cfg:
+            return
+        self._owner.run(lambda state, _: state.on_seeds(cfg.seeds))
+        for store in self._stores:
+            store.move(cfg.store)
+        self._cfg = cfg
+        logs.event(
+            logging.INFO, 'reloaded', store=cfg.store, seeds=list(cfg.seeds)
+        )
+
+    def _make_loops(
+        self, made: Adapters, rng: random.Random
+    ) -> list[process.Loop]:
+        cfg, codec, owner = self._cfg, made.codec, self._owner
+
+        def store() -> ports.Topics:
+            found = made.store(cfg.store)
+            self._stores.append(found)
+            return found
+
+        def topic(name: str, wait_s: float) -> syncing.Topic:
+            return syncing.Topic(name, owner, store(), clock, wait_s)
+
+        config = topic(codec.config_topic, syncing.CONFIG_WAIT_S)
+        servers = topic(codec.servers_topic, 0.0)
+        members = syncing.Members(
+            name=cfg.entry_vm,
+            peer_address=cfg.peer_address,
+            codec=codec,
+            owner=owner,
+            store=store(),
+            topic=topic(codec.members_topic, 0.0),
+        )
+        pace_s = cfg.leaving_s / syncing.READS_PER_BOUND
+        peer = syncing.PeerSync(owner, self._peers, clock, rng)
+        return [
+            process.Loop('config', 0.0, self._paced(config.step)),
+            process.Loop('servers', pace_s, self._paced(servers.step)),
+            process.Loop('members', syncing.MEMBERS_S, _until(members.step)),
+            process.Loop('peers', syncing.PEER_S, peer.step),
+        ]
+
+    def _paced(self, step: Callable[[], bool]) -> Callable[[], None]:
+        def run() -> None:
+            if not step():
+                time.sleep(syncing.RETRY_S)
+            self._apply_limits()
+
+        return run
+
+    def _apply_limits(self) -> None:
+        matcher = self._state.matcher
+        if matcher is None or matcher.table.version == self._limits_version:
+            return
+        limits = matcher.table.limits
+        self._server.on_limits(
+            limits.idle_s + _IDLE_MARGIN_S,
+            limits.header_s + _BODY_S,
+            limits.body_bytes,
+        )
+        self._limits_version = matcher.table.version
+
+    def _handle(self, msg: messages.Any) -> messages.Any:
+        if isinstance(msg, messages.AskRecords):
+            return self._owner.run(lambda state, now: state.reply(msg, now))
+        if isinstance(msg, messages.Dump):
+            return messages.DumpReply(state=self._dump())
+        return messages.Fail(code='not-for-a-router')
+
+    def _unready(self) -> str:
+        if self._stopping.is_set():
+            return 'being stopped'
+        if self._state.matcher is None:
+            return 'no configuration is known'
+        if not self._state.servers_known:
+            return 'no list of backend servers is known'
+        return ''
+
+    def _dump(self) -> bytes:
+        def turn(state: beliefs.Beliefs, now: float) -> dict[str, object]:
+            matcher = state.matcher
+            return {
+                'role': 'router',
+                'entry_vm': self._cfg.entry_vm,
+                'stopping': self._stopping.is_set(),
+                'version': matcher.table.version if matcher else None,
+                'store_read_at': state.read_at,
+                'store_failed_at': state.failed_at,
+                'now': now,
+                'entry_vms': state.entry_vms,
+                'backend_servers': [
+                    {
+                        'id': tally.backend.id,
+                        'service': tally.backend.service,
+                        'stage': tally.backend.stage,
+                        'leaving': tally.backend.leaving,
+                        'in_flight': tally.in_flight,
+                        'held_tokens': tally.held_tokens,
+                        'faults': round(tally.faults_now(now), 2),
+                    }
+                    for tally in state.fleet.known()
+                ],
+                'busy': self._server.busy(),
+            }
+
+        return json.dumps(self._owner.run(turn), sort_keys=True).encode()
+
+
+def _until(step: Callable[[], bool]) -> Callable[[], None]:
+    """Repeats a step until it is done, without haste."""
+
+    def run() -> None:
+        while not step():
+            time.sleep(syncing.PEER_S)
+
+    return run
--- /dev/null
+++ b/packages/daemon/foxtaildaled/sends.py
@@ -0,0 +1,59 @@
+"""Budget of repeated sends, by service.
+
+All entry VMs share one bound on sends beyond the first of each request. Each
+keeps to its part: its own requests' share, plus its part of the fixed slack by
+the number of entry VMs that were ever listed. That needs no agreement, and a
+VM that is gone and still counted only makes the part smaller.
+"""
+
+import threading
+from typing import Final
+
+from foxtaildale import budget
+from foxtaildale import ports
+from foxtaildaled import actors
+from foxtaildaled import beliefs
+
+# Share of the bound that is used, so that windows which slide apart on
+# different VMs don't add up to more than the bound.
+_USED: Final = 0.75
+
+
+class Sends:
+    """Gives out repeated sends."""
+
+    __slots__ = ('_budgets', '_burst', '_clock', '_lock', '_owner', '_ratio')
+
+    def __init__(
+        self,
+        ratio: float,
+        burst: float,
+        owner: actors.Owner[beliefs.Beliefs],
+        clock: ports.Clock,
+    ) -> None:
+        self._ratio = ratio * _USED
+        self._burst = burst * _USED
+        self._owner = owner
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._budgets: dict[str, budget.Budget] = {}
+
+    def first(self, service: str) -> None:
+        """Counts a request."""
+        with self._lock:
+            self._budget(service).first(self._clock())
+
+    def take(self, service: str, deadline: float) -> bool:
+        """Takes one repeated send, if there is one before the deadline."""
+        entry_vms = self._owner.run(lambda state, _: len(state.entry_vms))
+        burst = int(self._burst / max(1, entry_vms))
+        with self._lock:
+            found = self._budget(service)
+            found.on_preset(self._ratio, burst)
+            return found.allow(self._clock(), deadline)
+
+    def _budget(self, service: str) -> budget.Budget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = budget.Budget(self._ratio, 0)
+        return found
