Plan decode memory at one home of each service, with growth foreseen

Each entry VM also asked alone. Now the home, by rendezvous hash, plans all engines of a service: what all will have at each moment at which one ends must fit; first come first served, those that can still meet their target first. Reservations remain as the fallback. A prompt that no decode worker took is offered to the next one.

--- a/packages/adapters/foxtaildale_adapters/flight.py
+++ b/packages/adapters/foxtaildale_adapters/flight.py
@@ -27,7 +27,7 @@
 # Bound on connecting, seconds. Round trips take a few milliseconds. A lost
 # opening packet is sent again after one second, by when another server could
 # have answered; nothing was sent, so trying one is always allowed.
-CONNECT_S: Final = 0.4
+CONNECT_S: Final = 0.2
 # Bytes that were sent and not acknowledged for this long end the connection,
 # milliseconds: a machine behind a partition sends no reset.
 UNACKNOWLEDGED_MS: Final = 4000
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -27,6 +27,9 @@
 # to be chosen all the same. Six slots a plain server: one failure is as bad
 # as a server that is full.
 FAULT_WEIGHT: Final = 6.0
+# Decayed failures above which a server is kept out of the plan: one failure
+# counts for three seconds.
+FAULTY: Final = 0.5
 # A server that refused for want of room is passed over for this long, seconds,
 # about the time in which one in ten slots comes free.
 FULL_S: Final = 0.08
@@ -159,6 +162,34 @@
         found.sort(key=lambda tally: self._cost(tally, now, typical_s))
         return found
 
+    def usable(self, server: str) -> forwarding.Backend | None:
+        """Returns a server if it is known and may get new work."""
+        tally = self._tallies.get(server)
+        if tally is None or tally.backend.leaving:
+            return None
+        return tally.backend
+
+    def faulty(self, service: str, now: float) -> tuple[str, ...]:
+        """Returns servers that failed lately, unless no other is left.
+
+        Looked at stage by stage: where all of a stage failed, what they share
+        is rather at fault, and they are tried again.
+        """
+        stages: dict[forwarding.Stage, list[Tally]] = {}
+        for tally in self._tallies.values():
+            if tally.backend.service == service and not tally.backend.leaving:
+                stages.setdefault(tally.backend.stage, []).append(tally)
+        found: list[str] = []
+        for tallies in stages.values():
+            failed = [
+                tally.backend.id
+                for tally in tallies
+                if tally.faults_now(now) > FAULTY
+            ]
+            if len(failed) < len(tallies):
+                found.extend(failed)
+        return tuple(found)
+
     def sent(self, server: str, tokens: int = 0) -> None:
         """Counts a request that is on its way to a server."""
         tally = self._tallies.get(server)
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -328,6 +328,66 @@
     age_s: float
 
 
+class AskPlace(Wire, frozen=True):
+    """From an entry VM to the home of a service: a place at its engines."""
+
+    service: str
+    request: str
+    # The entry VM that asks.
+    holder: str
+    # Tokens of the prompt, guessed ones of the answer, and the most of it.
+    prompt: int
+    hinted: int
+    longest: int
+    # Time since the request came, and within which its first event is due.
+    waited_ms: int
+    target_ms: int
+    # 0 is the most urgent.
+    priority: int
+    # Backend servers that it must not go to, by id.
+    avoid: tuple[str, ...] = ()
+
+
+class Place(Wire, frozen=True):
+    """Memory of a decode worker and time of a prefill worker, by id."""
+
+    worker: str
+    # Empty where the decode worker has to read the prompt.
+    prefiller: str
+
+
+class EndPlace(Wire, frozen=True):
+    """A place is given back, whatever came of it."""
+
+    service: str
+    request: str
+    # What the holder measured; 0 for what was not reached.
+    prefill_ms: int = 0
+    decode_ms: int = 0
+    tokens: int = 0
+    # Whether the answer came to its end.
+    whole: bool = False
+
+
+class KeptPlace(Wire, frozen=True):
+    """A place in use."""
+
+    request: str
+    worker: str
+    prompt: int
+    hinted: int
+    longest: int
+    age_ms: int = 0
+
+
+class KeepPlaces(Wire, frozen=True):
+    """All that one entry VM holds; rebuilds the plan of a new home."""
+
+    service: str
+    holder: str
+    places: tuple[KeptPlace, ...]
+
+
 Any = (
     Fail
     | Ping
@@ -360,6 +420,10 @@
     | DumpReply
     | AskRecords
     | RecordsReply
+    | AskPlace
+    | Place
+    | EndPlace
+    | KeepPlaces
 )
 
 # Longest message between processes, bytes; a longer one is not looked at.
--- /dev/null
+++ b/packages/core/foxtaildale/placing.py
@@ -0,0 +1,298 @@
+"""One plan of a service's engines: decode memory, prefill time, who waits.
+
+Load answered: bursts of two to three times the usual traffic, in which decode
+memory is full for seconds. One entry VM, the home of the service, plans for
+all; so nobody asks a full engine, requests go first come first served over the
+whole deployment, and a prompt is read only when its place is sure.
+
+A request that can still meet its target goes before one that can't: served in
+order of arrival, an overload of some seconds would make every request late.
+
+`ask` grants or queues; `end` gives back; `keep` and `expire` keep the plan true
+to the holders. A wrong plan costs time and never correctness: engines refuse
+what they have no room for.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import math
+from typing import Final
+
+from foxtaildale import fleet
+from foxtaildale import growth
+from foxtaildale import messages
+from foxtaildale import room
+from foxtaildale import routes
+
+# Part of an engine's memory that is planned with. The rest is for answers that
+# are longer than expected.
+FILL: Final = 0.9
+# A waiter that did not ask again for this long has gone, seconds: four times
+# the longest time between asks.
+WAITER_S: Final = 0.5
+# A grant whose holder did not repeat it for this long has lapsed, seconds.
+KEEP_S: Final = 4.0
+# Time between asks of a waiter, milliseconds, for the first few and the rest.
+AGAIN_MS: Final = 40
+AGAIN_FAR_MS: Final = 120
+_NEAR: Final = 3
+# Time of one token and prompt tokens read in a second until some are measured.
+TOKEN_S: Final = 0.0007
+PREFILL_PER_S: Final = 50_000.0
+# How much a new measurement counts.
+_LEARN: Final = 0.1
+# The fastest prefill seen is forgotten by this part with each one measured.
+_FORGET: Final = 0.01
+
+
+class Waiter:
+    """A request that waits for a place."""
+
+    __slots__ = ('arrived_at', 'asked_at', 'msg', 'place')
+
+    def __init__(self, msg: messages.AskPlace, arrived_at: float) -> None:
+        self.msg = msg
+        self.arrived_at = arrived_at
+        self.asked_at = 0.0
+        # Granted already, to be told at the next ask.
+        self.place: messages.Place | None = None
+
+
+class Held:
+    """A granted place."""
+
+    __slots__ = ('holder', 'kept_at', 'running', 'worker')
+
+    def __init__(
+        self, holder: str, worker: str, running: growth.Running, now: float
+    ) -> None:
+        self.holder = holder
+        self.worker = worker
+        self.running = running
+        self.kept_at = now
+
+
+class Plan:
+    """The engines of one service; the time is an argument."""
+
+    __slots__ = (
+        '_held',
+        '_prefill_free_at',
+        '_prefill_per_s',
+        '_token_s',
+        '_typical_log',
+        '_waiting',
+    )
+
+    def __init__(self) -> None:
+        # By request.
+        self._held: dict[str, Held] = {}
+        self._waiting: dict[str, Waiter] = {}
+        # When each prefill worker has read what it was given, seconds.
+        self._prefill_free_at: dict[str, float] = {}
+        self._prefill_per_s = PREFILL_PER_S
+        self._token_s = TOKEN_S
+        # Mean logarithm of the lengths of whole answers; 0 before the first.
+        self._typical_log = 0.0
+
+    def ask(
+        self,
+        now: float,
+        msg: messages.AskPlace,
+        service: routes.Service,
+        decoders: Sequence[fleet.Tally],
+        prefillers: Sequence[fleet.Tally],
+    ) -> messages.Place | messages.Queued:
+        """Grants a place or queues; asking again is harmless.
+
+        Args:
+            now: Seconds.
+            msg: The request.
+            service: What the operators say of the engines.
+            decoders: Decode workers that may get work, best first.
+            prefillers: Prefill workers that may get work, best first.
+        """
+        waiter = self._waiting.get(msg.request)
+        if waiter is None:
+            waiter = Waiter(msg, now - msg.waited_ms / 1000)
+            self._waiting[msg.request] = waiter
+        waiter.asked_at = now
+        waiter.msg = msg
+        self._forget(now)
+        self._grant(now, service, decoders, prefillers)
+        if waiter.place is not None:
+            del self._waiting[msg.request]
+            return waiter.place
+        position = self._position(now, waiter)
+        again_ms = AGAIN_MS if position < _NEAR else AGAIN_FAR_MS
+        return messages.Queued(again_in_ms=again_ms, position=position)
+
+    def end(self, now: float, msg: messages.EndPlace) -> None:
+        """Takes a place back, with what its holder measured."""
+        self._waiting.pop(msg.request, None)
+        held = self._held.pop(msg.request, None)
+        if held is None:
+            return
+        if msg.prefill_ms:
+            speed = held.running.prompt / (msg.prefill_ms / 1000)
+            slower = self._prefill_per_s * (1 - _FORGET)
+            self._prefill_per_s = max(slower, speed)
+        if msg.tokens and msg.decode_ms and msg.whole:
+            token_s = msg.decode_ms / 1000 / msg.tokens
+            self._token_s += _LEARN * (token_s - self._token_s)
+            log = math.log(msg.tokens)
+            before = self._typical_log or log
+            self._typical_log = before + _LEARN * (log - before)
+
+    def keep(self, now: float, msg: messages.KeepPlaces) -> None:
+        """Takes a holder's repeat of all that it holds."""
+        named = {place.request for place in msg.places}
+        for request, held in list(self._held.items()):
+            # Its end was lost, unless it is still on its way to its holder.
+            lost = held.holder == msg.holder and request not in named
+            if lost and now - held.kept_at > WAITER_S:
+                del self._held[request]
+        for place in msg.places:
+            known = self._held.get(place.request)
+            if known is not None:
+                known.kept_at = now
+                continue
+            running = growth.Running(
+                prompt=place.prompt,
+                expected=self._expected(place.hinted, place.longest),
+                longest=place.longest,
+                started_at=now - place.age_ms / 1000,
+            )
+            self._held[place.request] = Held(
+                msg.holder, place.worker, running, now
+            )
+
+    def waiting(self) -> int:
+        """Returns how many wait."""
+        return len(self._waiting)
+
+    def planned(self) -> dict[str, int]:
+        """Returns how many requests each decode worker is planned with."""
+        found: dict[str, int] = {}
+        for held in self._held.values():
+            found[held.worker] = found.get(held.worker, 0) + 1
+        return found
+
+    def _grant(
+        self,
+        now: float,
+        service: routes.Service,
+        decoders: Sequence[fleet.Tally],
+        prefillers: Sequence[fleet.Tally],
+    ) -> None:
+        """Grants to the first waiters for as long as there is room."""
+        for waiter in sorted(
+            self._waiting.values(), key=lambda item: self._rank(now, item)
+        ):
+            if waiter.place is not None:
+                continue
+            place = self._place(now, waiter, service, decoders, prefillers)
+            if place is None:
+                # Nobody overtakes: a large request would starve behind a row
+                # of small ones.
+                return
+            waiter.place = place
+
+    def _place(
+        self,
+        now: float,
+        waiter: Waiter,
+        service: routes.Service,
+        decoders: Sequence[fleet.Tally],
+        prefillers: Sequence[fleet.Tally],
+    ) -> messages.Place | None:
+        msg = waiter.msg
+        prefiller = self._prefiller(now, msg, prefillers)
+        ready_at = now
+        if prefiller:
+            free_at = max(now, self._prefill_free_at.get(prefiller, 0.0))
+            ready_at = free_at + msg.prompt / self._prefill_per_s
+        running = growth.Running(
+            prompt=msg.prompt,
+            expected=self._expected(msg.hinted, msg.longest),
+            longest=msg.longest,
+            started_at=ready_at,
+        )
+        worker = self._worker(now, msg, running, service, decoders)
+        if not worker:
+            return None
+        if prefiller:
+            self._prefill_free_at[prefiller] = ready_at
+        self._held[msg.request] = Held(msg.holder, worker, running, now)
+        return messages.Place(worker=worker, prefiller=prefiller)
+
+    def _worker(
+        self,
+        now: float,
+        msg: messages.AskPlace,
+        running: growth.Running,
+        service: routes.Service,
+        decoders: Sequence[fleet.Tally],
+    ) -> str:
+        """Returns the decode worker with the most room; empty if none."""
+        by_worker: dict[str, list[growth.Running]] = {}
+        for held in self._held.values():
+            by_worker.setdefault(held.worker, []).append(held.running)
+        best = ''
+        least = FILL * service.kv_tokens
+        for tally in decoders:
+            name = tally.backend.id
+            if name in msg.avoid:
+                continue
+            there = by_worker.get(name, [])
+            if service.slots and len(there) >= service.slots:
+                continue
+            most = growth.peak([*there, running], now, self._token_s)
+            if most < least or (not there and not best):
+                best, least = name, most
+        return best
+
+    def _prefiller(
+        self,
+        now: float,
+        msg: messages.AskPlace,
+        prefillers: Iterable[fleet.Tally],
+    ) -> str:
+        """Returns the prefill worker that is free first; empty if none."""
+        names = [
+            tally.backend.id
+            for tally in prefillers
+            if tally.backend.id not in msg.avoid
+        ]
+        return min(
+            names,
+            key=lambda name: max(now, self._prefill_free_at.get(name, 0.0)),
+            default='',
+        )
+
+    def _expected(self, hinted: int, longest: int) -> float:
+        typical = math.exp(self._typical_log) if self._typical_log else 0.0
+        return growth.expected_tokens(hinted, longest, typical)
+
+    def _rank(self, now: float, waiter: Waiter) -> tuple[bool, int, float, str]:
+        msg = waiter.msg
+        age_s = now - waiter.arrived_at
+        late = room.too_late(age_s, msg.target_ms / 1000)
+        return late, msg.priority, waiter.arrived_at, msg.request
+
+    def _position(self, now: float, waiter: Waiter) -> int:
+        rank = self._rank(now, waiter)
+        return sum(
+            self._rank(now, other) < rank for other in self._waiting.values()
+        )
+
+    def _forget(self, now: float) -> None:
+        """Drops waiters that stopped asking and places that lapsed."""
+        for request, waiter in list(self._waiting.items()):
+            if now - waiter.asked_at > WAITER_S:
+                del self._waiting[request]
+                if waiter.place is not None:
+                    self._held.pop(request, None)
+        for request, held in list(self._held.items()):
+            if now - held.kept_at > KEEP_S:
+                del self._held[request]
--- a/packages/core/foxtaildale/room.py
+++ b/packages/core/foxtaildale/room.py
@@ -20,6 +20,9 @@
 # the target still leaves the time for prefill and a first event.
 PATIENCE_TARGETS: Final = 2.6
 PATIENCE_S: Final = 1.4
+# Part of the target after which a request that waits is taken for late; the
+# prefill and the transfer take the rest.
+LATE_PART: Final = 0.8
 # Life of a reservation beyond which the prefill has failed, seconds.
 HOLD_S: Final = 2.0
 
@@ -27,8 +30,8 @@
 def tokens(call: forwarding.Call) -> int:
     """Returns the KV memory that a request grows to, tokens."""
     hinted = call.hinted_tokens or call.output_tokens
-    grown = min(call.output_tokens, hinted) * OUTPUT_SHARE
-    need = call.prompt_tokens + int(grown)
+    grown = min(call.output_tokens, int(hinted * OUTPUT_SHARE))
+    need = call.prompt_tokens + grown
     return -(-need // BLOCK) * BLOCK
 
 
@@ -37,10 +40,10 @@
     return max(PATIENCE_S, PATIENCE_TARGETS * route.target_s)
 
 
-def is_late(route: routes.Route, age_s: float) -> bool:
+def too_late(age_s: float, target_s: float) -> bool:
     """Whether the target for the first event can't be met any more.
 
     Those that can still meet it go first: serving a late one before them makes
     two late.
     """
-    return age_s > 0.8 * route.target_s
+    return age_s > LATE_PART * target_s
--- a/packages/core/foxtaildale/routes.py
+++ b/packages/core/foxtaildale/routes.py
@@ -65,6 +65,8 @@
     handle_s: float = 0.0
     # Requests in one batch of an engine.
     slots: int = 0
+    # Tokens of the answer in one event of a stream.
+    event_tokens: int = 1
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -11,6 +11,7 @@
 from foxtaildale import fleet
 from foxtaildale import messages
 from foxtaildale import mirror
+from foxtaildale import placing
 from foxtaildale import ports
 from foxtaildale import routes
 from foxtaildale_adapters import logs
@@ -28,6 +29,7 @@
         '_codec',
         '_mirrors',
         '_peer_address',
+        '_plans',
         '_seeds',
         'entry_vms',
         'failed_at',
@@ -53,6 +55,8 @@
             codec.servers_topic: mirror.Mirror(),
             codec.members_topic: mirror.Mirror(),
         }
+        # Of the services that this entry VM is the home of.
+        self._plans: dict[str, placing.Plan] = {}
         self.fleet = fleet.Fleet(data_centre, rng)
         # The configuration in force; None while none is known.
         self.matcher: routes.Matcher | None = None
@@ -114,6 +118,38 @@
             ends={topic: known.end for topic, known in self._mirrors.items()}
         )
 
+    def ask_place(
+        self, msg: messages.AskPlace, now: float
+    ) -> messages.Place | messages.Queued | messages.Fail:
+        """Answers as the home of a service."""
+        if self.matcher is None:
+            return messages.Fail(code='not-ready')
+        service = self.matcher.table.service(msg.service)
+        decoders = self.fleet.candidates(msg.service, now, 'decode')
+        if not decoders:
+            return messages.Fail(code='no-workers')
+        prefillers = self.fleet.candidates(msg.service, now, 'prefill')
+        plan = self._plans.setdefault(msg.service, placing.Plan())
+        return plan.ask(now, msg, service, decoders, prefillers)
+
+    def end_place(self, msg: messages.EndPlace, now: float) -> None:
+        """Takes a place back as the home of a service."""
+        plan = self._plans.get(msg.service)
+        if plan is not None:
+            plan.end(now, msg)
+
+    def keep_places(self, msg: messages.KeepPlaces, now: float) -> None:
+        """Takes what an entry VM holds as the home of a service."""
+        plan = self._plans.setdefault(msg.service, placing.Plan())
+        plan.keep(now, msg)
+
+    def planned(self) -> dict[str, dict[str, object]]:
+        """Returns the plans for a person to read."""
+        return {
+            name: {'waiting': plan.waiting(), 'planned': plan.planned()}
+            for name, plan in self._plans.items()
+        }
+
     def on_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes changed settings."""
         self._seeds = seeds
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -14,6 +14,7 @@
 from foxtaildale import comeback
 from foxtaildale import errors
 from foxtaildale import forwarding
+from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import room
 from foxtaildale import sse
@@ -21,6 +22,7 @@
 from foxtaildaled import beliefs
 from foxtaildaled import line
 from foxtaildaled import passage
+from foxtaildaled import places
 from foxtaildaled import sends
 
 # Longest wait for a prefill, seconds: 11,000 tokens take 0.2 s; with some
@@ -28,6 +30,9 @@
 PREFILL_S: Final = 1.5
 # Prefills of one request; each that fails counts against the shared budget.
 PREFILLS: Final = 3
+# Part of the life of a prefilled prompt in which it is offered again; the rest
+# is for the way to the worker that holds it.
+HANDLE_PART: Final = 0.7
 # Decode workers that are asked for a place in one try.
 ASKS: Final = 3
 # Longest silence of a stream that may go on elsewhere, seconds: five times the
@@ -50,11 +55,44 @@
 class _Answer:
     """What the caller has of its answer."""
 
-    __slots__ = ('splitter', 'started')
+    __slots__ = ('prefilled', 'prefilled_at', 'splitter', 'started')
 
     def __init__(self, position: int | None) -> None:
         self.splitter = sse.Splitter(position)
         self.started = False
+        # A prefilled prompt that no decode worker has taken yet, and since
+        # when its worker holds it.
+        self.prefilled: forwarding.Prefilled | None = None
+        self.prefilled_at = 0.0
+
+
+class _Spot:
+    """Where a request is to run, and what was measured there."""
+
+    __slots__ = (
+        'decode_s',
+        'events',
+        'prefill_s',
+        'prefiller',
+        'request',
+        'reserved',
+        'whole',
+    )
+
+    def __init__(
+        self,
+        reserved: forwarding.Reserved,
+        request: str = '',
+        prefiller: forwarding.Backend | None = None,
+    ) -> None:
+        self.reserved = reserved
+        # Its name in the home's plan; empty without one.
+        self.request = request
+        self.prefiller = prefiller
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+        self.events = 0
+        self.whole = False
 
 
 class Generate:
@@ -62,8 +100,10 @@
 
     __slots__ = (
         '_clock',
+        '_entry_vm',
         '_line',
         '_owner',
+        '_plan',
         '_rng',
         '_sends',
         '_tidy',
@@ -76,6 +116,8 @@
         owner: actors.Owner[beliefs.Beliefs],
         workers: ports.Workers,
         budget: sends.Sends,
+        plan: places.Places,
+        entry_vm: str,
         tidy: ports.Tidy,
         clock: ports.Clock,
         rng: random.Random,
@@ -83,6 +125,8 @@
         self._owner = owner
         self._workers = workers
         self._sends = budget
+        self._plan = plan
+        self._entry_vm = entry_vm
         self._tidy = tidy
         self._clock = clock
         self._rng = rng
@@ -99,6 +143,9 @@
                     raise _Refused(codes.BROKEN)
         except _Refused as exc:
             self._end(req, answer, exc)
+        finally:
+            if answer.prefilled is not None:
+                self._tidy.free(answer.prefilled)
 
     def _attempt(
         self, req: passage.Passage, answer: _Answer, sent: list[str]
@@ -108,36 +155,157 @@
         Raises:
             _Refused: It ends here.
         """
-        reserved = self._reserve(req, sent)
+        spot = self._find_spot(req, sent)
+        reserved = spot.reserved
         tokens = reserved.tokens
         used = False
         self._owner.run(
             lambda state, _: state.fleet.sent(reserved.worker.id, tokens)
         )
-        prefilled: forwarding.Prefilled | None = None
         try:
-            prefilled = self._prefill(req)
+            self._read_prompt(req, spot, answer)
             if req.caller_gone():
                 raise _Refused(codes.CANCELLED if sent else codes.GONE)
             used = True
             if reserved.worker.id not in sent:
                 sent.append(reserved.worker.id)
-            return self._decode(req, answer, reserved, prefilled, sent)
+            return self._decode(req, answer, spot, sent)
         finally:
             if not used and reserved.hold:
                 self._tidy.release(reserved)
-            if not used and prefilled is not None:
-                self._tidy.free(prefilled)
             self._owner.run(
                 lambda state, _: state.fleet.ended(reserved.worker.id, tokens)
             )
+            self._give_back(req, spot)
             self._line.place_freed()
 
     # A place at a decode worker.
 
+    def _find_spot(self, req: passage.Passage, sent: list[str]) -> _Spot:
+        """Waits for a place.
+
+        Raises:
+            _Refused: There is none in time.
+        """
+        if len(sent) < req.route.max_attempts and req.service.kv_tokens:
+            spot = self._planned_spot(req, sent)
+            if spot is not None:
+                return spot
+        return _Spot(self._reserve(req, sent))
+
+    def _planned_spot(
+        self, req: passage.Passage, sent: list[str]
+    ) -> _Spot | None:
+        """Waits for a place in the home's plan; None if no home answers."""
+        name = f'{req.call.id}/{len(sent)}'
+        patience_s = room.patience_s(req.route)
+        began = self._clock()
+        avoid = list(sent)
+        try:
+            while True:
+                self._check(req, sent)
+                faulty = self._owner.run(
+                    lambda state, now: state.fleet.faulty(req.service.name, now)
+                )
+                msg = self._question(req, name, (*avoid, *faulty))
+                reply = self._plan.ask(msg)
+                if reply is None:
+                    return None
+                if isinstance(reply, messages.Place):
+                    spot = self._take_place(req, msg, reply)
+                    if spot is not None:
+                        name = ''
+                        return spot
+                    # This entry VM knows better: it leaves, or is gone.
+                    avoid.append(reply.worker)
+                    self._plan.end(
+                        messages.EndPlace(
+                            service=req.service.name, request=name
+                        )
+                    )
+                    name += '+'
+                    continue
+                if self._clock() - began > patience_s:
+                    raise _Refused(
+                        codes.PATIENCE_OVER,
+                        patience_ms=int(patience_s * 1000),
+                        position=reply.position,
+                    )
+                req.gone.wait(reply.again_in_ms / 1000)
+        finally:
+            if name:
+                self._plan.end(
+                    messages.EndPlace(service=req.service.name, request=name)
+                )
+
+    def _question(
+        self, req: passage.Passage, name: str, avoid: tuple[str, ...]
+    ) -> messages.AskPlace:
+        call = req.call
+        return messages.AskPlace(
+            service=req.service.name,
+            request=name,
+            holder=self._entry_vm,
+            prompt=call.prompt_tokens,
+            hinted=call.hinted_tokens,
+            longest=call.output_tokens,
+            waited_ms=int(req.age_s() * 1000),
+            target_ms=int(req.route.target_s * 1000),
+            priority=req.route.priority,
+            avoid=avoid,
+        )
+
+    def _take_place(
+        self,
+        req: passage.Passage,
+        msg: messages.AskPlace,
+        place: messages.Place,
+    ) -> _Spot | None:
+        """Returns the spot of a granted place, if its worker may be used."""
+
+        def turn(
+            state: beliefs.Beliefs, _: float
+        ) -> tuple[forwarding.Backend | None, forwarding.Backend | None]:
+            return (
+                state.fleet.usable(place.worker),
+                state.fleet.usable(place.prefiller),
+            )
+
+        worker, prefiller = self._owner.run(turn)
+        if worker is None:
+            return None
+        self._plan.hold(
+            req.service.name,
+            messages.KeptPlace(
+                request=msg.request,
+                worker=place.worker,
+                prompt=msg.prompt,
+                hinted=msg.hinted,
+                longest=msg.longest,
+            ),
+        )
+        req.log('placed', server=worker.id, prefill=place.prefiller)
+        reserved = forwarding.Reserved(worker, '', 0)
+        return _Spot(reserved, msg.request, prefiller)
+
+    def _give_back(self, req: passage.Passage, spot: _Spot) -> None:
+        if not spot.request:
+            return
+        self._plan.end(
+            messages.EndPlace(
+                service=req.service.name,
+                request=spot.request,
+                prefill_ms=int(spot.prefill_s * 1000),
+                decode_ms=int(spot.decode_s * 1000),
+                tokens=spot.events * req.service.event_tokens,
+                whole=spot.whole,
+            )
+        )
+
     def _reserve(
         self, req: passage.Passage, sent: list[str]
     ) -> forwarding.Reserved:
+        """Waits for a place at the workers themselves, without a plan."""
         tokens = room.tokens(req.call)
         patience_s = room.patience_s(req.route)
         began = self._clock()
@@ -183,7 +351,14 @@
                 self._failed(server)
                 continue
             if hold:
-                req.log('reserved', server=server.id, tokens=tokens)
+                req.log(
+                    'reserved',
+                    server=server.id,
+                    tokens=tokens,
+                    prompt=req.call.prompt_tokens,
+                    longest=req.call.output_tokens,
+                    hinted=req.call.hinted_tokens,
+                )
                 return forwarding.Reserved(server, hold, tokens)
             self._full(server)
         return None
@@ -212,17 +387,38 @@
 
     # The prompt.
 
-    def _prefill(self, req: passage.Passage) -> forwarding.Prefilled | None:
+    def _read_prompt(
+        self, req: passage.Passage, spot: _Spot, answer: _Answer
+    ) -> None:
+        """Has the prompt read, unless it was and is still there.
+
+        A decode worker that could not be reached, or had no room, took
+        nothing; reading the prompt again would be work for nobody.
+        """
+        age_s = self._clock() - answer.prefilled_at
+        life_s = req.service.handle_s * HANDLE_PART
+        if answer.prefilled is not None and age_s < life_s:
+            req.log('prompt kept', held_ms=int(age_s * 1000))
+            return
+        answer.prefilled = self._prefill(req, spot)
+        answer.prefilled_at = self._clock()
+
+    def _prefill(
+        self, req: passage.Passage, spot: _Spot
+    ) -> forwarding.Prefilled | None:
         """Has the prompt read; None if the decode worker must read it."""
         tried: list[str] = []
         while len(tried) < PREFILLS:
-            server = self._prefiller(req, tried)
+            server = None if tried else spot.prefiller
+            server = server or self._prefiller(req, tried)
             if server is None:
                 return None
             if tried and not self._sends.take(req.service.name, req.deadline):
                 return None
             tried.append(server.id)
+            began = self._clock()
             prefilled = self._prefill_at(req, server)
+            spot.prefill_s = self._clock() - began if prefilled else 0.0
             if prefilled is not None or req.gone.is_set():
                 return prefilled
         return None
@@ -286,15 +482,18 @@
         self,
         req: passage.Passage,
         answer: _Answer,
-        reserved: forwarding.Reserved,
-        prefilled: forwarding.Prefilled | None,
+        spot: _Spot,
         sent: list[str],
     ) -> bool:
+        reserved = spot.reserved
+        prefilled = answer.prefilled
         server = reserved.worker
         left_s = req.left_s()
         req.call.after_event = answer.splitter.position
         flight = self._workers.decode(req.call, reserved, prefilled, left_s)
         req.log('sent', server=server.id, attempt=len(sent))
+        before = answer.splitter.position or 0
+        began = self._clock()
         try:
             req.attach(flight)
             flight.send(left_s)
@@ -302,19 +501,23 @@
             if head.ran == 'no':
                 self._not_run(server, head)
                 req.log('not run', server=server.id, status=head.status)
-                if answer.started:
+                if answer.started or len(sent) < req.route.max_attempts:
                     return False
                 raise _Refused(codes.BACKEND_REFUSED, reason='full')
+            answer.prefilled = None
             if not head.matches:
                 raise errors.AnswerLostError('answer to another request')
             if not head.ok:
                 return self._pass_on(req, answer, flight, head, sent)
             self._relay(req, answer, flight, head, sent)
+            spot.whole = True
         except errors.PortError as exc:
-            return self._broken(req, server, exc, sent)
+            return self._broken(req, answer, server, exc, sent)
         finally:
             req.attach(None)
             flight.close()
+            spot.decode_s = self._clock() - began
+            spot.events = (answer.splitter.position or 0) - before
         self._owner.run(
             lambda state, now: state.fleet.answered(server.id, now, head.load)
         )
@@ -352,7 +555,11 @@
             self._first(req, answer, head)
         whole_answer = req.ex.finish()
         req.log(
-            'answered', status=head.status, blocks=events, whole=whole_answer
+            'answered',
+            status=head.status,
+            blocks=events,
+            position=splitter.position,
+            whole=whole_answer,
         )
 
     def _first(
@@ -385,11 +592,15 @@
     def _broken(
         self,
         req: passage.Passage,
+        answer: _Answer,
         server: forwarding.Backend,
         exc: errors.PortError,
         sent: list[str],
     ) -> bool:
         req.log('stream broken', server=server.id, error=str(exc))
+        if not isinstance(exc, errors.UnreachableError):
+            # The worker may have taken it.
+            answer.prefilled = None
         if req.gone.is_set():
             raise _Refused(codes.CANCELLED) from exc
         self._failed(server)
--- a/packages/daemon/foxtaildaled/line.py
+++ b/packages/daemon/foxtaildaled/line.py
@@ -57,5 +57,5 @@
 
 
 def _rank(req: passage.Passage) -> tuple[bool, int, float]:
-    late = room.is_late(req.route, req.age_s())
+    late = room.too_late(req.age_s(), req.route.target_s)
     return late, req.route.priority, req.started_at
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -26,6 +26,7 @@
 from foxtaildaled import beliefs
 from foxtaildaled import forward
 from foxtaildaled import generate
+from foxtaildaled import places
 from foxtaildaled import process
 from foxtaildaled import router
 from foxtaildaled import sends
@@ -38,11 +39,13 @@
 # Kept before SIGKILL for closing what is open, seconds.
 CLOSE_S: Final = 0.5
 # Threads that answer other entry VMs.
-_PEER_THREADS: Final = 2
+_PEER_THREADS: Final = 3
 # Heartbeats of connections between entry VMs, and the silence after which one
-# is replaced, seconds. They are open only while the store fails.
-_HEARTBEAT_S: Final = 0.5
-_SILENCE_S: Final = 1.5
+# is replaced, seconds. Each entry VM has one to each home that it asks.
+_HEARTBEAT_S: Final = 1.0
+_SILENCE_S: Final = 2.5
+# Time between repeats of what is held, seconds.
+_KEEP_S: Final = 1.0
 # Beyond the idle time that callers are told, seconds, so that a request which
 # comes at the last moment still finds its connection open.
 _IDLE_MARGIN_S: Final = 3.0
@@ -107,6 +110,7 @@
         '_metrics',
         '_owner',
         '_peers',
+        '_places',
         '_readiness',
         '_responder',
         '_server',
@@ -136,6 +140,13 @@
             cfg.peer_address, self._handle, _PEER_THREADS
         )
         self._tidy = tidy.Tidy(made.workers)
+        self._places = places.Places(
+            entry_vm=cfg.entry_vm,
+            handle=self._handle,
+            owner=owner,
+            peers=self._peers,
+            clock=clock,
+        )
         budget = sends.Sends(cfg.retry_ratio, cfg.retry_burst, owner, clock)
         handler = router.Router(
             entry_vm=cfg.entry_vm,
@@ -152,6 +163,8 @@
                 owner=owner,
                 workers=made.workers,
                 budget=budget,
+                plan=self._places,
+                entry_vm=cfg.entry_vm,
                 tidy=self._tidy,
                 clock=clock,
                 rng=rng,
@@ -186,6 +199,7 @@
         """Starts the loops, then serves."""
         self._responder.start()
         self._tidy.start()
+        self._places.start()
         for loop in self._loops:
             loop.start()
         self._admin.start()
@@ -248,6 +262,7 @@
             process.Loop('config', 0.0, self._paced(config.step)),
             process.Loop('servers', pace_s, self._paced(servers.step)),
             process.Loop('members', syncing.MEMBERS_S, _until(members.step)),
+            process.Loop('places', _KEEP_S, self._places.step),
             process.Loop('peers', syncing.PEER_S, peer.step),
         ]
 
@@ -274,6 +289,14 @@
     def _handle(self, msg: messages.Any) -> messages.Any:
         if isinstance(msg, messages.AskRecords):
             return self._owner.run(lambda state, now: state.reply(msg, now))
+        if isinstance(msg, messages.AskPlace):
+            return self._owner.run(lambda state, now: state.ask_place(msg, now))
+        if isinstance(msg, messages.EndPlace):
+            self._owner.run(lambda state, now: state.end_place(msg, now))
+            return messages.Pong()
+        if isinstance(msg, messages.KeepPlaces):
+            self._owner.run(lambda state, now: state.keep_places(msg, now))
+            return messages.Pong()
         if isinstance(msg, messages.Dump):
             return messages.DumpReply(state=self._dump())
         return messages.Fail(code='not-for-a-router')
@@ -312,6 +335,7 @@
                     for tally in state.fleet.known()
                 ],
                 'busy': self._server.busy(),
+                'plans': state.planned(),
             }
 
         return json.dumps(self._owner.run(turn), sort_keys=True).encode()
