Refuse at once what would wait too long; look at the plan when it changes

Cause: on the grown site the home of the service, a VM of half a core, answered a thousand asks a second during a burst, was taken for dead by 112 others, and two homes gave the same memory: 124 of 1,092 prompts read in vain. Now a plan is looked at fifty times a second at most, waiters further back ask less often, a home is one of the strongest VMs, and is given up after two misses. A request whose wait would outlast its caller is refused as soon as that is known, with the wait as the time to come back. A request that no worker ran is no longer said to be broken (502) when its budget is spent, and one that may have run is never said not to have.

--- a/packages/core/foxtaildale/comeback.py
+++ b/packages/core/foxtaildale/comeback.py
@@ -23,5 +23,6 @@
         left_s: How long the caller still waits.
         rng: Spreads callers that are refused together.
     """
-    spread = wait_s * rng.uniform(0.7, 1.6)
-    return max(MIN_S, min(spread, left_s * PART))
+    spread = rng.uniform(0.7, 1.6) * wait_s
+    most = rng.uniform(0.6, 1.0) * PART * left_s
+    return max(MIN_S, min(spread, most))
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -29,6 +29,16 @@
     stage: Stage = ''
 
 
+class EntryVm(msgspec.Struct, frozen=True):
+    """One entry VM, as it lists itself for the others."""
+
+    # Where the others ask it.
+    peer_address: str
+    data_centre: str = ''
+    # Processor time that it may use, cores.
+    cores: float = 1.0
+
+
 class Call(msgspec.Struct, kw_only=True):
     """One request of a caller."""
 
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -136,6 +136,8 @@
 
     again_in_ms: int
     position: int
+    # How long the wait is thought to be from now on; 0 where it is not known.
+    wait_ms: int = 0
 
 
 class Refused(Wire, frozen=True):
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -81,6 +81,8 @@
     ready_address: str
     # Where the other entry VMs connect.
     peer_address: str
+    # Processor time that this process may use, cores.
+    cores: float = 1.0
     # IP number on which operators read state and metrics.
     admin_host: str
     # The platform's store.
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -13,6 +13,7 @@
 what they have no room for.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import math
@@ -26,34 +27,48 @@
 
 # Part of an engine's memory that is planned with. The rest is for answers that
 # are longer than expected.
-FILL: Final = 0.9
+FILL: Final = 0.98
+# Time between looks at the plan while requests wait, seconds. Each look costs
+# half a millisecond for fifteen engines; done at every ask it took all of the
+# processor of a home with fifty waiters.
+LOOK_S: Final = 0.02
 # A waiter that did not ask again for this long has gone, seconds: four times
 # the longest time between asks.
 WAITER_S: Final = 0.5
 # A grant whose holder did not repeat it for this long has lapsed, seconds.
 KEEP_S: Final = 4.0
-# Time between asks of a waiter, milliseconds, for the first few and the rest.
+# Time between asks of a waiter, milliseconds: the first one's, what each one
+# before it adds, and the longest.
 AGAIN_MS: Final = 40
-AGAIN_FAR_MS: Final = 120
-_NEAR: Final = 3
+AGAIN_STEP_MS: Final = 12
+AGAIN_MOST_MS: Final = 250
 # Time of one token and prompt tokens read in a second until some are measured.
 TOKEN_S: Final = 0.0007
 PREFILL_PER_S: Final = 50_000.0
+# Longest time between two grants that is learned from, seconds; a longer one
+# means that nobody asked.
+BETWEEN_MOST_S: Final = 1.0
 # How much a new measurement counts.
 _LEARN: Final = 0.1
 # The fastest prefill seen is forgotten by this part with each one measured.
 _FORGET: Final = 0.01
 
 
+# Decode workers and prefill workers.
+Engines = Callable[[], tuple[Sequence[fleet.Tally], Sequence[fleet.Tally]]]
+
+
 class Waiter:
     """A request that waits for a place."""
 
-    __slots__ = ('arrived_at', 'asked_at', 'msg', 'place')
+    __slots__ = ('arrived_at', 'asked_at', 'msg', 'place', 'position')
 
     def __init__(self, msg: messages.AskPlace, arrived_at: float) -> None:
         self.msg = msg
         self.arrived_at = arrived_at
         self.asked_at = 0.0
+        # Waiters before it at the last look.
+        self.position = 0
         # Granted already, to be told at the next ask.
         self.place: messages.Place | None = None
 
@@ -76,7 +91,10 @@
     """The engines of one service; the time is an argument."""
 
     __slots__ = (
+        '_between_s',
+        '_granted_at',
         '_held',
+        '_look_at',
         '_prefill_free_at',
         '_prefill_per_s',
         '_token_s',
@@ -88,6 +106,11 @@
         # By request.
         self._held: dict[str, Held] = {}
         self._waiting: dict[str, Waiter] = {}
+        # Smoothed time between grants, seconds, and when the last one was.
+        self._between_s = 0.0
+        self._granted_at = 0.0
+        # When the plan is next looked at, seconds.
+        self._look_at = 0.0
         # When each prefill worker has read what it was given, seconds.
         self._prefill_free_at: dict[str, float] = {}
         self._prefill_per_s = PREFILL_PER_S
@@ -100,8 +123,7 @@
         now: float,
         msg: messages.AskPlace,
         service: routes.Service,
-        decoders: Sequence[fleet.Tally],
-        prefillers: Sequence[fleet.Tally],
+        engines: Engines,
     ) -> messages.Place | messages.Queued:
         """Grants a place or queues; asking again is harmless.
 
@@ -109,23 +131,31 @@
             now: Seconds.
             msg: The request.
             service: What the operators say of the engines.
-            decoders: Decode workers that may get work, best first.
-            prefillers: Prefill workers that may get work, best first.
+            engines: Returns the decode workers and the prefill workers that
+                may get work, best first.
         """
         waiter = self._waiting.get(msg.request)
         if waiter is None:
             waiter = Waiter(msg, now - msg.waited_ms / 1000)
+            waiter.position = len(self._waiting)
+            if not self._waiting:
+                self._look_at = now
             self._waiting[msg.request] = waiter
         waiter.asked_at = now
         waiter.msg = msg
-        self._forget(now)
-        self._grant(now, service, decoders, prefillers)
+        if now >= self._look_at:
+            self._look_at = now + LOOK_S
+            self._forget(now)
+            self._grant(now, service, *engines())
         if waiter.place is not None:
             del self._waiting[msg.request]
             return waiter.place
-        position = self._position(now, waiter)
-        again_ms = AGAIN_MS if position < _NEAR else AGAIN_FAR_MS
-        return messages.Queued(again_in_ms=again_ms, position=position)
+        again_ms = AGAIN_MS + AGAIN_STEP_MS * waiter.position
+        return messages.Queued(
+            again_in_ms=min(again_ms, AGAIN_MOST_MS),
+            position=waiter.position,
+            wait_ms=int(waiter.position * self._between_s * 1000),
+        )
 
     def end(self, now: float, msg: messages.EndPlace) -> None:
         """Takes a place back, with what its holder measured."""
@@ -133,6 +163,7 @@
         held = self._held.pop(msg.request, None)
         if held is None:
             return
+        self._look_at = min(self._look_at, now)
         if msg.prefill_ms:
             speed = held.running.prompt / (msg.prefill_ms / 1000)
             slower = self._prefill_per_s * (1 - _FORGET)
@@ -186,17 +217,32 @@
         prefillers: Sequence[fleet.Tally],
     ) -> None:
         """Grants to the first waiters for as long as there is room."""
-        for waiter in sorted(
+        ranked = sorted(
             self._waiting.values(), key=lambda item: self._rank(now, item)
-        ):
+        )
+        full = False
+        position = 0
+        for waiter in ranked:
             if waiter.place is not None:
                 continue
-            place = self._place(now, waiter, service, decoders, prefillers)
-            if place is None:
+            if not full:
+                waiter.place = self._place(
+                    now, waiter, service, decoders, prefillers
+                )
                 # Nobody overtakes: a large request would starve behind a row
                 # of small ones.
-                return
-            waiter.place = place
+                full = waiter.place is None
+                if not full:
+                    self._note_grant(now)
+            if full:
+                waiter.position = position
+                position += 1
+
+    def _note_grant(self, now: float) -> None:
+        """Learns how fast places come free while requests wait."""
+        between_s = min(now - self._granted_at, BETWEEN_MOST_S)
+        self._granted_at = now
+        self._between_s += _LEARN * (between_s - self._between_s)
 
     def _place(
         self,
@@ -280,12 +326,6 @@
         late = room.too_late(age_s, msg.target_ms / 1000)
         return late, msg.priority, waiter.arrived_at, msg.request
 
-    def _position(self, now: float, waiter: Waiter) -> int:
-        rank = self._rank(now, waiter)
-        return sum(
-            self._rank(now, other) < rank for other in self._waiting.values()
-        )
-
     def _forget(self, now: float) -> None:
         """Drops waiters that stopped asking and places that lapsed."""
         for request, waiter in list(self._waiting.items()):
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -101,11 +101,11 @@
     def server(self, key: str, value: bytes) -> forwarding.Backend:
         """Decodes a backend server."""
 
-    def member(self, key: str, value: bytes) -> str:
-        """Decodes the peer address of an entry VM."""
+    def member(self, key: str, value: bytes) -> forwarding.EntryVm:
+        """Decodes an entry VM."""
 
-    def encode_member(self, peer_address: str) -> bytes:
-        """Encodes the entry of an entry VM."""
+    def encode_member(self, member: forwarding.EntryVm) -> bytes:
+        """Encodes an entry VM."""
 
 
 class Flight(Protocol):
--- a/packages/core/foxtaildale/room.py
+++ b/packages/core/foxtaildale/room.py
@@ -23,6 +23,9 @@
 # Part of the target after which a request that waits is taken for late; the
 # prefill and the transfer take the rest.
 LATE_PART: Final = 0.8
+# Estimates of the wait are off by about this factor while a burst begins or
+# ends; a request is given up early only beyond it.
+HOPELESS: Final = 1.3
 # Life of a reservation beyond which the prefill has failed, seconds.
 HOLD_S: Final = 2.0
 
@@ -40,6 +43,19 @@
     return max(PATIENCE_S, PATIENCE_TARGETS * route.target_s)
 
 
+def hopeless(wait_s: float, patience_s: float) -> bool:
+    """Whether a request is refused now rather than after its whole wait.
+
+    The sooner its caller hears of it, the more of its time is left for coming
+    back when the burst is over.
+
+    Args:
+        wait_s: How long it is thought to wait from now on.
+        patience_s: How long it may still wait.
+    """
+    return wait_s > HOPELESS * patience_s
+
+
 def too_late(age_s: float, target_s: float) -> bool:
     """Whether the target for the first event can't be met any more.
 
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -9,6 +9,7 @@
 
 from foxtaildale import errors
 from foxtaildale import fleet
+from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import placing
@@ -62,8 +63,8 @@
         self.matcher: routes.Matcher | None = None
         # Whether the list of servers was read once.
         self.servers_known = False
-        # Peer addresses of the entry VMs, by name.
-        self.entry_vms: dict[str, str] = {}
+        # The entry VMs, by name.
+        self.entry_vms: dict[str, forwarding.EntryVm] = {}
         # When the store last answered, and when it last failed to.
         self.read_at: float | None = None
         self.failed_at: float | None = None
@@ -125,12 +126,15 @@
         if self.matcher is None:
             return messages.Fail(code='not-ready')
         service = self.matcher.table.service(msg.service)
-        decoders = self.fleet.candidates(msg.service, now, 'decode')
-        if not decoders:
-            return messages.Fail(code='no-workers')
-        prefillers = self.fleet.candidates(msg.service, now, 'prefill')
+
+        def engines() -> tuple[list[fleet.Tally], list[fleet.Tally]]:
+            return (
+                self.fleet.candidates(msg.service, now, 'decode'),
+                self.fleet.candidates(msg.service, now, 'prefill'),
+            )
+
         plan = self._plans.setdefault(msg.service, placing.Plan())
-        return plan.ask(now, msg, service, decoders, prefillers)
+        return plan.ask(now, msg, service, engines)
 
     def end_place(self, msg: messages.EndPlace, now: float) -> None:
         """Takes a place back as the home of a service."""
@@ -160,7 +164,8 @@
 
     def peers(self) -> list[str]:
         """Returns the peer addresses of the other entry VMs."""
-        addresses = {*self.entry_vms.values(), *self._seeds}
+        listed = (vm.peer_address for vm in self.entry_vms.values())
+        addresses = {*listed, *self._seeds}
         addresses.discard(self._peer_address)
         return sorted(addresses)
 
@@ -239,7 +244,7 @@
 
     def _learn_member(self, entry: mirror.Entry) -> None:
         if entry.value:
-            address = self._codec.member(entry.key, entry.value)
-            self.entry_vms[entry.key] = address
+            member = self._codec.member(entry.key, entry.value)
+            self.entry_vms[entry.key] = member
         else:
             self.entry_vms.pop(entry.key, None)
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -46,8 +46,12 @@
 class _Refused(Exception):  # noqa: N818
     """Ends a request with an outcome; never leaves this module."""
 
-    def __init__(self, code: codes.Code, **figures: float | str) -> None:
+    def __init__(
+        self, code: codes.Code, reason: str = '', **figures: float | str
+    ) -> None:
         super().__init__(code.name)
+        if reason:
+            figures['reason'] = reason
         self.code = code
         self.figures = figures
 
@@ -55,16 +59,30 @@
 class _Answer:
     """What the caller has of its answer."""
 
-    __slots__ = ('prefilled', 'prefilled_at', 'splitter', 'started')
+    __slots__ = (
+        'may_have_run',
+        'prefilled',
+        'prefilled_at',
+        'splitter',
+        'started',
+    )
 
     def __init__(self, position: int | None) -> None:
         self.splitter = sse.Splitter(position)
         self.started = False
+        # Whether a decode worker may have begun to work on it.
+        self.may_have_run = False
         # A prefilled prompt that no decode worker has taken yet, and since
         # when its worker holds it.
         self.prefilled: forwarding.Prefilled | None = None
         self.prefilled_at = 0.0
 
+    def unfinished(self) -> tuple[codes.Code, str]:
+        """Returns why it ends without another try, and the reason."""
+        if self.may_have_run:
+            return codes.BROKEN, ''
+        return codes.BACKEND_REFUSED, 'full, and no further try is allowed'
+
 
 class _Spot:
     """Where a request is to run, and what was measured there."""
@@ -140,7 +158,7 @@
         try:
             while not self._attempt(req, answer, sent):
                 if not self._sends.take(req.service.name, req.deadline):
-                    raise _Refused(codes.BROKEN)
+                    raise _Refused(*answer.unfinished())
         except _Refused as exc:
             self._end(req, answer, exc)
         finally:
@@ -225,12 +243,7 @@
                     )
                     name += '+'
                     continue
-                if self._clock() - began > patience_s:
-                    raise _Refused(
-                        codes.PATIENCE_OVER,
-                        patience_ms=int(patience_s * 1000),
-                        position=reply.position,
-                    )
+                self._bear(reply, patience_s, self._clock() - began)
                 req.gone.wait(reply.again_in_ms / 1000)
         finally:
             if name:
@@ -238,6 +251,32 @@
                     messages.EndPlace(service=req.service.name, request=name)
                 )
 
+    def _bear(
+        self, reply: messages.Queued, patience_s: float, waited_s: float
+    ) -> None:
+        """Goes on waiting, or gives up.
+
+        Raises:
+            _Refused: The wait is over, or will be too long.
+        """
+        patience_ms = int(patience_s * 1000)
+        wait_s = reply.wait_ms / 1000
+        if waited_s > patience_s:
+            raise _Refused(
+                codes.PATIENCE_OVER,
+                patience_ms=patience_ms,
+                wait_ms=reply.wait_ms,
+                position=reply.position,
+            )
+        if waited_s > 0 and room.hopeless(wait_s, patience_s - waited_s):
+            raise _Refused(
+                codes.LONG_WAIT,
+                estimate_ms=reply.wait_ms,
+                wait_ms=reply.wait_ms,
+                patience_ms=patience_ms,
+                position=reply.position,
+            )
+
     def _question(
         self, req: passage.Passage, name: str, avoid: tuple[str, ...]
     ) -> messages.AskPlace:
@@ -599,8 +638,9 @@
     ) -> bool:
         req.log('stream broken', server=server.id, error=str(exc))
         if not isinstance(exc, errors.UnreachableError):
-            # The worker may have taken it.
+            # The worker may have taken it, and begun.
             answer.prefilled = None
+            answer.may_have_run = True
         if req.gone.is_set():
             raise _Refused(codes.CANCELLED) from exc
         self._failed(server)
@@ -654,11 +694,15 @@
             req.log('failed', code=exc.code.name, status=exc.code.status)
             req.ex.cut()
             return
+        if answer.may_have_run and exc.code.ran == 'no':
+            # Said of this try alone it would be true; the caller hears it of
+            # the request, an earlier send of which may have run.
+            exc = _Refused(codes.BROKEN)
         retry_s = 0.0
         if exc.code.ran == 'no':
-            retry_s = comeback.retry_after_s(
-                FULL_WAIT_S, req.left_s(), self._rng
-            )
+            wait_ms = exc.figures.get('wait_ms', 0)
+            wait_s = max(FULL_WAIT_S, float(wait_ms) / 1000)
+            retry_s = comeback.retry_after_s(wait_s, req.left_s(), self._rng)
         req.refuse(exc.code, exc.figures, retry_s)
 
 
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -22,7 +22,13 @@
 
 # Longest wait for the home's answer, seconds. It decides without waiting; a
 # round trip takes two milliseconds, and much of a target of 0.9 s is left.
-ANSWER_S: Final = 0.2
+ANSWER_S: Final = 0.25
+# Answers of a home that may fail to come in a row. One is lost with a broken
+# connection or a busy moment; giving the home up at once would have two homes
+# give the same memory.
+MISSES: Final = 2
+# A VM is fit to be a home with this part of the processor of the strongest.
+FIT_PART: Final = 0.8
 # A home that did not answer is passed over for this long, seconds, and twice
 # as long with each time that it did not, up to the longest.
 SUSPECT_S: Final = 2.0
@@ -38,9 +44,10 @@
 class _Suspect:
     """A home that did not answer."""
 
-    __slots__ = ('span_s', 'until')
+    __slots__ = ('misses', 'span_s', 'until')
 
     def __init__(self) -> None:
+        self.misses = 0
         self.span_s = SUSPECT_S
         self.until = 0.0
 
@@ -91,7 +98,7 @@
         self, msg: messages.AskPlace
     ) -> messages.Place | messages.Queued | None:
         """Asks for a place; None if no home answers."""
-        for _ in range(HOMES):
+        for _ in range(HOMES + MISSES - 1):
             home = self._home(msg.service)
             if home is None:
                 return None
@@ -178,13 +185,19 @@
                 if name not in self._suspects
                 or self._suspects[name].until <= now
             ]
-        name = homes.home(service, names)
-        return (name, known[name]) if name else None
+        most = max((known[name].cores for name in names), default=0.0)
+        fit = [name for name in names if known[name].cores >= FIT_PART * most]
+        name = homes.home(service, fit)
+        return (name, known[name].peer_address) if name else None
 
     def _suspect(self, home: tuple[str, str], exc: errors.PortError) -> None:
         name, address = home
         with self._lock:
             suspect = self._suspects.setdefault(name, _Suspect())
+            suspect.misses += 1
+            lost = isinstance(exc, errors.AnswerLostError)
+            if lost and suspect.misses < MISSES:
+                return
             suspect.until = self._clock() + suspect.span_s
             suspect.span_s = min(2 * suspect.span_s, SUSPECT_MOST_S)
         logs.event(
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -13,6 +13,7 @@
 import time
 from typing import Final
 
+from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
@@ -279,7 +280,9 @@
         servers = topic(codec.servers_topic, 0.0)
         members = syncing.Members(
             name=cfg.entry_vm,
-            peer_address=cfg.peer_address,
+            member=forwarding.EntryVm(
+                cfg.peer_address, cfg.data_centre, cfg.cores
+            ),
             codec=codec,
             owner=owner,
             store=store(),
@@ -350,7 +353,7 @@
                 'store_read_at': state.read_at,
                 'store_failed_at': state.failed_at,
                 'now': now,
-                'entry_vms': state.entry_vms,
+                'entry_vms': sorted(state.entry_vms),
                 'backend_servers': [
                     {
                         'id': tally.backend.id,
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale_adapters import logs
@@ -94,20 +95,20 @@
 class Members:
     """Lists this entry VM, and counts the others."""
 
-    __slots__ = ('_codec', '_listed', '_name', '_owner', '_store', '_topic')
+    __slots__ = ('_codec', '_member', '_name', '_owner', '_store', '_topic')
 
     def __init__(
         self,
         *,
         name: str,
-        peer_address: str,
+        member: forwarding.EntryVm,
         codec: ports.RecordCodec,
         owner: actors.Owner[beliefs.Beliefs],
         store: ports.Topics,
         topic: Topic,
     ) -> None:
         self._name = name
-        self._listed = codec.encode_member(peer_address)
+        self._member = member
         self._codec = codec
         self._owner = owner
         self._store = store
@@ -124,10 +125,11 @@
         known = self._owner.run(
             lambda state, _: state.entry_vms.get(self._name)
         )
-        if known == self._codec.member(self._name, self._listed):
+        if known == self._member:
             return True
+        value = self._codec.encode_member(self._member)
         try:
-            self._store.put(self._codec.members_topic, self._name, self._listed)
+            self._store.put(self._codec.members_topic, self._name, value)
         except errors.PortError as exc:
             logs.event(logging.WARNING, 'listing failed', error=str(exc))
         # Read again soon: those that start together have listed themselves
