Read the store once a data centre; plan all of the memory; log within bounds

One router a data centre, by rendezvous hash among the strong ones, reads for the others, who fall back on the store when its word is older than 0.55 of the bound for leaving servers. Logs go to standard output through a bounded queue; counters and histograms of the router's outcomes, waits, prefills, first events and store reads.

--- a/packages/adapters/foxtaildale_adapters/metrics.py
+++ b/packages/adapters/foxtaildale_adapters/metrics.py
@@ -85,14 +85,18 @@
     __slots__ = (
         '_lock',
         '_registry',
+        'answer_seconds',
         'between_tokens_seconds',
         'first_answer_seconds',
         'log_appends',
         'message_bytes',
         'messages',
+        'prefill_seconds',
         'prefill_tokens',
         'requests',
         'retries',
+        'store_calls',
+        'wait_seconds',
         'wasted_prefill_tokens',
     )
 
@@ -160,6 +164,38 @@
             'Payload bytes between processes of the system.',
             'direction',
         )
+        self.answer_seconds = Histogram(
+            registry,
+            lock,
+            'foxtaildale_answer_seconds',
+            'Time from the request to the end of its answer.',
+            FIRST_ANSWER_S,
+            'service',
+        )
+        self.wait_seconds = Histogram(
+            registry,
+            lock,
+            'foxtaildale_wait_seconds',
+            'Time that a request waited for a place at an engine.',
+            FIRST_ANSWER_S,
+            'service',
+        )
+        self.prefill_seconds = Histogram(
+            registry,
+            lock,
+            'foxtaildale_prefill_seconds',
+            'Time from sending a prompt to the end of its prefill.',
+            FIRST_ANSWER_S,
+            'service',
+        )
+        self.store_calls = Counter(
+            registry,
+            lock,
+            'foxtaildale_store_calls_total',
+            'Reads of the platform store by topic and result.',
+            'topic',
+            'result',
+        )
         self.log_appends = Counter(
             registry,
             lock,
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -27,7 +27,7 @@
 
 # Part of an engine's memory that is planned with. The rest is for answers that
 # are longer than expected.
-FILL: Final = 0.98
+FILL: Final = 1.0
 # Time between looks at the plan while requests wait, seconds. Each look costs
 # half a millisecond for fifteen engines; done at every ask it took all of the
 # processor of a home with fifty waiters.
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -35,8 +35,8 @@
         'entry_vms',
         'failed_at',
         'fleet',
+        'fresh_at',
         'matcher',
-        'read_at',
         'servers_known',
     )
 
@@ -65,8 +65,9 @@
         self.servers_known = False
         # The entry VMs, by name.
         self.entry_vms: dict[str, forwarding.EntryVm] = {}
-        # When the store last answered, and when it last failed to.
-        self.read_at: float | None = None
+        # As of when the list of servers is known, and when the store last
+        # failed to answer.
+        self.fresh_at: float | None = None
         self.failed_at: float | None = None
 
     def end(self, topic: str) -> int:
@@ -80,9 +81,9 @@
         known = self._mirrors[topic]
         take = known.snapshot if whole else known.apply
         news = take(keyed.entries, keyed.end)
-        self.read_at = now
         if topic == self._codec.servers_topic:
             self.servers_known = True
+            self.fresh_at = now
         self._learn(topic, news, now, 'store')
 
     def take_reply(self, reply: messages.RecordsReply, now: float) -> None:
@@ -97,6 +98,8 @@
             if topic == self._codec.servers_topic and end:
                 self.servers_known = True
             self._learn(topic, news, now, 'peer')
+        if self.servers_known:
+            self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
 
     def reply(
         self, ask: messages.AskRecords, now: float
@@ -110,7 +113,7 @@
             for topic, known in self._mirrors.items()
         }
         ends = {topic: known.end for topic, known in self._mirrors.items()}
-        age_s = now - self.read_at if self.read_at is not None else 1e9
+        age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
         return messages.RecordsReply(records=records, ends=ends, age_s=age_s)
 
     def ask(self) -> messages.AskRecords:
@@ -158,6 +161,10 @@
         """Takes changed settings."""
         self._seeds = seeds
 
+    def is_fresh(self, now: float, limit_s: float) -> bool:
+        """Whether the list of servers is younger than a limit."""
+        return self.fresh_at is not None and now - self.fresh_at < limit_s
+
     def failed(self, now: float) -> None:
         """Takes a failed call to the store."""
         self.failed_at = now
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -161,6 +161,8 @@
             return False
         allowed = self._sends.take(req.service.name, req.deadline)
         req.log('retry', server=server.id, allowed=allowed)
+        if allowed:
+            req.counts.retries.add(1, req.service.name)
         return allowed
 
     def _send(
@@ -251,7 +253,7 @@
         whole = req.ex.respond(
             got.head.status, dict(got.head.headers), got.body
         )
-        req.log('answered', status=got.head.status, whole=whole)
+        req.answered(got.head.status, whole=whole)
 
 
 def _read(flight: ports.Flight, req: passage.Passage) -> bytes:
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -159,11 +159,15 @@
             while not self._attempt(req, answer, sent):
                 if not self._sends.take(req.service.name, req.deadline):
                     raise _Refused(*answer.unfinished())
+                req.counts.retries.add(1, req.service.name)
         except _Refused as exc:
             self._end(req, answer, exc)
         finally:
             if answer.prefilled is not None:
                 self._tidy.free(answer.prefilled)
+                req.counts.wasted_prefill_tokens.add(
+                    req.call.prompt_tokens, req.service.name
+                )
 
     def _attempt(
         self, req: passage.Passage, answer: _Answer, sent: list[str]
@@ -173,7 +177,10 @@
         Raises:
             _Refused: It ends here.
         """
+        began = self._clock()
         spot = self._find_spot(req, sent)
+        waited_s = self._clock() - began
+        req.counts.wait_seconds.observe((waited_s,), req.service.name)
         reserved = spot.reserved
         tokens = reserved.tokens
         used = False
@@ -513,6 +520,9 @@
             )
         )
         req.log('prefilled', server=server.id, took_ms=int(took_s * 1000))
+        name = req.service.name
+        req.counts.prefill_seconds.observe((took_s,), name)
+        req.counts.prefill_tokens.add(req.call.prompt_tokens, name)
         return forwarding.Prefilled(server, handle)
 
     # The stream.
@@ -593,12 +603,11 @@
         if not answer.started:
             self._first(req, answer, head)
         whole_answer = req.ex.finish()
-        req.log(
-            'answered',
-            status=head.status,
+        req.answered(
+            head.status,
+            whole=whole_answer,
             blocks=events,
             position=splitter.position,
-            whole=whole_answer,
         )
 
     def _first(
@@ -606,6 +615,9 @@
     ) -> None:
         answer.started = True
         req.log('first event')
+        req.counts.first_answer_seconds.observe(
+            (req.age_s(),), req.service.name
+        )
         if not req.ex.start(head.status, dict(head.headers)):
             req.gone.set()
             raise errors.AnswerLostError('the caller is gone')
@@ -625,7 +637,7 @@
         ):
             raise errors.AnswerLostError(f'status {head.status}')
         whole = req.ex.respond(head.status, dict(head.headers), body)
-        req.log('answered', status=head.status, whole=whole)
+        req.answered(head.status, whole=whole)
         return True
 
     def _broken(
@@ -692,6 +704,7 @@
         if answer.started:
             # A part must not pass for the whole.
             req.log('failed', code=exc.code.name, status=exc.code.status)
+            req.counts.requests.add(1, req.service.name, exc.code.name)
             req.ex.cut()
             return
         if answer.may_have_run and exc.code.ran == 'no':
--- a/packages/daemon/foxtaildaled/main.py
+++ b/packages/daemon/foxtaildaled/main.py
@@ -107,7 +107,7 @@
     )
 
     def make() -> wiring.Daemon:
-        logs.setup('router', cfg.entry_vm, 'info')
+        logs.setup_bounded('router', cfg.entry_vm, 'info')
         return routing.RouterDaemon(cfg, adapters, metrics_port)
 
     return make
--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -16,6 +16,7 @@
 from foxtaildale import routes
 from foxtaildale_adapters import incoming
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import metrics
 
 # Least time that a send is worth, seconds: a backend server that gets less can
 # only time out.
@@ -30,6 +31,7 @@
         '_flight',
         '_lock',
         'call',
+        'counts',
         'deadline',
         'entry_vm',
         'ex',
@@ -49,6 +51,7 @@
         service: routes.Service,
         version: int,
         entry_vm: str,
+        counts: metrics.Metrics,
         clock: ports.Clock,
     ) -> None:
         self.ex = exchange
@@ -58,6 +61,7 @@
         # Of the configuration that it is served by.
         self.version = version
         self.entry_vm = entry_vm
+        self.counts = counts
         self._clock = clock
         self.started_at = clock()
         limit_s = route.timeout_s
@@ -112,11 +116,20 @@
             retry_after_s=round(retry_after_s, 2),
             **figures,
         )
+        self.counts.requests.add(1, self.service.name, code.name)
         if code.status == codes.CANCELLED.status:
             self.ex.cut()
             return
         refuse(self.ex, code, figures, self.entry_vm, retry_after_s)
 
+    def answered(self, status: int, *, whole: bool, **fields: object) -> None:
+        """Notes that a backend server's answer was given to the caller."""
+        self.log('answered', status=status, whole=whole, **fields)
+        name = self.service.name
+        code = codes.OK if 200 <= status < 300 and whole else codes.FAILED
+        self.counts.requests.add(1, name, code.name)
+        self.counts.answer_seconds.observe((self.age_s(),), name)
+
     def log(self, event: str, **fields: object) -> None:
         """Logs a decision on this request."""
         logs.event(
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -16,6 +16,7 @@
 from foxtaildale import routes
 from foxtaildale_adapters import callers
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import metrics
 from foxtaildaled import forward
 from foxtaildaled import generate
 from foxtaildaled import passage
@@ -31,6 +32,7 @@
 
     __slots__ = (
         '_clock',
+        '_counts',
         '_decode',
         '_entry_vm',
         '_forward',
@@ -46,6 +48,7 @@
         decode: Decode,
         plain: forward.Forward,
         model: generate.Generate,
+        counts: metrics.Metrics,
         clock: ports.Clock,
     ) -> None:
         self._entry_vm = entry_vm
@@ -53,6 +56,7 @@
         self._decode = decode
         self._forward = plain
         self._generate = model
+        self._counts = counts
         self._clock = clock
 
     def handle(self, exchange: callers.Exchange) -> None:
@@ -79,6 +83,7 @@
             service=matcher.table.service(name),
             version=version,
             entry_vm=self._entry_vm,
+            counts=self._counts,
             clock=self._clock,
         )
         req.watch()
@@ -102,4 +107,5 @@
             target=exchange.target[:200],
             **figures,
         )
+        self._counts.requests.add(1, '', code.name)
         passage.refuse(exchange, code, figures, self._entry_vm, retry_after_s)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -175,6 +175,7 @@
                 clock=clock,
                 rng=rng,
             ),
+            counts=self._metrics,
             clock=clock,
         )
         self._server = callers.Server(
@@ -274,7 +275,7 @@
             return found
 
         def topic(name: str, wait_s: float) -> syncing.Topic:
-            return syncing.Topic(name, owner, store(), clock, wait_s)
+            return syncing.Topic(name, owner, store(), self._metrics, wait_s)
 
         config = topic(codec.config_topic, syncing.CONFIG_WAIT_S)
         servers = topic(codec.servers_topic, 0.0)
@@ -289,10 +290,31 @@
             topic=topic(codec.members_topic, 0.0),
         )
         pace_s = cfg.leaving_s / syncing.READS_PER_BOUND
-        peer = syncing.PeerSync(owner, self._peers, clock, rng)
+        limit_s = cfg.leaving_s * syncing.STALE_PART
+        readers = syncing.Readers(cfg.entry_vm, cfg.data_centre, clock)
+        peer = syncing.PeerSync(
+            owner=owner,
+            peers=self._peers,
+            readers=readers,
+            entry_vm=cfg.entry_vm,
+            limit_s=limit_s,
+            rng=rng,
+        )
+
+        def lazy(found: syncing.Topic) -> Callable[[], None]:
+            return self._paced(
+                syncing.Lazy(
+                    topic=found,
+                    owner=owner,
+                    readers=readers,
+                    entry_vm=cfg.entry_vm,
+                    limit_s=limit_s,
+                ).step
+            )
+
         return [
-            process.Loop('config', 0.0, self._paced(config.step)),
-            process.Loop('servers', pace_s, self._paced(servers.step)),
+            process.Loop('config', 0.0, lazy(config)),
+            process.Loop('servers', pace_s, lazy(servers)),
             process.Loop('members', syncing.MEMBERS_S, _until(members.step)),
             process.Loop('places', _KEEP_S, self._places.step),
             process.Loop('peers', syncing.PEER_S, peer.step),
@@ -350,7 +372,7 @@
                 'entry_vm': self._cfg.entry_vm,
                 'stopping': self._stopping.is_set(),
                 'version': matcher.table.version if matcher else None,
-                'store_read_at': state.read_at,
+                'fresh_at': state.fresh_at,
                 'store_failed_at': state.failed_at,
                 'now': now,
                 'entry_vms': sorted(state.entry_vms),
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -1,20 +1,25 @@
 """Loops that keep a router's beliefs fresh.
 
-The configuration is waited for, since it must be in force soon after it was
+One entry VM a data centre reads the store, the others ask it (`Readers`). The
+configuration is waited for, since it must be in force soon after it was
 accepted. Entries of servers change with every heartbeat, so waiting for them
 would return at once; they are read at a pace that leaves most of the bound for
-leaving servers unused. While the store fails, other entry VMs are asked.
+leaving servers unused. While the store fails, any other entry VM is asked.
 """
 
 import logging
 import random
+import threading
+import time
 from typing import Final
 
 from foxtaildale import errors
 from foxtaildale import forwarding
+from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import metrics
 from foxtaildaled import actors
 from foxtaildaled import beliefs
 
@@ -22,37 +27,45 @@
 # silent is noticed this long plus an answer's bound later.
 CONFIG_WAIT_S: Final = 1.5
 # Reads of the servers in the time after which a leaving one must be left
-# alone: three, so that one may be lost and the next still be in time.
-READS_PER_BOUND: Final = 3.0
+# alone: four, so that one may be lost and the next still be in time.
+READS_PER_BOUND: Final = 4.0
 # Wait after a failed call to the store, seconds: short against the two seconds
 # within which a change must be in force, long against the price of a call.
 RETRY_S: Final = 0.3
 # Time between reads of the list of entry VMs, seconds; it only counts them.
 MEMBERS_S: Final = 8.0
-# Age of the last answer of the store at which peers are asked, seconds.
-STALE_S: Final = 1.0
+# Part of the time for leaving servers at which what is known is too old, and
+# the store is read. A reader is asked every 0.4 s and reads every 0.5 s, so
+# that its word is 0.9 s old at most; the bound is two seconds or more.
+STALE_PART: Final = 0.55
 # Time between asks, and the longest wait for an answer, seconds.
-PEER_S: Final = 0.5
-PEER_ANSWER_S: Final = 0.6
+PEER_S: Final = 0.4
+PEER_ANSWER_S: Final = 0.3
+# How long a reader that failed is passed over, seconds.
+PASSED_S: Final = 3.0
+# A VM is fit to read for others with this part of the strongest's processor.
+FIT_PART: Final = 0.8
+# Pause of a loop that has nothing to read, seconds.
+LAZY_S: Final = 0.1
 
 
 class Topic:
     """Follows one keyed topic; `step` is called by a loop."""
 
-    __slots__ = ('_clock', '_owner', '_store', '_topic', '_wait_s', '_well')
+    __slots__ = ('_counts', '_owner', '_store', '_topic', '_wait_s', '_well')
 
     def __init__(
         self,
         topic: str,
         owner: actors.Owner[beliefs.Beliefs],
         store: ports.Topics,
-        clock: ports.Clock,
+        counts: metrics.Metrics,
         wait_s: float,
     ) -> None:
         self._topic = topic
         self._owner = owner
         self._store = store
-        self._clock = clock
+        self._counts = counts
         self._wait_s = wait_s
         # None until the first answer or failure.
         self._well: bool | None = None
@@ -64,11 +77,13 @@
             keyed, whole = self._read(offset)
         except (errors.PortError, errors.DecodeError) as exc:
             self._owner.run(lambda state, now: state.failed(now))
+            self._counts.store_calls.add(1, self._topic, 'failed')
             self._note(False, error=str(exc))
             return False
         self._owner.run(
             lambda state, now: state.take(self._topic, keyed, now, whole=whole)
         )
+        self._counts.store_calls.add(1, self._topic, 'answered')
         self._note(True, offset=keyed.end)
         return True
 
@@ -137,40 +152,148 @@
         return False
 
 
+class Readers:
+    """Which entry VM of a data centre reads the store for all of it.
+
+    Calls to the store are shared by all entry VMs and priced; were each to
+    read for itself, they would grow with their number. One a data centre, by
+    rendezvous hash, reads; the others ask it. One that does not answer or has
+    nothing fresh is passed over for a while. Safe for concurrent use.
+    """
+
+    __slots__ = ('_clock', '_data_centre', '_entry_vm', '_lock', '_passed')
+
+    def __init__(
+        self, entry_vm: str, data_centre: str, clock: ports.Clock
+    ) -> None:
+        self._entry_vm = entry_vm
+        self._data_centre = data_centre
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Until when each one that failed is passed over, seconds.
+        self._passed: dict[str, float] = {}
+
+    def choose(self, known: dict[str, forwarding.EntryVm]) -> str:
+        """Returns the name of the reader; this entry VM's own if none fits."""
+        now = self._clock()
+        here = {
+            name: vm
+            for name, vm in known.items()
+            if vm.data_centre == self._data_centre
+        }
+        most = max((vm.cores for vm in here.values()), default=0.0)
+        with self._lock:
+            fit = [
+                name
+                for name, vm in here.items()
+                if vm.cores >= FIT_PART * most
+                and self._passed.get(name, 0.0) <= now
+            ]
+        return homes.home(f'read {self._data_centre}', fit) or self._entry_vm
+
+    def failed(self, name: str) -> None:
+        """Takes a reader that did not answer or had nothing fresh."""
+        with self._lock:
+            self._passed[name] = self._clock() + PASSED_S
+
+
+class Lazy:
+    """Reads a topic from the store unless a reader's word is fresh."""
+
+    __slots__ = ('_entry_vm', '_limit_s', '_owner', '_readers', '_topic')
+
+    def __init__(
+        self,
+        *,
+        topic: Topic,
+        owner: actors.Owner[beliefs.Beliefs],
+        readers: Readers,
+        entry_vm: str,
+        limit_s: float,
+    ) -> None:
+        self._topic = topic
+        self._owner = owner
+        self._readers = readers
+        self._entry_vm = entry_vm
+        self._limit_s = limit_s
+
+    def step(self) -> bool:
+        """Reads once if it must; returns whether it has nothing to mend."""
+
+        def turn(
+            state: beliefs.Beliefs, now: float
+        ) -> tuple[bool, dict[str, forwarding.EntryVm]]:
+            return state.is_fresh(now, self._limit_s), dict(state.entry_vms)
+
+        fresh, known = self._owner.run(turn)
+        if fresh and self._readers.choose(known) != self._entry_vm:
+            time.sleep(LAZY_S)
+            return True
+        return self._topic.step()
+
+
 class PeerSync:
-    """Asks another entry VM while the store fails."""
+    """Asks the reader, and any other entry VM while nothing is fresh."""
 
-    __slots__ = ('_clock', '_owner', '_peers', '_rng')
+    __slots__ = (
+        '_entry_vm',
+        '_limit_s',
+        '_owner',
+        '_peers',
+        '_readers',
+        '_rng',
+    )
 
     def __init__(
         self,
+        *,
         owner: actors.Owner[beliefs.Beliefs],
         peers: ports.Peers,
-        clock: ports.Clock,
+        readers: Readers,
+        entry_vm: str,
+        limit_s: float,
         rng: random.Random,
     ) -> None:
         self._owner = owner
         self._peers = peers
-        self._clock = clock
+        self._readers = readers
+        self._entry_vm = entry_vm
+        self._limit_s = limit_s
         self._rng = rng
 
     def step(self) -> None:
-        """Asks one of them if the store's last answer is too old."""
-        now = self._clock()
-        read_at, ask, addresses = self._owner.run(
-            lambda state, _: (state.read_at, state.ask(), state.peers())
-        )
-        if read_at is not None and now - read_at < STALE_S:
-            return
-        if not addresses:
+        """Asks once, as a loop."""
+        known = self._owner.run(lambda state, _: dict(state.entry_vms))
+        reader = self._readers.choose(known)
+        if reader != self._entry_vm:
+            reply = self._ask(known[reader].peer_address)
+            if reply is None or reply.age_s > self._limit_s:
+                self._readers.failed(reader)
+                logs.event(
+                    logging.INFO,
+                    'reader passed over',
+                    reader=reader,
+                    answered=reply is not None,
+                )
+        if self._owner.run(
+            lambda state, now: state.is_fresh(now, self._limit_s)
+        ):
             return
-        address = self._rng.choice(addresses)
+        addresses = self._owner.run(lambda state, _: state.peers())
+        if addresses:
+            self._ask(self._rng.choice(addresses))
+
+    def _ask(self, address: str) -> messages.RecordsReply | None:
+        """Asks one entry VM and takes what it knows; None if it fails."""
+        ask = self._owner.run(lambda state, _: state.ask())
         try:
             reply = self._peers.ask(address, ask, PEER_ANSWER_S)
         except errors.PortError as exc:
             logs.event(
                 logging.INFO, 'peer lost', address=address, error=str(exc)
             )
-            return
-        if isinstance(reply, messages.RecordsReply):
-            self._owner.run(lambda state, at: state.take_reply(reply, at))
+            return None
+        if not isinstance(reply, messages.RecordsReply):
+            return None
+        self._owner.run(lambda state, now: state.take_reply(reply, now))
+        return reply
