--- a/packages/client/foxtaildale_client/main.py
+++ b/packages/client/foxtaildale_client/main.py
@@ -27,6 +27,7 @@
 from foxtaildale_client import reading
 from foxtaildale_client import results
 from foxtaildale_client import status as status_lib
+from foxtaildale_client import story
 from foxtaildale_client import submit
 
 # Where the platform is, unless the command line says so.
@@ -170,17 +171,32 @@
 
 
 def explain(
-    request: str, *, platform: str = _PLATFORM, json: bool = False
+    request: str,
+    *,
+    platform: str = _PLATFORM,
+    log: str = '',
+    json: bool = False,
 ) -> int:
     """Explains what became of a request.
 
-    :param request: Its id, as the caller was given it.
+    :param request: Its id, as the caller was given it or sent it.
     :param platform: Address of the platform.
+    :param log: File with log lines of routers, of one or more VMs; - for
+        standard input. The platform is not asked then.
     :param json: Print JSON.
     """
+    if log:
+        return _run(lambda: _story(log, request), json)
     return _run(lambda: explain_lib.explain(_platform(platform), request), json)
 
 
+def _story(log: str, request: str) -> results.Result:
+    if log == '-':
+        return story.tell(story.parse(sys.stdin), request)
+    with open(log, encoding='utf-8', errors='replace') as lines:
+        return story.tell(story.parse(lines), request)
+
+
 def status(
     *,
     platform: str = _PLATFORM,
--- /dev/null
+++ b/packages/core/foxtaildale/logevents.py
@@ -0,0 +1,168 @@
+"""Registry of the router's log lines: each event, its fields, what it says.
+
+Every line has `at`, `level`, `role`, `entry_vm` and `event` beside them. Lines
+on a request also have `request`, `route`, `version` (of the configuration that
+it is served by) and `age_ms` (since it came). `docs/LOGS.md` shows them for
+operators; a test compares both with the code.
+"""
+
+from typing import Final
+
+import msgspec
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One kind of line."""
+
+    # What happened, for `foxtaildale explain`; a template over the fields.
+    sentence: str
+    fields: tuple[str, ...] = ()
+    # Whether it is on one request.
+    on_request: bool = True
+
+
+ON_REQUEST: Final[dict[str, Event]] = {
+    'placed': Event(
+        'the plan gave it {server}, its prompt to {prefill}',
+        ('server', 'prefill'),
+    ),
+    'reserved': Event(
+        'without a plan, {server} reserved {tokens} tokens for it',
+        ('server', 'tokens', 'prompt', 'longest', 'hinted'),
+    ),
+    'reservation failed': Event(
+        '{server} could not be asked for a place: {error}',
+        ('server', 'error'),
+    ),
+    'prefilled': Event(
+        '{server} read its prompt in {took_ms} ms', ('server', 'took_ms')
+    ),
+    'prefill refused': Event(
+        '{server} did not read its prompt (status {status})',
+        ('server', 'status'),
+    ),
+    'prefill failed': Event(
+        '{server} did not read its prompt: {error}', ('server', 'error')
+    ),
+    'prompt kept': Event(
+        'its prompt was read {held_ms} ms ago and is offered again',
+        ('held_ms',),
+    ),
+    'sent': Event(
+        'it was sent to {server} (attempt {attempt})', ('server', 'attempt')
+    ),
+    'not run': Event(
+        '{server} promised that it did not run it (status {status})',
+        ('server', 'status'),
+    ),
+    'send failed': Event(
+        '{server} gave no whole answer: {error}', ('server', 'error')
+    ),
+    'answer put aside': Event(
+        '{server} answered {status} (ran: {ran}); another may be tried',
+        ('server', 'status', 'ran'),
+    ),
+    'retry': Event(
+        'sending it to {server} after all was allowed: {allowed}',
+        ('server', 'allowed'),
+    ),
+    'first event': Event('the first event went to its caller'),
+    'stream broken': Event(
+        'the stream of {server} broke: {error}', ('server', 'error')
+    ),
+    'answered': Event(
+        'its caller got status {status}, whole: {whole}',
+        ('status', 'whole', 'blocks', 'position'),
+    ),
+    'refused': Event(
+        'refused as {code} (status {status}), to come back after'
+        ' {retry_after_s} s',
+        ('code', 'status', 'retry_after_s'),
+    ),
+    'failed': Event(
+        'given up as {code} (status {status})',
+        ('code', 'status', 'retry_after_s'),
+    ),
+}
+
+OF_BELIEFS: Final[dict[str, Event]] = {
+    name: Event(sentence, fields, on_request=False)
+    for name, sentence, fields in (
+        ('started', 'the router started', ('caller', 'ready', 'admin')),
+        ('stopping', 'told to stop with {busy} requests', ('busy',)),
+        ('stopped', 'ended with {busy} requests', ('busy',)),
+        ('reloaded', 'settings were read anew', ('store', 'seeds')),
+        ('reload failed', 'changed settings are wrong: {error}', ('error',)),
+        (
+            'configuration in force',
+            'version {version} is in force, told by {source}',
+            ('version', 'offset', 'routes', 'source'),
+        ),
+        (
+            'record not readable',
+            'a record of {topic} was passed over: {error}',
+            ('topic', 'key', 'offset', 'source', 'error'),
+        ),
+        (
+            'backend server known',
+            '{server} may get work of {service}, told by {source}',
+            ('server', 'service', 'address', 'stage', 'offset', 'source'),
+        ),
+        (
+            'backend server leaving',
+            '{server} leaves and gets nothing new, told by {source}',
+            ('server', 'service', 'address', 'stage', 'offset', 'source'),
+        ),
+        (
+            'backend server gone',
+            '{server} is gone, told by {source}',
+            ('server', 'offset', 'source'),
+        ),
+        (
+            'backend server vanished',
+            '{server} vanished while the store was not well; used on a little',
+            ('server', 'offset', 'source'),
+        ),
+        ('store reached', 'the store answered first', ('topic', 'offset')),
+        ('store regained', 'the store answers again', ('topic', 'offset')),
+        (
+            'store lost',
+            'the store does not answer: {error}',
+            ('topic', 'error'),
+        ),
+        ('listing failed', 'listing this VM failed: {error}', ('error',)),
+        (
+            'reader passed over',
+            '{reader} has nothing fresh (answered: {answered})',
+            ('reader', 'answered'),
+        ),
+        (
+            'peer lost',
+            '{address} does not answer: {error}',
+            ('address', 'error'),
+        ),
+        (
+            'home lost',
+            '{entry_vm_asked} does not answer as home: {error}',
+            ('entry_vm_asked', 'address', 'error'),
+        ),
+        (
+            'home regained',
+            '{entry_vm_asked} answers as home again',
+            ('entry_vm_asked',),
+        ),
+        ('end of a place not told', 'too many ends waited', ()),
+        (
+            'left to lapse',
+            'what {server} keeps was not given back',
+            ('server', 'error'),
+        ),
+        (
+            'log lines left out',
+            '{count} lines were left out under load',
+            ('count',),
+        ),
+    )
+}
+
+ALL: Final[dict[str, Event]] = ON_REQUEST | OF_BELIEFS
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -122,6 +122,20 @@
             ends={topic: known.end for topic, known in self._mirrors.items()}
         )
 
+    def handle(self, msg: messages.Any, now: float) -> messages.Any:
+        """Answers a message of another entry VM."""
+        if isinstance(msg, messages.AskRecords):
+            return self.reply(msg, now)
+        if isinstance(msg, messages.AskPlace):
+            return self.ask_place(msg, now)
+        if isinstance(msg, messages.EndPlace):
+            self.end_place(msg, now)
+            return messages.Pong()
+        if isinstance(msg, messages.KeepPlaces):
+            self.keep_places(msg, now)
+            return messages.Pong()
+        return messages.Fail(code='not-for-a-router')
+
     def ask_place(
         self, msg: messages.AskPlace, now: float
     ) -> messages.Place | messages.Queued | messages.Fail:
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import threading
+import time
 import types
 
 from absl import logging as absl_logging
@@ -20,6 +21,9 @@
 BROKEN_STATUS = 70
 # Longest time until a reload is noticed, seconds.
 SIGNAL_POLL_S = 0.5
+# Time between looks at settings that no signal announced, seconds; reading the
+# file takes half a millisecond.
+RELOAD_S = 5.0
 
 
 class Loop:
@@ -106,9 +110,11 @@
     """Returns when the process is told to stop.
 
     Args:
-        reload: Called on SIGHUP; without it the signal is ignored. Its default
+        reload: Called on SIGHUP, and now and then, since settings may change
+            without a signal. Without it the signal is ignored: its default
             would end the process and cut every request in progress.
     """
+    reload_at = time.monotonic() + RELOAD_S
     stop = threading.Event()
     changed = threading.Event()
 
@@ -119,6 +125,8 @@
     signal.signal(signal.SIGINT, on_signal)
     signal.signal(signal.SIGHUP, lambda _number, _frame: changed.set())
     while not stop.wait(SIGNAL_POLL_S):
-        if changed.is_set() and reload is not None:
+        due = changed.is_set() or time.monotonic() >= reload_at
+        if due and reload is not None:
             changed.clear()
+            reload_at = time.monotonic() + RELOAD_S
             reload()
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -341,19 +341,14 @@
         self._limits_version = matcher.table.version
 
     def _handle(self, msg: messages.Any) -> messages.Any:
-        if isinstance(msg, messages.AskRecords):
-            return self._owner.run(lambda state, now: state.reply(msg, now))
-        if isinstance(msg, messages.AskPlace):
-            return self._owner.run(lambda state, now: state.ask_place(msg, now))
-        if isinstance(msg, messages.EndPlace):
-            self._owner.run(lambda state, now: state.end_place(msg, now))
-            return messages.Pong()
-        if isinstance(msg, messages.KeepPlaces):
-            self._owner.run(lambda state, now: state.keep_places(msg, now))
-            return messages.Pong()
+        asks = isinstance(msg, messages.AskPlace | messages.AskRecords)
+        if asks and self._stopping.is_set():
+            # They choose another home or reader at once; left to notice the
+            # end of this process, they would wait for it first.
+            return messages.Fail(code='stopping')
         if isinstance(msg, messages.Dump):
             return messages.DumpReply(state=self._dump())
-        return messages.Fail(code='not-for-a-router')
+        return self._owner.run(lambda state, now: state.handle(msg, now))
 
     def _unready(self) -> str:
         if self._stopping.is_set():
--- /dev/null
+++ b/tests/test_syncing.py
@@ -0,0 +1,217 @@
+"""Who reads the store, and what the others do when its reader fails."""
+
+from collections.abc import Iterator
+import random
+from typing import Any
+
+import pytest
+
+from foxtaildale import errors
+from foxtaildale import forwarding
+from foxtaildale import messages
+from foxtaildale import mirror
+from foxtaildale import ports
+from foxtaildale_adapters import metrics
+from foxtaildale_platform import records
+from foxtaildaled import actors
+from foxtaildaled import beliefs
+from foxtaildaled import syncing
+
+_CODEC = records.Codec()
+_LIMIT_S = 1.1
+
+
+def _vm(
+    address: str, dc: str = 'here', cores: float = 1.0
+) -> forwarding.EntryVm:
+    return forwarding.EntryVm(address, dc, cores)
+
+
+class _Net:
+    """Other entry VMs: answers by address, and how old their word is."""
+
+    def __init__(self) -> None:
+        self.age_s: dict[str, float] = {}
+        self.asked: list[str] = []
+
+    def ask(
+        self, address: str, msg: messages.Any, _timeout_s: float
+    ) -> messages.Any:
+        assert isinstance(msg, messages.AskRecords)
+        self.asked.append(address)
+        if address not in self.age_s:
+            raise errors.UnreachableError(address)
+        return messages.RecordsReply(
+            records={_CODEC.servers_topic: ()},
+            ends={_CODEC.servers_topic: 1},
+            age_s=self.age_s[address],
+        )
+
+
+class _Store:
+    """Counts reads."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.down = False
+
+    def newest(self, _topic: str) -> ports.Keyed:
+        return self.follow(_topic, 0, 0.0)
+
+    def follow(self, _topic: str, offset: int, _wait_s: float) -> ports.Keyed:
+        self.reads += 1
+        if self.down:
+            raise errors.AnswerLostError('down')
+        return ports.Keyed(max(1, offset), ())
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        raise NotImplementedError
+
+    def move(self, address: str) -> None:
+        raise NotImplementedError
+
+
+class _World:
+    """One entry VM, `me`, among others, under a clock that tests advance."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        state = beliefs.Beliefs(_CODEC, 'me:1', (), 'here', random.Random(1))
+        self.owner = actors.Owner(state, lambda: self.now)
+        self.state = state
+        self.net = _Net()
+        self.store = _Store()
+        self.readers = syncing.Readers('me', 'here', lambda: self.now)
+        topic = syncing.Topic(
+            _CODEC.servers_topic,
+            self.owner,
+            self.store,
+            metrics.Metrics(),
+            0.0,
+        )
+        self.lazy = syncing.Lazy(
+            topic=topic,
+            owner=self.owner,
+            readers=self.readers,
+            entry_vm='me',
+            limit_s=_LIMIT_S,
+        )
+        self.sync = syncing.PeerSync(
+            owner=self.owner,
+            peers=self.net,
+            readers=self.readers,
+            entry_vm='me',
+            limit_s=_LIMIT_S,
+            rng=random.Random(1),
+        )
+
+    def know(self, **vms: forwarding.EntryVm) -> None:
+        self.state.entry_vms = {'me': _vm('me:1')} | vms
+
+
+@pytest.fixture
+def world() -> Iterator[_World]:
+    made = _World()
+    yield made
+    made.owner.stop()
+
+
+def _other_reader(world: _World) -> str:
+    """Lets other VMs be known so that one of them is the reader."""
+    world.know(**{f'o{n}': _vm(f'o{n}:1') for n in range(6)})
+    reader = world.readers.choose(world.state.entry_vms)
+    assert reader != 'me'
+    return reader
+
+
+def test_all_choose_the_same_reader_of_their_data_centre() -> None:
+    known = {f'o{n}': _vm(f'o{n}:1', dc) for n, dc in enumerate('aabbab')}
+    chosen = {
+        syncing.Readers(name, 'a', lambda: 0.0).choose(known) for name in known
+    }
+    assert len(chosen) == 1
+    assert known[chosen.pop()].data_centre == 'a'
+
+
+def test_a_weak_vm_reads_for_nobody() -> None:
+    known = {f'o{n}': _vm(f'o{n}:1', cores=0.5) for n in range(9)}
+    known['strong'] = _vm('strong:1', cores=2.0)
+    readers = syncing.Readers('o1', 'here', lambda: 0.0)
+    assert readers.choose(known) == 'strong'
+
+
+def test_who_is_alone_reads_for_itself(world: _World) -> None:
+    assert world.lazy.step()
+    assert world.store.reads == 1
+
+
+def test_a_fresh_word_of_the_reader_saves_the_read(world: _World) -> None:
+    reader = _other_reader(world)
+    world.net.age_s[f'{reader}:1'] = 0.3
+    world.sync.step()
+    world.lazy.step()
+    assert world.store.reads == 0
+    assert world.net.asked == [f'{reader}:1']
+
+
+def test_an_old_word_does_not(world: _World) -> None:
+    """The reader lives and is cut off from the store.
+
+    Taking its word for fresh, all VMs of the data centre would send work to
+    servers that left.
+    """
+    reader = _other_reader(world)
+    world.net.age_s[f'{reader}:1'] = 5.0
+    world.sync.step()
+    world.lazy.step()
+    assert world.store.reads == 1
+    assert world.readers.choose(world.state.entry_vms) != reader
+
+
+def test_a_dead_reader_is_passed_over_for_a_while(world: _World) -> None:
+    reader = _other_reader(world)
+    world.sync.step()
+    assert world.readers.choose(world.state.entry_vms) != reader
+    world.now += syncing.PASSED_S + 0.1
+    assert world.readers.choose(world.state.entry_vms) == reader
+
+
+def test_word_ages_by_the_age_that_it_came_with(world: _World) -> None:
+    """Two VMs that are both cut off ask each other.
+
+    Each would else keep the other's word fresh for good.
+    """
+    reader = _other_reader(world)
+    world.net.age_s[f'{reader}:1'] = 1.0
+    world.sync.step()
+    assert world.state.is_fresh(world.now, _LIMIT_S)
+    assert not world.state.is_fresh(world.now + 0.2, _LIMIT_S)
+
+
+def test_without_store_and_reader_any_vm_is_asked(world: _World) -> None:
+    _other_reader(world)
+    world.store.down = True
+    assert not world.lazy.step()
+    world.sync.step()
+    assert len(world.net.asked) == 2
+
+
+def test_a_removal_while_the_store_fails_is_not_believed_at_once(
+    world: _World,
+) -> None:
+    """The store was away and lost the entries of living servers with it."""
+    topic = _CODEC.servers_topic
+    value = b'{"service":"s","address":"1.1.1.1:1"}'
+    entry = mirror.Entry('i-1', 1, value)
+    gone = mirror.Entry('i-1', 2, b'')
+
+    def take(record: mirror.Entry, end: int) -> None:
+        keyed = ports.Keyed(end, (record,))
+        world.state.take(topic, keyed, world.now, whole=False)
+
+    take(entry, 2)
+    world.store.down = True
+    world.lazy.step()
+    take(gone, 3)
+    found: list[Any] = world.state.fleet.candidates('s', world.now)
+    assert [tally.backend.id for tally in found] == ['i-1']
