--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -238,9 +238,15 @@
         if tally is not None:
             tally.full_until = now + FULL_S
 
-    def replaced(self, server: str) -> None:
-        """Takes the word that another server has this one's address now."""
-        self._tallies.pop(server, None)
+    def not_run(self, server: str, now: float, head: forwarding.Head) -> None:
+        """Takes a promise that a request did not run.
+
+        Either another server has this one's address now, or it had no room.
+        """
+        if head.misdirected:
+            self._tallies.pop(server, None)
+        else:
+            self.full(server, now)
 
     def _forget(self, now: float) -> None:
         for server, tally in list(self._tallies.items()):
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -5,6 +5,7 @@
 body pass through and only what the system decides is added.
 """
 
+from typing import Final
 from typing import Literal
 
 import msgspec
@@ -12,6 +13,8 @@
 Stage = Literal['', 'prefill', 'decode']
 # 'no' is a promise of the backend server; anything else may have run.
 Ran = Literal['no', 'maybe']
+# Status of a server that is not the one that the request was meant for.
+MISDIRECTED: Final = 421
 
 
 class Backend(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +84,11 @@
     # Whether the answer is for the request that was sent.
     matches: bool = True
 
+    @property
+    def misdirected(self) -> bool:
+        """Whether another server than the one that was meant answered."""
+        return self.status == MISDIRECTED
+
     @property
     def ok(self) -> bool:
         """Whether it is a success."""
--- /dev/null
+++ b/packages/daemon/foxtaildaled/attempt.py
@@ -0,0 +1,79 @@
+"""One request for a model engine while it is being served.
+
+`Refused` ends it with an outcome, `Answer` is what its caller has so far, and
+`Spot` is where one attempt of it runs.
+"""
+
+from foxtaildale import codes
+from foxtaildale import forwarding
+from foxtaildale import sse
+
+
+class Refused(Exception):  # noqa: N818
+    """Ends a request with an outcome; never reaches the handler."""
+
+    def __init__(
+        self, code: codes.Code, reason: str = '', **figures: float | str
+    ) -> None:
+        super().__init__(code.name)
+        if reason:
+            figures['reason'] = reason
+        self.code = code
+        self.figures = figures
+
+
+class Answer:
+    """What the caller has of its answer."""
+
+    __slots__ = (
+        'may_have_run',
+        'prefilled',
+        'prefilled_at',
+        'splitter',
+        'started',
+    )
+
+    def __init__(self, position: int | None) -> None:
+        self.splitter = sse.Splitter(position)
+        self.started = False
+        # Whether a decode worker may have begun to work on it.
+        self.may_have_run = False
+        # A prefilled prompt that no decode worker has taken yet, and since
+        # when its worker holds it.
+        self.prefilled: forwarding.Prefilled | None = None
+        self.prefilled_at = 0.0
+
+    def unfinished(self) -> tuple[codes.Code, str]:
+        """Returns why it ends without another try, and the reason."""
+        if self.may_have_run:
+            return codes.BROKEN, ''
+        return codes.BACKEND_REFUSED, 'full, and no further try is allowed'
+
+
+class Spot:
+    """Where a request is to run, and what was measured there."""
+
+    __slots__ = (
+        'decode_s',
+        'events',
+        'prefill_s',
+        'prefiller',
+        'request',
+        'reserved',
+        'whole',
+    )
+
+    def __init__(
+        self,
+        reserved: forwarding.Reserved,
+        request: str = '',
+        prefiller: forwarding.Backend | None = None,
+    ) -> None:
+        self.reserved = reserved
+        # Its name in the home's plan; empty without one.
+        self.request = request
+        self.prefiller = prefiller
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+        self.events = 0
+        self.whole = False
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -206,10 +206,7 @@
         def turn(state: beliefs.Beliefs, now: float) -> None:
             known = state.fleet
             if head.ran == 'no':
-                if head.status == 421:
-                    known.replaced(server.id)
-                else:
-                    known.full(server.id, now)
+                known.not_run(server.id, now, head)
             elif head.status >= 500:
                 known.failed(server.id, now)
             else:
--- /dev/null
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -0,0 +1,149 @@
+"""Has the prompt of a request read by a prefill worker."""
+
+from typing import Final
+
+from foxtaildale import errors
+from foxtaildale import forwarding
+from foxtaildale import ports
+from foxtaildaled import actors
+from foxtaildaled import attempt
+from foxtaildaled import beliefs
+from foxtaildaled import passage
+from foxtaildaled import sends
+
+# Longest wait for a prefill, seconds: 11,000 tokens take 0.2 s; with some
+# prompts before it that is still under one. A longer one is dead or dark.
+PREFILL_S: Final = 1.5
+# Prefills of one request; each that fails counts against the shared budget.
+PREFILLS: Final = 3
+# Part of the life of a prefilled prompt in which it is offered again; the rest
+# is for the way to the worker that holds it.
+HANDLE_PART: Final = 0.7
+
+
+class Prompts:
+    """Sends prompts to prefill workers."""
+
+    __slots__ = ('_clock', '_owner', '_sends', '_workers')
+
+    def __init__(
+        self,
+        *,
+        owner: actors.Owner[beliefs.Beliefs],
+        workers: ports.Workers,
+        budget: sends.Sends,
+        clock: ports.Clock,
+    ) -> None:
+        self._owner = owner
+        self._workers = workers
+        self._sends = budget
+        self._clock = clock
+
+    def read(
+        self, req: passage.Passage, spot: attempt.Spot, answer: attempt.Answer
+    ) -> None:
+        """Has the prompt read, unless it was and is still there.
+
+        A decode worker that could not be reached, or had no room, took
+        nothing; reading the prompt again would be work for nobody.
+        """
+        age_s = self._clock() - answer.prefilled_at
+        life_s = req.service.handle_s * HANDLE_PART
+        if answer.prefilled is not None and age_s < life_s:
+            req.log('prompt kept', held_ms=int(age_s * 1000))
+            return
+        answer.prefilled = self._prefill(req, spot)
+        answer.prefilled_at = self._clock()
+
+    def _prefill(
+        self, req: passage.Passage, spot: attempt.Spot
+    ) -> forwarding.Prefilled | None:
+        """Has the prompt read; None if the decode worker must read it."""
+        tried: list[str] = []
+        while len(tried) < PREFILLS:
+            server = None if tried else spot.prefiller
+            server = server or self._prefiller(req, tried)
+            if server is None:
+                return None
+            if tried and not self._sends.take(req.service.name, req.deadline):
+                return None
+            tried.append(server.id)
+            began = self._clock()
+            prefilled = self._prefill_at(req, server)
+            spot.prefill_s = self._clock() - began if prefilled else 0.0
+            if prefilled is not None or req.gone.is_set():
+                return prefilled
+        return None
+
+    def _prefiller(
+        self, req: passage.Passage, tried: list[str]
+    ) -> forwarding.Backend | None:
+        if not req.service.kv_tokens:
+            return None
+
+        def turn(
+            state: beliefs.Beliefs, now: float
+        ) -> forwarding.Backend | None:
+            found = state.fleet.candidates(
+                req.service.name, now, 'prefill', tried
+            )
+            return found[0].backend if found else None
+
+        return self._owner.run(turn)
+
+    def _prefill_at(
+        self, req: passage.Passage, server: forwarding.Backend
+    ) -> forwarding.Prefilled | None:
+        left_s = min(req.left_s(), PREFILL_S)
+        flight = self._workers.prefill(req.call, server, left_s)
+        self._owner.run(lambda state, _: state.fleet.sent(server.id))
+        began = self._clock()
+        try:
+            req.attach(flight)
+            flight.send(left_s)
+            head = flight.head(left_s)
+            body = read_small(flight, left_s)
+            if head.ran == 'no':
+                self._owner.run(
+                    lambda state, now: state.fleet.not_run(server.id, now, head)
+                )
+                req.log('prefill refused', server=server.id, status=head.status)
+                return None
+            if not (head.ok and head.matches):
+                raise errors.AnswerLostError(f'status {head.status}')
+            handle = self._workers.handle(body)
+        except (errors.PortError, errors.DecodeError) as exc:
+            req.log('prefill failed', server=server.id, error=str(exc))
+            if not req.gone.is_set():
+                self._failed(server)
+            return None
+        finally:
+            req.attach(None)
+            flight.close()
+            self._owner.run(lambda state, _: state.fleet.ended(server.id))
+        took_s = self._clock() - began
+        self._owner.run(
+            lambda state, now: state.fleet.answered(
+                server.id, now, head.load, took_s
+            )
+        )
+        req.log('prefilled', server=server.id, took_ms=int(took_s * 1000))
+        name = req.service.name
+        req.counts.prefill_seconds.observe((took_s,), name)
+        req.counts.prefill_tokens.add(req.call.prompt_tokens, name)
+        return forwarding.Prefilled(server, handle)
+
+    def _failed(self, server: forwarding.Backend) -> None:
+        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
+
+
+def read_small(flight: ports.Flight, timeout_s: float) -> bytes:
+    """Reads a whole body that is known to be small.
+
+    Raises:
+        errors.AnswerLostError: It broke off.
+    """
+    parts = []
+    while part := flight.read(timeout_s):
+        parts.append(part)
+    return b''.join(parts)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -29,8 +29,10 @@
 from foxtaildaled import generate
 from foxtaildaled import places
 from foxtaildaled import process
+from foxtaildaled import prompts
 from foxtaildaled import router
 from foxtaildaled import sends
+from foxtaildaled import spots
 from foxtaildaled import syncing
 from foxtaildaled import tidy
 
@@ -165,16 +167,7 @@
                 clock=clock,
                 rng=rng,
             ),
-            model=generate.Generate(
-                owner=owner,
-                workers=made.workers,
-                budget=budget,
-                plan=self._places,
-                entry_vm=cfg.entry_vm,
-                tidy=self._tidy,
-                clock=clock,
-                rng=rng,
-            ),
+            model=self._make_generate(made, budget, rng),
             counts=self._metrics,
             clock=clock,
         )
@@ -264,6 +257,31 @@
             logging.INFO, 'reloaded', store=cfg.store, seeds=list(cfg.seeds)
         )
 
+    def _make_generate(
+        self, made: Adapters, budget: sends.Sends, rng: random.Random
+    ) -> generate.Generate:
+        return generate.Generate(
+            owner=self._owner,
+            workers=made.workers,
+            budget=budget,
+            finder=spots.Spots(
+                owner=self._owner,
+                workers=made.workers,
+                plan=self._places,
+                entry_vm=self._cfg.entry_vm,
+                clock=clock,
+            ),
+            reader=prompts.Prompts(
+                owner=self._owner,
+                workers=made.workers,
+                budget=budget,
+                clock=clock,
+            ),
+            tidy=self._tidy,
+            clock=clock,
+            rng=rng,
+        )
+
     def _make_loops(
         self, made: Adapters, rng: random.Random
     ) -> list[process.Loop]:
--- /dev/null
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -0,0 +1,284 @@
+"""Finds a place at a decode worker for a request.
+
+The home of the service plans for all entry VMs. Where no home answers, a place
+is reserved at the worker itself, which alone knows its memory; a route whose
+attempts are used up goes back to the worker that it was sent to.
+"""
+
+from typing import Final
+
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import forwarding
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale import room
+from foxtaildaled import actors
+from foxtaildaled import attempt
+from foxtaildaled import beliefs
+from foxtaildaled import line
+from foxtaildaled import passage
+from foxtaildaled import places
+
+# Decode workers that are asked for a place in one try.
+ASKS: Final = 3
+
+
+class Spots:
+    """Asks the home, else the workers."""
+
+    __slots__ = ('_clock', '_entry_vm', '_line', '_owner', '_plan', '_workers')
+
+    def __init__(
+        self,
+        *,
+        owner: actors.Owner[beliefs.Beliefs],
+        workers: ports.Workers,
+        plan: places.Places,
+        entry_vm: str,
+        clock: ports.Clock,
+    ) -> None:
+        self._owner = owner
+        self._workers = workers
+        self._plan = plan
+        self._entry_vm = entry_vm
+        self._clock = clock
+        self._line = line.Line()
+
+    def find(self, req: passage.Passage, sent: list[str]) -> attempt.Spot:
+        """Waits for a place.
+
+        Raises:
+            attempt.Refused: There is none in time.
+        """
+        if len(sent) < req.route.max_attempts and req.service.kv_tokens:
+            spot = self._planned_spot(req, sent)
+            if spot is not None:
+                return spot
+        return attempt.Spot(self._reserve(req, sent))
+
+    def give_back(self, req: passage.Passage, spot: attempt.Spot) -> None:
+        """Gives a place back, with what was measured there."""
+        self._line.place_freed()
+        if not spot.request:
+            return
+        self._plan.end(
+            messages.EndPlace(
+                service=req.service.name,
+                request=spot.request,
+                prefill_ms=int(spot.prefill_s * 1000),
+                decode_ms=int(spot.decode_s * 1000),
+                tokens=spot.events * req.service.event_tokens,
+                whole=spot.whole,
+            )
+        )
+
+    def check(self, req: passage.Passage, sent: list[str]) -> None:
+        """Ends a request whose caller or whose time is gone.
+
+        Raises:
+            attempt.Refused: It is.
+        """
+        if req.caller_gone():
+            raise attempt.Refused(codes.CANCELLED if sent else codes.GONE)
+        if req.left_s() < passage.MIN_LEFT_S:
+            limit_ms = int((req.deadline - req.started_at) * 1000)
+            raise attempt.Refused(codes.TIMED_OUT, limit_ms=limit_ms)
+
+    def _planned_spot(
+        self, req: passage.Passage, sent: list[str]
+    ) -> attempt.Spot | None:
+        """Waits for a place in the home's plan; None if no home answers."""
+        name = f'{req.call.id}/{len(sent)}'
+        patience_s = room.patience_s(req.route)
+        began = self._clock()
+        avoid = list(sent)
+        try:
+            while True:
+                self.check(req, sent)
+                faulty = self._owner.run(
+                    lambda state, now: state.fleet.faulty(req.service.name, now)
+                )
+                msg = self._question(req, name, (*avoid, *faulty))
+                reply = self._plan.ask(msg)
+                if reply is None:
+                    return None
+                if isinstance(reply, messages.Place):
+                    spot = self._take_place(req, msg, reply)
+                    if spot is not None:
+                        name = ''
+                        return spot
+                    # This entry VM knows better: it leaves, or is gone.
+                    avoid.append(reply.worker)
+                    self._plan.end(
+                        messages.EndPlace(
+                            service=req.service.name, request=name
+                        )
+                    )
+                    name += '+'
+                    continue
+                self._bear(reply, patience_s, self._clock() - began)
+                req.gone.wait(reply.again_in_ms / 1000)
+        finally:
+            if name:
+                self._plan.end(
+                    messages.EndPlace(service=req.service.name, request=name)
+                )
+
+    def _bear(
+        self, reply: messages.Queued, patience_s: float, waited_s: float
+    ) -> None:
+        """Goes on waiting, or gives up.
+
+        Raises:
+            attempt.Refused: The wait is over, or will be too long.
+        """
+        patience_ms = int(patience_s * 1000)
+        wait_s = reply.wait_ms / 1000
+        if waited_s > patience_s:
+            raise attempt.Refused(
+                codes.PATIENCE_OVER,
+                patience_ms=patience_ms,
+                wait_ms=reply.wait_ms,
+                position=reply.position,
+            )
+        if waited_s > 0 and room.hopeless(wait_s, patience_s - waited_s):
+            raise attempt.Refused(
+                codes.LONG_WAIT,
+                estimate_ms=reply.wait_ms,
+                wait_ms=reply.wait_ms,
+                patience_ms=patience_ms,
+                position=reply.position,
+            )
+
+    def _question(
+        self, req: passage.Passage, name: str, avoid: tuple[str, ...]
+    ) -> messages.AskPlace:
+        call = req.call
+        return messages.AskPlace(
+            service=req.service.name,
+            request=name,
+            holder=self._entry_vm,
+            prompt=call.prompt_tokens,
+            hinted=call.hinted_tokens,
+            longest=call.output_tokens,
+            waited_ms=int(req.age_s() * 1000),
+            target_ms=int(req.route.target_s * 1000),
+            priority=req.route.priority,
+            avoid=avoid,
+        )
+
+    def _take_place(
+        self,
+        req: passage.Passage,
+        msg: messages.AskPlace,
+        place: messages.Place,
+    ) -> attempt.Spot | None:
+        """Returns the spot of a granted place, if its worker may be used."""
+
+        def turn(
+            state: beliefs.Beliefs, _: float
+        ) -> tuple[forwarding.Backend | None, forwarding.Backend | None]:
+            return (
+                state.fleet.usable(place.worker),
+                state.fleet.usable(place.prefiller),
+            )
+
+        worker, prefiller = self._owner.run(turn)
+        if worker is None:
+            return None
+        self._plan.hold(
+            req.service.name,
+            messages.KeptPlace(
+                request=msg.request,
+                worker=place.worker,
+                prompt=msg.prompt,
+                hinted=msg.hinted,
+                longest=msg.longest,
+            ),
+        )
+        req.log('placed', server=worker.id, prefill=place.prefiller)
+        reserved = forwarding.Reserved(worker, '', 0)
+        return attempt.Spot(reserved, msg.request, prefiller)
+
+    def _reserve(
+        self, req: passage.Passage, sent: list[str]
+    ) -> forwarding.Reserved:
+        """Waits for a place at the workers themselves, without a plan."""
+        tokens = room.tokens(req.call)
+        patience_s = room.patience_s(req.route)
+        began = self._clock()
+        self._line.join(req)
+        try:
+            while True:
+                self.check(req, sent)
+                if self._line.is_first(req):
+                    reserved = self._try_reserve(req, tokens, sent)
+                    if reserved is not None:
+                        return reserved
+                if self._clock() - began > patience_s:
+                    raise attempt.Refused(
+                        codes.PATIENCE_OVER,
+                        patience_ms=int(patience_s * 1000),
+                    )
+                self._line.pause()
+        finally:
+            self._line.leave(req)
+
+    def _try_reserve(
+        self, req: passage.Passage, tokens: int, sent: list[str]
+    ) -> forwarding.Reserved | None:
+        """Asks some decode workers for a place; None if all are full."""
+        found = self._decoders(req, sent)
+        if not found:
+            raise attempt.Refused(codes.NO_BACKEND)
+        if not req.service.hold_s:
+            return forwarding.Reserved(found[0], '', tokens)
+        ttl_s = min(req.service.hold_s, room.HOLD_S)
+        for server in found[:ASKS]:
+            try:
+                hold = self._workers.reserve(server, tokens, ttl_s)
+            except errors.PortError as exc:
+                req.log('reservation failed', server=server.id, error=str(exc))
+                self._failed(server)
+                continue
+            if hold:
+                req.log(
+                    'reserved',
+                    server=server.id,
+                    tokens=tokens,
+                    prompt=req.call.prompt_tokens,
+                    longest=req.call.output_tokens,
+                    hinted=req.call.hinted_tokens,
+                )
+                return forwarding.Reserved(server, hold, tokens)
+            self._full(server)
+        return None
+
+    def _decoders(
+        self, req: passage.Passage, sent: list[str]
+    ) -> list[forwarding.Backend]:
+        service = req.service
+        stage: forwarding.Stage = 'decode' if service.kv_tokens else ''
+        # A route's attempts bound the servers that see a request.
+        closed = len(sent) >= req.route.max_attempts
+
+        def turn(
+            state: beliefs.Beliefs, now: float
+        ) -> list[forwarding.Backend]:
+            found = state.fleet.candidates(
+                service.name, now, stage, () if closed else sent
+            )
+            return [
+                tally.backend
+                for tally in found
+                if not closed or tally.backend.id in sent
+            ]
+
+        return self._owner.run(turn)
+
+    def _full(self, server: forwarding.Backend) -> None:
+        self._owner.run(lambda state, now: state.fleet.full(server.id, now))
+
+    def _failed(self, server: forwarding.Backend) -> None:
+        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -136,9 +136,20 @@
 
 def test_counts_of_unknown_servers_are_ignored() -> None:
     found = _fleet('a')
-    for call in (found.sent, found.ended, found.replaced):
+    for call in (found.sent, found.ended):
         call('x')
     found.failed('x', 0.0)
     found.full('x', 0.0)
     found.answered('x', 0.0, None)
     assert _order(found) == ['a']
+
+
+@pytest.mark.parametrize(('status', 'left'), [(421, ['b']), (503, ['b', 'a'])])
+def test_a_server_that_promised_not_to_have_run(
+    status: int, left: list[str]
+) -> None:
+    """Another server has its address, or it had no room for a moment."""
+    found = _fleet('a', 'b')
+    head = forwarding.Head(status=status, headers=(), ran='no')
+    found.not_run('a', 0.0, head)
+    assert _order(found, 0.01) == left
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -13,8 +13,10 @@
     'generate',
     'passage',
     'places',
+    'prompts',
     'router',
     'routing',
+    'spots',
     'syncing',
     'tidy',
 )
