--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -341,6 +341,26 @@
     assert len([i for w in ('d1', 'd2') for i in calm.workers[w].ids()]) == 1
 
 
+def test_a_second_refusal_hides_no_first_run(calm: Site) -> None:
+    """A worker breaks off before the first event, and the next one is full.
+
+    That the second did not run is true, and as an answer to the caller it
+    would promise that nothing ran.
+    """
+    calm.workers['d1'].break_after = 0
+    calm.workers['d2'].refuse = True
+    seen = set()
+    for number in range(6):
+        status, headers, _ = _send(
+            calm, 'POST', '/chat/x', attempt=f'a{number}'
+        )
+        ran = f'a{number}' in calm.workers['d1'].ids()
+        assert status == (502 if ran else 503)
+        assert ('retry-after' in headers) == (not ran)
+        seen.add(ran)
+    assert True in seen
+
+
 def test_a_caller_that_leaves_ends_its_stream(calm: Site) -> None:
     """A caller closes its connection while its answer streams.
 
