Give the soak ports that no connection gets

Seeds 105 and 122 of 42 failed: a router started again found its port taken by a connection of another process, and no thread left on a machine with three soaks and a large run (load 67). Both seeds stay in the tests.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -69,10 +69,22 @@
 
 
 def _ports(count: int) -> list[int]:
-    socks = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    found: list[int] = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Returns free ports below those that the kernel gives to connections.
+
+    A router is down for a while and takes its ports again; one that the kernel
+    chose could be some connection's by then.
+    """
+    text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
+    below = int(text.split()[0])
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(below - 12_000, below)
+        try:
+            socket.create_server(('127.0.0.1', port)).close()
+        except OSError:
+            continue
+        if port not in found:
+            found.append(port)
     return found
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,8 +13,12 @@
     assert soak.schedule(7) != soak.schedule(8)
 
 
-# A kill, a planned stop, worker and store faults that overlap.
-@pytest.mark.parametrize('seed', [1])
+# 1: a planned stop, worker and store faults that overlap.
+# 105, 122: a router that was started again ended at once, since another
+# process had its port by then (105), or the machine had no thread left for it
+# (122, three soaks beside a large run). The soak's ports are no connection's
+# now, and it plays one seed at a time.
+@pytest.mark.parametrize('seed', [1, 105, 122])
 def test_the_promises_hold_under_overlapping_faults(seed: int) -> None:
     """Routers are killed and stopped while store and workers fail as well.
 
