Choose the VMs that work for others in one place

Found by reading the change: homes and readers each had the same choice of the strong VMs, with a constant each; it stands once now, in homes. A count of waiters that nothing read is gone.

--- a/packages/core/foxtaildale/homes.py
+++ b/packages/core/foxtaildale/homes.py
@@ -7,12 +7,16 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Final
 
 import xxhash
 
 # Keeps the bytes of a service name apart from those of a keeper's name.
 _SEPARATOR: Final = '\0'
+# A VM is fit to work for others with this part of the processor of the
+# strongest: one of half a core was overrun as home of 78 VMs.
+FIT_PART: Final = 0.8
 
 
 def score(service: str, keeper: str) -> int:
@@ -28,6 +32,16 @@
     )
 
 
+def strong(cores: Mapping[str, float]) -> list[str]:
+    """Returns the VMs that are fit to work for others.
+
+    Args:
+        cores: Processor time that each VM may use, by name.
+    """
+    most = max(cores.values(), default=0.0)
+    return [name for name, own in cores.items() if own >= FIT_PART * most]
+
+
 class Homes:
     """Homes found so far among the same keepers.
 
--- a/packages/daemon/foxtaildaled/line.py
+++ b/packages/daemon/foxtaildaled/line.py
@@ -50,11 +50,6 @@
         with self._changed:
             self._changed.wait(TRY_S)
 
-    def length(self, service: str) -> int:
-        """Returns how many wait."""
-        with self._changed:
-            return len(self._waiting.get(service, ()))
-
 
 def _rank(req: passage.Passage) -> tuple[bool, int, float]:
     late = room.too_late(req.age_s(), req.route.target_s)
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -27,8 +27,6 @@
 # connection or a busy moment; giving the home up at once would have two homes
 # give the same memory.
 MISSES: Final = 2
-# A VM is fit to be a home with this part of the processor of the strongest.
-FIT_PART: Final = 0.8
 # A home that did not answer is passed over for this long, seconds, and twice
 # as long with each time that it did not, up to the longest.
 SUSPECT_S: Final = 2.0
@@ -185,8 +183,7 @@
                 if name not in self._suspects
                 or self._suspects[name].until <= now
             ]
-        most = max((known[name].cores for name in names), default=0.0)
-        fit = [name for name in names if known[name].cores >= FIT_PART * most]
+        fit = homes.strong({name: known[name].cores for name in names})
         name = homes.home(service, fit)
         return (name, known[name].peer_address) if name else None
 
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -43,8 +43,6 @@
 PEER_ANSWER_S: Final = 0.3
 # How long a reader that failed is passed over, seconds.
 PASSED_S: Final = 3.0
-# A VM is fit to read for others with this part of the strongest's processor.
-FIT_PART: Final = 0.8
 # Pause of a loop that has nothing to read, seconds.
 LAZY_S: Final = 0.1
 
@@ -176,18 +174,16 @@
     def choose(self, known: dict[str, forwarding.EntryVm]) -> str:
         """Returns the name of the reader; this entry VM's own if none fits."""
         now = self._clock()
-        here = {
-            name: vm
-            for name, vm in known.items()
-            if vm.data_centre == self._data_centre
-        }
-        most = max((vm.cores for vm in here.values()), default=0.0)
+        strong = homes.strong(
+            {
+                name: vm.cores
+                for name, vm in known.items()
+                if vm.data_centre == self._data_centre
+            }
+        )
         with self._lock:
             fit = [
-                name
-                for name, vm in here.items()
-                if vm.cores >= FIT_PART * most
-                and self._passed.get(name, 0.0) <= now
+                name for name in strong if self._passed.get(name, 0.0) <= now
             ]
         return homes.home(f'read {self._data_centre}', fit) or self._entry_vm
 
