Tell the home of a service which servers failed; connects draw on no budget

Each VM found out for itself that a crashed worker was dead, and in the plan a dead worker has the most room. Each such connection also drew on the budget of further sends, though nothing had been sent; 39 requests were then refused as 'full, and no further try is allowed', which was not the reason. Ruled out: the home watching the workers itself; it is priced and slower than the requests that fail anyway. One VM's word alone: it may be cut off from workers that all others reach. Now: holders report to the home, two of them take a worker out of the plan for 3 s; four connections may fail to open for one request. A prompt that must be read again draws on the budget by itself. A place has a new name for each ask: its end, told behind the next ask, would have ended the new grant. Also: a line for waiting in the queue, and what was placed.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -22,9 +22,13 @@
 
 
 ON_REQUEST: Final[dict[str, Event]] = {
+    'queued': Event(
+        'it waits behind {position} others, by the plan for {wait_ms} ms',
+        ('position', 'wait_ms', 'patience_ms'),
+    ),
     'placed': Event(
         'the plan gave it {server}, its prompt to {prefill}',
-        ('server', 'prefill'),
+        ('server', 'prefill', 'waited_ms', 'prompt', 'hinted', 'longest'),
     ),
     'reserved': Event(
         'without a plan, {server} reserved {tokens} tokens for it',
@@ -63,7 +67,7 @@
         ('server', 'status', 'ran'),
     ),
     'retry': Event(
-        'sending it to {server} after all was allowed: {allowed}',
+        'another attempt was allowed: {allowed}',
         ('server', 'allowed'),
     ),
     'first event': Event('the first event went to its caller'),
@@ -151,7 +155,7 @@
             '{entry_vm_asked} answers as home again',
             ('entry_vm_asked',),
         ),
-        ('end of a place not told', 'too many ends waited', ()),
+        ('home not told', 'too much waited; lost: {what}', ('what',)),
         (
             'left to lapse',
             'what {server} keeps was not given back',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -371,6 +371,16 @@
     whole: bool = False
 
 
+class ServerFailed(Wire, frozen=True):
+    """A backend server took no connection, or broke an answer off."""
+
+    service: str
+    # By id.
+    server: str
+    # The entry VM that reports it.
+    holder: str
+
+
 class KeptPlace(Wire, frozen=True):
     """A place in use."""
 
@@ -425,6 +435,7 @@
     | AskPlace
     | Place
     | EndPlace
+    | ServerFailed
     | KeepPlaces
 )
 
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -22,6 +22,7 @@
 from foxtaildale import fleet
 from foxtaildale import growth
 from foxtaildale import messages
+from foxtaildale import reports
 from foxtaildale import room
 from foxtaildale import routes
 
@@ -99,6 +100,7 @@
         '_look_at',
         '_prefill_free_at',
         '_prefill_per_s',
+        '_reports',
         '_token_s',
         '_typical_log',
         '_waiting',
@@ -117,6 +119,7 @@
         self._prefill_free_at: dict[str, float] = {}
         self._prefill_per_s = PREFILL_PER_S
         self._token_s = TOKEN_S
+        self._reports = reports.Reports()
         # Mean logarithm of the lengths of whole answers; 0 before the first.
         self._typical_log = 0.0
 
@@ -148,7 +151,14 @@
         if now >= self._look_at:
             self._look_at = now + LOOK_S
             self._forget(now)
-            self._grant(now, service, *engines())
+            failed = self._reports.failed(now)
+            decoders, prefillers = engines()
+            self._grant(
+                now,
+                service,
+                _sound(decoders, failed),
+                _sound(prefillers, failed),
+            )
         if waiter.place is not None:
             del self._waiting[msg.request]
             return waiter.place
@@ -177,6 +187,10 @@
             before = self._typical_log or log
             self._typical_log = before + _LEARN * (log - before)
 
+    def failed(self, now: float, msg: messages.ServerFailed) -> None:
+        """Takes a holder's report of a failed server."""
+        self._reports.note(now, msg.server, msg.holder)
+
     def keep(self, now: float, msg: messages.KeepPlaces) -> None:
         """Takes a holder's repeat of all that it holds."""
         named = {place.request for place in msg.places}
@@ -338,3 +352,14 @@
         for request, held in list(self._held.items()):
             if now - held.kept_at > KEEP_S:
                 del self._held[request]
+
+
+def _sound(
+    tallies: Sequence[fleet.Tally], failed: frozenset[str]
+) -> Sequence[fleet.Tally]:
+    """Returns those that did not fail; all where all did.
+
+    What all of a stage share is then rather at fault, and they are tried.
+    """
+    found = [tally for tally in tallies if tally.backend.id not in failed]
+    return found or tallies
--- /dev/null
+++ b/packages/core/foxtaildale/reports.py
@@ -0,0 +1,46 @@
+"""Failed backend servers, as the home of a service hears of them.
+
+Load answered: a site of 78 entry VMs that loses a quarter of its engines. Each
+VM finds out for itself that an engine is dead, by a request of its own that
+fails there; meanwhile the plan, in which the dead engine has the most room,
+sends it everybody's next request. So holders report failures to the home.
+
+One entry VM may be cut off from engines that all others reach. A report of one
+VM alone therefore takes nothing from the others; its own requests name the
+servers that it can't use.
+"""
+
+from typing import Final
+
+# Entry VMs that must report a server before it is passed over for all.
+WITNESSES: Final = 2
+# How long a report counts, seconds. An engine that crashed has another id when
+# it is back, so a longer time would cost only those that failed by chance.
+COUNTS_S: Final = 3.0
+
+
+class Reports:
+    """Reports on the backend servers of one service; the time is an argument."""
+
+    __slots__ = ('_reported',)
+
+    def __init__(self) -> None:
+        # When each entry VM last reported it, by server.
+        self._reported: dict[str, dict[str, float]] = {}
+
+    def note(self, now: float, server: str, holder: str) -> None:
+        """Takes the report of an entry VM."""
+        self._reported.setdefault(server, {})[holder] = now
+
+    def failed(self, now: float) -> frozenset[str]:
+        """Returns the servers that get no work now."""
+        found = set()
+        for server, reports in list(self._reported.items()):
+            for holder, at in list(reports.items()):
+                if now - at > COUNTS_S:
+                    del reports[holder]
+            if not reports:
+                del self._reported[server]
+            elif len(reports) >= WITNESSES:
+                found.add(server)
+        return frozenset(found)
--- a/packages/daemon/foxtaildaled/attempt.py
+++ b/packages/daemon/foxtaildaled/attempt.py
@@ -29,8 +29,11 @@
         'may_have_run',
         'prefilled',
         'prefilled_at',
+        'prefills',
         'splitter',
         'started',
+        'unopened',
+        'unsent',
     )
 
     def __init__(self, position: int | None) -> None:
@@ -42,12 +45,20 @@
         # when its worker holds it.
         self.prefilled: forwarding.Prefilled | None = None
         self.prefilled_at = 0.0
+        # How often its prompt was read.
+        self.prefills = 0
+        # Whether the last attempt ended before anything was sent to a decode
+        # worker, and how often connections did not open.
+        self.unsent = False
+        self.unopened = 0
 
-    def unfinished(self) -> tuple[codes.Code, str]:
+    def unfinished(
+        self, reason: str = 'no further try is allowed'
+    ) -> tuple[codes.Code, str]:
         """Returns why it ends without another try, and the reason."""
         if self.may_have_run:
             return codes.BROKEN, ''
-        return codes.BACKEND_REFUSED, 'full, and no further try is allowed'
+        return codes.BACKEND_REFUSED, reason
 
 
 class Spot:
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -131,6 +131,9 @@
         if isinstance(msg, messages.EndPlace):
             self.end_place(msg, now)
             return messages.Pong()
+        if isinstance(msg, messages.ServerFailed):
+            self.server_failed(msg, now)
+            return messages.Pong()
         if isinstance(msg, messages.KeepPlaces):
             self.keep_places(msg, now)
             return messages.Pong()
@@ -159,6 +162,11 @@
         if plan is not None:
             plan.end(now, msg)
 
+    def server_failed(self, msg: messages.ServerFailed, now: float) -> None:
+        """Takes a report of a failed server as the home of its service."""
+        plan = self._plans.setdefault(msg.service, placing.Plan())
+        plan.failed(now, msg)
+
     def keep_places(self, msg: messages.KeepPlaces, now: float) -> None:
         """Takes what an entry VM holds as the home of a service."""
         plan = self._plans.setdefault(msg.service, placing.Plan())
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -26,6 +26,10 @@
 # pause that is still on time.
 SILENCE_GAPS: Final = 5.0
 SILENCE_S: Final = 1.2
+# Connections to decode workers that may fail to open before a request is given
+# up. Nothing was sent by those, so they draw on no budget; a crashed engine is
+# known to all a few milliseconds after two VMs have met it.
+CONNECTS: Final = 4
 # How long a full service stays full, seconds: some answers end in that time.
 FULL_WAIT_S: Final = 0.8
 
@@ -72,9 +76,7 @@
         sent: list[str] = []
         try:
             while not self._attempt(req, answer, sent):
-                if not self._sends.take(req.service.name, req.deadline):
-                    raise attempt.Refused(*answer.unfinished())
-                req.counts.retries.add(1, req.service.name)
+                self._allow_another(req, answer)
         except attempt.Refused as exc:
             self._end(req, answer, exc)
         finally:
@@ -84,6 +86,25 @@
                     req.call.prompt_tokens, req.service.name
                 )
 
+    def _allow_another(
+        self, req: passage.Passage, answer: attempt.Answer
+    ) -> None:
+        """Lets it be tried again.
+
+        Raises:
+            attempt.Refused: It ends here.
+        """
+        if answer.unsent:
+            answer.unsent = False
+            if answer.unopened < CONNECTS:
+                return
+            raise attempt.Refused(*answer.unfinished('no connection opened'))
+        allowed = self._sends.take(req.service.name, req.deadline)
+        req.log('retry', allowed=allowed)
+        if not allowed:
+            raise attempt.Refused(*answer.unfinished())
+        req.counts.retries.add(1, req.service.name)
+
     def _attempt(
         self, req: passage.Passage, answer: attempt.Answer, sent: list[str]
     ) -> bool:
@@ -251,10 +272,12 @@
             answer.may_have_run = True
         if req.gone.is_set():
             raise attempt.Refused(codes.CANCELLED) from exc
-        self._failed(server)
+        self._spots.failed(req, server)
         if isinstance(exc, errors.UnreachableError):
             # Nothing was sent, so this was no attempt.
             sent.remove(server.id)
+            answer.unsent = True
+            answer.unopened += 1
             return False
         if not self._may_go_on(req, sent):
             if req.left_s() < passage.MIN_LEFT_S:
@@ -279,9 +302,6 @@
             return left_s
         return min(left_s, max(SILENCE_S, SILENCE_GAPS * req.route.gap_s))
 
-    def _failed(self, server: forwarding.Backend) -> None:
-        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
-
     def _end(
         self, req: passage.Passage, answer: attempt.Answer, exc: attempt.Refused
     ) -> None:
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -33,7 +33,8 @@
 SUSPECT_MOST_S: Final = 60.0
 # Homes asked for one request before it goes on without a plan.
 HOMES: Final = 2
-# Ends that may wait to be told; a lost one is mended by the next repeat.
+# Ends and reports that may wait to be told; a lost end is mended by the next
+# repeat, a lost report by the next failure.
 QUEUE_LIMIT: Final = 500
 
 Handle = Callable[[messages.Any], messages.Any]
@@ -55,11 +56,11 @@
 
     __slots__ = (
         '_clock',
-        '_ends',
         '_entry_vm',
         '_handle',
         '_held',
         '_lock',
+        '_news',
         '_owner',
         '_peers',
         '_suspects',
@@ -84,12 +85,15 @@
         self._suspects: dict[str, _Suspect] = {}
         # What this entry VM holds, and since when; by service and request.
         self._held: dict[str, dict[str, tuple[messages.KeptPlace, float]]] = {}
-        self._ends: queue.Queue[messages.EndPlace] = queue.Queue(QUEUE_LIMIT)
+        # What the home is to hear of, in order.
+        self._news: queue.Queue[messages.EndPlace | messages.ServerFailed] = (
+            queue.Queue(QUEUE_LIMIT)
+        )
 
     def start(self) -> None:
-        """Starts the thread that tells ends."""
+        """Starts the thread that tells ends and reports."""
         threading.Thread(
-            target=self._tell_ends, name='places', daemon=True
+            target=self._tell_news, name='places', daemon=True
         ).start()
 
     def ask(
@@ -120,10 +124,15 @@
         """Gives a place back; the home hears of it a moment later."""
         with self._lock:
             self._held.get(msg.service, {}).pop(msg.request, None)
-        try:
-            self._ends.put_nowait(msg)
-        except queue.Full:
-            logs.event(logging.WARNING, 'end of a place not told')
+        self._put(msg)
+
+    def report(self, service: str, server: str) -> None:
+        """Reports a failed server; the home hears of it a moment later."""
+        self._put(
+            messages.ServerFailed(
+                service=service, server=server, holder=self._entry_vm
+            )
+        )
 
     def step(self) -> None:
         """Repeats to each home what this entry VM holds, as a loop."""
@@ -152,9 +161,17 @@
             )
             self._tell(service, msg)
 
-    def _tell_ends(self) -> None:
+    def _put(self, msg: messages.EndPlace | messages.ServerFailed) -> None:
+        try:
+            self._news.put_nowait(msg)
+        except queue.Full:
+            logs.event(
+                logging.WARNING, 'home not told', what=type(msg).__name__
+            )
+
+    def _tell_news(self) -> None:
         while True:
-            msg = self._ends.get()
+            msg = self._news.get()
             self._tell(msg.service, msg)
 
     def _tell(self, service: str, msg: messages.Any) -> None:
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -1,5 +1,6 @@
 """Has the prompt of a request read by a prefill worker."""
 
+from collections.abc import Callable
 from typing import Final
 
 from foxtaildale import errors
@@ -21,10 +22,14 @@
 HANDLE_PART: Final = 0.7
 
 
+# Takes the failure of a server under a request.
+Failed = Callable[[passage.Passage, forwarding.Backend], None]
+
+
 class Prompts:
     """Sends prompts to prefill workers."""
 
-    __slots__ = ('_clock', '_owner', '_sends', '_workers')
+    __slots__ = ('_clock', '_failed', '_owner', '_sends', '_workers')
 
     def __init__(
         self,
@@ -33,11 +38,13 @@
         workers: ports.Workers,
         budget: sends.Sends,
         clock: ports.Clock,
+        failed: Failed,
     ) -> None:
         self._owner = owner
         self._workers = workers
         self._sends = budget
         self._clock = clock
+        self._failed = failed
 
     def read(
         self, req: passage.Passage, spot: attempt.Spot, answer: attempt.Answer
@@ -46,14 +53,22 @@
 
         A decode worker that could not be reached, or had no room, took
         nothing; reading the prompt again would be work for nobody.
+
+        Raises:
+            attempt.Refused: It would be read once more than is allowed.
         """
         age_s = self._clock() - answer.prefilled_at
         life_s = req.service.handle_s * HANDLE_PART
         if answer.prefilled is not None and age_s < life_s:
             req.log('prompt kept', held_ms=int(age_s * 1000))
             return
+        if answer.prefills and not self._sends.take(
+            req.service.name, req.deadline
+        ):
+            raise attempt.Refused(*answer.unfinished())
         answer.prefilled = self._prefill(req, spot)
         answer.prefilled_at = self._clock()
+        answer.prefills += answer.prefilled is not None
 
     def _prefill(
         self, req: passage.Passage, spot: attempt.Spot
@@ -115,7 +130,7 @@
         except (errors.PortError, errors.DecodeError) as exc:
             req.log('prefill failed', server=server.id, error=str(exc))
             if not req.gone.is_set():
-                self._failed(server)
+                self._failed(req, server)
             return None
         finally:
             req.attach(None)
@@ -133,9 +148,6 @@
         req.counts.prefill_tokens.add(req.call.prompt_tokens, name)
         return forwarding.Prefilled(server, handle)
 
-    def _failed(self, server: forwarding.Backend) -> None:
-        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
-
 
 def read_small(flight: ports.Flight, timeout_s: float) -> bytes:
     """Reads a whole body that is known to be small.
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -260,22 +260,24 @@
     def _make_generate(
         self, made: Adapters, budget: sends.Sends, rng: random.Random
     ) -> generate.Generate:
+        finder = spots.Spots(
+            owner=self._owner,
+            workers=made.workers,
+            plan=self._places,
+            entry_vm=self._cfg.entry_vm,
+            clock=clock,
+        )
         return generate.Generate(
             owner=self._owner,
             workers=made.workers,
             budget=budget,
-            finder=spots.Spots(
-                owner=self._owner,
-                workers=made.workers,
-                plan=self._places,
-                entry_vm=self._cfg.entry_vm,
-                clock=clock,
-            ),
+            finder=finder,
             reader=prompts.Prompts(
                 owner=self._owner,
                 workers=made.workers,
                 budget=budget,
                 clock=clock,
+                failed=finder.failed,
             ),
             tidy=self._tidy,
             clock=clock,
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -5,6 +5,7 @@
 attempts are used up goes back to the worker that it was sent to.
 """
 
+import itertools
 from typing import Final
 
 from foxtaildale import codes
@@ -27,7 +28,15 @@
 class Spots:
     """Asks the home, else the workers."""
 
-    __slots__ = ('_clock', '_entry_vm', '_line', '_owner', '_plan', '_workers')
+    __slots__ = (
+        '_clock',
+        '_entry_vm',
+        '_line',
+        '_names',
+        '_owner',
+        '_plan',
+        '_workers',
+    )
 
     def __init__(
         self,
@@ -44,6 +53,9 @@
         self._entry_vm = entry_vm
         self._clock = clock
         self._line = line.Line()
+        # Numbers the asks: the end of a place is told behind the next ask of
+        # the same request, and must not end what that one was granted.
+        self._names = itertools.count()
 
     def find(self, req: passage.Passage, sent: list[str]) -> attempt.Spot:
         """Waits for a place.
@@ -73,6 +85,11 @@
             )
         )
 
+    def failed(self, req: passage.Passage, server: forwarding.Backend) -> None:
+        """Takes the failure of a server, for this VM and for the home."""
+        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
+        self._plan.report(req.service.name, server.id)
+
     def check(self, req: passage.Passage, sent: list[str]) -> None:
         """Ends a request whose caller or whose time is gone.
 
@@ -89,10 +106,11 @@
         self, req: passage.Passage, sent: list[str]
     ) -> attempt.Spot | None:
         """Waits for a place in the home's plan; None if no home answers."""
-        name = f'{req.call.id}/{len(sent)}'
+        name = f'{req.call.id}/{next(self._names)}'
         patience_s = room.patience_s(req.route)
         began = self._clock()
         avoid = list(sent)
+        queued = False
         try:
             while True:
                 self.check(req, sent)
@@ -104,7 +122,8 @@
                 if reply is None:
                     return None
                 if isinstance(reply, messages.Place):
-                    spot = self._take_place(req, msg, reply)
+                    waited_s = self._clock() - began
+                    spot = self._take_place(req, msg, reply, waited_s)
                     if spot is not None:
                         name = ''
                         return spot
@@ -115,8 +134,16 @@
                             service=req.service.name, request=name
                         )
                     )
-                    name += '+'
+                    name = f'{req.call.id}/{next(self._names)}'
                     continue
+                if not queued:
+                    queued = True
+                    req.log(
+                        'queued',
+                        position=reply.position,
+                        wait_ms=reply.wait_ms,
+                        patience_ms=int(patience_s * 1000),
+                    )
                 self._bear(reply, patience_s, self._clock() - began)
                 req.gone.wait(reply.again_in_ms / 1000)
         finally:
@@ -173,6 +200,7 @@
         req: passage.Passage,
         msg: messages.AskPlace,
         place: messages.Place,
+        waited_s: float,
     ) -> attempt.Spot | None:
         """Returns the spot of a granted place, if its worker may be used."""
 
@@ -197,7 +225,15 @@
                 longest=msg.longest,
             ),
         )
-        req.log('placed', server=worker.id, prefill=place.prefiller)
+        req.log(
+            'placed',
+            server=worker.id,
+            prefill=place.prefiller,
+            waited_ms=int(waited_s * 1000),
+            prompt=msg.prompt,
+            hinted=msg.hinted,
+            longest=msg.longest,
+        )
         reserved = forwarding.Reserved(worker, '', 0)
         return attempt.Spot(reserved, msg.request, prefiller)
 
@@ -240,7 +276,7 @@
                 hold = self._workers.reserve(server, tokens, ttl_s)
             except errors.PortError as exc:
                 req.log('reservation failed', server=server.id, error=str(exc))
-                self._failed(server)
+                self.failed(req, server)
                 continue
             if hold:
                 req.log(
@@ -279,6 +315,3 @@
 
     def _full(self, server: forwarding.Backend) -> None:
         self._owner.run(lambda state, now: state.fleet.full(server.id, now))
-
-    def _failed(self, server: forwarding.Backend) -> None:
-        self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -329,3 +329,38 @@
     burst = _Burst(whole)
     burst.play()
     assert (burst.on_time, burst.overfull) == (on_time, overfull)
+
+
+def test_a_dead_worker_gets_nobodys_next_request() -> None:
+    """A decode worker crashes at a site of many entry VMs.
+
+    Its requests end, so it has the most room in the plan; each VM would send
+    it a request of its own before it knew. Callers would see their answers
+    fail one after the other at an engine that two VMs know to be dead.
+    """
+    plan = placing.Plan()
+    for holder in ('vm-1', 'vm-2'):
+        msg = messages.ServerFailed(service='s', server='d1', holder=holder)
+        plan.failed(1.0, msg)
+    for number in range(6):
+        place = _ask(plan, 1.1, f'r{number}')
+        assert isinstance(place, messages.Place)
+        assert place.worker == 'd2'
+
+
+def test_workers_that_all_failed_are_tried() -> None:
+    """The path to every prefill worker breaks for a moment.
+
+    Passed over all of them, decode workers would read the prompts and hold up
+    everybody's tokens.
+    """
+    plan = placing.Plan()
+    for server in ('p1', 'p2'):
+        for holder in ('vm-1', 'vm-2'):
+            msg = messages.ServerFailed(
+                service='s', server=server, holder=holder
+            )
+            plan.failed(1.0, msg)
+    place = _ask(plan, 1.1, 'r')
+    assert isinstance(place, messages.Place)
+    assert place.prefiller
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,32 @@
+"""Failures that entry VMs report to the home of a service."""
+
+from foxtaildale import reports
+
+
+def test_two_vms_take_a_server_from_all() -> None:
+    """An engine dies; everybody's next request would fail there."""
+    found = reports.Reports()
+    found.note(0.0, 'd1', 'vm-1')
+    found.note(0.1, 'd1', 'vm-2')
+    assert found.failed(0.2) == {'d1'}
+
+
+def test_one_vm_takes_nothing_from_the_others() -> None:
+    """An entry VM is cut off from engines that all others reach.
+
+    Passed over for all, they would stand idle while callers are refused.
+    """
+    found = reports.Reports()
+    for number in range(20):
+        found.note(number * 0.1, 'd1', 'vm-1')
+    assert not found.failed(2.0)
+
+
+def test_reports_end() -> None:
+    """A server failed by chance; it must get work again."""
+    found = reports.Reports()
+    found.note(0.0, 'd1', 'vm-1')
+    found.note(2.0, 'd1', 'vm-2')
+    assert found.failed(2.5)
+    assert not found.failed(reports.COUNTS_S + 0.1)
+    assert not found.failed(reports.COUNTS_S + 2.1)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -97,7 +97,9 @@
         self.store.put('keyed.servers', name, made.entry())
         return made
 
-    def router(self, *, seeds: tuple[str, ...] = ()) -> routing.RouterDaemon:
+    def router(
+        self, *, seeds: tuple[str, ...] = (), retry_burst: float = 20.0
+    ) -> routing.RouterDaemon:
         """Starts a router."""
         self._number += 1
         peer = f'127.0.0.1:{_free_port()}'
@@ -111,7 +113,7 @@
             admin_host='127.0.0.1',
             store=self.store.address,
             seeds=seeds,
-            retry_burst=20.0,
+            retry_burst=retry_burst,
             threads=8,
         )
         made = routing.Adapters(
@@ -473,6 +475,23 @@
     assert _send(calm, 'GET', '/safe/x', number=1)[0] == 200
 
 
+def test_connections_that_do_not_open_draw_on_no_budget(calm: Site) -> None:
+    """A decode worker died and its entry has not lapsed yet.
+
+    Nothing was sent to it, so its callers' requests go on to the other one;
+    counted as further sends they were refused as soon as the budget was used.
+    """
+    calm.router(retry_burst=0.0)
+    _until(lambda: _ready(calm, 1))
+    calm.workers['d1'].close()
+    for number in range(6):
+        attempt = f'a{number}'
+        status, _, body = _send(
+            calm, 'POST', '/chat/x', attempt=attempt, number=1
+        )
+        assert (status, body) == (200, _events(attempt, 5))
+
+
 def test_a_home_that_is_lost_stops_nobody(calm: Site) -> None:
     """The VM that plans the engines dies, and its entry stays listed."""
     calm.store.put('keyed.entryvms', 'ghost', {'peer_address': '127.0.0.1:1'})
