Let a small site do with one prefill worker

Now: the least of prefill is one. Risk, said in place: when the one crashes, decode workers read the prompts at half the speed until it is back, or eight seconds later another is told to.

--- a/packages/core/foxtaildale/balance.py
+++ b/packages/core/foxtaildale/balance.py
@@ -38,8 +38,12 @@
 PACKED: Final = 0.85
 # Prefill workers kept beyond those that are needed.
 SPARE: Final = 0
-# Engines of a stage that are kept whatever the load: one may crash.
-LEAST: Final = 2
+# Engines that are kept whatever the load, of decode and of prefill. Without a
+# prefill worker the decode workers read the prompts, at half the speed. Two
+# were kept at first, since one may crash: of a site of five that had lost two
+# decode workers, two then read prompts for the one that was left.
+LEAST_DECODE: Final = 2
+LEAST_PREFILL: Final = 1
 # Time for which a surplus of prefill workers, and a lack of them, must last,
 # seconds. A crashed engine comes back after two to five.
 SURPLUS_S: Final = 1.0
@@ -145,7 +149,7 @@
         ]
         count = len(decoders) + len(prefillers) + len(self._changing)
         need = share * count
-        wanted = max(LEAST, math.ceil(need - SHORT_PART)) + SPARE
+        wanted = max(LEAST_PREFILL, math.ceil(need - SHORT_PART)) + SPARE
         spare = 0 if waiting else len(prefillers) - wanted
         lacks = need - len(prefillers) > SHORT_PART
         self._surplus_since = _since(self._surplus_since, spare > 0, now)
@@ -154,7 +158,7 @@
             free = min(spare, AT_ONCE - len(self._changing))
             return _all(prefillers[: max(0, free)], 'decode')
         if _lasted(self._lack_since, now, LACK_S) and not self._changing:
-            most = len(decoders) - LEAST
+            most = len(decoders) - LEAST_DECODE
             return _all(decoders[: min(1, max(0, most))], 'prefill')
         return ()
 
