Let a broken stream go on before all others that wait

Now: it goes first. Placed at once, its pause is the new prefill, some 0.2 s. Ruled out: its place among the late ones; those come back, it can't.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -352,6 +352,8 @@
     avoid: tuple[str, ...] = ()
     # Shared by all tries of one request; 0 if that is not known.
     digest: int = 0
+    # Whether its caller has a part of the answer and waits for the rest.
+    started: bool = False
 
 
 class Place(Wire, frozen=True):
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -9,7 +9,8 @@
 order of arrival, an overload of some seconds would make every request late. One
 that was refused and came back counts from when it came first. Its target is
 missed, so it makes nobody else late, and it is the first of those that wait for
-what is left.
+what is left. Before all others goes a stream that broke: its caller has a part
+of the answer, and if it goes on at once the pause is hardly seen.
 
 `ask` grants or queues; `end` gives back; `keep` and `expire` keep the plan true
 to the holders. A wrong plan costs time and never correctness: engines refuse
@@ -34,8 +35,9 @@
 
 # Waiters that fit nowhere and are passed over by smaller ones behind them. For
 # each of them the worker is kept that it will fit at first, so that none
-# starves behind a row of small ones. With nobody passed over, ten engines of
-# eight requests each stood a third empty while thirty requests waited.
+# starves behind a row of small ones. Played at one and a half times of what
+# eight engines carry, 0.62 of what could be had in time were served with four
+# passed over, and 0.60 with none.
 PASSED: Final = 4
 # Time between looks at the plan while requests wait, seconds. Each look costs
 # half a millisecond for fifteen engines; done at every ask it took all of the
@@ -387,12 +389,15 @@
         typical = math.exp(self._typical_log) if self._typical_log else 0.0
         return growth.expected_tokens(hinted, longest, typical)
 
-    def _rank(self, now: float, waiter: Waiter) -> tuple[bool, int, float, str]:
+    def _rank(
+        self, now: float, waiter: Waiter
+    ) -> tuple[bool, bool, int, float, str]:
         msg = waiter.msg
         age_s = now - waiter.arrived_at
         target_s = msg.target_ms / 1000
         late = room.too_late(age_s, target_s, self._prefills.mean_s)
-        return late, msg.priority, waiter.arrived_at, msg.request
+        rest = msg.priority, waiter.arrived_at, msg.request
+        return not msg.started, late, *rest
 
     def _forget(self, now: float) -> None:
         """Drops waiters that stopped asking and places that lapsed."""
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -114,7 +114,7 @@
             attempt.Refused: It ends here.
         """
         began = self._clock()
-        spot = self._spots.find(req, sent)
+        spot = self._spots.find(req, sent, started=answer.started)
         waited_s = self._clock() - began
         req.counts.wait_seconds.observe((waited_s,), req.service.name)
         reserved = spot.reserved
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -57,14 +57,21 @@
         # the same request, and must not end what that one was granted.
         self._names = itertools.count()
 
-    def find(self, req: passage.Passage, sent: list[str]) -> attempt.Spot:
+    def find(
+        self, req: passage.Passage, sent: list[str], *, started: bool = False
+    ) -> attempt.Spot:
         """Waits for a place.
 
+        Args:
+            req: The request.
+            sent: Servers that it was sent to, by id.
+            started: Whether its caller has a part of the answer.
+
         Raises:
             attempt.Refused: There is none in time.
         """
         if len(sent) < req.route.max_attempts and req.service.kv_tokens:
-            spot = self._planned_spot(req, sent)
+            spot = self._planned_spot(req, sent, started=started)
             if spot is not None:
                 return spot
         return attempt.Spot(self._reserve(req, sent))
@@ -104,7 +111,7 @@
             raise attempt.Refused(codes.TIMED_OUT, limit_ms=limit_ms)
 
     def _planned_spot(
-        self, req: passage.Passage, sent: list[str]
+        self, req: passage.Passage, sent: list[str], *, started: bool
     ) -> attempt.Spot | None:
         """Waits for a place in the home's plan; None if no home answers."""
         name = f'{req.call.id}/{next(self._names)}'
@@ -117,7 +124,9 @@
                 faulty = self._owner.run(
                     lambda state, now: state.fleet.faulty(req.service.name, now)
                 )
-                msg = self._question(req, name, (*avoid, *faulty))
+                msg = self._question(
+                    req, name, (*avoid, *faulty), started=started
+                )
                 reply = self._plan.ask(msg)
                 if reply is None:
                     return None
@@ -183,7 +192,12 @@
             )
 
     def _question(
-        self, req: passage.Passage, name: str, avoid: tuple[str, ...]
+        self,
+        req: passage.Passage,
+        name: str,
+        avoid: tuple[str, ...],
+        *,
+        started: bool,
     ) -> messages.AskPlace:
         call = req.call
         return messages.AskPlace(
@@ -198,6 +212,7 @@
             priority=req.route.priority,
             avoid=avoid,
             digest=call.digest,
+            started=started,
         )
 
     def _take_place(
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -44,6 +44,7 @@
     priority: int = 1,
     avoid: tuple[str, ...] = (),
     digest: int = 0,
+    started: bool = False,
     decoders: tuple[fleet.Tally, ...] = _DECODERS,
     prefillers: tuple[fleet.Tally, ...] = _PREFILLERS,
 ) -> messages.Place | messages.Queued:
@@ -59,6 +60,7 @@
         priority=priority,
         avoid=avoid,
         digest=digest,
+        started=started,
     )
     return plan.ask(now, msg, _SERVICE, lambda: (decoders, prefillers))
 
@@ -554,3 +556,21 @@
         place.worker for place in others if isinstance(place, messages.Place)
     ]
     assert set(taken) <= {small.worker}
+
+
+def test_a_broken_stream_goes_on_before_all_others() -> None:
+    """An engine crashes in the midst of answers, while others wait.
+
+    Behind those that can still be in time, the callers would see their answers
+    stand still for seconds and leave; what was made for them would be lost.
+    """
+    plan = placing.Plan()
+    _fill(plan)
+    assert isinstance(_ask(plan, 0.1, 'new'), messages.Queued)
+    broken = _ask(plan, 0.15, 'broken', waited_ms=2500, started=True)
+    assert isinstance(broken, messages.Queued)
+    _end(plan, 0.2, 'fill-0')
+    assert isinstance(_ask(plan, 0.3, 'new'), messages.Queued)
+    assert isinstance(
+        _ask(plan, 0.3, 'broken', waited_ms=2650, started=True), messages.Place
+    )
