--- a/packages/core/foxtaildale/prefills.py
+++ b/packages/core/foxtaildale/prefills.py
@@ -34,6 +34,8 @@
 # That part halves in this time, seconds, so that one prompt every half second
 # or so is tried with a worker that goes on losing them.
 LOST_HALF_S: Final = 1.5
+# Workers remembered; those that are gone drop out as new ones come.
+_MOST: Final = 256
 # How much a new measurement counts.
 _LEARN: Final = 0.1
 # The fastest prefill seen is forgotten by this part with each one measured.
@@ -86,6 +88,8 @@
     def give(self, worker: str, ready_at: float) -> None:
         """Notes that a worker got a prompt, and when it is through."""
         self._free_at[worker] = ready_at
+        if len(self._free_at) > _MOST:
+            del self._free_at[next(iter(self._free_at))]
 
     def slow(self, now: float, worker: str) -> bool:
         """Whether a worker is much slower than the others."""
@@ -113,6 +117,8 @@
         part = self._lost_now(now, worker)
         part += _LOST_LEARN * ((not taken) - part)
         self._lost[worker] = (part, now)
+        if len(self._lost) > _MOST:
+            del self._lost[next(iter(self._lost))]
 
     def losing(self, now: float, worker: str) -> bool:
         """Whether prompts read by this worker are lost before they are used.
