Ignore SIGHUP from the first line on; two soak seeds that failed

The daemon handled the signal only once it served; loading the libraries takes half a second or more, in which the signal's default ends the process. Now: the program ignores SIGHUP before it loads anything. Before its first line no program can; the soak then starts the router again, once, as the platform does with a process that ended, and only if the signal came within 0.15 s of the start (the trace: 30 ms). The ports of a run are drawn together. Both seeds stay as cases. Ruled out: a slow stop, a lost start (the exit status is the signal's).

--- a/packages/daemon/foxtaildaled/main.py
+++ b/packages/daemon/foxtaildaled/main.py
@@ -116,7 +116,3 @@
 def main() -> None:
     """Entry point of the program."""
     sys.exit(defopt.run(run))
-
-
-if __name__ == '__main__':
-    main()
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -326,5 +326,5 @@
         settings.options(text, name)
         path = self._dir / f'{name}.json'
         path.write_text(text, encoding='utf-8')
-        command = [sys.executable, '-m', 'foxtaildaled.main', str(path)]
+        command = [sys.executable, '-m', 'foxtaildaled', str(path)]
         return self.procs.daemon(name, command, addresses)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -45,6 +45,12 @@
 # over is asked again after 2 s.
 RECOVER_S: Final = 12.0
 _EVENTS: Final = 12
+# Time from a process's start in which the interpreter may not have come to our
+# first line yet, seconds: 30 ms on an idle machine, several times that on a busy
+# one. Loading the libraries takes half a second after that, and is not excused.
+UNBORN_S: Final = 0.15
+# Ports of a router: for callers, the balancer, other routers and operators.
+_PORTS: Final = 4
 _START_S: Final = 20.0
 # Statuses that promise that a request did not run and never will.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
@@ -72,7 +78,8 @@
     """Returns free ports below those that the kernel gives to connections.
 
     A router is down for a while and takes its ports again; one that the kernel
-    chose could be some connection's by then.
+    chose could be some connection's by then. All of a run are drawn together:
+    a router that is not started yet has none that a look would find taken.
     """
     text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
     below = int(text.split()[0])
@@ -91,9 +98,10 @@
 class Router:
     """One router process, started again after each end."""
 
-    def __init__(self, number: int, folder: pathlib.Path, store: str) -> None:
+    def __init__(
+        self, number: int, folder: pathlib.Path, store: str, ports: list[int]
+    ) -> None:
         self.relay = relay.Relay(store)
-        ports = _ports(4)
         self.front, self.ready, self.control, self._metrics = ports
         self.control_relay = relay.Relay(f'127.0.0.1:{self.control}')
         self.file = folder / f'vm-{number}.toml'
@@ -102,6 +110,10 @@
         self.process: subprocess.Popen[bytes] | None = None
         # Whether the soak itself ended the process.
         self.ended = False
+        # When the process was started, seconds.
+        self.started_at = 0.0
+        # When it last got a SIGHUP, seconds.
+        self.signalled_at = 0.0
 
     def write(self, seeds: list[str]) -> None:
         """Writes the settings file."""
@@ -123,11 +135,12 @@
             'PYTHONPATH': os.pathsep.join(sys.path),
         }
         self.ended = False
+        self.started_at = time.monotonic()
         self.process = subprocess.Popen(
             [
                 sys.executable,
                 '-m',
-                'foxtaildaled.main',
+                'foxtaildaled',
                 '--metrics-port',
                 str(self._metrics),
             ],
@@ -138,9 +151,24 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
+        if number == signal.SIGHUP:
+            self.signalled_at = time.monotonic()
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def start_if_unborn(self) -> None:
+        """Starts it again if SIGHUP met the interpreter before our first line.
+
+        No program can handle a signal that comes before it runs; the platform
+        starts a process that ended again, and so does this, once.
+        """
+        process = self.process
+        if process is None or process.poll() != -signal.SIGHUP:
+            return
+        lived_s = self.signalled_at - self.started_at
+        if lived_s < UNBORN_S:
+            self.start()
+
     def end(self, number: signal.Signals) -> None:
         """Ends the process and waits for it."""
         self.ended = True
@@ -251,8 +279,14 @@
             passed = relay.Relay(worker.address)
             worker.address = passed.address
             self.relays.append(passed)
+        ports = _ports(ROUTERS * _PORTS)
         self.routers = [
-            Router(number, folder, self.store.address)
+            Router(
+                number,
+                folder,
+                self.store.address,
+                ports[number * _PORTS : (number + 1) * _PORTS],
+            )
             for number in range(ROUTERS)
         ]
         self.seen: list[Seen] = []
@@ -453,6 +487,7 @@
     def _recover(self) -> None:
         for router in self.routers:
             router.send_signal(signal.SIGCONT)
+            router.start_if_unborn()
 
         def works() -> bool:
             return all(self._serves(router) for router in self.routers)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -54,3 +54,33 @@
     assert running.stdout.readline() == 'again\n'
     running.send_signal(signal.SIGTERM)
     assert running.wait(5) == 0
+
+
+def test_a_signal_during_the_start_ends_nobody() -> None:
+    """Settings change just as a killed process is started again.
+
+    Loading its libraries takes half a second; ended in that time, it would be
+    started once more and callers be without this VM for as long again.
+    """
+    program = (
+        'import signal, sys\n'
+        'from foxtaildaled import __main__ as first\n'
+        'def look(name, *rest):\n'
+        '    if name == "foxtaildaled.main":\n'
+        '        print(signal.getsignal(signal.SIGHUP).name, flush=True)\n'
+        '        print("zmq" in sys.modules, flush=True)\n'
+        '        sys.exit(0)\n'
+        'class Finder:\n'
+        '    find_spec = staticmethod(look)\n'
+        'sys.meta_path.insert(0, Finder)\n'
+        'first.main()\n'
+    )
+    path = os.pathsep.join(sys.path)
+    found = subprocess.run(
+        [sys.executable, '-c', program],
+        capture_output=True,
+        text=True,
+        check=False,
+        env=os.environ | {'PYTHONPATH': path},
+    )
+    assert found.stdout == 'SIG_IGN\nFalse\n', found.stderr
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,11 +14,17 @@
 
 
 # 1: a planned stop, worker and store faults that overlap.
+# 96259079: a SIGHUP came 30 ms after a killed router was started again, and
+# ended it. It is ignored from our first line on now, no longer from when all
+# libraries are loaded; before that line the soak starts the router once more, as
+# the platform does.
+# 96259072: two routers of one run had drawn the same port, each before the other
+# had bound it. The ports of a run are drawn together now.
 # 105, 122: a router that was started again ended at once, since another
 # process had its port by then (105), or the machine had no thread left for it
 # (122, three soaks beside a large run). The soak's ports are no connection's
 # now, and it plays one seed at a time.
-@pytest.mark.parametrize('seed', [1, 105, 122])
+@pytest.mark.parametrize('seed', [1, 105, 122, 96259072, 96259079])
 def test_the_promises_hold_under_overlapping_faults(seed: int) -> None:
     """Routers are killed and stopped while store and workers fail as well.
 
