Work out each engine's token time once a look at the plan

Found in reading the change: every waiter tried at every decode worker asked for that worker's speed against the others, and each time the median of all of them was worked out anew. What is decided stays as it is; tests unchanged.

--- a/packages/core/foxtaildale/packing.py
+++ b/packages/core/foxtaildale/packing.py
@@ -49,7 +49,9 @@
         self._there: dict[str, list[growth.Running]] = {}
         for worker, request in running:
             self.give(worker, request)
-        self._token_s = token_s
+        # Worked out once a look: it takes a median over all engines, and every
+        # waiter is tried at every worker.
+        self._token_s = {worker: token_s(worker) for worker in self._open}
 
     @property
     def full(self) -> bool:
@@ -68,7 +70,7 @@
             there = self._there.get(worker, [])
             if worker in avoid or len(there) >= self._slots:
                 continue
-            token_s = self._token_s(worker)
+            token_s = self._token_s[worker]
             most = growth.peak([*there, request], self._now, token_s)
             if not there:
                 # An engine of its own has to do for the largest.
