Agree on the home of a service while VMs are replaced; survey before granting

A stopping home refused its own requests and reserved at the engines behind the next home's back; suspects were passed over for 2 s to 60 s, each VM for another span, so two homes planned one service; a new process was home at once by the hash and knew nothing. Prompts were read and turned away (27 of 558 prefills).

A suspect is now probed and trusted as soon as it says that it is fit; a new process leaves homes to VMs that were up for ten seconds, if there are any; a home gives nothing before it asked all VMs what they hold, and asks on each second. Holders no longer push to the home that they believe in.

--- a/packages/adapters/foxtaildale_adapters/peers.py
+++ b/packages/adapters/foxtaildale_adapters/peers.py
@@ -16,6 +16,8 @@
 """
 
 import collections
+from collections.abc import Sequence
+import contextlib
 import itertools
 import threading
 import time
@@ -109,21 +111,31 @@
             errors.AnswerLostError: It may have been sent; no answer came.
             errors.RejectedError: The reply is a `Fail`.
         """
-        payload = messages.encode(msg)
-        if len(payload) > messages.MAX_BYTES:
-            raise errors.UnreachableError(
-                f'message of {len(payload)} bytes, limit {messages.MAX_BYTES}'
-            )
-        ask = connections.Ask(next(self._numbers), payload)
-        if self._closing:
-            raise errors.UnreachableError('closed')
-        self._incoming.append((address, ask))
-        self._wake.set()
-        if not ask.done.wait(timeout_s):
-            self._give_up(address, ask)
-        if ask.exc is not None:
-            raise ask.exc
-        return self._read(address, ask.reply or b'')
+        ask = self._put(address, _payload(msg))
+        return self._wait(address, ask, timeout_s)
+
+    def ask_all(
+        self, addresses: Sequence[str], msg: messages.Any, timeout_s: float
+    ) -> dict[str, messages.Any]:
+        """Sends a message to several and waits for their replies together.
+
+        Args:
+            addresses: Each 'IP:PORT' of a `wire.Responder`.
+            msg: What to ask.
+            timeout_s: Longest wait for all of them, seconds.
+
+        Returns:
+            The replies that came in time, by address; no `Fail`.
+        """
+        payload = _payload(msg)
+        end = self._clock() + timeout_s
+        asks = [(address, self._put(address, payload)) for address in addresses]
+        replies = {}
+        for address, ask in asks:
+            left_s = max(0.0, end - self._clock())
+            with contextlib.suppress(errors.PortError):
+                replies[address] = self._wait(address, ask, left_s)
+        return replies
 
     def close(self) -> None:
         """Ends every ask and closes every connection."""
@@ -135,6 +147,28 @@
         self._thread.join()
         self._context.destroy(linger=0)
 
+    def _put(self, address: str, payload: bytes) -> connections.Ask:
+        """Hands an ask to the background thread.
+
+        Raises:
+            errors.UnreachableError: The asking side was closed.
+        """
+        ask = connections.Ask(next(self._numbers), payload)
+        if self._closing:
+            raise errors.UnreachableError('closed')
+        self._incoming.append((address, ask))
+        self._wake.set()
+        return ask
+
+    def _wait(
+        self, address: str, ask: connections.Ask, timeout_s: float
+    ) -> messages.Any:
+        if not ask.done.wait(timeout_s):
+            self._give_up(address, ask)
+        if ask.exc is not None:
+            raise ask.exc
+        return self._read(address, ask.reply or b'')
+
     def _give_up(self, address: str, ask: connections.Ask) -> None:
         """Settles an ask whose time is over, unless it was settled just now."""
         with self._lock:
@@ -324,3 +358,12 @@
             if not ask.done.is_set():
                 ask.exc = exc
                 ask.done.set()
+
+
+def _payload(msg: messages.Any) -> bytes:
+    payload = messages.encode(msg)
+    if len(payload) > messages.MAX_BYTES:
+        raise errors.UnreachableError(
+            f'message of {len(payload)} bytes, limit {messages.MAX_BYTES}'
+        )
+    return payload
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -92,7 +92,11 @@
 OF_BELIEFS: Final[dict[str, Event]] = {
     name: Event(sentence, fields, on_request=False)
     for name, sentence, fields in (
-        ('started', 'the router started', ('caller', 'ready', 'admin')),
+        (
+            'started',
+            'the router started',
+            ('first_start', 'caller', 'ready', 'admin'),
+        ),
         ('stopping', 'told to stop with {busy} requests', ('busy',)),
         ('stopped', 'ended with {busy} requests', ('busy',)),
         ('reloaded', 'settings were read anew', ('store', 'seeds')),
@@ -155,6 +159,11 @@
             '{entry_vm_asked} answers as home again',
             ('entry_vm_asked',),
         ),
+        (
+            'home taken',
+            '{answered} of {asked} VMs said what they hold of {service}',
+            ('service', 'asked', 'answered', 'places', 'took_ms'),
+        ),
         (
             'claim failed',
             'the right to order engines of {service} was not had: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -400,6 +400,24 @@
     age_ms: int = 0
 
 
+class AskHome(Wire, frozen=True):
+    """Asks an entry VM whether it may be a home."""
+
+
+class HomeReply(Wire, frozen=True):
+    """Says so."""
+
+    fit: bool
+    # Whether it has been up for long enough to go before a new process.
+    grown: bool
+
+
+class AskHeld(Wire, frozen=True):
+    """From the home of a service to all entry VMs: what do they hold?"""
+
+    service: str
+
+
 class KeepPlaces(Wire, frozen=True):
     """All that one entry VM holds; rebuilds the plan of a new home."""
 
@@ -444,6 +462,9 @@
     | Place
     | EndPlace
     | ServerFailed
+    | AskHome
+    | HomeReply
+    | AskHeld
     | KeepPlaces
 )
 
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -315,3 +315,12 @@
         self, address: str, msg: messages.Any, timeout_s: float
     ) -> messages.Any:
         """Sends a message and waits for its reply."""
+
+
+class PeerGroup(Peers, Protocol):
+    """Other processes that can be asked together."""
+
+    def ask_all(
+        self, addresses: Sequence[str], msg: messages.Any, timeout_s: float
+    ) -> dict[str, messages.Any]:
+        """Sends a message to several; returns the replies that came."""
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -4,7 +4,11 @@
 or, while that can't be reached, from other entry VMs. Owned by one actor.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
 import logging
+import math
 import random
 
 from foxtaildale import balance
@@ -18,6 +22,11 @@
 from foxtaildale import routes
 from foxtaildale_adapters import logs
 
+# A service is surveyed as long as places of it were asked for within this time,
+# at this pace, and its home gives none when it was surveyed longer ago, seconds.
+_ASKED_S = 2.0
+_SURVEY_S = 1.0
+_SURVEYED_S = 3.0
 # A store that failed within this time may have let entries of living servers
 # lapse, seconds: servers write every 1.2 s, entries lapse after three of
 # those, and living ones are back two seconds after the store is.
@@ -28,16 +37,19 @@
     """State of a router; the time is an argument."""
 
     __slots__ = (
+        '_asked',
         '_codec',
         '_mirrors',
         '_peer_address',
         '_plans',
         '_seeds',
+        '_surveyed',
         'entry_vms',
         'failed_at',
         'fleet',
         'fresh_at',
         'matcher',
+        'on_unsurveyed',
         'servers_known',
     )
 
@@ -59,6 +71,12 @@
         }
         # Of the services that this entry VM is the home of.
         self._plans: dict[str, placing.Plan] = {}
+        # When places were last asked for here, and when it was last known what
+        # all entry VMs hold, by service.
+        self._asked: dict[str, float] = {}
+        self._surveyed: dict[str, float] = {}
+        # Called when a survey is needed at once.
+        self.on_unsurveyed: Callable[[], None] = lambda: None
         self.fleet = fleet.Fleet(data_centre, rng)
         # The configuration in force; None while none is known.
         self.matcher: routes.Matcher | None = None
@@ -135,9 +153,6 @@
         if isinstance(msg, messages.ServerFailed):
             self.server_failed(msg, now)
             return messages.Pong()
-        if isinstance(msg, messages.KeepPlaces):
-            self.keep_places(msg, now)
-            return messages.Pong()
         return messages.Fail(code='not-for-a-router')
 
     def ask_place(
@@ -146,9 +161,43 @@
         """Answers as the home of a service."""
         if self.matcher is None:
             return messages.Fail(code='not-ready')
-        service = self.matcher.table.service(msg.service)
-        plan = self._plans.setdefault(msg.service, placing.Plan())
-        return plan.ask(now, msg, service, self._engines(msg.service, now))
+        name = msg.service
+        service = self.matcher.table.service(name)
+        plan = self._plans.setdefault(name, placing.Plan())
+        self._asked[name] = now
+        engines = self._engines(name, now)
+        if not self._is_surveyed(name, now):
+            # Asked as a waiter it loses no time: its place is granted as soon
+            # as it is known what there is to grant.
+            self.on_unsurveyed()
+            engines = _no_engines
+        return plan.ask(now, msg, service, engines)
+
+    def surveys_due(self, now: float) -> list[str]:
+        """Returns the services of which it should be asked what is held."""
+        return [
+            service
+            for service, asked_at in self._asked.items()
+            if now - asked_at < _ASKED_S
+            and now - self._surveyed.get(service, -math.inf) >= _SURVEY_S
+        ]
+
+    def surveyed(
+        self, service: str, found: Iterable[messages.KeepPlaces], now: float
+    ) -> bool:
+        """Takes what entry VMs hold.
+
+        Returns:
+            Whether that was not known here.
+        """
+        first = not self._is_surveyed(service, now)
+        for held in found:
+            self.keep_places(held, now)
+        self._surveyed[service] = now
+        return first
+
+    def _is_surveyed(self, service: str, now: float) -> bool:
+        return now - self._surveyed.get(service, -math.inf) < _SURVEYED_S
 
     def stage_changes(
         self, now: float
@@ -298,6 +347,10 @@
             self.entry_vms.pop(entry.key, None)
 
 
+def _no_engines() -> tuple[Sequence[fleet.Tally], Sequence[fleet.Tally]]:
+    return (), ()
+
+
 def _differs(before: forwarding.Backend, after: forwarding.Backend) -> bool:
     """Whether a server's entry changed in what requests depend on."""
     return (before.leaving, before.stage) != (after.leaving, after.stage)
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -8,7 +8,6 @@
 import random
 import threading
 import time
-from typing import Final
 
 from foxtaildale import forwarding
 from foxtaildale import incarnations
@@ -18,13 +17,12 @@
 from foxtaildaled import actors
 from foxtaildaled import balancing
 from foxtaildaled import beliefs
+from foxtaildaled import fitness
 from foxtaildaled import places
 from foxtaildaled import process
+from foxtaildaled import surveys
 from foxtaildaled import syncing
 
-# Time between repeats of what is held, seconds.
-_KEEP_S: Final = 1.0
-
 
 def make(
     cfg: options.RouterOptions,
@@ -33,8 +31,9 @@
     store: Callable[[], ports.Topics],
     workers: ports.Workers,
     owner: actors.Owner[beliefs.Beliefs],
-    peers: ports.Peers,
+    peers: ports.PeerGroup,
     plan: places.Places,
+    fit: fitness.Fitness,
     counts: metrics.Metrics,
     stopping: threading.Event,
     on_read: Callable[[], None],
@@ -51,6 +50,7 @@
         owner: Owns what the router believes.
         peers: The other entry VMs.
         plan: The asking side of the homes.
+        fit: Whether this entry VM may be one.
         counts: Metrics.
         stopping: Set when the router is told to stop.
         on_read: Called behind each read of configuration or servers.
@@ -102,13 +102,22 @@
         workers=workers,
         clock=clock,
     )
+    survey = surveys.Surveys(
+        owner=owner, peers=peers, held=plan.held, clock=clock
+    )
+    survey_loop = process.Loop('surveys', surveys.LOOK_S, survey.step)
+    owner.run(
+        lambda state, _: setattr(state, 'on_unsurveyed', survey_loop.wake)
+    )
     config = follow(codec.config_topic, syncing.CONFIG_WAIT_S)
     balance = _unless(stopping, balancer.step)
     return [
         process.Loop('config', 0.0, config),
         process.Loop('servers', pace_s, follow(codec.servers_topic, 0.0)),
         process.Loop('members', syncing.MEMBERS_S, _until(members.step)),
-        process.Loop('places', _KEEP_S, plan.step),
+        process.Loop('places', places.PROBE_S, plan.step),
+        process.Loop('fitness', fitness.LOOK_S, fit.step),
+        survey_loop,
         process.Loop('peers', syncing.PEER_S, peer.step),
         process.Loop('balancing', balancing.LOOK_S, balance),
     ]
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -1,9 +1,9 @@
-"""Asks the home of a service for places, and repeats what is held.
+"""Asks the home of a service for places, and says what is held.
 
 The home is one of the entry VMs, chosen by rendezvous hash, so all choose the
-same without agreement. One that does not answer is passed over for a while and
-the next one by the hash asked instead; what its plan lacks, the repeats of the
-holders bring within a second.
+same without agreement. One that does not answer, or says that it is not fit, is
+passed over until it answers a probe (`suspects`), and the next one by the hash
+is asked instead; what its plan lacks it asks all VMs for (`surveys`).
 """
 
 from collections.abc import Callable
@@ -12,10 +12,13 @@
 import threading
 from typing import Final
 
+import msgspec
+
 from foxtaildale import errors
 from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import ports
+from foxtaildale import suspects
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import beliefs
@@ -23,34 +26,20 @@
 # Longest wait for the home's answer, seconds. It decides without waiting; a
 # round trip takes two milliseconds, and much of a target of 0.9 s is left.
 ANSWER_S: Final = 0.25
-# Answers of a home that may fail to come in a row. One is lost with a broken
-# connection or a busy moment; giving the home up at once would have two homes
-# give the same memory.
-MISSES: Final = 2
-# A home that did not answer is passed over for this long, seconds, and twice
-# as long with each time that it did not, up to the longest.
-SUSPECT_S: Final = 2.0
-SUSPECT_MOST_S: Final = 60.0
-# Homes asked for one request before it goes on without a plan.
-HOMES: Final = 2
+# Answers that may be lost under one request before it goes on without a plan,
+# two of each of two homes but one, and homes that may refuse it: those answer
+# within milliseconds.
+LOST: Final = 3
+REFUSED: Final = 8
+# Time between looks for suspects to probe, seconds.
+PROBE_S: Final = 0.2
 # Ends and reports that may wait to be told; a lost end is mended by the next
-# repeat, a lost report by the next failure.
+# survey, a lost report by the next failure.
 QUEUE_LIMIT: Final = 500
 
 Handle = Callable[[messages.Any], messages.Any]
 
 
-class _Suspect:
-    """A home that did not answer."""
-
-    __slots__ = ('misses', 'span_s', 'until')
-
-    def __init__(self) -> None:
-        self.misses = 0
-        self.span_s = SUSPECT_S
-        self.until = 0.0
-
-
 class Places:
     """The asking side; safe for concurrent use."""
 
@@ -72,7 +61,7 @@
         entry_vm: str,
         handle: Handle,
         owner: actors.Owner[beliefs.Beliefs],
-        peers: ports.Peers,
+        peers: ports.PeerGroup,
         clock: ports.Clock,
     ) -> None:
         self._entry_vm = entry_vm
@@ -82,7 +71,7 @@
         self._peers = peers
         self._clock = clock
         self._lock = threading.Lock()
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects = suspects.Suspects()
         # What this entry VM holds, and since when; by service and request.
         self._held: dict[str, dict[str, tuple[messages.KeptPlace, float]]] = {}
         # What the home is to hear of, in order.
@@ -100,18 +89,25 @@
         self, msg: messages.AskPlace
     ) -> messages.Place | messages.Queued | None:
         """Asks for a place; None if no home answers."""
-        for _ in range(HOMES + MISSES - 1):
+        lost = refused = 0
+        while lost < LOST and refused < REFUSED:
             home = self._home(msg.service)
             if home is None:
                 return None
             try:
                 reply = self._send(home, msg)
             except errors.PortError as exc:
+                if isinstance(exc, errors.AnswerLostError):
+                    lost += 1
+                else:
+                    refused += 1
                 self._suspect(home, exc)
                 continue
-            self._trust(home)
+            with self._lock:
+                self._suspects.answered(home[0])
             if isinstance(reply, messages.Place | messages.Queued):
                 return reply
+            refused += 1
         return None
 
     def hold(self, service: str, place: messages.KeptPlace) -> None:
@@ -134,32 +130,40 @@
             )
         )
 
-    def step(self) -> None:
-        """Repeats to each home what this entry VM holds, as a loop."""
+    def held(self, service: str) -> messages.KeepPlaces:
+        """Returns what this entry VM holds of a service."""
         now = self._clock()
         with self._lock:
-            held = {
-                service: tuple(
-                    messages.KeptPlace(
-                        request=place.request,
-                        worker=place.worker,
-                        prompt=place.prompt,
-                        hinted=place.hinted,
-                        longest=place.longest,
-                        age_ms=int((now - since) * 1000),
-                    )
-                    for place, since in places.values()
-                )
-                for service, places in self._held.items()
-            }
-            for service in [name for name, found in held.items() if not found]:
-                # Told once more, empty, so that the home forgets lost ends.
-                del self._held[service]
-        for service, places in held.items():
-            msg = messages.KeepPlaces(
-                service=service, holder=self._entry_vm, places=places
-            )
-            self._tell(service, msg)
+            found = list(self._held.get(service, {}).values())
+        return messages.KeepPlaces(
+            service=service,
+            holder=self._entry_vm,
+            places=tuple(
+                msgspec.structs.replace(place, age_ms=int((now - since) * 1000))
+                for place, since in found
+            ),
+        )
+
+    def step(self) -> None:
+        """Probes the suspects that are due, as a loop."""
+        with self._lock:
+            due = self._suspects.due(self._clock())
+        known = self._owner.run(lambda state, _: dict(state.entry_vms))
+        addresses = {
+            name: known[name].peer_address for name in due if name in known
+        }
+        if not addresses:
+            return
+        replies = self._peers.ask_all(
+            list(addresses.values()), messages.AskHome(), ANSWER_S
+        )
+        for name, address in addresses.items():
+            reply = replies.get(address)
+            fit = isinstance(reply, messages.HomeReply) and reply.fit
+            with self._lock:
+                self._suspects.probed(self._clock(), name, fit=fit)
+            if fit:
+                logs.event(logging.INFO, 'home regained', entry_vm_asked=name)
 
     def is_home(self, service: str) -> bool:
         """Whether this entry VM is the home of a service."""
@@ -190,35 +194,31 @@
 
     def _send(self, home: tuple[str, str], msg: messages.Any) -> messages.Any:
         name, address = home
-        if name == self._entry_vm:
-            return self._handle(msg)
-        return self._peers.ask(address, msg, ANSWER_S)
+        if name != self._entry_vm:
+            return self._peers.ask(address, msg, ANSWER_S)
+        reply = self._handle(msg)
+        if isinstance(reply, messages.Fail):
+            raise errors.RejectedError(reply.code, reply.message)
+        return reply
 
     def _home(self, service: str) -> tuple[str, str] | None:
         """Returns the name and address of the home; None if none is left."""
-        now = self._clock()
         known = self._owner.run(lambda state, _: dict(state.entry_vms))
         with self._lock:
-            names = [
-                name
-                for name in known
-                if name not in self._suspects
-                or self._suspects[name].until <= now
-            ]
-        fit = homes.strong({name: known[name].cores for name in names})
-        name = homes.home(service, fit)
+            passed = self._suspects.passed()
+        cores = {
+            name: vm.cores for name, vm in known.items() if name not in passed
+        }
+        name = homes.home(service, homes.strong(cores))
         return (name, known[name].peer_address) if name else None
 
     def _suspect(self, home: tuple[str, str], exc: errors.PortError) -> None:
         name, address = home
+        lost = isinstance(exc, errors.AnswerLostError)
         with self._lock:
-            suspect = self._suspects.setdefault(name, _Suspect())
-            suspect.misses += 1
-            lost = isinstance(exc, errors.AnswerLostError)
-            if lost and suspect.misses < MISSES:
-                return
-            suspect.until = self._clock() + suspect.span_s
-            suspect.span_s = min(2 * suspect.span_s, SUSPECT_MOST_S)
+            passed = self._suspects.failed(self._clock(), name, lost=lost)
+        if not passed:
+            return
         logs.event(
             logging.INFO,
             'home lost',
@@ -226,9 +226,3 @@
             address=address,
             error=str(exc),
         )
-
-    def _trust(self, home: tuple[str, str]) -> None:
-        with self._lock:
-            if self._suspects.pop(home[0], None) is None:
-                return
-        logs.event(logging.INFO, 'home regained', entry_vm_asked=home[0])
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -24,6 +24,7 @@
 from foxtaildale_adapters import wire
 from foxtaildaled import actors
 from foxtaildaled import beliefs
+from foxtaildaled import fitness
 from foxtaildaled import forward
 from foxtaildaled import generate
 from foxtaildaled import loops
@@ -106,6 +107,7 @@
         '_cfg',
         '_closed',
         '_codec',
+        '_fitness',
         '_limits_version',
         '_loops',
         '_metrics',
@@ -144,6 +146,13 @@
         self._responder = wire.Responder(
             cfg.peer_address, self._handle, _PEER_THREADS
         )
+        self._fitness = fitness.Fitness(
+            owner=owner,
+            peers=self._peers,
+            stopping=self._stopping,
+            clock=clock,
+            first_start=cfg.first_start,
+        )
         self._tidy = tidy.Tidy(made.workers)
         self._places = places.Places(
             entry_vm=cfg.entry_vm,
@@ -309,6 +318,7 @@
             owner=self._owner,
             peers=self._peers,
             plan=self._places,
+            fit=self._fitness,
             counts=self._metrics,
             stopping=self._stopping,
             on_read=self._apply_limits,
@@ -329,11 +339,16 @@
         self._limits_version = matcher.table.version
 
     def _handle(self, msg: messages.Any) -> messages.Any:
-        asks = isinstance(msg, messages.AskPlace | messages.AskRecords)
-        if asks and self._stopping.is_set():
-            # They choose another home or reader at once; left to notice the
-            # end of this process, they would wait for it first.
+        # Whoever is refused chooses another home or reader at once; left to
+        # notice the end of this process, it would wait for it first.
+        if isinstance(msg, messages.AskPlace) and self._fitness.reason():
+            return messages.Fail(code=self._fitness.reason())
+        if isinstance(msg, messages.AskRecords) and self._stopping.is_set():
             return messages.Fail(code='stopping')
+        if isinstance(msg, messages.AskHome):
+            return self._fitness.reply()
+        if isinstance(msg, messages.AskHeld):
+            return self._places.held(msg.service)
         if isinstance(msg, messages.Dump):
             return messages.DumpReply(state=self._dump())
         return self._owner.run(lambda state, now: state.handle(msg, now))
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -18,6 +18,7 @@
     'router',
     'routing',
     'spots',
+    'surveys',
     'syncing',
     'tidy',
 )
