--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -101,7 +101,14 @@
 class Held:
     """A granted place."""
 
-    __slots__ = ('digest', 'holder', 'kept_at', 'place', 'running')
+    __slots__ = (
+        'digest',
+        'holder',
+        'kept_at',
+        'place',
+        'read_alone',
+        'running',
+    )
 
     def __init__(
         self,
@@ -118,6 +125,8 @@
         self.digest = digest
         self.running = running
         self.kept_at = now
+        # Whether no prompt was before its own at its prefill worker.
+        self.read_alone = False
 
 
 class Plan:
@@ -222,7 +231,13 @@
             self._first_at.pop(held.digest, None)
         if msg.prefill_ms:
             prompt, took_s = held.running.prompt, msg.prefill_ms / 1000
-            self._prefills.note(now, held.place.prefiller, prompt, took_s)
+            self._prefills.note(
+                now,
+                held.place.prefiller,
+                prompt,
+                took_s,
+                alone=held.read_alone,
+            )
             if held.place.prefiller and (msg.refused or msg.tokens):
                 taken = not msg.refused
                 self._prefills.note_use(now, held.place.prefiller, taken=taken)
@@ -269,7 +284,9 @@
     ) -> tuple[balance.Change, ...]:
         """Returns which engines should change their stage now."""
         token_s = self._decode_speeds.usual_s() or self._token_s
-        share = self.balance.share(service, self._prefills.per_s, token_s)
+        share = self.balance.share(
+            service, self._prefills.reading.per_s, token_s
+        )
         waiting = self._prefills.waiting(self.balance.prompt)
         decoders, prefillers = engines()
         # A slow engine is no help to prefill, and to decode it is some.
@@ -349,17 +366,15 @@
     ) -> bool:
         """Grants a place, or keeps the worker that it will fit at first."""
         msg = waiter.msg
-        prefiller, ready_at = self._prefills.choose(
-            now, msg.prompt, prefillers, msg.avoid
-        )
-        if self._prefills.too_busy(now, msg.prompt, ready_at):
+        turn = self._prefills.choose(now, msg.prompt, prefillers, msg.avoid)
+        if self._prefills.too_busy(now, msg.prompt, turn):
             found.close()
             return False
         running = growth.Running(
             prompt=msg.prompt,
             expected=self._expected(msg.hinted, msg.longest),
             longest=msg.longest,
-            started_at=ready_at,
+            started_at=turn.ready_at,
         )
         worker, fits = found.roomiest(running, msg.avoid)
         if not worker:
@@ -368,12 +383,12 @@
             found.keep(worker)
             return False
         found.give(worker, running)
-        if prefiller:
-            self._prefills.give(prefiller, ready_at)
-        waiter.place = messages.Place(worker=worker, prefiller=prefiller)
-        self._held[msg.request] = Held(
-            msg.holder, waiter.place, running, now, msg.digest
-        )
+        if turn.worker:
+            self._prefills.give(turn)
+        waiter.place = messages.Place(worker=worker, prefiller=turn.worker)
+        held = Held(msg.holder, waiter.place, running, now, msg.digest)
+        held.read_alone = turn.starts_at <= now
+        self._held[msg.request] = held
         return True
 
     def _note_grant(self, now: float) -> None:
--- a/packages/core/foxtaildale/prefills.py
+++ b/packages/core/foxtaildale/prefills.py
@@ -10,7 +10,10 @@
 import math
 from typing import Final
 
+import msgspec
+
 from foxtaildale import fleet
+from foxtaildale import reading
 from foxtaildale import speeds
 
 # Work of a prefill worker before a prompt beyond which its place is not given
@@ -21,11 +24,6 @@
 # Prompts wait for each other at the prefill workers if a prompt takes this many
 # times as long, from its place on, as an engine needs to read it.
 WAITING: Final = 1.6
-# The way to the worker and back with what is done on it, seconds. Of a heavy
-# day of 76 VMs, prompts of 1,000 tokens took 40 ms, 20 of it for reading.
-WAY_S: Final = 0.02
-# Prompt tokens read in a second until some are measured.
-PER_S: Final = 50_000.0
 # Part of a worker's last prompts that no decode worker took, from which on it
 # gets none for a moment, and how much each counts: two in a row. A full decode
 # worker refuses as well, but then prompts of every prefill worker.
@@ -38,14 +36,24 @@
 _MOST: Final = 256
 # How much a new measurement counts.
 _LEARN: Final = 0.1
-# The fastest prefill seen is forgotten by this part with each one measured.
-_FORGET: Final = 0.01
+
+
+class Turn(msgspec.Struct, frozen=True):
+    """When a prefill worker would read a prompt, seconds."""
+
+    # Its id; empty if there is none, and the times are now.
+    worker: str
+    # When it has read all before it.
+    starts_at: float
+    # When it has read this one, and when that is known.
+    read_at: float
+    ready_at: float
 
 
 class Prefills:
     """Time of the prefill workers."""
 
-    __slots__ = ('_free_at', '_lost', '_speeds', 'mean_s', 'per_s')
+    __slots__ = ('_free_at', '_lost', '_speeds', 'mean_s', 'reading')
 
     def __init__(self) -> None:
         # When each has read what it was given, seconds, by id.
@@ -53,8 +61,7 @@
         self._speeds = speeds.Speeds()
         # Decaying part of prompts that were lost, and as of when, by id.
         self._lost: dict[str, tuple[float, float]] = {}
-        # Prompt tokens that a worker reads in a second.
-        self.per_s = PER_S
+        self.reading = reading.Reading()
         # Mean time from a place until the prompt was read, seconds; 0 until
         # one was measured.
         self.mean_s = 0.0
@@ -65,29 +72,24 @@
         prompt: int,
         prefillers: Iterable[fleet.Tally],
         avoid: Collection[str],
-    ) -> tuple[str, float]:
-        """Returns the worker that is through first, and when.
-
-        Empty, and now, if there is none.
-        """
+    ) -> Turn:
+        """Returns the turn at the worker that is through first."""
         names = [t.backend.id for t in prefillers if t.backend.id not in avoid]
         keeping = [name for name in names if not self.losing(now, name)]
-        best, least = '', math.inf
-        for name in keeping or names:
-            free_at = max(now, self._free_at.get(name, 0.0))
-            slowness = self._speeds.slowness(now, name)
-            ready_at = free_at + slowness * prompt / self.per_s
-            if ready_at < least:
-                best, least = name, ready_at
-        return best, least if best else now
-
-    def too_busy(self, now: float, prompt: int, ready_at: float) -> bool:
+        turns = [self._turn(now, prompt, name) for name in keeping or names]
+        return min(
+            turns,
+            key=lambda turn: turn.read_at,
+            default=Turn('', now, now, now),
+        )
+
+    def too_busy(self, now: float, prompt: int, turn: Turn) -> bool:
         """Whether a prompt would wait too long for the ones before it."""
-        return ready_at - now - prompt / self.per_s > AHEAD_S
+        return turn.read_at - now - prompt / self.reading.per_s > AHEAD_S
 
-    def give(self, worker: str, ready_at: float) -> None:
-        """Notes that a worker got a prompt, and when it is through."""
-        self._free_at[worker] = ready_at
+    def give(self, turn: Turn) -> None:
+        """Notes that a worker got a prompt."""
+        self._free_at[turn.worker] = turn.read_at
         if len(self._free_at) > _MOST:
             del self._free_at[next(iter(self._free_at))]
 
@@ -95,7 +97,15 @@
         """Whether a worker is much slower than the others."""
         return self._speeds.slowness(now, worker) > 1.0
 
-    def note(self, now: float, worker: str, prompt: int, took_s: float) -> None:
+    def note(
+        self,
+        now: float,
+        worker: str,
+        prompt: int,
+        took_s: float,
+        *,
+        alone: bool = False,
+    ) -> None:
         """Takes a measured prefill.
 
         Args:
@@ -103,13 +113,16 @@
             worker: Which one did it; empty if that is not known.
             prompt: Tokens.
             took_s: Time from the place on, seconds.
+            alone: Whether nothing was before it at its worker.
         """
-        slower = self.per_s * (1 - _FORGET)
-        self.per_s = max(slower, prompt / took_s)
         self.mean_s += _LEARN * (took_s - self.mean_s)
-        if worker and prompt:
+        if not prompt:
+            return
+        if not self.slow(now, worker):
+            self.reading.note(prompt, took_s, alone=alone)
+        if worker:
             # Without the way, which is most of the time of a short prompt.
-            reading_s = max(took_s - WAY_S, took_s / 4)
+            reading_s = max(took_s - self.reading.way_s, took_s / 4)
             self._speeds.note(now, worker, reading_s / prompt)
 
     def note_use(self, now: float, worker: str, *, taken: bool) -> None:
@@ -133,4 +146,14 @@
 
     def waiting(self, prompt: float) -> bool:
         """Whether prompts of this mean length wait for each other."""
-        return self.mean_s > WAITING * prompt / self.per_s + WAY_S
+        return self.mean_s > self.usual_s(WAITING * prompt)
+
+    def usual_s(self, prompt: float) -> float:
+        """Returns the time of a prompt that waits for none, seconds."""
+        return prompt / self.reading.per_s + self.reading.way_s
+
+    def _turn(self, now: float, prompt: int, name: str) -> Turn:
+        starts_at = max(now, self._free_at.get(name, 0.0))
+        slowness = self._speeds.slowness(now, name)
+        read_at = starts_at + slowness * prompt / self.reading.per_s
+        return Turn(name, starts_at, read_at, read_at + self.reading.way_s)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -10,6 +10,7 @@
 from foxtaildale import messages
 from foxtaildale import placing
 from foxtaildale import prefills
+from foxtaildale import reading
 from foxtaildale import routes
 
 _SERVICE = routes.Service(name='s', kv_tokens=100_000, slots=64)
@@ -110,7 +111,7 @@
     number = 0
     while isinstance(place := _ask(plan, 0.0, f'r{number}'), messages.Place):
         number += 1
-        read_until[place.prefiller] += 5000 / prefills.PER_S
+        read_until[place.prefiller] += 5000 / reading.PER_S
         starts[place.worker].append(read_until[place.prefiller])
     for began in starts.values():
         for step in range(600):
@@ -324,7 +325,7 @@
 
 
 @pytest.mark.parametrize(
-    ('whole', 'on_time', 'overfull'), [(True, 54, 0), (False, 84, 367)]
+    ('whole', 'on_time', 'overfull'), [(True, 54, 0), (False, 86, 350)]
 )
 def test_callers_of_a_burst_that_are_served_on_time(
     whole: bool, on_time: int, overfull: int
@@ -440,7 +441,7 @@
         _ask(plan, 0.0, f'r{given}', prefillers=_PREFILLERS[:1]), messages.Place
     ):
         given += 1
-    reading_s = 5000 / prefills.PER_S
+    reading_s = 5000 / reading.PER_S
     assert given == int(prefills.AHEAD_S / reading_s) + 1
     _end(plan, 0.0, f'r{given}')
     urgent = _ask(plan, 0.2, 'urgent', priority=0, prefillers=_PREFILLERS[:1])
