--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -28,6 +28,7 @@
 from foxtaildale import messages
 from foxtaildale import packing
 from foxtaildale import prefills
+from foxtaildale import refusals
 from foxtaildale import reports
 from foxtaildale import room
 from foxtaildale import routes
@@ -140,6 +141,7 @@
         '_held',
         '_look_at',
         '_prefills',
+        '_refusals',
         '_reports',
         '_token_s',
         '_typical_log',
@@ -164,6 +166,7 @@
         self._prefills = prefills.Prefills()
         self._token_s = TOKEN_S
         self._decode_speeds = speeds.Speeds()
+        self._refusals = refusals.Refusals()
         self._reports = reports.Reports()
         # Mean logarithm of the lengths of whole answers; 0 before the first.
         self._typical_log = 0.0
@@ -206,7 +209,7 @@
             self._grant(
                 now,
                 service,
-                _sound(decoders, failed),
+                _sound(_sound(decoders, failed), self._refusals.closed(now)),
                 _sound(prefillers, failed),
             )
         if waiter.place is not None:
@@ -229,6 +232,9 @@
         self._look_at = min(self._look_at, now)
         if msg.whole:
             self._first_at.pop(held.digest, None)
+        if msg.refused or msg.tokens:
+            place, taken = held.place, not msg.refused
+            self._refusals.note(now, place.worker, place.prefiller, taken=taken)
         if msg.prefill_ms:
             prompt, took_s = held.running.prompt, msg.prefill_ms / 1000
             self._prefills.note(
