--- a/packages/adapters/foxtaildale_adapters/flight.py
+++ b/packages/adapters/foxtaildale_adapters/flight.py
@@ -1,10 +1,8 @@
-"""One request to one backend server on a connection of its own.
+"""One request to one backend server, with a connection to itself.
 
-A connection serves one request and is closed. A kept one saves a round trip,
-and brings what a request that must not run twice can't bear: an idle connection
-that the other side just closed leaves it open whether the request arrived, and
-bytes that follow an answer pass for the next one. The cost of connecting was
-measured at 0.3% of what a deployment earns.
+A connection that served a request to its end may serve another that can be sent
+again (`idle`). One that must not run twice takes a new connection: on an idle
+one that the other side just closed it is not known whether the request arrived.
 
 `cancel` may be called from any thread at any time; it shuts the connection
 down, which wakes the thread that waits on it and tells the backend server.
@@ -23,6 +21,7 @@
 
 from foxtaildale import errors
 from foxtaildale_adapters import exchange
+from foxtaildale_adapters import idle
 
 # Bound on connecting, seconds. Round trips take a few milliseconds. A lost
 # opening packet is sent again after one second, by when another server could
@@ -32,6 +31,8 @@
 # milliseconds: a machine behind a partition sends no reset.
 UNACKNOWLEDGED_MS: Final = 4000
 _READ_BYTES: Final = 65536
+# As the library tells the version of an answer.
+_HTTP_1_1: Final = 11
 _OPTIONS: Final[list[tuple[int, int, int | bytes]]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
@@ -60,17 +61,20 @@
 
 
 class Request:
-    """A request and the connection that is opened for it."""
+    """A request and its connection."""
 
     __slots__ = (
+        '_address',
         '_body',
         '_cancelled',
         '_conn',
         '_headers',
+        '_idle',
         '_lock',
         '_method',
         '_resp',
         '_target',
+        '_whole',
     )
 
     def __init__(
@@ -80,11 +84,24 @@
         target: str,
         headers: Mapping[str, str],
         body: bytes,
+        *,
+        idle_conns: idle.Idle | None = None,
     ) -> None:
-        host, _, port = address.rpartition(':')
-        self._conn = urllib3.connection.HTTPConnection(
-            host, int(port), timeout=CONNECT_S, socket_options=_OPTIONS
-        )
+        """Prepares a request; sends nothing yet.
+
+        Args:
+            address: 'IP:PORT' of the backend server.
+            method: HTTP method.
+            target: Path and query as they are sent.
+            headers: Headers as they are sent.
+            body: Bytes to send.
+            idle_conns: Where a connection is taken from, if there is one, and
+                kept. None for a request that must not be sent twice.
+        """
+        self._address = address
+        self._idle = idle_conns
+        kept = idle_conns.take(address) if idle_conns is not None else None
+        self._conn = kept or _connection(address)
         self._method = method
         self._target = target
         self._headers = dict(headers)
@@ -94,6 +111,8 @@
             if name.lower() not in names:
                 self._headers[name] = urllib3.util.SKIP_HEADER
         self._body = body
+        # Whether the answer was read to its proper end.
+        self._whole = False
         self._resp: urllib3.BaseHTTPResponse | None = None
         # Guards the flag: a cancel before the socket exists must keep it from
         # being used at all.
@@ -109,7 +128,8 @@
         """
         self._conn.timeout = min(timeout_s, CONNECT_S)
         try:
-            self._conn.connect()
+            if self._conn.sock is None:
+                self._conn.connect()
         except _LOST as exc:
             self.cancel()
             raise errors.UnreachableError(str(exc)) from exc
@@ -165,7 +185,9 @@
             raise errors.InvariantError('a body is read behind its head')
         try:
             self._wait_at_most(timeout_s)
-            return self._resp.read1(_READ_BYTES)
+            data = self._resp.read1(_READ_BYTES)
+            self._whole = not data
+            return data
         except urllib3.exceptions.ReadTimeoutError as exc:
             self.cancel()
             raise exchange.TimeoutLostError('silent') from exc
@@ -188,17 +210,59 @@
 
     def close(self) -> None:
         """Frees the connection; only the thread that reads calls it."""
+        if self._keep():
+            return
         self.cancel()
         if self._resp is not None:
             self._resp.close()
         self._conn.close()
 
+    def _keep(self) -> bool:
+        """Keeps the connection for another request, if it may serve one."""
+        if self._idle is None or self._resp is None or not self._whole:
+            return False
+        if not _may_serve_another(self._resp):
+            return False
+        with self._lock:
+            if self._cancelled or self._conn.sock is None:
+                return False
+            # A late cancel must not meet the next request.
+            conn, self._conn = self._conn, _connection(self._address)
+            resp, self._resp = self._resp, None
+        self._idle.put(self._address, conn, _told_s(resp))
+        return True
+
     def _wait_at_most(self, timeout_s: float) -> None:
         sock = self._conn.sock
         if sock is not None:
             sock.settimeout(max(0.001, timeout_s))
 
 
+def _connection(address: str) -> urllib3.connection.HTTPConnection:
+    host, _, port = address.rpartition(':')
+    return urllib3.connection.HTTPConnection(
+        host, int(port), timeout=CONNECT_S, socket_options=_OPTIONS
+    )
+
+
+def _may_serve_another(resp: urllib3.BaseHTTPResponse) -> bool:
+    """Whether the other side leaves the connection open behind an answer."""
+    names = resp.headers.get('Connection', '').lower()
+    framed = 'Content-Length' in resp.headers or resp.headers.get(
+        'Transfer-Encoding'
+    )
+    return bool(framed) and resp.version == _HTTP_1_1 and 'close' not in names
+
+
+def _told_s(resp: urllib3.BaseHTTPResponse) -> float | None:
+    """Returns how long the other side says that it keeps the connection."""
+    for part in resp.headers.get('Keep-Alive', '').split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.isdecimal():
+            return float(value)
+    return None
+
+
 def _check_framing(resp: urllib3.BaseHTTPResponse) -> None:
     """Refuses lengths that the library reads in its own way.
 
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -145,9 +145,22 @@
     """Backend servers that take requests as they came."""
 
     def plain(
-        self, call: forwarding.Call, server: forwarding.Backend, left_s: float
+        self,
+        call: forwarding.Call,
+        server: forwarding.Backend,
+        left_s: float,
+        *,
+        repeatable: bool = False,
     ) -> Flight:
-        """Prepares a request as the caller sent it."""
+        """Prepares a request as the caller sent it.
+
+        Args:
+            call: The request.
+            server: Where it goes.
+            left_s: How long the server may work on it, seconds.
+            repeatable: Whether it may be sent again if it is not known whether
+                it arrived.
+        """
 
     def prefill(
         self, call: forwarding.Call, server: forwarding.Backend, left_s: float
@@ -160,8 +173,10 @@
         reserved: forwarding.Reserved,
         prefilled: forwarding.Prefilled | None,
         left_s: float,
+        *,
+        repeatable: bool = False,
     ) -> Flight:
-        """Prepares the decoding of a request."""
+        """Prepares the decoding of a request; see `plain`."""
 
     def handle(self, body: bytes) -> str:
         """Returns the handle that the answer of a prefill names.
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -173,7 +173,9 @@
     ) -> _Whole | errors.PortError:
         """Sends once; an error says whether anything was sent."""
         left_s = req.left_s()
-        flight = self._workers.plain(req.call, server, left_s)
+        flight = self._workers.plain(
+            req.call, server, left_s, repeatable=req.route.repeatable
+        )
         self._owner.run(lambda state, _: state.fleet.sent(server.id))
         began = self._clock()
         try:
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -151,7 +151,13 @@
         server = reserved.worker
         left_s = req.left_s()
         req.call.after_event = answer.splitter.position
-        flight = self._workers.decode(req.call, reserved, prefilled, left_s)
+        flight = self._workers.decode(
+            req.call,
+            reserved,
+            prefilled,
+            left_s,
+            repeatable=req.route.resumable,
+        )
         req.log('sent', server=server.id, attempt=len(sent))
         before = answer.splitter.position or 0
         began = self._clock()
