--- a/packages/core/foxtaildale/balance.py
+++ b/packages/core/foxtaildale/balance.py
@@ -172,6 +172,10 @@
         """Notes that an engine was told to change, or may have been."""
         self._changing[server] = now + CHANGING_S
 
+    def settled(self, server: str) -> None:
+        """Notes that an engine started again, whatever it was told before."""
+        self._changing.pop(server, None)
+
     def changing(self, now: float) -> frozenset[str]:
         """Returns the engines that get no work, since they change."""
         self._settle(now)
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -38,6 +38,8 @@
 # seconds of the store's return; a leaving one must get nothing two seconds
 # after it was seen to leave, so the time stays under that bound.
 VANISHED_S: Final = 1.5
+# Servers whose newest start is remembered; more than a deployment lists.
+_STARTS: Final = 4096
 # How much a new measurement of the time a request takes counts.
 _SPEED_SHARE: Final = 0.2
 
@@ -95,7 +97,7 @@
 class Fleet:
     """All backend servers; owned by one actor."""
 
-    __slots__ = ('_data_centre', '_random', '_tallies')
+    __slots__ = ('_born', '_data_centre', '_random', '_tallies')
 
     # By id.
     _tallies: dict[str, Tally]
@@ -104,15 +106,35 @@
         self._data_centre = data_centre
         self._random = rng
         self._tallies = {}
+        # Newest start of each server, also of some that are gone; those that
+        # wrote last at the end.
+        self._born: dict[str, int] = {}
 
-    def put(self, backend: forwarding.Backend) -> None:
-        """Takes a new or changed entry of the list."""
+    def put(self, backend: forwarding.Backend) -> bool:
+        """Takes a new or changed entry of the list.
+
+        A later start of a server under its id begins with nothing: neither the
+        load, the failures nor the leave of the one before say anything of it.
+
+        Returns:
+            Whether it is taken; an entry of an earlier start is not. Taken, it
+            would send requests where another start was seen to leave, or take
+            a living one for one that leaves.
+        """
+        if backend.born < self.born(backend.id):
+            return False
+        self._note_start(backend)
         tally = self._tallies.get(backend.id)
-        if tally is None:
+        if tally is None or tally.backend.born < backend.born:
             self._tallies[backend.id] = Tally(backend)
-            return
+            return True
         tally.backend = backend
         tally.vanished_at = None
+        return True
+
+    def born(self, server: str) -> int:
+        """Returns when the newest start of a server was; 0 if not known."""
+        return self._born.get(server, 0)
 
     def remove(self, server: str, now: float, *, store_well: bool) -> None:
         """Takes the end of an entry.
@@ -248,6 +270,14 @@
         else:
             self.full(server, now)
 
+    def _note_start(self, backend: forwarding.Backend) -> None:
+        if not backend.born:
+            return
+        self._born.pop(backend.id, None)
+        self._born[backend.id] = backend.born
+        if len(self._born) > _STARTS:
+            del self._born[next(iter(self._born))]
+
     def _forget(self, now: float) -> None:
         for server, tally in list(self._tallies.items()):
             vanished_at = tally.vanished_at
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -20,8 +20,10 @@
 class Backend(msgspec.Struct, frozen=True, kw_only=True):
     """One start of one backend server, as the store lists it."""
 
-    # Names this start alone; a restart has another.
     id: str
+    # When it started, Unix milliseconds; a later start under the same id knows
+    # nothing of the ones before. 0 where entries don't tell it.
+    born: int = 0
     service: str
     address: str
     data_centre: str = ''
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -115,6 +115,21 @@
             'version {version} is in force, told by {source}',
             ('version', 'offset', 'routes', 'source'),
         ),
+        (
+            'key not readable',
+            'the record at {offset} names no key: {error}',
+            ('offset', 'error'),
+        ),
+        (
+            'backend server started again',
+            '{server} started again; {lost} requests to it were ended',
+            ('server', 'born', 'before', 'lost', 'offset', 'source'),
+        ),
+        (
+            'old entry passed over',
+            'an entry of an earlier start of {server} changes nothing',
+            ('server', 'born', 'known', 'offset', 'source'),
+        ),
         (
             'record not readable',
             'a record of {topic} was passed over: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -412,6 +412,8 @@
     hinted: int
     longest: int
     age_ms: int = 0
+    # When its worker started, Unix milliseconds; 0 if that is not told.
+    born: int = 0
 
 
 class AskHome(Wire, frozen=True):
--- a/packages/core/foxtaildale/ownreads.py
+++ b/packages/core/foxtaildale/ownreads.py
@@ -32,6 +32,10 @@
         # When each may read again, seconds, by id.
         self._free_at: dict[str, float] = {}
 
+    def forget(self, server: str) -> None:
+        """Forgets a server that started again."""
+        self._free_at.pop(server, None)
+
     def busy(self, now: float) -> frozenset[str]:
         """Returns the workers that may not read a prompt now."""
         return frozenset(
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -278,6 +278,18 @@
             before = self._typical_log or log
             self._typical_log = before + _LEARN * (log - before)
 
+    def restarted(self, server: str) -> None:
+        """Forgets what was known of a worker that started again."""
+        for request, held in list(self._held.items()):
+            if held.place.worker == server:
+                del self._held[request]
+        self._prefills.forget(server)
+        self._decode_speeds.forget(server)
+        self._refusals.forget(server)
+        self._own_reads.forget(server)
+        self._reports.forget(server)
+        self.balance.settled(server)
+
     def failed(self, now: float, msg: messages.ServerFailed) -> None:
         """Takes a holder's report of a failed server."""
         self._reports.note(now, msg.server, msg.holder)
--- a/packages/core/foxtaildale/prefills.py
+++ b/packages/core/foxtaildale/prefills.py
@@ -93,6 +93,12 @@
         if len(self._free_at) > _MOST:
             del self._free_at[next(iter(self._free_at))]
 
+    def forget(self, worker: str) -> None:
+        """Forgets a worker that started again."""
+        self._free_at.pop(worker, None)
+        self._lost.pop(worker, None)
+        self._speeds.forget(worker)
+
     def slow(self, now: float, worker: str) -> bool:
         """Whether a worker is much slower than the others."""
         return self._speeds.slowness(now, worker) > 1.0
--- a/packages/core/foxtaildale/refusals.py
+++ b/packages/core/foxtaildale/refusals.py
@@ -75,6 +75,10 @@
             known.span_s = min(2 * known.span_s, MOST_S)
             known.until = now + known.span_s
 
+    def forget(self, server: str) -> None:
+        """Forgets a server that started again."""
+        self._refusing.pop(server, None)
+
     def closed(self, now: float) -> frozenset[str]:
         """Returns the workers that get nothing now."""
         return frozenset(
--- a/packages/core/foxtaildale/reports.py
+++ b/packages/core/foxtaildale/reports.py
@@ -32,6 +32,10 @@
         """Takes the report of an entry VM."""
         self._reported.setdefault(server, {})[holder] = now
 
+    def forget(self, server: str) -> None:
+        """Forgets a server that started again."""
+        self._reported.pop(server, None)
+
     def failed(self, now: float) -> frozenset[str]:
         """Returns the servers that get no work now."""
         found = set()
--- a/packages/core/foxtaildale/speeds.py
+++ b/packages/core/foxtaildale/speeds.py
@@ -44,6 +44,10 @@
         if len(self._noted) > _MOST:
             del self._noted[next(iter(self._noted))]
 
+    def forget(self, server: str) -> None:
+        """Forgets a server that started again."""
+        self._noted.pop(server, None)
+
     def usual_s(self) -> float | None:
         """Returns the time of a token at most engines; None if not known."""
         if not self._noted:
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -11,6 +11,8 @@
 import math
 import random
 
+import msgspec
+
 from foxtaildale import balance
 from foxtaildale import errors
 from foxtaildale import fleet
@@ -44,11 +46,13 @@
         '_plans',
         '_seeds',
         '_surveyed',
+        '_unreadable',
         'entry_vms',
         'failed_at',
         'fleet',
         'fresh_at',
         'matcher',
+        'on_restarted',
         'on_unsurveyed',
         'servers_known',
     )
@@ -76,6 +80,11 @@
         self._asked: dict[str, float] = {}
         self._surveyed: dict[str, float] = {}
         # Called when a survey is needed at once.
+        # Called with a server that started again under its id; ends what was
+        # sent to it before, and returns how many requests that were.
+        self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
+        # Servers whose newest entry can't be read; told once each.
+        self._unreadable: set[str] = set()
         self.on_unsurveyed: Callable[[], None] = lambda: None
         self.fleet = fleet.Fleet(data_centre, rng)
         # The configuration in force; None while none is known.
@@ -228,8 +237,14 @@
 
     def keep_places(self, msg: messages.KeepPlaces, now: float) -> None:
         """Takes what an entry VM holds as the home of a service."""
+        # What is held at an earlier start of a worker is lost there.
+        places = tuple(
+            place
+            for place in msg.places
+            if place.born >= self.fleet.born(place.worker)
+        )
         plan = self._plans.setdefault(msg.service, placing.Plan())
-        plan.keep(now, msg)
+        plan.keep(now, msgspec.structs.replace(msg, places=places))
 
     def planned(self) -> dict[str, dict[str, object]]:
         """Returns the plans for a person to read."""
@@ -275,7 +290,14 @@
                 else:
                     self._learn_member(entry)
             except errors.DecodeError as exc:
-                # What was known before stays.
+                if topic == self._codec.servers_topic:
+                    # Its newest entry names no server to use, whoever wrote
+                    # it; a living server writes again within seconds.
+                    self.fleet.remove(entry.key, now, store_well=True)
+                    if entry.key in self._unreadable:
+                        continue
+                    self._unreadable.add(entry.key)
+                # What was known of a configuration or an entry VM stays.
                 logs.event(
                     logging.ERROR,
                     'record not readable',
@@ -308,6 +330,7 @@
         tally = self.fleet.tally(entry.key)
         before = tally.backend if tally is not None else None
         if not entry.value:
+            self._unreadable.discard(entry.key)
             if before is None:
                 return
             well = self.failed_at is None or now - self.failed_at > _UNWELL_S
@@ -322,7 +345,21 @@
             )
             return
         backend = self._codec.server(entry.key, entry.value)
-        self.fleet.put(backend)
+        self._unreadable.discard(entry.key)
+        known = self.fleet.born(entry.key)
+        if not self.fleet.put(backend):
+            logs.event(
+                logging.INFO,
+                'old entry passed over',
+                server=entry.key,
+                born=backend.born,
+                known=known,
+                offset=entry.offset,
+                source=source,
+            )
+            return
+        if known and backend.born > known:
+            self._restart(backend, known, entry.offset, source)
         if before is None or _differs(before, backend):
             logs.event(
                 logging.INFO,
@@ -337,6 +374,23 @@
                 source=source,
             )
 
+    def _restart(
+        self, backend: forwarding.Backend, before: int, offset: int, source: str
+    ) -> None:
+        """Forgets all that was known of the starts before."""
+        for plan in self._plans.values():
+            plan.restarted(backend.id)
+        logs.event(
+            logging.INFO,
+            'backend server started again',
+            server=backend.id,
+            born=backend.born,
+            before=before,
+            lost=self.on_restarted(backend),
+            offset=offset,
+            source=source,
+        )
+
     def _learn_member(self, entry: mirror.Entry) -> None:
         if entry.value:
             member = self._codec.member(entry.key, entry.value)
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -57,6 +57,9 @@
         Raises:
             attempt.Refused: It would be read once more than is allowed.
         """
+        prefilled = answer.prefilled
+        if prefilled is not None and self._is_lost(prefilled.worker):
+            answer.prefilled = None
         age_s = self._clock() - answer.prefilled_at
         life_s = req.service.handle_s * HANDLE_PART
         if answer.prefilled is not None and age_s < life_s:
@@ -73,6 +76,12 @@
         answer.prefilled_at = self._clock()
         answer.prefills += answer.prefilled is not None
 
+    def _is_lost(self, worker: forwarding.Backend) -> bool:
+        """Whether a worker started again, and holds nothing of before."""
+        return self._owner.run(
+            lambda state, _: state.fleet.born(worker.id) > worker.born
+        )
+
     def _prefill(
         self, req: passage.Passage, spot: attempt.Spot, answer: attempt.Answer
     ) -> forwarding.Prefilled | None:
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -35,6 +35,7 @@
 from foxtaildaled import sends
 from foxtaildaled import spots
 from foxtaildaled import tidy
+from foxtaildaled import watched
 
 # Time after the stop signal in which new connections are still taken, seconds:
 # the balancer asks once a second and takes a VM out after two misses.
@@ -141,6 +142,14 @@
         self._state = beliefs.Beliefs(
             made.codec, cfg.peer_address, cfg.seeds, cfg.data_centre, rng
         )
+        running = watched.Running()
+        self._state.on_restarted = running.restarted
+        made = Adapters(
+            codec=made.codec,
+            store=made.store,
+            decode=made.decode,
+            workers=watched.Workers(made.workers, running),
+        )
         owner = self._owner = actors.Owner(self._state, clock)
         self._peers = peers.Peers(_HEARTBEAT_S, _SILENCE_S)
         self._responder = wire.Responder(
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -252,6 +252,7 @@
                 prompt=msg.prompt,
                 hinted=msg.hinted,
                 longest=msg.longest,
+                born=worker.born,
             ),
         )
         req.log(
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -49,6 +49,8 @@
             'service': self.service,
             'address': self.address,
             'zone': 'here',
+            'version': 'v1',
+            'cold_left_ms': 0,
             'slots': 8,
             'state': state,
             'stage': self.stage,
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -15,11 +15,16 @@
 _CODEC = records.Codec()
 
 
-def _entry(offset: int, **changed: str) -> mirror.Entry:
+def _entry(offset: int, **changed: object) -> mirror.Entry:
     value = {
         'service': 's',
         'address': '127.0.0.1:1',
+        'zone': 'z',
+        'version': 'v1',
+        'slots': 8,
         'state': 'ready',
+        'cold_left_ms': 0,
+        'seq_no': 1,
         'stage': 'prefill',
     }
     data = msgspec.json.encode(value | changed)
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -7,6 +7,7 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _DAEMON = _ROOT / 'packages' / 'daemon' / 'foxtaildaled'
+_STORE = _ROOT / 'platform' / 'foxtaildale_platform' / 'store.py'
 _MODULES = (
     'balancing',
     'beliefs',
@@ -31,8 +32,9 @@
 
 def _in_code() -> set[str]:
     found = set()
-    for module in _MODULES:
-        text = (_DAEMON / f'{module}.py').read_text()
+    paths = [_DAEMON / f'{module}.py' for module in _MODULES]
+    for path in (*paths, _STORE):
+        text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
         for pattern in (_CALL, _ASSIGNED):
             for match in pattern.finditer(text):
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -55,8 +55,11 @@
     'service': 's1',
     'address': '10.0.0.9:8080',
     'zone': 'z',
+    'version': 'v1',
     'slots': 6,
     'state': 'ready',
+    'cold_left_ms': 0,
+    'seq_no': 3,
     'stage': 'decode',
 }
 
