--- a/packages/core/foxtaildale/growth.py
+++ b/packages/core/foxtaildale/growth.py
@@ -61,13 +61,22 @@
     # Time until the end, memory now, and tokens that are yet to start.
     found = [_outlook(request, now, token_s) for request in requests]
     found.sort(reverse=True)
-    most = 0.0
-    # Latest end first: all before it in the list still run then.
-    for count, (end_s, _, _) in enumerate(found, 1):
-        total = 0.0
-        for _, base, delay_s in found[:count]:
-            total += base + max(0.0, end_s - delay_s) / token_s
-        most = max(most, total)
+    most = bases = 0.0
+    started = 0
+    waits: list[float] = []
+    # Latest end first: all before it in the list still run then. Those that
+    # have started grow alike, so that only the few that have not are summed up
+    # one by one; a home spends most of its time here.
+    for end_s, base, delay_s in found:
+        bases += base
+        if delay_s > 0.0:
+            waits.append(delay_s)
+        else:
+            started += 1
+        grown_s = started * end_s
+        for wait_s in waits:
+            grown_s += max(0.0, end_s - wait_s)
+        most = max(most, bases + grown_s / token_s)
     return most
 
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,5 +1,7 @@
 """The memory that requests will take together."""
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from foxtaildale import growth
@@ -68,3 +70,36 @@
 ) -> None:
     got = growth.expected_tokens(hinted, longest, typical)
     assert got == pytest.approx(found)
+
+
+def _each_by_itself(found: list[growth.Running], token_s: float) -> float:
+    """Returns the peak summed up request by request."""
+    outlooks = [growth._outlook(request, 0.0, token_s) for request in found]
+    return max(
+        sum(
+            base + max(0.0, end_s - delay_s) / token_s
+            for last_s, base, delay_s in outlooks
+            if last_s >= end_s
+        )
+        for end_s, _, _ in outlooks
+    )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.builds(
+            _running,
+            strategies.integers(1, 9000),
+            strategies.floats(1.0, 4000.0),
+            strategies.floats(-3.0, 2.0),
+        ),
+        min_size=1,
+        max_size=12,
+        unique_by=lambda request: (request.expected, request.started_at),
+    )
+)
+def test_the_peak_is_that_of_each_request_by_itself(
+    found: list[growth.Running],
+) -> None:
+    expected = _each_by_itself(found, 0.004)
+    assert growth.peak(found, 0.0, 0.004) == pytest.approx(expected)
