--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -19,12 +19,13 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import math
 from typing import Final
 
 from foxtaildale import balance
 from foxtaildale import fleet
 from foxtaildale import growth
+from foxtaildale import holdings
+from foxtaildale import lengths
 from foxtaildale import messages
 from foxtaildale import ownreads
 from foxtaildale import packing
@@ -34,6 +35,7 @@
 from foxtaildale import room
 from foxtaildale import routes
 from foxtaildale import speeds
+from foxtaildale import tries
 
 # Waiters that fit nowhere and are passed over by smaller ones behind them. For
 # each of them the worker is kept that it will fit at first, so that none
@@ -48,9 +50,6 @@
 # A waiter that did not ask again for this long has gone, seconds: four times
 # the longest time between asks.
 WAITER_S: Final = 0.5
-# How long a request that was not served is remembered, seconds: callers give up
-# after some fourteen.
-REMEMBERED_S: Final = 20.0
 # Least time between two tries of one request, seconds; what differs by less is
 # one try as two clocks see it.
 AGAIN_S: Final = 0.05
@@ -73,83 +72,22 @@
 Engines = Callable[[], tuple[Sequence[fleet.Tally], Sequence[fleet.Tally]]]
 
 
-class Waiter:
-    """A request that waits for a place."""
-
-    __slots__ = (
-        'arrived_at',
-        'asked_at',
-        'came_back',
-        'msg',
-        'place',
-        'position',
-        'short_of',
-    )
-
-    def __init__(
-        self, msg: messages.AskPlace, arrived_at: float, *, came_back: bool
-    ) -> None:
-        self.msg = msg
-        # When its first try came, seconds.
-        self.arrived_at = arrived_at
-        # Whether an earlier try of it was not served.
-        self.came_back = came_back
-        self.asked_at = 0.0
-        # Waiters before it at the last look.
-        self.position = 0
-        # What there was too little of for it at the last look.
-        self.short_of = ''
-        # Granted already, to be told at the next ask.
-        self.place: messages.Place | None = None
-
-
-class Held:
-    """A granted place."""
-
-    __slots__ = (
-        'digest',
-        'holder',
-        'kept_at',
-        'place',
-        'read_alone',
-        'running',
-    )
-
-    def __init__(
-        self,
-        holder: str,
-        place: messages.Place,
-        running: growth.Running,
-        now: float,
-        digest: int = 0,
-    ) -> None:
-        self.holder = holder
-        # Without a prefill worker where that is not known or none was given.
-        self.place = place
-        # Shared by the tries of its request; 0 if that is not known.
-        self.digest = digest
-        self.running = running
-        self.kept_at = now
-        # Whether no prompt was before its own at its prefill worker.
-        self.read_alone = False
-
-
 class Plan:
     """The engines of one service; the time is an argument."""
 
     __slots__ = (
         '_between_s',
         '_decode_speeds',
-        '_first_at',
         '_granted_at',
         '_held',
+        '_lengths',
         '_look_at',
         '_own_reads',
         '_prefills',
         '_refusals',
         '_reports',
         '_token_s',
-        '_typical_log',
+        '_tries',
         '_waiting',
         'balance',
     )
@@ -158,11 +96,10 @@
         # Of the stages of the service's engines.
         self.balance = balance.Balance()
         # By request.
-        self._held: dict[str, Held] = {}
-        self._waiting: dict[str, Waiter] = {}
-        # When requests that were not served yet came first, by digest; those
-        # that came last at the end.
-        self._first_at: dict[int, float] = {}
+        self._held: dict[str, holdings.Held] = {}
+        self._waiting: dict[str, holdings.Waiter] = {}
+        self._tries = tries.FirstTries()
+        self._lengths = lengths.Lengths()
         # Smoothed time between grants, seconds, and when the last one was.
         self._between_s = 0.0
         self._granted_at = 0.0
@@ -174,8 +111,6 @@
         self._decode_speeds = speeds.Speeds()
         self._refusals = refusals.Refusals()
         self._reports = reports.Reports()
-        # Mean logarithm of the lengths of whole answers; 0 before the first.
-        self._typical_log = 0.0
 
     def ask(
         self,
@@ -201,11 +136,11 @@
                 return too_late
         if waiter is None:
             came_at = now - msg.waited_ms / 1000
-            first_at = self._came_first(now, msg.digest, came_at)
+            first_at = self._tries.came_first(now, msg.digest, came_at)
             came_back = first_at < came_at - AGAIN_S
-            waiter = Waiter(msg, first_at, came_back=came_back)
+            waiter = holdings.Waiter(msg, first_at, came_back=came_back)
             waiter.position = len(self._waiting)
-            guess = msg.hinted or self._expected(0, msg.longest)
+            guess = msg.hinted or self._lengths.expected(0, msg.longest)
             self.balance.note(msg.prompt, guess)
             if not self._waiting:
                 self._look_at = now
@@ -239,7 +174,7 @@
         """Returns what ends a request whose answer can't be whole in time."""
         if not msg.left_ms or msg.started:
             return None
-        tokens = self._expected(msg.hinted, msg.longest)
+        tokens = self._lengths.expected(msg.hinted, msg.longest)
         token_s = self._decode_speeds.usual_s() or self._token_s
         needs_s = self._prefills.usual_s(msg.prompt) + tokens * token_s
         if not room.unfinished(needs_s, msg.left_ms / 1000):
@@ -254,7 +189,7 @@
             return
         self._look_at = min(self._look_at, now)
         if msg.whole:
-            self._first_at.pop(held.digest, None)
+            self._tries.served(held.digest)
         if msg.refused or msg.tokens:
             place, taken = held.place, not msg.refused
             self._refusals.note(now, place.worker, place.prefiller, taken=taken)
@@ -274,9 +209,7 @@
             token_s = msg.decode_ms / 1000 / msg.tokens
             self._token_s += _LEARN * (token_s - self._token_s)
             self._decode_speeds.note(now, held.place.worker, token_s)
-            log = math.log(msg.tokens)
-            before = self._typical_log or log
-            self._typical_log = before + _LEARN * (log - before)
+            self._lengths.note(msg.tokens)
 
     def restarted(self, server: str) -> None:
         """Forgets what was known of a worker that started again."""
@@ -309,11 +242,11 @@
                 continue
             running = growth.Running(
                 prompt=place.prompt,
-                expected=self._expected(place.hinted, place.longest),
+                expected=self._lengths.expected(place.hinted, place.longest),
                 longest=place.longest,
                 started_at=now - place.age_ms / 1000,
             )
-            self._held[place.request] = Held(
+            self._held[place.request] = holdings.Held(
                 msg.holder,
                 messages.Place(worker=place.worker, prefiller=''),
                 running,
@@ -351,22 +284,6 @@
             found[held.place.worker] = found.get(held.place.worker, 0) + 1
         return found
 
-    def _came_first(self, now: float, digest: int, came_at: float) -> float:
-        """Returns when the first try of a request came, seconds.
-
-        Args:
-            now: Seconds.
-            digest: Shared by its tries; 0 if that is not known.
-            came_at: When this try came.
-        """
-        if not digest:
-            return came_at
-        for known, first_at in list(self._first_at.items()):
-            if now - first_at <= REMEMBERED_S:
-                break
-            del self._first_at[known]
-        return self._first_at.setdefault(digest, came_at)
-
     def _grant(
         self,
         now: float,
@@ -401,7 +318,7 @@
     def _try(
         self,
         now: float,
-        waiter: Waiter,
+        waiter: holdings.Waiter,
         found: packing.Packing,
         prefillers: Sequence[fleet.Tally],
     ) -> bool:
@@ -428,7 +345,7 @@
         return True
 
     def _try_reading_there(
-        self, now: float, waiter: Waiter, found: packing.Packing
+        self, now: float, waiter: holdings.Waiter, found: packing.Packing
     ) -> bool:
         """Grants a place at a decode worker that reads the prompt itself."""
         msg = waiter.msg
@@ -452,7 +369,7 @@
     ) -> growth.Running:
         return growth.Running(
             prompt=msg.prompt,
-            expected=self._expected(msg.hinted, msg.longest),
+            expected=self._lengths.expected(msg.hinted, msg.longest),
             longest=msg.longest,
             started_at=started_at,
         )
@@ -460,7 +377,7 @@
     def _hold(
         self,
         now: float,
-        waiter: Waiter,
+        waiter: holdings.Waiter,
         place: messages.Place,
         running: growth.Running,
         found: packing.Packing,
@@ -468,7 +385,7 @@
         found.give(place.worker, running)
         waiter.place = place
         msg = waiter.msg
-        self._held[msg.request] = Held(
+        self._held[msg.request] = holdings.Held(
             msg.holder, place, running, now, msg.digest
         )
 
@@ -481,12 +398,8 @@
     def _token_s_at(self, now: float, worker: str) -> float:
         return self._token_s * self._decode_speeds.slowness(now, worker)
 
-    def _expected(self, hinted: int, longest: int) -> float:
-        typical = math.exp(self._typical_log) if self._typical_log else 0.0
-        return growth.expected_tokens(hinted, longest, typical)
-
     def _rank(
-        self, now: float, waiter: Waiter
+        self, now: float, waiter: holdings.Waiter
     ) -> tuple[bool, bool, int, float, str]:
         msg = waiter.msg
         age_s = now - waiter.arrived_at
