--- a/packages/daemon/foxtaildaled/fitness.py
+++ b/packages/daemon/foxtaildaled/fitness.py
@@ -7,9 +7,11 @@
 only after a while, unless no other VM has been up for longer.
 """
 
+import heapq
 import threading
 from typing import Final
 
+from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildaled import actors
@@ -22,6 +24,10 @@
 # Time between looks for older ones, and the longest wait for answers, seconds.
 LOOK_S: Final = 0.5
 ANSWER_S: Final = 0.25
+# VMs that are asked, always the same ones. Where half of all were killed at
+# once, one in 250 asks none that is older; asking all 83 of a large site, forty
+# that are killed together would open 3,300 connections.
+SAMPLE: Final = 8
 
 
 class Fitness:
@@ -29,6 +35,7 @@
 
     __slots__ = (
         '_clock',
+        '_entry_vm',
         '_grown_at',
         '_oldest',
         '_owner',
@@ -44,7 +51,9 @@
         stopping: threading.Event,
         clock: ports.Clock,
         first_start: bool,
+        entry_vm: str,
     ) -> None:
+        self._entry_vm = entry_vm
         self._owner = owner
         self._peers = peers
         self._stopping = stopping
@@ -72,9 +81,12 @@
         """Looks for older VMs, as long as this one is young."""
         if self._grown:
             return
-        addresses = self._owner.run(lambda state, _: state.peers())
-        if not addresses:
+        known = self._owner.run(lambda state, _: state.peers())
+        if not known:
             return
+        addresses = heapq.nlargest(
+            SAMPLE, known, key=lambda peer: homes.score(self._entry_vm, peer)
+        )
         replies = self._peers.ask_all(addresses, messages.AskHome(), ANSWER_S)
         self._oldest = not any(
             isinstance(reply, messages.HomeReply) and reply.grown
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -161,6 +161,7 @@
             stopping=self._stopping,
             clock=clock,
             first_start=cfg.first_start,
+            entry_vm=cfg.entry_vm,
         )
         self._tidy = tidy.Tidy(made.workers)
         self._places = places.Places(
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -201,6 +201,7 @@
         stopping=threading.Event(),
         clock=lambda: now[0],
         first_start=first_start,
+        entry_vm='vm-1',
     )
 
 
