--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -13,6 +13,7 @@
 from foxtaildale import lease
 from foxtaildale import prefills
 from foxtaildale import routes
+from tests import tallies
 
 _SERVICE = routes.Service(name='s', kv_tokens=63_000, slots=12)
 # Of the engines that the figures of `balance` were played with.
@@ -20,20 +21,6 @@
 _TOKEN_S = 0.00073
 
 
-def _tallies(stage: forwarding.Stage, count: int) -> list[fleet.Tally]:
-    return [
-        fleet.Tally(
-            forwarding.Backend(
-                id=f'{stage}-{number}',
-                service='s',
-                address='127.0.0.1:1',
-                stage=stage,
-            )
-        )
-        for number in range(count)
-    ]
-
-
 def _balance(prompt: int = 5200, answer: float = 4000) -> balance.Balance:
     """Returns what has seen guesses that are right in the median."""
     found = balance.Balance()
@@ -62,8 +49,8 @@
 ) -> None:
     """Callers wait for decode memory while prefill workers stand idle."""
     found = _balance()
-    decode = _tallies('decode', decoders)
-    prefill = _tallies('prefill', prefillers)
+    decode = tallies.make('decode', decoders)
+    prefill = tallies.make('prefill', prefillers)
     now = 0.0
     for step in range(400):
         now = step * 0.1
@@ -84,7 +71,7 @@
 def test_too_few_prefill_workers_get_one_more_when_it_lasts() -> None:
     """Prompts are long and answers short: the first events come late."""
     found = _balance(prompt=9000, answer=300)
-    decode, prefill = _tallies('decode', 8), _tallies('prefill', 2)
+    decode, prefill = tallies.make('decode', 8), tallies.make('prefill', 2)
     share = _share(found)
     assert not found.changes(0.0, share, decode, prefill)
     assert not found.changes(balance.LACK_S - 0.1, share, decode, prefill)
@@ -106,7 +93,7 @@
         waiting.note(0.0, 'p1', 5000, 0.3)
     assert waiting.waiting(5000)
     found = _balance()
-    decode, prefill = _tallies('decode', 9), _tallies('prefill', 7)
+    decode, prefill = tallies.make('decode', 9), tallies.make('prefill', 7)
     for step in range(100):
         assert not found.changes(
             step * 0.1, _share(found), decode, prefill, waiting=True
@@ -120,7 +107,7 @@
     callers would be refused for want of memory.
     """
     found = _balance()
-    decode, prefill = _tallies('decode', 11), _tallies('prefill', 3)
+    decode, prefill = tallies.make('decode', 11), tallies.make('prefill', 3)
     for step in range(100):
         alive = prefill[:2] if 10 <= step < 50 else prefill
         assert not found.changes(step * 0.1, _share(found), decode, alive)
@@ -128,7 +115,7 @@
 
 def test_an_engine_that_changes_gets_nothing_and_is_not_counted() -> None:
     found = _balance()
-    decode, prefill = _tallies('decode', 9), _tallies('prefill', 7)
+    decode, prefill = tallies.make('decode', 9), tallies.make('prefill', 7)
     assert not found.changes(0.0, _share(found), decode, prefill)
     changes = found.changes(1.0, _share(found), decode, prefill)
     assert len(changes) == balance.AT_ONCE
@@ -148,7 +135,7 @@
     service = routes.Service(name='s', kv_tokens=33_787, slots=64)
     found = balance.Balance()
     rng = random.Random(11)
-    decode, prefill = _tallies('decode', 6), _tallies('prefill', 3)
+    decode, prefill = tallies.make('decode', 6), tallies.make('prefill', 3)
     ordered: list[forwarding.Stage] = []
     for step in range(1200):
         now = step * 0.1
@@ -164,9 +151,9 @@
                 msgspec.structs.replace(change.backend, stage=change.stage)
             )
             came = {'prefill': prefill, 'decode': decode}
-            for tallies in came.values():
-                tallies[:] = [
-                    t for t in tallies if t.backend.id != change.backend.id
+            for engines in came.values():
+                engines[:] = [
+                    t for t in engines if t.backend.id != change.backend.id
                 ]
             came[change.stage].append(moved)
     assert ordered == ['decode']
@@ -178,7 +165,7 @@
         found.note(5000, 4000)
     assert _share(found) is None
     assert not found.changes(
-        9.0, None, _tallies('decode', 2), _tallies('prefill', 9)
+        9.0, None, tallies.make('decode', 2), tallies.make('prefill', 9)
     )
 
 
--- a/tests/test_ownreads.py
+++ b/tests/test_ownreads.py
@@ -4,11 +4,11 @@
 import random
 
 from foxtaildale import fleet
-from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import ownreads
 from foxtaildale import placing
 from foxtaildale import routes
+from tests import tallies
 
 _SERVICE = routes.Service(
     name='s',
@@ -23,20 +23,6 @@
 _TOKEN_S = 0.004
 
 
-def _tallies(stage: forwarding.Stage, count: int) -> list[fleet.Tally]:
-    return [
-        fleet.Tally(
-            forwarding.Backend(
-                id=f'{stage}-{number}',
-                service='s',
-                address='x:1',
-                stage=stage,
-            )
-        )
-        for number in range(count)
-    ]
-
-
 class _Load:
     """One prefill worker is left beside seven decode workers, in a burst."""
 
@@ -55,7 +41,7 @@
 
     def play(self) -> None:
         now, next_at = 0.0, 0.0
-        engines = _tallies('decode', 7), _tallies('prefill', 1)
+        engines = tallies.make('decode', 7), tallies.make('prefill', 1)
         while now < 12.0:
             now += 0.01
             if now < 9.0 and now >= next_at:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,26 +1,16 @@
 """Decode workers that refuse what they are thought to have room for."""
 
-from foxtaildale import fleet
-from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import placing
 from foxtaildale import refusals
 from foxtaildale import routes
+from tests import tallies
 
 _SERVICE = routes.Service(
     name='s', kv_tokens=30_000, hold_s=2.0, handle_s=0.5, slots=64
 )
 
 
-def _tallies(stage: forwarding.Stage, *names: str) -> list[fleet.Tally]:
-    return [
-        fleet.Tally(
-            forwarding.Backend(id=name, service='s', address='x:1', stage=stage)
-        )
-        for name in names
-    ]
-
-
 def test_each_refusal_in_a_row_closes_it_for_longer() -> None:
     known = refusals.Refusals()
     now, spans = 0.0, []
@@ -58,8 +48,8 @@
     prompts are read for nothing, and callers with one attempt are refused.
     """
     plan = placing.Plan()
-    decoders = _tallies('decode', 'd1', 'd2', 'd3')
-    prefillers = _tallies('prefill', 'p1', 'p2', 'p3')
+    decoders = tallies.make('decode', 3)
+    prefillers = tallies.make('prefill', 3)
     lost = served = 0
     running: list[tuple[float, str]] = []
     for step in range(1000):
@@ -93,7 +83,7 @@
         place = plan.ask(now, ask, _SERVICE, lambda: (decoders, prefillers))
         if not isinstance(place, messages.Place):
             continue
-        if place.worker == 'd1':
+        if place.worker == 'decode-0':
             lost += 1
             end = messages.EndPlace(
                 service='s', request=name, prefill_ms=100, refused=True
