--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -204,7 +204,10 @@
 ) -> None:
     """The store was away and lost the entries of living servers with it."""
     topic = _CODEC.servers_topic
-    value = b'{"service":"s","address":"1.1.1.1:1"}'
+    value = (
+        b'{"service":"s","address":"1.1.1.1:1","zone":"z","version":"v1",'
+        b'"slots":8,"state":"ready","cold_left_ms":0,"seq_no":1}'
+    )
     entry = mirror.Entry('i-1', 1, value)
     gone = mirror.Entry('i-1', 2, b'')
 
