--- a/packages/core/foxtaildale/balance.py
+++ b/packages/core/foxtaildale/balance.py
@@ -63,7 +63,11 @@
 # Time after an order in which its engine is not counted as either, seconds;
 # an engine takes six to change, and its list entry comes a second later.
 CHANGING_S: Final = 8.0
-# Engines that change at a time.
+# Engines that change at a time: this part of all, and the least. What prefill can
+# spare is idle, so it costs nothing while it changes; two at a time, a site of
+# 56 engines whose third reads prompts would take 40 s to give ten to decode, and
+# meet each burst with a fifth less of the memory that it has.
+AT_ONCE_PART: Final = 0.125
 AT_ONCE: Final = 2
 
 
@@ -165,7 +169,8 @@
         self._surplus_since = _since(self._surplus_since, spare > 0, now)
         self._lack_since = _since(self._lack_since, lacks, now)
         if _lasted(self._surplus_since, now, SURPLUS_S):
-            free = min(spare, AT_ONCE - len(self._changing))
+            at_once = max(AT_ONCE, int(AT_ONCE_PART * count))
+            free = min(spare, at_once - len(self._changing))
             return _all(prefillers[: max(0, free)], 'decode')
         if _lasted(self._lack_since, now, LACK_S) and not self._changing:
             most = len(decoders) - LEAST
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -329,6 +329,12 @@
         """Grants a place, or keeps the worker that it will fit at first."""
         msg = waiter.msg
         turn = self._prefills.choose(now, msg.prompt, prefillers, msg.avoid)
+        # Where every prefill worker loses prompts, either their memory lets go
+        # of them or the decode workers are fuller than planned. A prompt that is
+        # read where it is decoded is lost to neither.
+        losing = self._prefills.losing(now, turn.worker)
+        if losing and self._try_reading_there(now, waiter, found):
+            return True
         if self._prefills.too_busy(now, msg.prompt, turn):
             waiter.short_of = 'prefill'
             return self._try_reading_there(now, waiter, found)
--- a/packages/core/foxtaildale/prefills.py
+++ b/packages/core/foxtaildale/prefills.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-import math
 from typing import Final
 
 import msgspec
@@ -24,20 +23,33 @@
 # Prompts wait for each other at the prefill workers if a prompt takes this many
 # times as long, from its place on, as an engine needs to read it.
 WAITING: Final = 1.6
-# Part of a worker's last prompts that no decode worker took, from which on it
-# gets none for a moment, and how much each counts: two in a row. A full decode
-# worker refuses as well, but then prompts of every prefill worker.
-LOSING: Final = 0.6
-_LOST_LEARN: Final = 0.4
-# That part halves in this time, seconds, so that one prompt every half second
-# or so is tried with a worker that goes on losing them.
-LOST_HALF_S: Final = 1.5
+# Prompts of a worker in a row that no decode worker took, from which on it gets
+# none for a while. A full decode worker refuses as well, but then prompts of
+# every prefill worker.
+LOSING: Final = 2
+# That while at first, seconds, and the longest; each further prompt that is lost
+# doubles it. Tried again every half second, two workers that lost all for four
+# seconds had 28 prompts of 5,000 tokens or more read for nothing.
+LOST_S: Final = 1.0
+LOST_MOST_S: Final = 4.0
 # Workers remembered; those that are gone drop out as new ones come.
 _MOST: Final = 256
 # How much a new measurement counts.
 _LEARN: Final = 0.1
 
 
+class _Lost:
+    """Prompts of one worker that were lost in a row."""
+
+    __slots__ = ('count', 'span_s', 'until')
+
+    def __init__(self) -> None:
+        self.count = 0
+        # How long it gets none the next time, and until when it does, seconds.
+        self.span_s = LOST_S
+        self.until = 0.0
+
+
 class Turn(msgspec.Struct, frozen=True):
     """When a prefill worker would read a prompt, seconds."""
 
@@ -59,8 +71,8 @@
         # When each has read what it was given, seconds, by id.
         self._free_at: dict[str, float] = {}
         self._speeds = speeds.Speeds()
-        # Decaying part of prompts that were lost, and as of when, by id.
-        self._lost: dict[str, tuple[float, float]] = {}
+        # By id.
+        self._lost: dict[str, _Lost] = {}
         self.reading = reading.Reading()
         # Mean time from a place until the prompt was read, seconds; 0 until
         # one was measured.
@@ -73,7 +85,10 @@
         prefillers: Iterable[fleet.Tally],
         avoid: Collection[str],
     ) -> Turn:
-        """Returns the turn at the worker that is through first."""
+        """Returns the turn at the worker that is through first.
+
+        None of those that lose prompts, unless all do.
+        """
         names = [t.backend.id for t in prefillers if t.backend.id not in avoid]
         keeping = [name for name in names if not self.losing(now, name)]
         turns = [self._turn(now, prompt, name) for name in keeping or names]
@@ -133,9 +148,15 @@
 
     def note_use(self, now: float, worker: str, *, taken: bool) -> None:
         """Takes whether a decode worker took what this one had read."""
-        part = self._lost_now(now, worker)
-        part += _LOST_LEARN * ((not taken) - part)
-        self._lost[worker] = (part, now)
+        if taken:
+            self._lost.pop(worker, None)
+            return
+        known = self._lost.setdefault(worker, _Lost())
+        known.count += 1
+        # Those that were read before it was closed say nothing new.
+        if known.count >= LOSING and now >= known.until:
+            known.until = now + known.span_s
+            known.span_s = min(2 * known.span_s, LOST_MOST_S)
         if len(self._lost) > _MOST:
             del self._lost[next(iter(self._lost))]
 
@@ -144,11 +165,8 @@
 
         Its memory lets go of them at once; the prompts would be read in vain.
         """
-        return self._lost_now(now, worker) > LOSING
-
-    def _lost_now(self, now: float, worker: str) -> float:
-        part, at = self._lost.get(worker, (0.0, now))
-        return part * math.exp2((at - now) / LOST_HALF_S)
+        known = self._lost.get(worker)
+        return known is not None and now < known.until
 
     def waiting(self, prompt: float) -> bool:
         """Whether prompts of this mean length wait for each other."""
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -279,6 +279,13 @@
         plan = self._plans.setdefault(msg.service, placing.Plan())
         plan.keep(now, msgspec.structs.replace(msg, places=places))
 
+    def planned_services(self) -> tuple[str, ...]:
+        """Returns the services whose engines are planned by a home."""
+        if self.matcher is None:
+            return ()
+        services = self.matcher.table.services
+        return tuple(item.name for item in services if item.kv_tokens)
+
     def planned(self) -> dict[str, dict[str, object]]:
         """Returns the plans for a person to read."""
         return {
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -139,11 +139,13 @@
 
 
 def _until(step: Callable[[], bool]) -> Callable[[], None]:
-    """Repeats a step until it is done, without haste."""
+    """Repeats a step until it is done, with less and less haste."""
 
     def run() -> None:
+        wait_s = syncing.PEER_S
         while not step():
-            time.sleep(syncing.PEER_S)
+            time.sleep(wait_s)
+            wait_s = min(2 * wait_s, syncing.RETRY_MOST_S)
 
     return run
 
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -47,6 +47,7 @@
         '_clock',
         '_entry_vm',
         '_handle',
+        '_heard',
         '_held',
         '_homes',
         '_lock',
@@ -76,6 +77,9 @@
         self._suspects = suspects.Suspects()
         self._strong = homes.Strong(lambda vm: vm.cores)
         self._homes = homes.Homes()
+        # Entry VMs that answered once, so that one which is gone for good is told
+        # from one that is busy.
+        self._heard: set[str] = set()
         # What this entry VM holds, and since when; by service and request.
         self._held: dict[str, dict[str, tuple[messages.KeptPlace, float]]] = {}
         # What the home is to hear of, in order.
@@ -109,6 +113,7 @@
                 continue
             with self._lock:
                 self._suspects.answered(home[0])
+                self._heard.add(home[0])
             if isinstance(
                 reply, messages.Place | messages.Queued | messages.TooLate
             ):
@@ -151,7 +156,11 @@
         )
 
     def step(self) -> None:
-        """Probes the suspects that are due, as a loop."""
+        """Probes homes that are not heard of yet and suspects, as a loop."""
+        for service in self._owner.run(
+            lambda state, _: state.planned_services()
+        ):
+            self._greet(service)
         with self._lock:
             due = self._suspects.due(self._clock())
         if not due:
@@ -171,6 +180,26 @@
             if fit:
                 logs.event(logging.INFO, 'home regained', entry_vm_asked=name)
 
+    def _greet(self, service: str) -> None:
+        """Asks the home whether it lives, before a request needs it.
+
+        The list of VMs also names some that are gone for good. Found out by the
+        first requests of each new process, that costs each of them two lost
+        answers, half a second of a target of 0.9 s.
+        """
+        home = self._home(service)
+        if home is None or home[0] == self._entry_vm or home[0] in self._heard:
+            return
+        try:
+            reply = self._peers.ask(home[1], messages.AskHome(), ANSWER_S)
+        except errors.PortError as exc:
+            self._suspect(home, exc)
+            return
+        with self._lock:
+            self._heard.add(home[0])
+        if isinstance(reply, messages.HomeReply) and not reply.fit:
+            self._suspect(home, errors.RejectedError('unfit', 'not fit'))
+
     def is_home(self, service: str) -> bool:
         """Whether this entry VM is the home of a service."""
         home = self._home(service)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -202,3 +202,28 @@
     held.claiming(10.0)
     assert held.may_order(10.1)
     assert not held.may_order(10.0 + lease.ORDERS_S)
+
+
+def test_a_large_site_gives_its_idle_prefill_workers_within_seconds() -> None:
+    """Nearly half of 56 engines read prompts, and twelve would do.
+
+    Two at a time, eight seconds each, it takes a minute until the last one is
+    given to decode; callers are refused for want of memory in each burst before.
+    """
+    found = _balance()
+    decode, prefill = tallies.make('decode', 30), tallies.make('prefill', 26)
+    changed_at = []
+    most = 0
+    for step in range(300):
+        now = step * 0.1
+        changes = found.changes(now, _share(found), decode, prefill)
+        for change in changes:
+            found.ordered(now, change.backend.id)
+            prefill = [t for t in prefill if t.backend.id != change.backend.id]
+            decode.append(fleet.Tally(change.backend))
+            changed_at.append(now)
+        most = max(most, len(found.changing(now)))
+    # As many as it has too many, an eighth of all at a time.
+    assert most == 7
+    assert len(prefill) == 12
+    assert max(changed_at) < 20.0
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -11,6 +11,7 @@
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import routes
+from foxtaildale import suspects
 from foxtaildale_platform import records
 from foxtaildaled import actors
 from foxtaildaled import beliefs
@@ -142,19 +143,24 @@
 
 
 class _Vm:
-    """The asking side of one entry VM whose home is itself by the hash."""
+    """The asking side of one entry VM; `own` is the home by the hash.
 
-    def __init__(self, answer: messages.Any) -> None:
+    It is that VM itself unless told otherwise, then one that is never a home.
+    """
+
+    def __init__(self, answer: messages.Any, *, is_home: bool = True) -> None:
         names = [f'vm-{number}' for number in range(1, 5)]
         self.own = homes.home(_SERVICE, names)
         self.next = homes.home(_SERVICE, [n for n in names if n != self.own])
         self.now = 1.0
         self.vms = _Vms()
         self.answer = answer
-        state = _state(names, f'{self.own}:1')
+        rest = [name for name in names if name not in (self.own, self.next)]
+        me = self.own if is_home else rest[0]
+        state = _state(names, f'{me}:1')
         self.owner = actors.Owner(state, self.clock)
         self.places = places.Places(
-            entry_vm=self.own,
+            entry_vm=me,
             handle=lambda _: self.answer,
             owner=self.owner,
             peers=self.vms,
@@ -238,3 +244,24 @@
 
 def test_at_the_first_start_of_all_no_one_waits() -> None:
     assert _fitness(_Vms(), [100.0], first_start=True).reason() == ''
+
+
+def test_a_home_that_is_gone_for_good_is_found_before_it_is_needed() -> None:
+    """A VM was replaced, and the list still names it as the home.
+
+    Each process that starts later lost half a second of its first requests to
+    it, and all processes start at once after a power loss.
+    """
+    place = messages.Place(worker='d', prefiller='p')
+    vm = _Vm(place, is_home=False)
+    vm.vms.handlers[f'{vm.next}:1'] = lambda _: place
+    for _ in range(suspects.MISSES):
+        vm.places.step()
+    vm.vms.asked.clear()
+    assert vm.places.ask(_ask('a')) == place
+    assert vm.vms.asked == [f'{vm.next}:1']
+    # One that answered is not asked again for nothing.
+    vm.vms.asked.clear()
+    vm.places.step()
+    assert vm.vms.asked == []
+    vm.owner.stop()
