End what a stopping VM takes before the VM ends

Its time is now bounded by the end of the process, so the home refuses a place that would not end, and its caller runs whole at another VM. Ruled out: requests taken before the stop, which end in time.

--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Mapping
 import logging
+import math
 import threading
 from typing import Final
 
@@ -53,6 +54,7 @@
         entry_vm: str,
         counts: metrics.Metrics,
         clock: ports.Clock,
+        ends_at: float = math.inf,
     ) -> None:
         self.ex = exchange
         self.call = call
@@ -67,8 +69,9 @@
         limit_s = route.timeout_s
         if call.patience_s is not None:
             limit_s = min(limit_s, call.patience_s)
-        # When its final answer is due.
-        self.deadline = self.started_at + limit_s
+        # When its final answer is due: also before this process ends, so that
+        # what would be cut then is refused, and runs whole at another VM.
+        self.deadline = min(self.started_at + limit_s, ends_at)
         # Set when the caller has hung up.
         self.gone = threading.Event()
         # Guards the flight against a hang-up that comes as it starts.
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -34,6 +34,7 @@
         '_clock',
         '_counts',
         '_decode',
+        '_ends_at',
         '_entry_vm',
         '_forward',
         '_generate',
@@ -50,8 +51,12 @@
         model: generate.Generate,
         counts: metrics.Metrics,
         clock: ports.Clock,
+        ends_at: Callable[[], float],
     ) -> None:
         self._entry_vm = entry_vm
+        # Returns when this process ends at the latest; infinity while it is not
+        # being stopped.
+        self._ends_at = ends_at
         self._matcher = matcher
         self._decode = decode
         self._forward = plain
@@ -85,6 +90,7 @@
             entry_vm=self._entry_vm,
             counts=self._counts,
             clock=self._clock,
+            ends_at=self._ends_at(),
         )
         req.watch()
         if route.kind == 'stream':
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import json
 import logging
+import math
 import random
 import threading
 import time
@@ -111,6 +112,7 @@
         '_cfg',
         '_closed',
         '_codec',
+        '_ends_at',
         '_fitness',
         '_limits_version',
         '_loops',
@@ -139,6 +141,8 @@
         self.addresses: dict[str, str] = {}
         self._limits_version = -1
         self._closed = False
+        # When this process ends at the latest, once it is being stopped.
+        self._ends_at = math.inf
         # Each loop has a client of its own: one that waits holds up no other.
         self._stores: list[ports.Topics] = []
         self._metrics = metrics.Metrics()
@@ -196,6 +200,7 @@
             model=self._make_generate(made, budget, rng),
             counts=self._metrics,
             clock=clock,
+            ends_at=lambda: self._ends_at,
         )
         self._server = callers.Server(
             cfg.caller_address,
@@ -246,14 +251,14 @@
     def stop(self) -> None:
         """Ends gracefully: cuts no request in progress."""
         began = clock()
+        self._ends_at = began + self._cfg.grace_s - CLOSE_S
         self._stopping.set()
         self._server.announce_stop()
         logs.event(logging.INFO, 'stopping', busy=self._server.busy())
         time.sleep(LAME_S)
         self._server.stop_accepting()
         self._server.close_idle()
-        end = began + self._cfg.grace_s - CLOSE_S
-        while self._server.busy() and clock() < end:
+        while self._server.busy() and clock() < self._ends_at:
             time.sleep(_STOP_POLL_S)
         logs.event(logging.INFO, 'stopped', busy=self._server.busy())
         self.close()
