--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -25,7 +25,8 @@
 from foxtaildale_adapters import logs
 
 # A service is surveyed as long as places of it were asked for within this time,
-# at this pace, and its home gives none when it was surveyed longer ago, seconds.
+# at this pace (a little under the time between looks, so that none is left out),
+# and its home gives none when it was surveyed longer ago, seconds.
 _ASKED_S = 2.0
 _SURVEY_S = 0.9
 _SURVEYED_S = 3.0
@@ -87,12 +88,12 @@
         # Where the sample of VMs to survey goes on.
         self._survey_from = 0
         # Called when a survey is needed at once.
+        self.on_unsurveyed: Callable[[], None] = lambda: None
         # Called with a server that started again under its id; ends what was
         # sent to it before, and returns how many requests that were.
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
         # Servers whose newest entry can't be read; told once each.
         self._unreadable: set[str] = set()
-        self.on_unsurveyed: Callable[[], None] = lambda: None
         self.fleet = fleet.Fleet(data_centre, rng)
         # The configuration in force; None while none is known.
         self.matcher: routes.Matcher | None = None
