--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -442,6 +442,8 @@
     )
     with pytest.raises(urllib3.exceptions.ProtocolError):
         running.ask('/break')
+    # The caller hears of the cut before the process does.
+    until(lambda: bool(seen))
     assert seen == [errors.InvariantError]
 
 
