Read the list of VMs and the services in one turn; freshness in one place

Found on reading the change again, behaviour as it is: the loop that greets homes took one turn of the actor for the services and one more for each of them, five times a second at rest; now one in all. is_fresh asks fresh_for; the part of the engines that may change is worked out once; the two longest waits on a store that is down are told apart in their comments.

--- a/packages/core/foxtaildale/balance.py
+++ b/packages/core/foxtaildale/balance.py
@@ -165,7 +165,7 @@
             t for t in prefillers if t.backend.id not in self._changing
         ]
         count = len(decoders) + len(prefillers) + len(self._changing)
-        at_once = max(AT_ONCE, int(AT_ONCE_PART * count))
+        part = int(AT_ONCE_PART * count)
         if self._seen < ENOUGH_PER_ENGINE * count:
             return ()
         need = share * count
@@ -176,12 +176,12 @@
         self._surplus_since = _since(self._surplus_since, spare > 0, now)
         self._lack_since = _since(self._lack_since, lacks, now)
         if _lasted(self._surplus_since, now, SURPLUS_S):
-            free = min(spare, at_once - len(self._changing))
+            free = min(spare, max(AT_ONCE, part) - len(self._changing))
             return _all(prefillers[: max(0, free)], 'decode')
         if _lasted(self._lack_since, now, LACK_S) and not self._changing:
             most = len(decoders) - LEAST
             # One is what a small site may be wrong by.
-            back = max(1, min(int(short), int(AT_ONCE_PART * count)))
+            back = max(1, min(int(short), part))
             return _all(decoders[: min(back, max(0, most))], 'prefill')
         return ()
 
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -306,7 +306,7 @@
 
     def is_fresh(self, now: float, limit_s: float) -> bool:
         """Whether the list of servers is younger than a limit."""
-        return self.fresh_at is not None and now - self.fresh_at < limit_s
+        return self.fresh_for(now, limit_s) > 0
 
     def fresh_for(self, now: float, limit_s: float) -> float:
         """Returns how long the list of servers stays younger than a limit."""
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import ports
@@ -157,15 +158,15 @@
 
     def step(self) -> None:
         """Probes homes that are not heard of yet and suspects, as a loop."""
-        for service in self._owner.run(
-            lambda state, _: state.planned_services()
-        ):
-            self._greet(service)
+        known, services = self._owner.run(
+            lambda state, _: (state.entry_vms, state.planned_services())
+        )
+        for service in services:
+            self._greet(self._home_among(known, service))
         with self._lock:
             due = self._suspects.due(self._clock())
         if not due:
             return
-        known = self._owner.run(lambda state, _: state.entry_vms)
         addresses = {
             name: known[name].peer_address for name in due if name in known
         }
@@ -180,14 +181,13 @@
             if fit:
                 logs.event(logging.INFO, 'home regained', entry_vm_asked=name)
 
-    def _greet(self, service: str) -> None:
-        """Asks the home whether it lives, before a request needs it.
+    def _greet(self, home: tuple[str, str] | None) -> None:
+        """Asks a home whether it lives, before a request needs it.
 
         The list of VMs also names some that are gone for good. Found out by the
         first requests of each new process, that costs each of them two lost
         answers, half a second of a target of 0.9 s.
         """
-        home = self._home(service)
         if home is None or home[0] == self._entry_vm or home[0] in self._heard:
             return
         try:
@@ -239,6 +239,11 @@
     def _home(self, service: str) -> tuple[str, str] | None:
         """Returns the name and address of the home; None if none is left."""
         known = self._owner.run(lambda state, _: state.entry_vms)
+        return self._home_among(known, service)
+
+    def _home_among(
+        self, known: dict[str, forwarding.EntryVm], service: str
+    ) -> tuple[str, str] | None:
         with self._lock:
             fit = self._strong.among(known, self._suspects.passed())
             name = self._homes.home(service, fit)
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -30,11 +30,11 @@
 READS_PER_BOUND: Final = 4.0
 # Wait after a failed call to the store, seconds: short against the two seconds
 # within which a change must be in force, long against the price of a call. It
-# doubles with each failure in a row up to the longest, that of the VM that reads
-# for its data centre or of one that knows no configuration. The others hear of
-# the store's return from that one; while it was down for three seconds, 195 VMs
-# called it 1,500 times.
+# doubles with each failure in a row.
 RETRY_S: Final = 0.3
+# The longest wait of the VM that reads for its data centre, and of one that knows
+# no configuration; and that of all others, which hear of the store's return from
+# the reader. While it was down for three seconds, 195 VMs called it 1,500 times.
 RETRY_READER_S: Final = 0.6
 RETRY_MOST_S: Final = 2.4
 # Time between the reader's reads of the list of entry VMs, seconds; the others
