--- a/tests/tallies.py
+++ b/tests/tallies.py
@@ -2,6 +2,7 @@
 
 from foxtaildale import fleet
 from foxtaildale import forwarding
+from foxtaildale import messages
 
 
 def make(stage: forwarding.Stage, count: int) -> list[fleet.Tally]:
@@ -17,3 +18,18 @@
         )
         for number in range(count)
     ]
+
+
+def ask(request: str, prompt: int) -> messages.AskPlace:
+    """Returns a VM's question for a place, of an ordinary request."""
+    return messages.AskPlace(
+        service='s',
+        request=request,
+        holder='vm-1',
+        prompt=prompt,
+        hinted=500,
+        longest=1000,
+        waited_ms=0,
+        target_ms=900,
+        priority=1,
+    )
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -69,17 +69,7 @@
         if step % 20:
             continue
         name = f'r{step}'
-        ask = messages.AskPlace(
-            service='s',
-            request=name,
-            holder='vm',
-            prompt=3000,
-            hinted=500,
-            longest=1000,
-            waited_ms=0,
-            target_ms=900,
-            priority=1,
-        )
+        ask = tallies.ask(name, 3000)
         place = plan.ask(now, ask, _SERVICE, lambda: (decoders, prefillers))
         if not isinstance(place, messages.Place):
             continue
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -20,6 +20,7 @@
 from foxtaildale_platform import store
 from foxtaildaled import beliefs
 from foxtaildaled import watched
+from tests import tallies
 
 _CODEC = records.Codec()
 _ENTRY: dict[str, object] = {
@@ -192,17 +193,7 @@
         )
         for stage in ('decode', 'prefill')
     }
-    msg = messages.AskPlace(
-        service='s',
-        request=request,
-        holder='vm-1',
-        prompt=4000,
-        hinted=500,
-        longest=1000,
-        waited_ms=0,
-        target_ms=900,
-        priority=1,
-    )
+    msg = tallies.ask(request, 4000)
     return plan.ask(
         now, msg, _SERVICE, lambda: (backends['decode'], backends['prefill'])
     )
