--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -12,13 +12,13 @@
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import routes
-from foxtaildale_adapters import incoming
 from foxtaildale_platform import boot
 from foxtaildale_platform import calls
 from foxtaildale_platform import names
 from foxtaildale_platform import records
 from foxtaildale_platform import store
 from foxtaildale_platform import workers
+from tests import exchanges
 
 _ROUTE: dict[str, Any] = {
     'name': 'r1',
@@ -182,20 +182,8 @@
         store._entry(store._Item(key='k', offset=1, value='?'))
 
 
-class _Sent:
-    """Stands for a caller's request."""
-
-    def __init__(self, headers: dict[str, str]) -> None:
-        self.headers = {'host': 'h.example', names.ATTEMPT: 'id1'} | headers
-        self.method = 'POST'
-        self.target = '/a/%41?q=%20'
-        self.body = b'body'
-
-
 def _decode(headers: dict[str, str]) -> forwarding.Call:
-    sent: Any = _Sent(headers)
-    exchange: incoming.Exchange = sent
-    return calls.decode(exchange)
+    return calls.decode(exchanges.make(headers))
 
 
 def test_a_request_keeps_its_bytes() -> None:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,8 +1,6 @@
 """The router on stand-ins of the users' store and workers, over real sockets."""
 
-from collections.abc import Callable
 from collections.abc import Iterator
-import http.client
 import socket
 import threading
 import time
@@ -13,135 +11,11 @@
 from foxtaildale import balance
 from foxtaildale import errors
 from foxtaildale import messages
-from foxtaildale import options
 from foxtaildale_adapters import peers
-from foxtaildale_platform import calls
-from foxtaildale_platform import records
-from foxtaildale_platform import store
-from foxtaildale_platform import workers
 from foxtaildaled import balancing
-from foxtaildaled import routing
-from tests.standins import keyedstore
-from tests.standins import wireworker
-
-_ROUTE = {
-    'host': 'h.example',
-    'timeout_ms': 3000,
-    'target_latency_ms': 300,
-    'priority': 1,
-    'max_attempts': 2,
-}
-_ROUTES = (
-    _ROUTE
-    | {'name': 'safe', 'path_prefix': '/safe/', 'kind': 'idempotent'}
-    | {'service': 'plain'},
-    _ROUTE
-    | {'name': 'once', 'path_prefix': '/once/', 'kind': 'non_idempotent'}
-    | {'service': 'plain'},
-    _ROUTE
-    | {'name': 'chat', 'path_prefix': '/chat/', 'kind': 'streaming'}
-    | {'service': 'model', 'resumable': True, 'sticky_sessions': True}
-    | {'target_gap_ms': 100},
-    _ROUTE
-    | {'name': 'single', 'path_prefix': '/single/', 'kind': 'streaming'}
-    | {'service': 'model', 'resumable': False, 'sticky_sessions': True}
-    | {'max_attempts': 1},
-)
-_ENGINE = {
-    'slots': 8,
-    'stride': 64,
-    'kv_capacity_tokens': 50_000,
-    'kv_hold_s': 0.5,
-    'hold_ms': 2000,
-}
-
-
-def _config(version: int, *, skip: str = '') -> dict[str, object]:
-    return {
-        'version': version,
-        'routes': [route for route in _ROUTES if route['name'] != skip],
-        'services': [
-            {'name': 'plain'},
-            {'name': 'model', 'engine': _ENGINE},
-        ],
-        'limits': {'header_timeout_ms': 1000, 'max_body_bytes': 1000},
-    }
-
-
-def _until(check: Callable[[], bool], wait_s: float = 4.0) -> None:
-    end = time.monotonic() + wait_s
-    while not check():
-        assert time.monotonic() < end, 'it did not come about in time'
-        time.sleep(0.01)
-
-
-def _free_port() -> int:
-    with socket.create_server(('127.0.0.1', 0)) as sock:
-        port: int = sock.getsockname()[1]
-        return port
-
-
-class Site:
-    """One store, some workers, some routers."""
-
-    def __init__(self) -> None:
-        self.store = keyedstore.KeyedStore()
-        self.workers: dict[str, wireworker.WireWorker] = {}
-        self.routers: list[routing.RouterDaemon] = []
-        self.peers: list[str] = []
-        self._number = 0
-
-    def worker(
-        self, name: str, service: str, stage: str = ''
-    ) -> wireworker.WireWorker:
-        """Starts a worker and lists it."""
-        made = wireworker.WireWorker(name, service, stage)
-        self.workers[name] = made
-        self.store.put('keyed.servers', name, made.entry())
-        return made
-
-    def router(
-        self,
-        *,
-        seeds: tuple[str, ...] = (),
-        retry_burst: float = 20.0,
-        first_start: bool = True,
-    ) -> routing.RouterDaemon:
-        """Starts a router."""
-        self._number += 1
-        peer = f'127.0.0.1:{_free_port()}'
-        self.peers.append(peer)
-        cfg = options.RouterOptions(
-            entry_vm=f'vm-{self._number}',
-            data_centre='here',
-            caller_address='127.0.0.1:0',
-            ready_address='127.0.0.1:0',
-            peer_address=peer,
-            admin_host='127.0.0.1',
-            store=self.store.address,
-            seeds=seeds,
-            retry_burst=retry_burst,
-            first_start=first_start,
-            threads=8,
-        )
-        made = routing.Adapters(
-            codec=records.Codec(),
-            store=store.Store,
-            decode=calls.decode,
-            workers=workers.Workers(),
-        )
-        router = routing.RouterDaemon(cfg, made, 0)
-        router.start()
-        self.routers.append(router)
-        return router
+from tests import site as sites
 
-    def close(self) -> None:
-        """Ends all."""
-        for router in self.routers:
-            router.close()
-        for worker in self.workers.values():
-            worker.close()
-        self.store.close()
+Site = sites.Site
 
 
 @pytest.fixture
@@ -154,62 +28,12 @@
 @pytest.fixture
 def calm(site: Site) -> Site:
     """A configuration, two plain workers, a prefill and two decode workers."""
-    site.store.put('keyed.op', 'config', _config(1))
-    for name in ('s1', 's2'):
-        site.worker(name, 'plain')
-    site.worker('p1', 'model', 'prefill')
-    for name in ('d1', 'd2'):
-        site.worker(name, 'model', 'decode')
-    site.router()
-    _until(lambda: _ready(site))
-    _until(lambda: 'vm-1' in site.routers[0].entry_vms())
+    sites.make_calm(site)
     return site
 
 
-def _ready(site: Site, number: int = 0) -> bool:
-    status, _, _ = _send(site, 'GET', '/api/ready', use='ready', number=number)
-    return status == 200
-
-
-def _send(
-    site: Site,
-    method: str,
-    path: str,
-    *,
-    attempt: str = 'a1',
-    headers: dict[str, str] | None = None,
-    use: str = 'caller',
-    number: int = 0,
-) -> tuple[int, dict[str, str], bytes]:
-    conn = http.client.HTTPConnection(
-        site.routers[number].addresses[use], timeout=6
-    )
-    sent = {
-        'Host': 'h.example',
-        'Foxtaildale-Attempt-Id': attempt,
-        'Foxtaildale-Deadline-Ms': '3000',
-        'Foxtaildale-Token-Count': '500,640',
-    }
-    conn.request(method, path, headers=sent | (headers or {}))
-    resp = conn.getresponse()
-    try:
-        body = resp.read()
-    except http.client.IncompleteRead:
-        body = b'(cut)'
-    conn.close()
-    found = {name.lower(): value for name, value in resp.getheaders()}
-    return resp.status, found, body
-
-
-def _events(attempt: str, last: int, first: int = 1) -> bytes:
-    return b''.join(
-        b'id: %d\ndata: %s-%d\n\n' % (n, attempt.encode(), n)
-        for n in range(first, last + 1)
-    )
-
-
 def test_a_plain_request_passes_through_byte_by_byte(calm: Site) -> None:
-    status, headers, body = _send(calm, 'GET', '/safe/x%41?q=%20y')
+    status, headers, body = sites.send(calm, 'GET', '/safe/x%41?q=%20y')
     assert (status, body) == (200, b'a1:/safe/x%41?q=%20y')
     assert headers['foxtaildale-response-stamp'].endswith('.a1')
     ran = [req for w in calm.workers.values() for req in w.ran]
@@ -219,8 +43,8 @@
 
 
 def test_a_stream_has_its_prompt_read_apart(calm: Site) -> None:
-    status, _, body = _send(calm, 'POST', '/chat/x')
-    assert (status, body) == (200, _events('a1', 5))
+    status, _, body = sites.send(calm, 'POST', '/chat/x')
+    assert (status, body) == (200, sites.events('a1', 5))
     assert calm.workers['p1'].ids() == ['a1']
     decoded = [w for w in ('d1', 'd2') if calm.workers[w].ids()]
     assert len(decoded) == 1
@@ -234,7 +58,7 @@
 
     It would go on from a prompt that is not its own.
     """
-    _send(
+    sites.send(
         calm,
         'GET',
         '/safe/x',
@@ -262,7 +86,7 @@
 def test_what_has_no_route_or_no_sense_is_refused(
     calm: Site, path: str, headers: dict[str, str], status: int
 ) -> None:
-    assert _send(calm, 'GET', path, headers=headers)[0] == status
+    assert sites.send(calm, 'GET', path, headers=headers)[0] == status
     assert not any(w.ran for w in calm.workers.values())
 
 
@@ -296,7 +120,7 @@
 def test_an_idempotent_request_is_run_again_elsewhere(calm: Site) -> None:
     calm.workers['s1'].error = calm.workers['s1'].cut = True
     for number in range(6):
-        status, _, _ = _send(calm, 'GET', '/safe/x', attempt=f'a{number}')
+        status, _, _ = sites.send(calm, 'GET', '/safe/x', attempt=f'a{number}')
         assert status == 200
 
 
@@ -308,7 +132,7 @@
     """
     for name in ('s1', 's2'):
         calm.workers[name].cut = True
-    status, headers, _ = _send(calm, 'POST', '/once/x')
+    status, headers, _ = sites.send(calm, 'POST', '/once/x')
     assert status == 502
     assert 'retry-after' not in headers
     assert len([i for w in ('s1', 's2') for i in calm.workers[w].ids()]) == 1
@@ -317,17 +141,17 @@
 def test_what_did_not_run_goes_on_or_is_refused(calm: Site) -> None:
     calm.workers['s1'].refuse = True
     for number in range(4):
-        status, _, _ = _send(calm, 'POST', '/once/x', attempt=f'a{number}')
+        status, _, _ = sites.send(calm, 'POST', '/once/x', attempt=f'a{number}')
         assert status == 200
     calm.workers['s2'].refuse = True
-    status, headers, _ = _send(calm, 'POST', '/once/x', attempt='b')
+    status, headers, _ = sites.send(calm, 'POST', '/once/x', attempt='b')
     assert status == 503
     assert 0 < float(headers['retry-after']) <= 1.0
 
 
 def test_a_failure_of_the_server_is_the_callers_answer(calm: Site) -> None:
     calm.workers['s1'].error = calm.workers['s2'].error = True
-    status, headers, body = _send(calm, 'POST', '/once/x')
+    status, headers, body = sites.send(calm, 'POST', '/once/x')
     assert (status, body) == (500, b'broken')
     assert 'foxtaildale-response-stamp' in headers
 
@@ -339,14 +163,16 @@
     """
     calm.workers['d1'].break_after = 3
     for number in range(4):
-        status, _, body = _send(calm, 'POST', '/chat/x', attempt=f'a{number}')
-        assert (status, body) == (200, _events(f'a{number}', 5))
+        status, _, body = sites.send(
+            calm, 'POST', '/chat/x', attempt=f'a{number}'
+        )
+        assert (status, body) == (200, sites.events(f'a{number}', 5))
 
 
 def test_a_stream_that_may_not_go_on_is_cut(calm: Site) -> None:
     """Its answer must not look complete, and it must not run twice."""
     calm.workers['d1'].break_after = calm.workers['d2'].break_after = 3
-    _, _, body = _send(calm, 'POST', '/single/x')
+    _, _, body = sites.send(calm, 'POST', '/single/x')
     assert body == b'(cut)'
     assert len([i for w in ('d1', 'd2') for i in calm.workers[w].ids()]) == 1
 
@@ -361,7 +187,7 @@
     calm.workers['d2'].refuse = True
     seen = set()
     for number in range(6):
-        status, headers, _ = _send(
+        status, headers, _ = sites.send(
             calm, 'POST', '/chat/x', attempt=f'a{number}'
         )
         ran = f'a{number}' in calm.workers['d1'].ids()
@@ -387,7 +213,7 @@
             b'Foxtaildale-Token-Count: 500,640\r\n\r\n'
         )
         assert sock.recv(100).startswith(b'HTTP/1.1 200')
-    _until(lambda: not calm.routers[0].busy(), 2.0)
+    sites.until(lambda: not calm.routers[0].busy(), 2.0)
     assert not any(calm.workers[name].ended for name in ('d1', 'd2'))
 
 
@@ -400,8 +226,8 @@
             b'Foxtaildale-Attempt-Id: a1\r\nContent-Length: 0\r\n'
             b'Foxtaildale-Token-Count: 500,640\r\n\r\n'
         )
-        _until(lambda: bool(calm.workers['p1'].ran))
-    _until(lambda: not calm.routers[0].busy(), 0.5)
+        sites.until(lambda: bool(calm.workers['p1'].ran))
+    sites.until(lambda: not calm.routers[0].busy(), 0.5)
     time.sleep(0.2)
     assert not any(calm.workers[name].ran for name in ('d1', 'd2'))
 
@@ -411,7 +237,7 @@
     for name in ('s1', 's2'):
         calm.workers[name].work_s = 2.0
     began = time.monotonic()
-    status, _, _ = _send(
+    status, _, _ = sites.send(
         calm, 'POST', '/once/x', headers={'Foxtaildale-Deadline-Ms': '400'}
     )
     assert status == 504
@@ -423,7 +249,7 @@
     time.sleep(1.0)
     before = len(calm.workers['s1'].ran)
     for number in range(6):
-        _send(calm, 'GET', '/safe/x', attempt=f'a{number}')
+        sites.send(calm, 'GET', '/safe/x', attempt=f'a{number}')
     assert len(calm.workers['s1'].ran) == before
 
 
@@ -434,42 +260,42 @@
     """
     calm.workers['s1'].name = 'new'
     for number in range(4):
-        status, _, _ = _send(calm, 'POST', '/once/x', attempt=f'a{number}')
+        status, _, _ = sites.send(calm, 'POST', '/once/x', attempt=f'a{number}')
         assert status == 200
     assert not calm.workers['s1'].ran
 
 
 def test_a_change_is_in_force_soon_and_stays(calm: Site) -> None:
-    calm.store.put('keyed.op', 'config', _config(2, skip='safe'))
-    _until(lambda: _send(calm, 'GET', '/safe/x')[0] == 404, 2.0)
-    calm.store.put('keyed.op', 'config', _config(1))
+    calm.store.put('keyed.op', 'config', sites.config(2, skip='safe'))
+    sites.until(lambda: sites.send(calm, 'GET', '/safe/x')[0] == 404, 2.0)
+    calm.store.put('keyed.op', 'config', sites.config(1))
     calm.store.put('keyed.op', 'config', {'version': 'broken'})
     time.sleep(0.5)
-    assert _send(calm, 'GET', '/safe/x')[0] == 404
+    assert sites.send(calm, 'GET', '/safe/x')[0] == 404
 
 
 def test_history_that_is_dropped_loses_nothing(calm: Site) -> None:
     for topic in ('keyed.op', 'keyed.servers'):
         calm.store.forget(topic)
-    calm.store.put('keyed.op', 'config', _config(3, skip='once'))
-    _until(lambda: _send(calm, 'POST', '/once/x')[0] == 404, 3.0)
-    assert _send(calm, 'GET', '/safe/x')[0] == 200
+    calm.store.put('keyed.op', 'config', sites.config(3, skip='once'))
+    sites.until(lambda: sites.send(calm, 'POST', '/once/x')[0] == 404, 3.0)
+    assert sites.send(calm, 'GET', '/safe/x')[0] == 200
 
 
 def test_a_router_without_a_configuration_refuses(site: Site) -> None:
     site.router()
-    status, headers, _ = _send(site, 'GET', '/safe/x')
+    status, headers, _ = sites.send(site, 'GET', '/safe/x')
     assert status == 503
     assert 'retry-after' in headers
-    assert not _ready(site)
+    assert not sites.ready(site)
 
 
 def test_a_router_serves_on_while_the_store_is_down(calm: Site) -> None:
     calm.store.down = True
     time.sleep(0.8)
-    assert _send(calm, 'GET', '/safe/x')[0] == 200
-    assert _send(calm, 'POST', '/chat/x')[0] == 200
-    assert _ready(calm)
+    assert sites.send(calm, 'GET', '/safe/x')[0] == 200
+    assert sites.send(calm, 'POST', '/chat/x')[0] == 200
+    assert sites.ready(calm)
 
 
 def test_a_router_started_in_an_outage_learns_from_a_peer(calm: Site) -> None:
@@ -479,8 +305,8 @@
     """
     calm.store.down = True
     calm.router(seeds=(calm.peers[0],))
-    _until(lambda: _ready(calm, 1), 4.0)
-    assert _send(calm, 'GET', '/safe/x', number=1)[0] == 200
+    sites.until(lambda: sites.ready(calm, 1), 4.0)
+    assert sites.send(calm, 'GET', '/safe/x', number=1)[0] == 200
 
 
 def test_connections_that_do_not_open_draw_on_no_budget(calm: Site) -> None:
@@ -490,25 +316,25 @@
     counted as further sends they were refused as soon as the budget was used.
     """
     calm.router(retry_burst=0.0)
-    _until(lambda: _ready(calm, 1))
+    sites.until(lambda: sites.ready(calm, 1))
     calm.workers['d1'].close()
     for number in range(6):
         attempt = f'a{number}'
-        status, _, body = _send(
+        status, _, body = sites.send(
             calm, 'POST', '/chat/x', attempt=attempt, number=1
         )
-        assert (status, body) == (200, _events(attempt, 5))
+        assert (status, body) == (200, sites.events(attempt, 5))
 
 
 def _site_of_idle_prefill_workers(site: Site) -> None:
-    site.store.put('keyed.op', 'config', _config(1))
+    site.store.put('keyed.op', 'config', sites.config(1))
     for name in ('p1', 'p2', 'p3', 'p4', 'p5'):
         site.worker(name, 'model', 'prefill')
     for name in ('d1', 'd2'):
         site.worker(name, 'model', 'decode').pace_s = 0.02
     site.router()
-    _until(lambda: _ready(site))
-    _until(lambda: 'vm-1' in site.routers[0].entry_vms())
+    sites.until(lambda: sites.ready(site))
+    sites.until(lambda: 'vm-1' in site.routers[0].entry_vms())
 
 
 def _orders(site: Site) -> list[dict[str, Any]]:
@@ -517,7 +343,7 @@
 
 def _send_many(site: Site) -> None:
     for number in range(balance.ENOUGH + 5):
-        status, _, _ = _send(site, 'POST', '/chat/x', attempt=f'a{number}')
+        status, _, _ = sites.send(site, 'POST', '/chat/x', attempt=f'a{number}')
         assert status == 200
 
 
@@ -528,7 +354,7 @@
     """
     _site_of_idle_prefill_workers(site)
     _send_many(site)
-    _until(lambda: len(_orders(site)) == balance.AT_ONCE)
+    sites.until(lambda: len(_orders(site)) == balance.AT_ONCE)
     for order in _orders(site):
         assert order['op'] == 'stage'
         assert order['stage'] == 'decode'
@@ -554,11 +380,11 @@
     calm.store.put('keyed.entryvms', 'ghost', {'peer_address': '127.0.0.1:1'})
     calm.store.put('keyed.entryvms', 'ghost-2', {'peer_address': '127.0.0.1:1'})
     calm.router()
-    _until(lambda: _ready(calm, 1))
+    sites.until(lambda: sites.ready(calm, 1))
     for number in range(3):
         attempt = f'a{number}'
-        found = _send(calm, 'POST', '/chat/x', attempt=attempt, number=1)
-        assert (found[0], found[2]) == (200, _events(attempt, 5))
+        found = sites.send(calm, 'POST', '/chat/x', attempt=attempt, number=1)
+        assert (found[0], found[2]) == (200, sites.events(attempt, 5))
 
 
 def test_a_planned_stop_cuts_no_request(calm: Site) -> None:
@@ -572,24 +398,24 @@
         calm.workers[name].pace_s = 0.05
     found: list[tuple[int, dict[str, str], bytes]] = []
     stream = threading.Thread(
-        target=lambda: found.append(_send(calm, 'POST', '/chat/x'))
+        target=lambda: found.append(sites.send(calm, 'POST', '/chat/x'))
     )
     stream.start()
-    _until(lambda: calm.routers[0].busy() == 1)
+    sites.until(lambda: calm.routers[0].busy() == 1)
     stop = threading.Thread(target=calm.routers[0].stop)
     stop.start()
     time.sleep(0.2)
-    assert not _ready(calm)
+    assert not sites.ready(calm)
     ask = messages.AskRecords(ends={})
     asked = peers.Peers(1.0, 3.0)
     with pytest.raises(errors.RejectedError, match='stopping'):
         asked.ask(calm.peers[0], ask, 1.0)
     asked.close()
-    status, headers, _ = _send(calm, 'GET', '/safe/x', attempt='late')
+    status, headers, _ = sites.send(calm, 'GET', '/safe/x', attempt='late')
     assert status == 200
     assert headers['connection'] == 'close'
     stream.join(6)
     stop.join(8)
-    assert found[0][2] == _events('a1', 40)
+    assert found[0][2] == sites.events('a1', 40)
     with pytest.raises(OSError):
-        _send(calm, 'GET', '/safe/x')
+        sites.send(calm, 'GET', '/safe/x')
