Choose and ask homes in one place, whatever they are the home of

Suspects, probes, the hash and the news to homes move out of Places into Asking; a VM that failed as one home is passed over as another. No decision changes.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -14,6 +14,7 @@
 from foxtaildale import suspects
 from foxtaildale_platform import records
 from foxtaildaled import actors
+from foxtaildaled import asking
 from foxtaildaled import beliefs
 from foxtaildaled import fitness
 from foxtaildaled import places
@@ -161,9 +162,14 @@
         self.owner = actors.Owner(state, self.clock)
         self.places = places.Places(
             entry_vm=me,
-            handle=lambda _: self.answer,
             owner=self.owner,
-            peers=self.vms,
+            homes=asking.Asking(
+                entry_vm=me,
+                handle=lambda _: self.answer,
+                owner=self.owner,
+                peers=self.vms,
+                clock=self.clock,
+            ),
             clock=self.clock,
         )
 
