Know client accounts: keys as digests, limits in tokens counted by a home of each account

- A configuration's accounts are decoded and checked; faults name the account.
Its keys are replaced by digests before a record is kept or passed on.
- 401 with the challenge for a key that no account has, a doubled header or another scheme; public routes need none; a VM without a configuration says 503.
- The account's name goes to the backend server on each kind of call, whatever the caller sent; its priority goes before the route's.
- Each account has a home, which is asked before a request runs and counts a token bucket; what did not run is given back; homes tell two that may follow what they let in; one that begins knowing nothing starts with a part of what may pass in error.
Where no home answers, a VM keeps to its part.
- A request passes no larger one that was turned away unless it is an eighth of it.

--- a/packages/adapters/foxtaildale_adapters/metrics.py
+++ b/packages/adapters/foxtaildale_adapters/metrics.py
@@ -26,6 +26,11 @@
 BETWEEN_TOKENS_S: Final = (
     0.002, 0.005, 0.01, 0.02, 0.029, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0, 5.0,
 )  # fmt: skip
+# Series of one counter. Names of client accounts come and go with the
+# configuration; each that was ever counted would stay for the process's life.
+SERIES: Final = 2000
+# Stands for what is counted beyond that.
+OTHER: Final = 'other'
 # Notes of one histogram that wait for the library; 64 KB of memory at most.
 PENDING: Final = 2000
 
@@ -48,6 +53,8 @@
     def add(self, amount: float, *values: str) -> None:
         """Adds to the sum; `values` are in the order of the labels."""
         with self._lock:
+            if values not in self._sums and len(self._sums) >= SERIES:
+                values = (OTHER, *values[1:])
             self._sums[values] = self._sums.get(values, 0) + amount
 
     def set(self, total: float, *values: str) -> None:
@@ -128,6 +135,7 @@
 
     __slots__ = (
         '_lock',
+        'accounts',
         'answer_seconds',
         'between_tokens_seconds',
         'first_answer_seconds',
@@ -153,6 +161,13 @@
             'service',
             'code',
         )
+        self.accounts = Counter(
+            lock,
+            'foxtaildale_account_requests_total',
+            'Requests by client account and whether they were let in.',
+            'account',
+            'code',
+        )
         self.first_answer_seconds = Histogram(
             lock,
             'foxtaildale_first_answer_seconds',
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -199,6 +199,19 @@
 NO_ROUTE: Final = Code(
     'no-route', 404, 'no', 'Not run: version {version} has no such route.'
 )
+UNAUTHORIZED: Final = Code(
+    'unauthorized',
+    401,
+    'no',
+    'Not run: {reason}.',
+)
+OVER_LIMIT: Final = Code(
+    'over-limit',
+    429,
+    'no',
+    'Not run: client account {account} may take {rate} {unit}s a second and'
+    ' {burst} at once; this request counts as {cost} and {remaining} are left.',
+)
 TIMED_OUT: Final = Code(
     'timed-out',
     504,
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -68,6 +68,12 @@
     after_event: int | None = None
     # The same for each try of one request: a digest of what its caller asks.
     digest: int = 0
+    # Digest of the key that its caller sent; None if it sent none that can be
+    # read.
+    key: bytes | None = None
+    # Name of the client account that it is for, told to backend servers; empty
+    # where no account is known.
+    account: str = ''
 
 
 class Load(msgspec.Struct, frozen=True):
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -22,6 +22,11 @@
 
 
 ON_REQUEST: Final[dict[str, Event]] = {
+    'let in': Event(
+        'client account {account} was within its limit by its {by}:'
+        ' it counts as {cost}, {remaining} are left',
+        ('account', 'cost', 'remaining', 'by', 'took_ms'),
+    ),
     'queued': Event(
         'it waits behind {position} others, by the plan for {wait_ms} ms,'
         ' for want of {short_of}',
@@ -113,7 +118,13 @@
         (
             'configuration in force',
             'version {version} is in force, told by {source}',
-            ('version', 'offset', 'routes', 'source'),
+            ('version', 'offset', 'routes', 'accounts', 'source'),
+        ),
+        (
+            'configuration not sealed',
+            'a configuration was not kept, since its keys could not be told'
+            ' apart: {error}',
+            ('error',),
         ),
         (
             'key not readable',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -416,6 +416,39 @@
     born: int = 0
 
 
+class AskCredit(Wire, frozen=True):
+    """From an entry VM to the home of a client account: may a request run?"""
+
+    account: str
+    # What it counts as, in units of the account's limit.
+    cost: float
+
+
+class Credit(Wire, frozen=True):
+    """Answers it."""
+
+    # 0 if it may; else how long until it would, milliseconds.
+    wait_ms: int
+    # What the account has left, units.
+    level: float
+
+
+class GiveBack(Wire, frozen=True):
+    """What was let in did not run; to the home of a client account."""
+
+    account: str
+    cost: float
+
+
+class LetIn(Wire, frozen=True):
+    """What one home of client accounts let in, told to those that may follow.
+
+    By account, units, less what was given back.
+    """
+
+    used: dict[str, float]
+
+
 class AskHome(Wire, frozen=True):
     """Asks an entry VM whether it may be a home."""
 
@@ -479,6 +512,10 @@
     | TooLate
     | EndPlace
     | ServerFailed
+    | AskCredit
+    | Credit
+    | GiveBack
+    | LetIn
     | AskHome
     | HomeReply
     | AskHeld
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -100,6 +100,11 @@
     retry_ratio: float = 0.2
     retry_burst: float = 0.0
     retry_window_s: float = 10.0
+    # How far the use of a client account may be above its limit in any window of
+    # this length (seconds): part of the limit, and units.
+    limit_window_s: float = 8.0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
     # Whether all entry VMs start for the first time, so that no earlier process
     # has made further sends.
     first_start: bool = False
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -104,6 +104,9 @@
     members_topic: str
     holders_topic: str
 
+    def seal(self, topic: str, value: bytes) -> bytes:
+        """Returns a record with digests in place of secrets; raises nothing."""
+
     def table(self, value: bytes) -> routes.Table:
         """Decodes a version of the configuration."""
 
--- a/packages/core/foxtaildale/routes.py
+++ b/packages/core/foxtaildale/routes.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from foxtaildale import accounts
+
 # Whether a request may be run again after it was sent once.
 Kind = Literal['idempotent', 'non_idempotent', 'stream']
 
@@ -46,6 +48,8 @@
     model: bool = False
     # Whether a broken stream may go on at another backend server.
     resumable: bool = False
+    # Whether requests need no key of a client account.
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -85,6 +89,8 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = Limits()
+    # Client accounts; without any, requests need no key.
+    client_accounts: tuple[accounts.Account, ...] = ()
 
     def service(self, name: str) -> Service:
         """Returns a service; an unknown one has no special features."""
@@ -97,14 +103,16 @@
 class Matcher:
     """Finds the route of a request in one table."""
 
-    __slots__ = ('_by_host', 'table')
+    __slots__ = ('_by_host', 'client_accounts', 'table')
 
     table: Table
+    client_accounts: accounts.Accounts
     # Routes of each host, longest prefix first.
     _by_host: dict[str, tuple[Route, ...]]
 
     def __init__(self, table: Table) -> None:
         self.table = table
+        self.client_accounts = accounts.Accounts(table.client_accounts)
         hosts: dict[str, list[Route]] = {}
         for route in table.routes:
             hosts.setdefault(route.host.lower(), []).append(route)
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -117,8 +117,9 @@
         """Takes an answer of the store."""
         known = self._mirrors[topic]
         take = known.snapshot if whole else known.apply
-        since = self._since(topic, keyed.entries)
-        news = take(keyed.entries, keyed.end)
+        entries = tuple(self._sealed(topic, entry) for entry in keyed.entries)
+        since = self._since(topic, entries)
+        news = take(entries, keyed.end)
         if topic == self._codec.servers_topic:
             self.servers_known = True
             self.fresh_at = now
@@ -325,6 +326,12 @@
         addresses.discard(self._peer_address)
         return sorted(addresses)
 
+    def _sealed(self, topic: str, entry: mirror.Entry) -> mirror.Entry:
+        value = self._codec.seal(topic, entry.value)
+        if value is entry.value:
+            return entry
+        return mirror.Entry(entry.key, entry.offset, value)
+
     def _since(
         self, topic: str, entries: Iterable[mirror.Entry]
     ) -> dict[str, int]:
@@ -390,6 +397,7 @@
             version=table.version,
             offset=entry.offset,
             routes=len(table.routes),
+            accounts=len(table.client_accounts),
             source=source,
         )
 
--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -5,12 +5,14 @@
 that hangs up ends it at once, whatever stage it is in.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import logging
 import math
 import threading
 from typing import Final
 
+from foxtaildale import accounts
 from foxtaildale import codes
 from foxtaildale import forwarding
 from foxtaildale import ports
@@ -31,12 +33,14 @@
         '_clock',
         '_flight',
         '_lock',
+        'account',
         'call',
         'counts',
         'deadline',
         'entry_vm',
         'ex',
         'gone',
+        'on_not_run',
         'route',
         'service',
         'started_at',
@@ -55,9 +59,14 @@
         counts: metrics.Metrics,
         clock: ports.Clock,
         ends_at: float = math.inf,
+        account: accounts.Account | None = None,
     ) -> None:
         self.ex = exchange
         self.call = call
+        # The client account that it is of; None where there are none.
+        self.account = account
+        # Called when it ends and did not run, nor will.
+        self.on_not_run: Callable[[], None] = _nothing
         self.route = route
         self.service = service
         # Of the configuration that it is served by.
@@ -78,6 +87,13 @@
         self._lock = threading.Lock()
         self._flight: ports.Flight | None = None
 
+    @property
+    def priority(self) -> int:
+        """Returns how urgent it is; 0 is the most."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
     def watch(self) -> None:
         """Begins to watch the caller."""
         self.ex.watch(self._on_gone)
@@ -120,6 +136,8 @@
             **figures,
         )
         self.counts.requests.add(1, self.service.name, code.name)
+        if code.ran == 'no':
+            self.on_not_run()
         if code.status == codes.CANCELLED.status:
             self.ex.cut()
             return
@@ -153,6 +171,10 @@
             flight.cancel()
 
 
+def _nothing() -> None:
+    """Stands for what nobody wants to hear of."""
+
+
 def refuse(
     exchange: incoming.Exchange,
     code: codes.Code,
@@ -163,6 +185,8 @@
     """Answers with an error; says when to come back if it did not run."""
     body = incoming.error_body(code, figures, entry_vm, retry_after_s)
     headers = dict(incoming.JSON)
+    if code.status == codes.UNAUTHORIZED.status:
+        headers['WWW-Authenticate'] = 'Bearer'
     if retry_after_s > 0:
         headers['Retry-After'] = f'{retry_after_s:.2f}'
     exchange.respond(code.status, headers, body)
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -1,14 +1,17 @@
 """The router role: requests that pass through as callers sent them.
 
-Each request is decoded, matched with the configuration in force, and handed to
-`forward` or `generate`. A refusal names its reason, its figures and when to
+Each request is decoded, matched with the configuration in force and the client
+account that has its key, let in by the account's limit, and handed to `forward`
+or `generate`. A refusal names its reason, its figures and when to
 come back.
 """
 
 from collections.abc import Callable
 import logging
 from typing import Final
+from typing import Protocol
 
+from foxtaildale import accounts
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import forwarding
@@ -19,12 +22,28 @@
 from foxtaildale_adapters import metrics
 from foxtaildaled import forward
 from foxtaildaled import generate
+from foxtaildaled import limits
 from foxtaildaled import passage
 
 # When to come back to an entry VM that knows no configuration yet, seconds.
 UNREADY_S: Final = 0.3
 
-Decode = Callable[[callers.Exchange], forwarding.Call]
+
+class Decode(Protocol):
+    """Decodes what a caller sent."""
+
+    def __call__(
+        self, exchange: callers.Exchange, *, keyed: bool = False
+    ) -> forwarding.Call:
+        """Returns the request.
+
+        Args:
+            exchange: What came.
+            keyed: Whether a key of a client account is expected.
+
+        Raises:
+            errors.DecodeError: It is none; says why, without its key.
+        """
 
 
 class Router:
@@ -38,6 +57,7 @@
         '_entry_vm',
         '_forward',
         '_generate',
+        '_limiter',
         '_matcher',
     )
 
@@ -49,6 +69,7 @@
         decode: Decode,
         plain: forward.Forward,
         model: generate.Generate,
+        limiter: limits.Limiter,
         counts: metrics.Metrics,
         clock: ports.Clock,
         ends_at: Callable[[], float],
@@ -61,6 +82,8 @@
         self._decode = decode
         self._forward = plain
         self._generate = model
+        # Keeps client accounts to their limits.
+        self._limiter = limiter
         self._counts = counts
         self._clock = clock
 
@@ -71,7 +94,7 @@
             self._refuse(exchange, codes.NO_PRESET, UNREADY_S)
             return
         try:
-            call = self._decode(exchange)
+            call = self._decode(exchange, keyed=bool(matcher.client_accounts))
         except errors.DecodeError as exc:
             self._refuse(exchange, codes.BAD_REQUEST, reason=str(exc))
             return
@@ -80,20 +103,88 @@
         if route is None:
             self._refuse(exchange, codes.NO_ROUTE, version=version)
             return
+        req = self._passage(exchange, call, matcher, route)
+        if self._is_let_in(req, matcher):
+            self._serve(req)
+
+    def _passage(
+        self,
+        exchange: callers.Exchange,
+        call: forwarding.Call,
+        matcher: routes.Matcher,
+        route: routes.Route,
+    ) -> passage.Passage:
+        account = matcher.client_accounts.holder(call.key)
+        call.account = account.name if account is not None else ''
         name = routes.pick_service(route, call.id)
-        req = passage.Passage(
+        return passage.Passage(
             exchange,
             call=call,
             route=route,
             service=matcher.table.service(name),
-            version=version,
+            version=matcher.table.version,
             entry_vm=self._entry_vm,
             counts=self._counts,
             clock=self._clock,
             ends_at=self._ends_at(),
+            account=account,
         )
+
+    def _is_let_in(self, req: passage.Passage, matcher: routes.Matcher) -> bool:
+        """Refuses what has no account, or lies beyond its account's limit."""
+        if req.account is not None:
+            return self._keeps_limit(req, req.account)
+        if not matcher.client_accounts or req.route.public:
+            return True
+        reason = 'no client account has its key'
+        if req.call.key is None:
+            reason = 'it has no key of a client account'
+        self._counts.accounts.add(1, '', codes.UNAUTHORIZED.name)
+        req.refuse(codes.UNAUTHORIZED, {'reason': reason})
+        return False
+
+    def _keeps_limit(
+        self, req: passage.Passage, account: accounts.Account
+    ) -> bool:
+        limit = account.limit
+        if not limit.rate:
+            return True
+        cost = limit.cost(req.call.prompt_tokens, req.call.output_tokens)
+        began = self._clock()
+        verdict = self._limiter.admit(account, cost)
+        took_ms = int((self._clock() - began) * 1000)
+        remaining = int(verdict.level)
+        if not verdict.wait_s:
+            req.on_not_run = lambda: self._limiter.give_back(
+                account, cost, verdict
+            )
+            self._counts.accounts.add(1, account.name, codes.OK.name)
+            req.log(
+                'let in',
+                account=account.name,
+                cost=cost,
+                remaining=remaining,
+                by=verdict.by,
+                took_ms=took_ms,
+            )
+            return True
+        self._counts.accounts.add(1, account.name, codes.OVER_LIMIT.name)
+        figures: dict[str, float | str] = {
+            'account': account.name,
+            'cost': cost,
+            'remaining': remaining,
+            'rate': limit.rate,
+            'burst': limit.burst,
+            'unit': limit.unit,
+            'by': verdict.by,
+            'took_ms': took_ms,
+        }
+        req.refuse(codes.OVER_LIMIT, figures, verdict.wait_s)
+        return False
+
+    def _serve(self, req: passage.Passage) -> None:
         req.watch()
-        if route.kind == 'stream':
+        if req.route.kind == 'stream':
             self._generate.serve(req)
         else:
             self._forward.serve(req)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -12,8 +12,11 @@
 import random
 import threading
 import time
+from typing import Any
 from typing import Final
 
+from foxtaildale import accounts
+from foxtaildale import allowances
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
@@ -24,10 +27,12 @@
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import wire
 from foxtaildaled import actors
+from foxtaildaled import asking
 from foxtaildaled import beliefs
 from foxtaildaled import fitness
 from foxtaildaled import forward
 from foxtaildaled import generate
+from foxtaildaled import limits
 from foxtaildaled import loops
 from foxtaildaled import places
 from foxtaildaled import process
@@ -109,11 +114,13 @@
 
     __slots__ = (
         '_admin',
-        '_cfg',
+        '_asking',
         '_closed',
         '_codec',
+        '_counting',
         '_ends_at',
         '_fitness',
+        '_handlers',
         '_limits_version',
         '_loops',
         '_metrics',
@@ -128,12 +135,13 @@
         '_stores',
         '_tidy',
         'addresses',
+        'cfg',
     )
 
     def __init__(
         self, cfg: options.RouterOptions, made: Adapters, metrics_port: int
     ) -> None:
-        self._cfg = cfg
+        self.cfg = cfg
         self._codec = made.codec
         rng = random.Random()
         self._stopping = threading.Event()
@@ -171,13 +179,34 @@
             entry_vm=cfg.entry_vm,
         )
         self._tidy = tidy.Tidy(made.workers)
-        self._places = places.Places(
+        self._asking = asking.Asking(
             entry_vm=cfg.entry_vm,
             handle=self._handle,
             owner=owner,
             peers=self._peers,
             clock=clock,
         )
+        self._places = places.Places(
+            entry_vm=cfg.entry_vm,
+            owner=owner,
+            homes=self._asking,
+            clock=clock,
+        )
+        self._counting = limits.Counting(
+            known=self._accounts,
+            book=allowances.Allowances(
+                allowances.Tolerance(
+                    window_s=cfg.limit_window_s,
+                    overage=cfg.limit_overage,
+                    slack=cfg.limit_slack,
+                ),
+                clock(),
+                first_start=cfg.first_start,
+            ),
+            homes=self._asking,
+            peers=self._peers,
+            clock=clock,
+        )
         budget = sends.Sends(
             cfg.retry_ratio,
             cfg.retry_burst,
@@ -198,6 +227,7 @@
                 rng=rng,
             ),
             model=self._make_generate(made, budget, rng),
+            limiter=self._make_limiter(),
             counts=self._metrics,
             clock=clock,
             ends_at=lambda: self._ends_at,
@@ -228,12 +258,21 @@
             _LOOK_S,
         )
         self._loops = self._make_loops(made, rng)
+        # Of messages that are not about what the router believes.
+        self._handlers: dict[type, Callable[[Any], messages.Any]] = {
+            messages.AskHome: lambda _: self._fitness.reply(),
+            messages.AskCredit: self._counting.ask,
+            messages.GiveBack: self._counting.take_back,
+            messages.LetIn: self._counting.told,
+            messages.AskHeld: lambda msg: self._places.held(msg.service),
+            messages.Dump: lambda _: messages.DumpReply(state=self._dump()),
+        }
 
     def start(self) -> None:
         """Starts the loops, then serves."""
         self._responder.start()
         self._tidy.start()
-        self._places.start()
+        self._asking.start()
         for loop in self._loops:
             loop.start()
         self.addresses = {
@@ -244,14 +283,14 @@
         logs.event(
             logging.INFO,
             'started',
-            first_start=self._cfg.first_start,
+            first_start=self.cfg.first_start,
             **self.addresses,
         )
 
     def stop(self) -> None:
         """Ends gracefully: cuts no request in progress."""
         began = clock()
-        self._ends_at = began + self._cfg.grace_s - CLOSE_S
+        self._ends_at = began + self.cfg.grace_s - CLOSE_S
         self._stopping.set()
         self._server.announce_stop()
         logs.event(logging.INFO, 'stopping', busy=self._server.busy())
@@ -271,6 +310,11 @@
         """Returns the names of the entry VMs that it knows."""
         return self._owner.run(lambda state, _: frozenset(state.entry_vms))
 
+    def version(self) -> int | None:
+        """Returns the version of the configuration in force, if one is known."""
+        matcher = self._state.matcher
+        return matcher.table.version if matcher is not None else None
+
     def close(self) -> None:
         """Ends at once, whatever is in progress."""
         if self._closed:
@@ -286,16 +330,24 @@
 
     def reload(self, cfg: options.RouterOptions) -> None:
         """Takes changed settings; addresses to listen on stay as they are."""
-        if cfg == self._cfg:
+        if cfg == self.cfg:
             return
         self._owner.run(lambda state, _: state.on_seeds(cfg.seeds))
         for store in self._stores:
             store.move(cfg.store)
-        self._cfg = cfg
+        self.cfg = cfg
         logs.event(
             logging.INFO, 'reloaded', store=cfg.store, seeds=list(cfg.seeds)
         )
 
+    def _make_limiter(self) -> limits.Limiter:
+        alone = limits.Shares(lambda: len(self._state.entry_vms), clock)
+        return limits.Homes(self._asking, alone)
+
+    def _accounts(self) -> accounts.Accounts | None:
+        matcher = self._state.matcher
+        return matcher.client_accounts if matcher is not None else None
+
     def _make_generate(
         self, made: Adapters, budget: sends.Sends, rng: random.Random
     ) -> generate.Generate:
@@ -303,7 +355,7 @@
             owner=self._owner,
             workers=made.workers,
             plan=self._places,
-            entry_vm=self._cfg.entry_vm,
+            entry_vm=self.cfg.entry_vm,
             clock=clock,
         )
         return generate.Generate(
@@ -327,25 +379,29 @@
         self, made: Adapters, rng: random.Random
     ) -> list[process.Loop]:
         def store() -> ports.Topics:
-            found = made.store(self._cfg.store)
+            found = made.store(self.cfg.store)
             self._stores.append(found)
             return found
 
-        return loops.make(
-            self._cfg,
-            codec=made.codec,
-            store=store,
-            workers=made.workers,
-            owner=self._owner,
-            peers=self._peers,
-            plan=self._places,
-            fit=self._fitness,
-            counts=self._metrics,
-            stopping=self._stopping,
-            on_read=self._apply_limits,
-            clock=clock,
-            rng=rng,
-        )
+        tell = process.Loop('limits', limits.TELL_S, self._counting.step)
+        return [
+            tell,
+            *loops.make(
+                self.cfg,
+                codec=made.codec,
+                store=store,
+                workers=made.workers,
+                owner=self._owner,
+                peers=self._peers,
+                plan=self._places,
+                fit=self._fitness,
+                counts=self._metrics,
+                stopping=self._stopping,
+                on_read=self._apply_limits,
+                clock=clock,
+                rng=rng,
+            ),
+        ]
 
     def _apply_limits(self) -> None:
         matcher = self._state.matcher
@@ -362,16 +418,14 @@
     def _handle(self, msg: messages.Any) -> messages.Any:
         # Whoever is refused chooses another home or reader at once; left to
         # notice the end of this process, it would wait for it first.
-        if isinstance(msg, messages.AskPlace) and self._fitness.reason():
+        needs_home = isinstance(msg, messages.AskPlace | messages.AskCredit)
+        if needs_home and self._fitness.reason():
             return messages.Fail(code=self._fitness.reason())
         if isinstance(msg, messages.AskRecords) and self._stopping.is_set():
             return messages.Fail(code='stopping')
-        if isinstance(msg, messages.AskHome):
-            return self._fitness.reply()
-        if isinstance(msg, messages.AskHeld):
-            return self._places.held(msg.service)
-        if isinstance(msg, messages.Dump):
-            return messages.DumpReply(state=self._dump())
+        handler = self._handlers.get(type(msg))
+        if handler is not None:
+            return handler(msg)
         return self._owner.run(lambda state, now: state.handle(msg, now))
 
     def _unready(self) -> str:
@@ -388,7 +442,7 @@
             matcher = state.matcher
             return {
                 'role': 'router',
-                'entry_vm': self._cfg.entry_vm,
+                'entry_vm': self.cfg.entry_vm,
                 'stopping': self._stopping.is_set(),
                 'version': matcher.table.version if matcher else None,
                 'fresh_at': state.fresh_at,
@@ -409,6 +463,7 @@
                 ],
                 'busy': self._server.busy(),
                 'plans': state.planned(),
+                'accounts': self._counting.levels(),
             }
 
         return json.dumps(self._owner.run(turn), sort_keys=True).encode()
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -216,7 +216,7 @@
             longest=call.output_tokens,
             waited_ms=int(req.age_s() * 1000),
             target_ms=int(req.route.target_s * 1000),
-            priority=req.route.priority,
+            priority=req.priority,
             avoid=avoid,
             digest=call.digest,
             started=started,
--- /dev/null
+++ b/tests/test_accounts.py
@@ -0,0 +1,224 @@
+"""Client accounts and their keys, as they come from the platform."""
+
+from collections.abc import Iterator
+import json
+import random
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from foxtaildale import accounts
+from foxtaildale import errors
+from foxtaildale import forwarding
+from foxtaildale import messages
+from foxtaildale import mirror
+from foxtaildale import ports
+from foxtaildale import routes
+from foxtaildale_platform import calls
+from foxtaildale_platform import names
+from foxtaildale_platform import records
+from foxtaildaled import beliefs
+from tests import exchanges
+
+_SECRET = 'k9m68k7b2ex5wa5xwyhk'
+_TENANT: dict[str, Any] = {
+    'name': 'huka270',
+    'api_keys': ['banfqasnmgkcuyj8pjbv', _SECRET],
+    'priority': 1,
+    'unit': 'token_stream',
+    'plain_tokens': 200,
+    'rate_per_s': 104008,
+    'burst': 104008,
+}
+
+
+def _config(version: int, *tenants: dict[str, Any]) -> bytes:
+    return json.dumps({'version': version, 'tenants': tenants}).encode()
+
+
+def _state() -> beliefs.Beliefs:
+    return beliefs.Beliefs(
+        records.Codec(), '10.0.0.1:1', (), 'here', random.Random(1)
+    )
+
+
+def _take(state: beliefs.Beliefs, offset: int, value: bytes) -> None:
+    entry = mirror.Entry(names.CONFIG_KEY, offset, value)
+    keyed = ports.Keyed(offset + 1, (entry,))
+    state.take(names.CONFIG_TOPIC, keyed, 1.0, whole=False)
+
+
+def test_an_account_is_decoded_with_its_limit() -> None:
+    table = records.table(_config(3, _TENANT))
+    assert table.client_accounts == (
+        accounts.Account(
+            name='huka270',
+            keys=frozenset(accounts.digest(key) for key in _TENANT['api_keys']),
+            priority=1,
+            limit=accounts.Limit(
+                unit='token', rate=104008, burst=104008, plain_tokens=200
+            ),
+        ),
+    )
+    known = routes.Matcher(table).client_accounts
+    found = known.holder(accounts.digest(_SECRET))
+    assert found is not None
+    assert found.name == 'huka270'
+    assert known.holder(accounts.digest('other')) is None
+    assert known.holder(None) is None
+
+
+def test_an_account_without_figures_has_no_limit() -> None:
+    table = records.table(_config(3, {'name': 'a', 'api_keys': ['k']}))
+    account = table.client_accounts[0]
+    assert account.priority is None
+    assert not account.limit.rate
+
+
+@pytest.mark.parametrize(
+    ('change', 'fault'),
+    [
+        ({'name': ''}, "'' is no name"),
+        ({'name': 'a\r\nX: 1'}, 'is no name'),
+        ({'api_keys': ['']}, 'huka270 has an empty key'),
+        ({'unit': 'parsec'}, "huka270 has the unit 'parsec'"),
+        ({'rate_per_s': -1}, 'huka270 has the rate -1'),
+        ({'rate_per_s': 1e300}, 'huka270 has the rate 1e+300'),
+        ({'burst': -1}, 'huka270 has the burst -1'),
+        ({'plain_tokens': -1}, 'huka270 has the tokens of a plain request -1'),
+    ],
+)
+def test_a_fault_is_told_by_name(change: dict[str, Any], fault: str) -> None:
+    with pytest.raises(errors.DecodeError) as caught:
+        records.table(_config(3, _TENANT | change))
+    assert fault in str(caught.value)
+
+
+def test_faults_of_several_accounts_are_told_together_and_no_key() -> None:
+    other = _TENANT | {'name': 'b', 'unit': 'x'}
+    twice = {'name': 'b'}
+    with pytest.raises(errors.DecodeError) as caught:
+        records.table(_config(3, _TENANT, other, twice))
+    text = str(caught.value)
+    assert 'b twice' in text
+    assert 'b has a key of huka270' in text
+    assert "b has the unit 'x'" in text
+    assert not any(key in text for key in _TENANT['api_keys'])
+
+
+def test_a_faulty_version_leaves_the_good_one_in_force() -> None:
+    """An operator publishes a key under two accounts.
+
+    Taken half, it would refuse callers or serve them as somebody else.
+    """
+    state = _state()
+    _take(state, 0, _config(3, _TENANT))
+    _take(state, 1, _config(5, _TENANT, _TENANT | {'name': 'b'}))
+    assert state.matcher is not None
+    assert state.matcher.table.version == 3
+    _take(state, 2, _config(6))
+    assert state.matcher.table.version == 6
+    assert not state.matcher.client_accounts
+
+
+def test_what_is_kept_and_passed_on_holds_no_key() -> None:
+    """An entry VM tells the others the configuration.
+
+    Whoever reads what goes between them, or a dump of one, must find no key.
+    """
+    state = _state()
+    _take(state, 0, _config(3, _TENANT))
+    ask = messages.AskRecords(ends={})
+    told = messages.encode(state.reply(ask, 1.0))
+    assert b'huka270' in told
+    other = _state()
+    reply = messages.decode(told)
+    assert isinstance(reply, messages.RecordsReply)
+    other.take_reply(reply, 1.0)
+    for known in (state, other):
+        assert known.matcher is not None
+        holder = known.matcher.client_accounts.holder
+        assert holder(accounts.digest(_SECRET)) is not None
+    assert not any(key.encode() in told for key in _TENANT['api_keys'])
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{"api_keys": ',
+        b'["api_keys"]',
+        b'{"tenants": 7, "x": "api_keys"}',
+        b'{"tenants": [7], "x": "api_keys"}',
+        b'{"tenants": [{"api_keys": 7}]}',
+        b'{"tenants": [{"api_keys": ["k", 7]}]}',
+    ],
+)
+def test_a_record_that_can_not_be_sealed_is_not_kept(value: bytes) -> None:
+    assert records.seal(names.CONFIG_TOPIC, value) == b''
+
+
+def _decode(headers: dict[str, str], *, keyed: bool = True) -> forwarding.Call:
+    sent = {names.ATTEMPT: 'a1', 'host': 'h'} | headers
+    return calls.decode(exchanges.make(headers=sent), keyed=keyed)
+
+
+@pytest.mark.parametrize(
+    ('sent', 'key'),
+    [
+        (f'Bearer {_SECRET}', _SECRET),
+        (f'bearer  {_SECRET}', _SECRET),
+        (f'Basic {_SECRET}', None),
+        (_SECRET, None),
+        ('Bearer', None),
+        ('Bearer ', None),
+        (f'Bearer {_SECRET} x', None),
+        # The header came twice.
+        (f'Bearer {_SECRET}, Bearer other', None),
+        (f'Bearer {_SECRET}, Bearer {_SECRET}', None),
+        ('Bearer ' + 300 * 'k', None),
+        (f'Bearer {_SECRET}\x00', None),
+    ],
+)
+def test_which_key_a_request_has(sent: str, key: str | None) -> None:
+    call = _decode({names.AUTHORIZATION: sent})
+    assert call.key == (None if key is None else accounts.digest(key))
+    assert names.AUTHORIZATION not in dict(call.headers)
+
+
+def test_without_accounts_the_header_is_the_backend_servers() -> None:
+    sent = {names.AUTHORIZATION: 'Basic x'}
+    call = _decode(sent, keyed=False)
+    assert call.key is None
+    assert dict(call.headers)[names.AUTHORIZATION] == 'Basic x'
+
+
+def test_a_caller_can_not_name_its_account() -> None:
+    call = _decode({names.ACCOUNT: 'other'}, keyed=False)
+    assert names.ACCOUNT not in dict(call.headers)
+
+
+@hypothesis.given(
+    value=strategies.text(
+        strategies.characters(min_codepoint=0, max_codepoint=255), max_size=60
+    )
+)
+def test_any_header_is_a_key_or_none_and_goes_nowhere(value: str) -> None:
+    for sent in (value, f'Bearer {value}', f'Bearer {_SECRET}{value}'):
+        call = _decode({names.AUTHORIZATION: sent, 'x': 'y'})
+        assert names.AUTHORIZATION not in dict(call.headers)
+        assert call.key is None or len(call.key) == len(accounts.digest(''))
+        assert _SECRET not in repr(call)
+
+
+def _walk(found: object) -> Iterator[object]:
+    yield found
+    for field in getattr(found, '__struct_fields__', ()):
+        yield from _walk(getattr(found, field))
+
+
+def test_a_decoded_account_holds_no_key() -> None:
+    table = records.table(_config(3, _TENANT))
+    assert _SECRET not in repr(table)
+    assert not any(part == _SECRET for part in _walk(table.client_accounts[0]))
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -7,12 +7,14 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _DAEMON = _ROOT / 'packages' / 'daemon' / 'foxtaildaled'
-_STORE = _ROOT / 'platform' / 'foxtaildale_platform' / 'store.py'
+_PLATFORM = _ROOT / 'platform' / 'foxtaildale_platform'
 _MODULES = (
+    'asking',
     'balancing',
     'beliefs',
     'forward',
     'generate',
+    'limits',
     'passage',
     'places',
     'prompts',
@@ -33,7 +35,8 @@
 def _in_code() -> set[str]:
     found = set()
     paths = [_DAEMON / f'{module}.py' for module in _MODULES]
-    for path in (*paths, _STORE):
+    adapters = [_PLATFORM / 'records.py', _PLATFORM / 'store.py']
+    for path in (*paths, *adapters):
         text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
         for pattern in (_CALL, _ASSIGNED):
