Client accounts in the product's own presets: digests of keys, limits, 401 and 429

A preset names accounts by digests of their keys (foxtaildale account-key makes them from standard input) with requests a second and a burst. preset check tells a key in two accounts, a burst without a rate, a digest that is none, and shows none of them. An entry refuses what no account has the key of, and keeps to its part of a limit by the number of VMs. A preset without accounts keeps its digest.

--- a/packages/client/foxtaildale_client/main.py
+++ b/packages/client/foxtaildale_client/main.py
@@ -17,6 +17,7 @@
 import defopt
 import msgspec
 
+from foxtaildale import accounts
 from foxtaildale import errors
 from foxtaildale_adapters import exchange
 from foxtaildale_adapters import peers as peers_lib
@@ -214,6 +215,17 @@
     return _run(lambda: _status(platform, keeper, timeout_s), json)
 
 
+def account_key(*, json: bool = False) -> int:
+    """Makes the digest of a client account's key, for a preset.
+
+    The key is read from standard input, so that it stands in no list of
+    processes and no shell's history.
+
+    :param json: Print JSON.
+    """
+    return _run(_account_key, json)
+
+
 _COMMANDS: Final = {
     'preset': {
         'check': check,
@@ -228,6 +240,7 @@
     'state': state,
     'explain': explain,
     'status': status,
+    'account-key': account_key,
 }
 
 
@@ -282,6 +295,13 @@
     return platform_lib.Platform(address, _SILENCE_S, hold_off_s=0.0)
 
 
+def _account_key() -> results.Result:
+    key = sys.stdin.readline().strip()
+    if not key:
+        return _problem(exits.Exit.BAD_FILE, 'no key on standard input')
+    return results.KeyDigest(digest=accounts.digest(key).hex())
+
+
 def _reader(address: str) -> reading.Reader:
     return reading.Reader(_platform(address))
 
--- a/packages/client/foxtaildale_client/results.py
+++ b/packages/client/foxtaildale_client/results.py
@@ -73,6 +73,16 @@
         return f'{self.file}: preset {self.name} {short}, no fault'
 
 
+class KeyDigest(Result, frozen=True):
+    """What stands for a key of a client account in a preset."""
+
+    digest: str
+
+    def text(self) -> str:
+        """Lines for people."""
+        return self.digest
+
+
 class Changed(Result, frozen=True):
     """What came of a publish or a switch."""
 
--- a/packages/core/foxtaildale/accounts.py
+++ b/packages/core/foxtaildale/accounts.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import re
 from typing import Final
 from typing import Literal
 
@@ -15,6 +16,8 @@
 Unit = Literal['request', 'token']
 
 _DIGEST_BYTES: Final = 16
+# Scheme and key of an Authorization header.
+_BEARER: Final = re.compile(r'(?i:bearer) +([!-~]{1,256})')
 
 
 class Limit(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,3 +79,13 @@
 def digest(key: str) -> bytes:
     """Returns what stands for a key wherever it is kept or compared."""
     return hashlib.blake2b(key.encode(), digest_size=_DIGEST_BYTES).digest()
+
+
+def from_header(value: str) -> bytes | None:
+    """Returns the digest of the key in an Authorization header.
+
+    None if there is none that can be read. A header that came twice has its
+    values joined, and is none.
+    """
+    found = _BEARER.fullmatch(value)
+    return digest(found[1]) if found else None
--- a/packages/core/foxtaildale/changes.py
+++ b/packages/core/foxtaildale/changes.py
@@ -63,14 +63,23 @@
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Change)
+# How a preset without client accounts ends, since they are its last field.
+_NO_ACCOUNTS: Final = b',"accounts":{}}'
 _presets: Final = msgspec.json.Decoder(values.Preset)
 
 
 def canonical(preset: values.Preset) -> bytes:
-    """Returns the one form of a preset: JSON, every field, keys sorted."""
+    """Returns the one form of a preset: JSON, every field, keys sorted.
+
+    Without accounts it has no field for them, so that a preset which was
+    published before there were any keeps its digest.
+    """
     # Decoded once, since 1 and 1.0 are equal weights but not equal bytes.
     whole = _presets.decode(msgspec.json.encode(preset))
-    return msgspec.json.encode(whole, order='deterministic')
+    data = msgspec.json.encode(whole, order='deterministic')
+    if data.endswith(_NO_ACCOUNTS):
+        return data.removesuffix(_NO_ACCOUNTS) + b'}'
+    return data
 
 
 def digest_of(data: bytes) -> str:
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -205,6 +205,14 @@
     'no',
     'Not run: {reason}.',
 )
+ACCOUNT_UNKNOWN: Final = Code(
+    'account-unknown',
+    401,
+    # Of this try alone it is sure; an earlier one may have had a key that was
+    # taken away since.
+    'unknown',
+    'Refused: {reason}; this try did not run.',
+)
 OVER_LIMIT: Final = Code(
     'over-limit',
     429,
--- a/packages/core/foxtaildale/rules.py
+++ b/packages/core/foxtaildale/rules.py
@@ -4,6 +4,7 @@
 found here, as faults that `settings` puts into words.
 """
 
+from collections.abc import Mapping
 from typing import Final
 
 import msgspec
@@ -198,3 +199,30 @@
             )
         )
     return faults
+
+
+def account_faults(found: Mapping[str, values.Account]) -> list[Fault]:
+    """Returns what is wrong with accounts whose fields are in bounds."""
+    faults: list[Fault] = []
+    holders: dict[str, str] = {}
+    for name, account in found.items():
+        for key in account.keys:
+            other = holders.setdefault(key, name)
+            if other != name:
+                # A request with it would be served as either one.
+                faults.append(
+                    Fault(
+                        f'accounts.{name}.keys',
+                        f'a key of {other}',
+                        'keys that no other account has',
+                    )
+                )
+        if account.burst and not account.requests_per_s:
+            faults.append(
+                Fault(
+                    f'accounts.{name}.burst',
+                    str(account.burst),
+                    '0 where requests_per_s is 0',
+                )
+            )
+    return faults
--- a/packages/core/foxtaildale/settings.py
+++ b/packages/core/foxtaildale/settings.py
@@ -26,7 +26,7 @@
 from foxtaildale import values
 
 # Fields whose content is never shown, not even in a fault.
-_SECRET: Final = frozenset({'secret'})
+_SECRET: Final = frozenset({'secret', 'keys'})
 # What was found is cut to this many characters in a fault.
 _SHOWN: Final = 60
 # Longest file looked at, characters.
@@ -89,7 +89,7 @@
     Raises:
         errors.SettingsError: The text is wrong; carries every fault.
     """
-    return _read(text, name, values.Preset, _compare_services)
+    return _read(text, name, values.Preset, _compare_preset)
 
 
 def schema(kind: type[Any]) -> dict[str, Any]:
@@ -140,6 +140,27 @@
     ]
 
 
+def _compare_preset(
+    found: dict[str, Any], wrong: frozenset[str]
+) -> list[rules.Fault]:
+    """Compares the fields of a preset that are right by themselves."""
+    return _compare_services(found, wrong) + _compare_accounts(found, wrong)
+
+
+def _compare_accounts(
+    found: dict[str, Any], wrong: frozenset[str]
+) -> list[rules.Fault]:
+    known = found.get('accounts')
+    if not isinstance(known, dict):
+        return []
+    right = {
+        name: msgspec.convert(value, values.Account)
+        for name, value in known.items()
+        if not any(f'{one}.'.startswith(f'accounts.{name}.') for one in wrong)
+    }
+    return rules.account_faults(right)
+
+
 def _compare_services(
     found: dict[str, Any], wrong: frozenset[str]
 ) -> list[rules.Fault]:
--- a/packages/core/foxtaildale/values.py
+++ b/packages/core/foxtaildale/values.py
@@ -13,6 +13,7 @@
 # Bounds stand at the fields, so that the schema which checks a preset before
 # it is published and the codec that reads it back both have them.
 _Name = Annotated[str, msgspec.Meta(pattern=r'^[a-z0-9][a-z0-9-]{0,39}$')]
+_Digest = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f]{32}$')]
 _Millis = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 _Weight = Annotated[float, msgspec.Meta(ge=0, le=1000)]
 
@@ -138,6 +139,18 @@
     engine_settings: dict[EngineSetting, str] = {}
 
 
+class Account(msgspec.Struct, frozen=True, kw_only=True):
+    """What a preset says of one client account."""
+
+    # Digests of its keys, as `foxtaildale account-key` makes them; a preset can
+    # be read by many, so no key stands in it.
+    keys: Annotated[tuple[_Digest, ...], msgspec.Meta(max_length=100)]
+    # Requests a second, over all entry VMs together; 0 for no limit.
+    requests_per_s: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0
+    # Requests beyond that at once.
+    burst: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 0
+
+
 class Weights(msgspec.Struct, frozen=True):
     """What the operators weigh more."""
 
@@ -157,6 +170,10 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     # Retries allowed beyond the ratio, for quiet times.
     retry_burst: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 3
+    # Client accounts by name; without any, requests need no key.
+    accounts: Annotated[
+        dict[_Name, Account], msgspec.Meta(max_length=2000)
+    ] = {}
 
 
 class InForce(msgspec.Struct, frozen=True):
--- a/packages/daemon/foxtaildaled/calls.py
+++ b/packages/daemon/foxtaildaled/calls.py
@@ -81,7 +81,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             self._replies.reject(visit, '', str(exc))
             return
-        service = self._gate.admit(visit, req.service, 'plain')
+        service = self._gate.admit(visit, req.service, 'plain', counts=False)
         if service is None:
             return
         if service.once != 'ticket':
--- a/packages/daemon/foxtaildaled/entry.py
+++ b/packages/daemon/foxtaildaled/entry.py
@@ -24,6 +24,7 @@
 from foxtaildale_adapters import callers
 from foxtaildaled import calls
 from foxtaildaled import chats
+from foxtaildaled import gate
 from foxtaildaled import records
 from foxtaildaled import view
 from foxtaildaled import visit as visits
@@ -44,6 +45,7 @@
         '_calls',
         '_chats',
         '_entry_vm',
+        '_gate',
         '_records',
         '_replies',
         '_view',
@@ -51,6 +53,7 @@
 
     _entry_vm: str
     _view: view.View
+    _gate: gate.Gate
     _chats: chats.Chats
     _calls: calls.Calls
     _replies: visits.Replies
@@ -61,6 +64,7 @@
         *,
         entry_vm: str,
         seen: view.View,
+        admission: gate.Gate,
         model: chats.Chats,
         services: calls.Calls,
         replies: visits.Replies,
@@ -68,6 +72,7 @@
     ) -> None:
         self._entry_vm = entry_vm
         self._view = seen
+        self._gate = admission
         self._chats = model
         self._calls = services
         self._replies = replies
@@ -80,8 +85,8 @@
         route = self._route(exchange.method, exchange.path)
         if route is None:
             self._replies.reject(visit, '', 'no such path')
-            return
-        route(visit)
+        elif self._gate.knows(visit):
+            route(visit)
 
     def _route(
         self, method: str, path: str
--- a/packages/daemon/foxtaildaled/limits.py
+++ b/packages/daemon/foxtaildaled/limits.py
@@ -28,8 +28,7 @@
 TELL_S: Final = 0.25
 # VMs that hear of it: those that would be home next.
 HEIRS: Final = 2
-# Least number of VMs that is believed to share a limit while their list is not
-# known.
+# VMs that are believed to share a limit while their list is not known.
 VMS: Final = 8
 
 
@@ -157,7 +156,7 @@
 
     def admit(self, account: accounts.Account, cost: float) -> Verdict:
         """Lets a request in, or says when it would be."""
-        count = max(VMS, self._entry_vms())
+        count = self._entry_vms() or VMS
         with self._lock:
             found = self._shares.ask(self._clock(), account, cost, count)
         return Verdict(found.wait_s, found.level, 'share')
--- a/packages/daemon/foxtaildaled/view.py
+++ b/packages/daemon/foxtaildaled/view.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from foxtaildale import accounts
 from foxtaildale import errors
 from foxtaildale import homes
 from foxtaildale import members
@@ -27,6 +28,8 @@
     keepers: tuple[values.Keeper, ...] = ()
     # Beginning of new idempotency keys; empty while it is not known.
     key_prefix: str = ''
+    # Client accounts of the preset in force, by key.
+    holders: accounts.Accounts = accounts.Accounts(())
 
     def service(self, name: str) -> values.Service | None:
         """Returns what the preset in force says of a service."""
@@ -203,10 +206,33 @@
                 listing=_without(listing, self._leaving),
                 keepers=reply.keepers,
                 key_prefix=reply.key_prefix,
+                holders=_holders(old, in_force),
             )
             self._heard_at = asked_at
 
 
+def _holders(
+    old: Snapshot, in_force: values.InForce | None
+) -> accounts.Accounts:
+    """Returns the accounts of a preset; worked out once for each."""
+    if in_force is None:
+        return accounts.Accounts(())
+    if old.in_force is not None and old.in_force.digest == in_force.digest:
+        return old.holders
+    return accounts.Accounts(
+        tuple(
+            accounts.Account(
+                name=name,
+                keys=frozenset(bytes.fromhex(key) for key in account.keys),
+                limit=accounts.Limit(
+                    rate=account.requests_per_s, burst=account.burst
+                ),
+            )
+            for name, account in in_force.preset.accounts.items()
+        )
+    )
+
+
 def _revision(in_force: values.InForce | None) -> int:
     return in_force.revision if in_force else 0
 
--- a/packages/daemon/foxtaildaled/visit.py
+++ b/packages/daemon/foxtaildaled/visit.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from foxtaildale import accounts
 from foxtaildale import claims
 from foxtaildale import codes
 from foxtaildale import outcomes
@@ -41,6 +42,12 @@
         self.request = request
         self.snapshot = snapshot
 
+    @property
+    def account(self) -> accounts.Account | None:
+        """The client account that has the caller's key; None if none has."""
+        header = self.ex.headers.get('authorization', '')
+        return self.snapshot.holders.holder(accounts.from_header(header))
+
     @property
     def key(self) -> str:
         """The caller's idempotency key; empty if there is none."""
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -39,6 +39,7 @@
 from foxtaildaled import gate
 from foxtaildaled import gossip
 from foxtaildaled import keeper
+from foxtaildaled import limits
 from foxtaildaled import plain
 from foxtaildaled import process
 from foxtaildaled import records
@@ -315,13 +316,15 @@
             seen=self._view,
             stamp=replies.stamp,
         )
-        self._gate = gate.Gate(self._desk, replies)
+        parts = limits.Shares(lambda: len(self._view.now.keepers), clock)
+        self._gate = gate.Gate(self._desk, replies, parts)
         claim_desk = claiming.Claiming(
             cfg, self._incarnation, self._peers, replies
         )
         handler = entry.Entry(
             entry_vm=cfg.entry_vm,
             seen=self._view,
+            admission=self._gate,
             model=chats.Chats(
                 cfg=cfg,
                 incarnation=self._incarnation,
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,6 +1,7 @@
 """The operators' program: what it prints, and that its verdicts are true."""
 
 from collections.abc import Iterator
+import io
 import pathlib
 from unittest import mock
 
@@ -8,6 +9,7 @@
 import pytest
 from syrupy import assertion
 
+from foxtaildale import accounts
 from foxtaildale import changes
 from foxtaildale import errors
 from foxtaildale import fold
@@ -373,3 +375,14 @@
         assert main.run(['preset', 'current', arg]) == 0
         assert 'peak' in capsys.readouterr().out
     assert main.run(['preset', 'current', arg]) == 4
+
+
+def test_a_key_becomes_a_digest_and_is_not_shown(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr('sys.stdin', io.StringIO('k9m68k7b2ex5wa5xwyhk\n'))
+    assert main.run(['account-key']) == 0
+    shown = capsys.readouterr().out.strip()
+    assert shown == accounts.digest('k9m68k7b2ex5wa5xwyhk').hex()
+    monkeypatch.setattr('sys.stdin', io.StringIO(''))
+    assert main.run(['account-key']) != 0
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -24,7 +24,8 @@
 
 
 @pytest.mark.parametrize(
-    'kind', [options.Options, values.Preset, values.Service]
+    'kind',
+    [options.Options, values.Preset, values.Service, values.Account],
 )
 def test_every_field_stands_with_its_default(kind: type[Any]) -> None:
     rows = _rows()
