--- a/packages/adapters/foxtaildale_adapters/metrics.py
+++ b/packages/adapters/foxtaildale_adapters/metrics.py
@@ -3,8 +3,8 @@
 Every metric is declared in `Metrics`. What happens is only noted; it goes into
 the library's collectors when somebody asks for the metrics, or when many notes
 have gathered. So a request pays for one append to a list, and a process loads
-the library, which brings asyncio with it (13 ms of processor time, median of
-five starts), when it first needs it and not before its first answer. The
+the library, which brings asyncio with it, when it first needs it and not before
+its first answer. The
 library's own updates are a read and a write apart, so all go through one lock.
 """
 
--- a/packages/adapters/foxtaildale_adapters/wire.py
+++ b/packages/adapters/foxtaildale_adapters/wire.py
@@ -149,7 +149,7 @@
                 self._read()
             if self._monitor in ready:
                 # What it says is not needed; the library's reader of it would
-                # bring asyncio, 12 ms of processor time at each start.
+                # bring asyncio into each start.
                 self._monitor.recv_multipart()
                 self.counts.dropped += 1
         self._flush()
--- a/packages/core/foxtaildale/balance.py
+++ b/packages/core/foxtaildale/balance.py
@@ -5,11 +5,8 @@
 the two pools a time that does not depend on how many there are; the engines
 are shared in that proportion, with room for prefills to come unevenly.
 
-Played with the plan against engines of the same figures (9 decode and 5
-prefill workers, bursts of 1.7 to 2 times the usual): of what callers could
-have in time they got 0.82; with 4 prefill workers 0.91, with 3 0.96, with 2
-only 0.84. Beyond the least, none is kept to spare although one may crash: it
-would be missed at decode all day, and is back within some seconds.
+Beyond the least, none is kept to spare although one may crash: it would be missed
+at decode all day, and is back within some seconds.
 
 A change takes an engine away for seconds, so what is wanted must be wanted for
 a while: an engine that crashed comes back as what it was. And nothing is taken
@@ -45,8 +42,7 @@
 PACKED: Final = 0.85
 # Engines of a stage that are kept whatever the load: one may crash or be taken
 # away. Without a prefill worker the decode workers read the prompts, and every
-# answer there stands still meanwhile: of a site of five that kept one, the one
-# was taken away, and for twenty seconds hardly a stream was in time.
+# answer there stands still meanwhile.
 LEAST: Final = 2
 # Time for which a surplus of prefill workers, and a lack of them, must last,
 # seconds. A crashed engine comes back after two to five.
@@ -54,14 +50,11 @@
 LACK_S: Final = 5.0
 # Part of an engine by which prefill is left short when one is given to decode.
 # The need holds room for prompts that come unevenly, and decode workers read
-# some of those themselves. Of nine engines that need 2.1 to 2.4 for prefill, a
-# day that kept three for its first 25 s was worth 0.58, with two from 6 s on
-# 0.65.
+# some of those themselves.
 SPARE_PART: Final = 0.6
 # Engines by which it must be short to get one back: less while prompts wait.
-# What was just given to decode would else come back as soon as the need moves:
-# one engine was then away for twelve seconds, in which callers were refused for
-# want of the memory that it has.
+# What was just given to decode would else come back as soon as the need moves,
+# and be away for two changes, while callers are refused for want of its memory.
 SHORT_WAITING: Final = 0.75
 SHORT_MOST: Final = 1.0
 # Time after an order in which its engine is not counted as either, seconds;
@@ -69,8 +62,7 @@
 CHANGING_S: Final = 8.0
 # Engines that change at a time: this part of all, and the least. What prefill can
 # spare is idle, so it costs nothing while it changes; two at a time, a site of
-# 56 engines whose third reads prompts would take 40 s to give ten to decode, and
-# meet each burst with a fifth less of the memory that it has.
+# many engines would meet each burst with a part of its memory still unused.
 AT_ONCE_PART: Final = 0.125
 AT_ONCE: Final = 2
 
--- a/packages/core/foxtaildale/homes.py
+++ b/packages/core/foxtaildale/homes.py
@@ -17,7 +17,7 @@
 # Keeps the bytes of a service name apart from those of a keeper's name.
 _SEPARATOR: Final = '\0'
 # A VM is fit to work for others with this part of the processor of the
-# strongest: one of half a core was overrun as home of 78 VMs.
+# strongest; a weak one would be overrun as the home of many.
 FIT_PART: Final = 0.8
 
 
@@ -53,7 +53,7 @@
     """The VMs fit to work for others, as long as what is known stays.
 
     Each ask for a place needs them and the home among them, several times a
-    request: worked out anew among 195 VMs 33 us of processor time, else 0.3 us.
+    request; worked out anew each time they would cost more than the ask.
     """
 
     __slots__ = ('_cores', '_found', '_known', '_passed')
--- a/packages/core/foxtaildale/mirror.py
+++ b/packages/core/foxtaildale/mirror.py
@@ -87,8 +87,8 @@
         """Returns what a peer lacks that knows the topic up to an offset.
 
         Records that repeat what their key's older one said are no news to it.
-        Servers write every 1.2 s and hardly ever something new: passed on, 25
-        servers' records were 390 KB a second among 195 VMs, worked out.
+        Servers write every second or so and hardly ever something new; passed
+        on, that would be most of what goes between VMs.
         """
         return [
             entry
--- a/packages/core/foxtaildale/packing.py
+++ b/packages/core/foxtaildale/packing.py
@@ -15,14 +15,12 @@
 from foxtaildale import routes
 
 # Part of an engine's memory that is planned with. Less leaves it empty in a
-# burst, more has requests preempted, whose prompts are read again. On a heavy
-# day of 76 VMs 50 were preempted at 1.0, 19 at 0.95 and 9 at 0.9; on three days
-# of 83 VMs, worth was 0.034 more at 0.95 than at 0.9, and two were preempted.
+# burst, more has requests preempted, whose prompts are read again.
 FILL: Final = 0.95
 # Part of that memory by which a worker may have less room than the roomiest and
 # be taken all the same, since it is in the data centre in which the prompt is
-# read: a prompt of 3,000 tokens is 100 MB to move, twice as slow and as dear
-# between data centres. It is less than the memory of one request, so that
+# read: its memory is moved twice as slowly, and as dearly, between data centres.
+# It is less than the memory of one request, so that
 # workers stay evenly full.
 NEAR_PART: Final = 0.1
 
--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -39,13 +39,10 @@
 
 # Waiters that fit nowhere and are passed over by smaller ones behind them. For
 # each of them the worker is kept that it will fit at first, so that none
-# starves behind a row of small ones. Played at one and a half times of what
-# eight engines carry, 0.62 of what could be had in time were served with four
-# passed over, and 0.60 with none.
+# starves behind a row of small ones.
 PASSED: Final = 4
-# Time between looks at the plan while requests wait, seconds. Each look costs
-# half a millisecond for fifteen engines; done at every ask it took all of the
-# processor of a home with fifty waiters.
+# Time between looks at the plan while requests wait, seconds. A look goes through
+# all engines; done at every ask, a home with many waiters did nothing else.
 LOOK_S: Final = 0.02
 # A waiter that did not ask again for this long has gone, seconds: four times
 # the longest time between asks.
@@ -175,8 +172,8 @@
 
         Those that have one and did not ask for it yet are not counted. A waiter
         is told to ask later the more there are before it; with them counted,
-        every request of a site of 83 VMs waited 260 ms for ten seconds after a
-        burst, since 36 that had just got a place were always there.
+        a burst that is over would go on delaying everybody, since some that have
+        just got a place are always there.
         """
         return sum(waiter.place is None for waiter in self._waiting.values())
 
--- a/packages/core/foxtaildale/prefills.py
+++ b/packages/core/foxtaildale/prefills.py
@@ -28,8 +28,7 @@
 # every prefill worker.
 LOSING: Final = 2
 # That while at first, seconds, and the longest; each further prompt that is lost
-# doubles it. Tried again every half second, two workers that lost all for four
-# seconds had 28 prompts of 5,000 tokens or more read for nothing.
+# doubles it. Each try of a worker that still loses is a prompt read for nothing.
 LOST_S: Final = 1.0
 LOST_MOST_S: Final = 4.0
 # Workers remembered; those that are gone drop out as new ones come.
--- a/packages/core/foxtaildale/reading.py
+++ b/packages/core/foxtaildale/reading.py
@@ -2,11 +2,10 @@
 
 A prompt costs a time that does not depend on its length, which passes beside
 the reading of others, and a time for each token, which does not. Taken for one
-rate, prompts of 3,000 tokens seem to be read at 20,000 tokens a second by an
-engine that reads 33,000; the plan then keeps decode memory empty (0.55 of it in
-use while ten requests waited, on a day of bursts) because it thinks that nobody
-could read for it. The two are told apart by a line through prompts that had an
-engine to themselves.
+rate, an engine seems to read much more slowly than it does; the plan then keeps
+decode memory empty while requests wait, because it thinks that nobody could read
+for it. The two are told apart by a line through prompts that had an engine to
+themselves.
 """
 
 import collections
--- a/packages/core/foxtaildale/refusals.py
+++ b/packages/core/foxtaildale/refusals.py
@@ -3,8 +3,8 @@
 Load answered: an engine that was told to change its stage while the home moved
 to a VM that does not know of the order, and the store is down, so the list
 still calls it a decode worker. It refuses all, so it always has the most room
-in the plan: of a day with such an engine, 69 of 70 requests that were placed
-there were refused, and as many prompts read for nothing.
+in the plan: hardly a request that is placed there is taken, and as many prompts
+are read for nothing.
 
 A refusal may as well be the doing of the prefill worker, whose handle lapsed;
 then every decode worker refuses its prompts, and takes those of others. So a
--- a/packages/core/foxtaildale/room.py
+++ b/packages/core/foxtaildale/room.py
@@ -13,9 +13,9 @@
 
 # Engines count memory in blocks of this many tokens.
 BLOCK: Final = 16
-# Part of the guessed answer that is reserved where there is no plan. Of what a
-# quiet day of 8 VMs could earn, 0.60 at 1.25, 0.55 at 1.05, 0.44 at 0.6 and
-# 0.55 with the longest answer reserved; one day each.
+# Part of the guessed answer that is reserved where there is no plan. With the
+# longest answer reserved half of the memory would stand empty; with less than
+# what is guessed, requests outgrow their share and others are preempted.
 OUTPUT_SHARE: Final = 1.25
 # A caller of a stream leaves after a silence of two seconds, or of four times
 # the target for the first event if that is longer. What waits this many times
@@ -30,9 +30,7 @@
 # it is known how long prompts take; the prefill and the transfer take the rest.
 LATE_PART: Final = 0.8
 # What is left for the prefill is this many times its mean, and for the way and
-# the first token this long, seconds. Of a heavy day of 76 VMs, first events
-# came 160 ms after the place in the median and 230 ms in the third quarter,
-# prefills took 140 and 205 ms of that.
+# the first token this long, seconds.
 READING_ROOM: Final = 1.3
 FIRST_S: Final = 0.05
 # Estimates of the wait are off by about this factor while a burst begins or
@@ -82,9 +80,8 @@
 def unfinished(needs_s: float, left_s: float) -> bool:
     """Whether an answer would hardly end before its caller leaves.
 
-    Of a day with bursts 33 of 590 answers were cut by their caller's deadline,
-    most of them of callers that had come back; each had held memory for twice
-    as long as the others. Refused at once, they cost nothing.
+    An answer that is cut by its caller's deadline has held memory for longer
+    than most, for nobody. Refused at once, it costs nothing.
 
     Args:
         needs_s: How long prompt and answer are thought to take.
--- a/packages/daemon/foxtaildaled/__main__.py
+++ b/packages/daemon/foxtaildaled/__main__.py
@@ -16,7 +16,7 @@
     """Entry point of the program."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # What is loaded stays; looking through it for garbage meanwhile, and ever
-    # after, finds none. Saves 0.02 s of processor time at the start.
+    # after, finds none.
     gc.disable()
     if len(sys.argv) > 1:
         from foxtaildaled import main as program
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -31,8 +31,7 @@
 _SURVEY_S = 0.9
 _SURVEYED_S = 3.0
 # VMs that are surveyed beside those that hold places by the plan, each second in
-# turn: a site of 195 VMs is gone through in 12 s, and its home is not busy with
-# 195 answers a second.
+# turn, so that the home of a large site is not busy with the answers of all.
 _SURVEY_SAMPLE = 16
 # A store that failed within this time may have let entries of living servers
 # lapse, seconds: servers write every 1.2 s, entries lapse after three of
--- a/packages/daemon/foxtaildaled/fitness.py
+++ b/packages/daemon/foxtaildaled/fitness.py
@@ -24,9 +24,9 @@
 # Time between looks for older ones, and the longest wait for answers, seconds.
 LOOK_S: Final = 0.5
 ANSWER_S: Final = 0.25
-# VMs that are asked, always the same ones. Where half of all were killed at
-# once, one in 250 asks none that is older; asking all 83 of a large site, forty
-# that are killed together would open 3,300 connections.
+# VMs that are asked, always the same ones: enough that hardly any asks none that
+# is older where half of all were killed at once. Many that start together and
+# ask all others would open a connection for each pair.
 SAMPLE: Final = 8
 
 
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -31,8 +31,7 @@
 MAX_BODY: Final = 16 * 1024 * 1024
 # How long a full service stays full, seconds. A slot comes free sooner, but who
 # is refused in a burst of some seconds can't be in time any more, and who comes
-# back at once meets the same burst: of 355 refusals in one of four seconds,
-# after 0.3 s at most each, 80 were of requests that were refused for good.
+# back at once meets the same burst.
 FULL_WAIT_S: Final = 0.8
 
 
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -12,8 +12,8 @@
 from foxtaildaled import passage
 from foxtaildaled import sends
 
-# Longest wait for a prefill, seconds: 11,000 tokens take 0.2 s; with some
-# prompts before it that is still under one. A longer one is dead or dark.
+# Longest wait for a prefill, seconds; a long prompt behind some others takes less.
+# A worker that takes longer is dead or dark.
 PREFILL_S: Final = 1.5
 # Prefills of one request; each that fails counts against the shared budget.
 PREFILLS: Final = 3
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -63,8 +63,8 @@
 _READY_TIMEOUT_S: Final = 30.0
 _READY_BODY: Final = 1024
 _STOP_POLL_S: Final = 0.05
-# Time between looks for idle connections of each of three servers, seconds; at
-# 0.1 s these woke a process at rest more often than all else together.
+# Time between looks for idle connections of each of three servers, seconds. A
+# process at rest should hardly wake for them.
 _LOOK_S: Final = 0.5
 # Longest body before a configuration is known, bytes.
 _BODY_BYTES: Final = 4_194_304
--- a/packages/daemon/foxtaildaled/sends.py
+++ b/packages/daemon/foxtaildaled/sends.py
@@ -7,9 +7,8 @@
 
 A process that starts again has forgotten what it spent, and one that is not
 listed yet is not counted by the others. Either one would spend a part that is
-spent already: with eight VMs replaced one after the other, 93 further sends
-were made in ten seconds where 90 are allowed. So neither has a part of the
-slack until a whole window has passed since its start, unless all entry VMs
+spent already, and VMs that are replaced one after the other would pass the bound
+together. So neither has a part of the slack until a whole window has passed since its start, unless all entry VMs
 start for the first time.
 """
 
@@ -74,7 +73,8 @@
         now = self._clock()
         burst = 0.0
         if self._entry_vm in entry_vms and now >= self._slack_from:
-            # Not rounded down: at 78 VMs that took half of the bound away.
+            # Not rounded down: where there are many VMs that would take half of
+            # the bound away.
             burst = self._burst / len(entry_vms)
         with self._lock:
             found = self._budget(service)
--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -3,9 +3,7 @@
 How soon a VM serves again after it lost power is, for the most part, how long
 its process takes to load what it runs on. So this module loads the router and
 nothing else: the command line's parser, the settings' schema and the other
-roles stand in `main`. Processor time above the bare interpreter's up to the
-first answer, medians of seven starts (`bench.start`): 0.077 s, 0.157 s with all
-of it loaded.
+roles stand in `main`.
 """
 
 import logging
--- a/packages/daemon/foxtaildaled/surveys.py
+++ b/packages/daemon/foxtaildaled/surveys.py
@@ -1,8 +1,7 @@
 """Asks all entry VMs what they hold, as the home of a service.
 
 A home that knows nothing gives memory away that is in use: the prompts of those
-that it places are read, and the decode workers turn them away. Of a day on
-which VMs were replaced in a burst, 27 of 558 prefills ended so. A new home
+that it places are read, and the decode workers turn them away. A new home
 therefore gives no place before all VMs were asked, which takes some
 milliseconds, and goes on asking every second those that hold something, as far
 as it knows, and some of the others in turn: another home that some VMs still
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -34,12 +34,11 @@
 RETRY_S: Final = 0.3
 # The longest wait of the VM that reads for its data centre, and of one that knows
 # no configuration; and that of all others, which hear of the store's return from
-# the reader. While it was down for three seconds, 195 VMs called it 1,500 times.
+# the reader. Each call to a store that is down is one more for it to get through.
 RETRY_READER_S: Final = 0.6
 RETRY_MOST_S: Final = 2.4
 # Time between the reader's reads of the list of entry VMs, seconds; the others
-# get it from the reader. Read by each VM every eight seconds it was a quarter of
-# all calls to the store of a day of 195 VMs.
+# get it from the reader.
 MEMBERS_S: Final = 3.0
 # Part of the time for leaving servers at which what is known is too old, and
 # the store is read. A reader is asked every 0.4 s and reads every 0.5 s, so
