Start from a VM that is up, and let one VM read the store for all

Now a process that starts asks a VM that the settings name, for a tenth of a second, and reads the store itself where that knows nothing; its own entry is written only if the list lacks it, and once; up to 120 VMs have one reader.

--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -64,6 +64,16 @@
     pace_s = cfg.leaving_s / syncing.READS_PER_BOUND
     limit_s = cfg.leaving_s * syncing.STALE_PART
     readers = syncing.Readers(cfg.entry_vm, cfg.data_centre, clock)
+    introduction = syncing.Introduction(
+        owner=owner,
+        peers=peers,
+        own=cfg.peer_address,
+        seeds=cfg.seeds,
+        limit_s=limit_s,
+        first_start=cfg.first_start,
+        clock=clock,
+        rng=rng,
+    )
 
     def follow(name: str, wait_s: float) -> Callable[[], None]:
         lazy = syncing.Lazy(
@@ -74,7 +84,7 @@
             limit_s=limit_s,
             rng=rng,
         )
-        return _paced(lazy.step, on_read)
+        return _behind(introduction, _paced(lazy.step, on_read))
 
     members = syncing.Members(
         name=cfg.entry_vm,
@@ -84,6 +94,7 @@
         store=store(),
         topic=topic(codec.members_topic, 0.0),
         readers=readers,
+        clock=clock,
     )
     peer = syncing.PeerSync(
         owner=owner,
@@ -93,6 +104,11 @@
         limit_s=limit_s,
         rng=rng,
     )
+
+    def ask_peers() -> None:
+        introduction.run()
+        peer.step()
+
     balancer = balancing.Balancing(
         entry_vm=cfg.entry_vm,
         holder=incarnations.make('router', cfg.entry_vm),
@@ -116,15 +132,31 @@
     return [
         process.Loop('config', 0.0, config),
         process.Loop('servers', pace_s, follow(codec.servers_topic, 0.0)),
-        process.Loop('members', syncing.MEMBERS_S, _until(members.step)),
+        process.Loop(
+            'members',
+            syncing.MEMBERS_S,
+            _behind(introduction, _until(members.step)),
+        ),
         process.Loop('places', places.PROBE_S, plan.step),
         process.Loop('fitness', fitness.LOOK_S, fit.step),
         survey_loop,
-        process.Loop('peers', syncing.PEER_S, peer.step),
+        process.Loop('peers', syncing.PEER_S, ask_peers),
         process.Loop('balancing', balancing.LOOK_S, balance),
     ]
 
 
+def _behind(
+    introduction: syncing.Introduction, step: Callable[[], None]
+) -> Callable[[], None]:
+    """Waits until what others know has been taken, or none of them knows."""
+
+    def run() -> None:
+        introduction.wait()
+        step()
+
+    return run
+
+
 def _paced(
     step: Callable[[], float], after: Callable[[], None]
 ) -> Callable[[], None]:
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -1,6 +1,7 @@
 """Loops that keep a router's beliefs fresh.
 
-One entry VM a data centre reads the store, the others ask it (`Readers`). The
+One entry VM, or one a data centre, reads the store, the others ask it
+(`Readers`). A process that starts asks first (`Introduction`). The
 configuration is waited for, since it must be in force soon after it was
 accepted. Entries of servers change with every heartbeat, so waiting for them
 would return at once; they are read at a pace that leaves most of the bound for
@@ -8,8 +9,10 @@
 """
 
 import logging
+import math
 import random
 import threading
+import time
 from typing import Final
 
 from foxtaildale import errors
@@ -40,6 +43,9 @@
 # Time between the reader's reads of the list of entry VMs, seconds; the others
 # get it from the reader.
 MEMBERS_S: Final = 3.0
+# Time after which an entry that was written and not seen is written again,
+# seconds: two of the reads, and as much for a reader that is lost meanwhile.
+LISTED_S: Final = 12.0
 # Part of the time for leaving servers at which what is known is too old, and
 # the store is read. A reader is asked every 0.4 s and reads every 0.5 s, so
 # that its word is 0.9 s old at most; the bound is two seconds or more.
@@ -49,6 +55,17 @@
 PEER_ANSWER_S: Final = 0.3
 # How long a reader that failed is passed over, seconds.
 PASSED_S: Final = 3.0
+# Entry VMs up to which one reads for all; more than those would be a quarter of
+# a core for it, and much that goes between data centres.
+ONE_READER: Final = 120
+# How long a process that starts asks others before it reads the store itself,
+# seconds: at the first start of all, long before callers come, and else as long
+# as an answer of one that is up takes. Then the longest wait for one answer, and
+# the pause after all were asked.
+FIRST_START_S: Final = 2.0
+ANSWERED_S: Final = 0.1
+SEED_ANSWER_S: Final = 0.12
+SEED_PAUSE_S: Final = 0.03
 # Shortest pause of a loop that has nothing to read, seconds; it looks again when
 # what is known may be too old.
 LAZY_S: Final = 0.1
@@ -116,8 +133,9 @@
     """Lists this entry VM, and reads the list for the others."""
 
     __slots__ = (
+        '_clock',
         '_codec',
-        '_listed',
+        '_list_at',
         '_member',
         '_name',
         '_owner',
@@ -136,52 +154,159 @@
         store: ports.Topics,
         topic: Topic,
         readers: 'Readers',
+        clock: ports.Clock,
     ) -> None:
         self._name = name
         self._member = member
         self._readers = readers
-        # Whether this entry VM was seen in the list as it should be.
-        self._listed = False
+        self._clock = clock
+        # When the entry is written again if it was not seen, seconds.
+        self._list_at = -math.inf
         self._codec = codec
         self._owner = owner
         self._store = store
         self._topic = topic
 
     def step(self) -> bool:
-        """Reads the list, and writes this entry VM's entry if it lacks it.
+        """Reads the list for the others, and writes this entry VM's entry.
 
         Returns:
-            Whether this entry VM was listed as it should be.
+            Whether this entry VM was seen listed as it should be.
         """
-        known = self._owner.run(lambda state, _: state.entry_vms)
-        if self._listed and self._readers.choose(known) != self._name:
-            return True
-        if not self._topic.step():
-            return False
-        known = self._owner.run(lambda state, _: state.entry_vms)
+        known = self._known()
+        if not known or self._readers.choose(known) == self._name:
+            if not self._topic.step():
+                return False
+            known = self._known()
         if known.get(self._name) == self._member:
-            self._listed = True
             return True
+        self._list()
+        return False
+
+    def _known(self) -> dict[str, forwarding.EntryVm]:
+        return self._owner.run(lambda state, _: state.entry_vms)
+
+    def _list(self) -> None:
+        """Writes the entry, unless it was written a moment before.
+
+        Until it is seen, it may be on its way: the VM that reads the list for
+        the others does so every few seconds.
+        """
+        if self._clock() < self._list_at:
+            return
         value = self._codec.encode_member(self._member)
         try:
             self._store.put(self._codec.members_topic, self._name, value)
         except errors.PortError as exc:
             logs.event(logging.WARNING, 'listing failed', error=str(exc))
-        # Read again soon: those that start together have listed themselves
-        # by then, and a home must be chosen among all of them.
-        return False
+            return
+        self._list_at = self._clock() + LISTED_S
+
+
+class Introduction:
+    """Learns at the start from an entry VM that is up, in place of the store.
+
+    Each start would else read all there is, and with the store slow or down it
+    would wait for it. The VMs that the settings name read the store; the others
+    ask those. Where none knows enough at once, as when all VMs lost power, this
+    one reads the store itself: callers wait for it. At the first start of all
+    nobody does, and it can ask again.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_done',
+        '_limit_s',
+        '_owner',
+        '_patience_s',
+        '_peers',
+        '_seeds',
+    )
+
+    def __init__(
+        self,
+        *,
+        owner: actors.Owner[beliefs.Beliefs],
+        peers: ports.Peers,
+        own: str,
+        seeds: tuple[str, ...],
+        limit_s: float,
+        first_start: bool,
+        clock: ports.Clock,
+        rng: random.Random,
+    ) -> None:
+        """Prepares it.
+
+        Args:
+            owner: Owns what the router believes.
+            peers: The other entry VMs.
+            own: Peer address of this entry VM.
+            seeds: Peer addresses that the settings name.
+            limit_s: Greatest age of what is taken, seconds.
+            first_start: Whether all entry VMs start for the first time.
+            clock: Seconds.
+            rng: Chooses which seed is asked first.
+        """
+        self._owner = owner
+        self._peers = peers
+        # One that the settings name must read, since all others ask it.
+        self._seeds = [] if own in seeds else rng.sample(seeds, len(seeds))
+        self._limit_s = limit_s
+        self._patience_s = FIRST_START_S if first_start else ANSWERED_S
+        self._clock = clock
+        self._done = threading.Event()
+
+    def wait(self) -> None:
+        """Returns when it is over, whatever came of it."""
+        self._done.wait()
+
+    def run(self) -> None:
+        """Asks, for a while at most; does nothing once it is over."""
+        if self._done.is_set():
+            return
+        end = self._clock() + self._patience_s
+        asked = 0
+        while self._seeds and (left_s := end - self._clock()) > 0:
+            seed = self._seeds[asked % len(self._seeds)]
+            if self._ask(seed, min(left_s, SEED_ANSWER_S)):
+                break
+            asked += 1
+            if asked % len(self._seeds) == 0:
+                time.sleep(SEED_PAUSE_S)
+        self._done.set()
+
+    def _ask(self, seed: str, answer_s: float) -> bool:
+        """Asks one; returns whether it knew enough to begin with."""
+        ask = self._owner.run(lambda state, _: state.ask())
+        try:
+            reply = self._peers.ask(seed, ask, answer_s)
+        except errors.PortError as exc:
+            logs.event(logging.INFO, 'peer lost', address=seed, error=str(exc))
+            return False
+        if not isinstance(reply, messages.RecordsReply):
+            return False
+        if reply.age_s > self._limit_s:
+            return False
+
+        def turn(state: beliefs.Beliefs, now: float) -> bool:
+            state.take_reply(reply, now)
+            return state.matcher is not None and bool(state.entry_vms)
+
+        return self._owner.run(turn)
 
 
 class Readers:
-    """Which entry VM of a data centre reads the store for all of it.
+    """Which entry VM reads the store for others.
 
     Calls to the store are shared by all entry VMs and priced; were each to
-    read for itself, they would grow with their number. One a data centre, by
-    rendezvous hash, reads; the others ask it. One that does not answer or has
-    nothing fresh is passed over for a while. Safe for concurrent use.
+    read for itself, they would grow with their number. One, by rendezvous hash,
+    reads, and the others ask it; where there are many, one a data centre. One
+    that does not answer or has nothing fresh is passed over for a while. Safe
+    for concurrent use.
     """
 
     __slots__ = (
+        '_all',
         '_clock',
         '_data_centre',
         '_entry_vm',
@@ -198,6 +323,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._lock = threading.Lock()
+        self._all = homes.Strong(lambda vm: vm.cores)
         # Of this data centre.
         self._near = homes.Strong(
             lambda vm: vm.cores if vm.data_centre == data_centre else 0.0
@@ -209,12 +335,16 @@
     def choose(self, known: dict[str, forwarding.EntryVm]) -> str:
         """Returns the name of the reader; this entry VM's own if none fits."""
         now = self._clock()
+        alone = len(known) <= ONE_READER
+        what = 'read' if alone else f'read {self._data_centre}'
         with self._lock:
-            near = self._near.among(known, frozenset())
+            strong = self._all if alone else self._near
             fit = tuple(
-                name for name in near if self._passed.get(name, 0.0) <= now
+                name
+                for name in strong.among(known, frozenset())
+                if self._passed.get(name, 0.0) <= now
             )
-            reader = self._homes.home(f'read {self._data_centre}', fit)
+            reader = self._homes.home(what, fit)
         return reader or self._entry_vm
 
     def failed(self, name: str) -> None:
@@ -325,6 +455,8 @@
                     reader=reader,
                     answered=reply is not None,
                 )
+        else:
+            self._owner.run(lambda state, now: state.ask_self(now))
         if self._owner.run(
             lambda state, now: state.is_fresh(now, self._limit_s)
         ):
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import random
+import time
 from typing import Any
 
 import pytest
@@ -279,26 +280,30 @@
         self.value = value
 
 
-def test_who_is_listed_leaves_reading_the_list_to_the_reader(
-    world: _World,
-) -> None:
-    """Every VM read the list of VMs every few seconds, to count the others.
-
-    Of 195 VMs that was a quarter of all calls to the store.
-    """
-    listing = _Listing()
-    counts = metrics.Metrics()
-    members = syncing.Members(
+def _members(world: _World, listing: _Listing) -> syncing.Members:
+    return syncing.Members(
         name='me',
         member=_vm('me:1'),
         codec=_CODEC,
         owner=world.owner,
         store=listing,
         topic=syncing.Topic(
-            _CODEC.members_topic, world.owner, listing, counts, 0.0
+            _CODEC.members_topic, world.owner, listing, metrics.Metrics(), 0.0
         ),
         readers=world.readers,
+        clock=lambda: world.now,
     )
+
+
+def test_who_is_listed_leaves_reading_the_list_to_the_reader(
+    world: _World,
+) -> None:
+    """Every VM read the list of VMs every few seconds, to count the others.
+
+    Of 195 VMs that was a quarter of all calls to the store.
+    """
+    listing = _Listing()
+    members = _members(world, listing)
     assert not members.step()
     assert members.step()
     assert (listing.puts, listing.reads) == (1, 2)
@@ -309,3 +314,168 @@
     for _ in range(5):
         assert members.step()
     assert (listing.puts, listing.reads) == (1, 3)
+
+
+def test_a_process_that_starts_again_does_not_call_for_its_entry(
+    world: _World,
+) -> None:
+    """All VMs lose power, and the list still has them as they are.
+
+    Each read the list, wrote itself and read again: half of what the store was
+    called for on a day with two such losses.
+    """
+    _other_reader(world)
+    listing = _Listing()
+    assert _members(world, listing).step()
+    assert (listing.puts, listing.reads) == (0, 0)
+
+
+def test_an_entry_is_written_once_until_it_must_have_been_seen(
+    world: _World,
+) -> None:
+    """A VM comes at a new address; the reader shows its entry seconds later."""
+    _other_reader(world)
+    world.state.entry_vms = {
+        name: vm for name, vm in world.state.entry_vms.items() if name != 'me'
+    }
+    listing = _Listing()
+    members = _members(world, listing)
+    for _ in range(5):
+        assert not members.step()
+    assert (listing.puts, listing.reads) == (1, 0)
+    world.now += syncing.LISTED_S
+    assert not members.step()
+    assert listing.puts == 2
+    _other_reader(world)
+    assert members.step()
+
+
+def test_many_vms_have_a_reader_in_each_data_centre() -> None:
+    few = {f'o{n}': _vm(f'o{n}:1', dc) for n, dc in enumerate('ab' * 50)}
+    many = few | {f'p{n}': _vm(f'p{n}:1', dc) for n, dc in enumerate('ab' * 50)}
+    for known, count in ((few, 1), (many, 2)):
+        chosen = {
+            syncing.Readers(name, known[name].data_centre, lambda: 0.0).choose(
+                known
+            )
+            for name in known
+        }
+        assert len(chosen) == count
+
+
+class _Seeds:
+    """Entry VMs that the settings name."""
+
+    def __init__(self, world: _World) -> None:
+        self.world = world
+        # What those that are up know; an error for those that are not.
+        self.replies: dict[str, messages.RecordsReply | errors.PortError] = {}
+        self.asked: list[str] = []
+
+    def ask(
+        self, address: str, _msg: messages.Any, timeout_s: float
+    ) -> messages.Any:
+        self.asked.append(address)
+        found = self.replies[address]
+        if isinstance(found, errors.AnswerLostError):
+            self.world.now += timeout_s
+        if isinstance(found, errors.PortError):
+            raise found
+        return found
+
+    def introduction(self, *, first: bool = False) -> syncing.Introduction:
+        return syncing.Introduction(
+            owner=self.world.owner,
+            peers=self,
+            own='me:1',
+            seeds=tuple(self.replies),
+            limit_s=_LIMIT_S,
+            first_start=first,
+            clock=lambda: self.world.now,
+            rng=random.Random(3),
+        )
+
+
+def _whole_word(age_s: float = 0.3) -> messages.RecordsReply:
+    config = b'{"version": 7}'
+    vm = _CODEC.encode_member(_vm('o:1'))
+    return messages.RecordsReply(
+        records={
+            _CODEC.config_topic: ((_CODEC.config_key, 0, config),),
+            _CODEC.members_topic: (('o', 0, vm),),
+            _CODEC.servers_topic: (),
+        },
+        ends={
+            _CODEC.config_topic: 1,
+            _CODEC.members_topic: 1,
+            _CODEC.servers_topic: 1,
+        },
+        age_s=age_s,
+    )
+
+
+def test_a_process_that_starts_learns_from_one_that_is_up(
+    world: _World,
+) -> None:
+    """The store is slow while a VM starts; its callers would wait for it."""
+    seeds = _Seeds(world)
+    seeds.replies = {
+        'gone:1': errors.UnreachableError('gone'),
+        'up:1': _whole_word(),
+    }
+    introduction = seeds.introduction()
+    introduction.run()
+    introduction.wait()
+    assert world.state.matcher is not None
+    assert world.state.matcher.table.version == 7
+    assert set(world.state.entry_vms) == {'o'}
+    assert world.state.is_fresh(world.now, _LIMIT_S)
+    asked = len(seeds.asked)
+    introduction.run()
+    assert len(seeds.asked) == asked
+
+
+@pytest.mark.parametrize('first', [False, True])
+@pytest.mark.parametrize(
+    'reply',
+    [
+        errors.AnswerLostError('dark'),
+        errors.UnreachableError('refused'),
+        messages.RecordsReply(records={}, ends={}, age_s=1e9),
+        _whole_word(age_s=_LIMIT_S + 1),
+    ],
+)
+def test_where_no_one_knows_the_store_is_read_soon(
+    world: _World,
+    monkeypatch: pytest.MonkeyPatch,
+    reply: messages.RecordsReply | errors.PortError,
+    first: bool,
+) -> None:
+    """All VMs lost power; those that the settings name are down, or know nothing.
+
+    Callers are there, and each tenth of a second is one in which nobody is
+    served. At the first start of all there is time.
+    """
+
+    def sleep(seconds: float) -> None:
+        world.now += seconds
+
+    monkeypatch.setattr(time, 'sleep', sleep)
+    seeds = _Seeds(world)
+    seeds.replies = {'a:1': reply, 'b:1': reply}
+    began = world.now
+    introduction = seeds.introduction(first=first)
+    introduction.run()
+    introduction.wait()
+    most_s = syncing.FIRST_START_S if first else syncing.ANSWERED_S
+    assert world.now - began <= most_s + syncing.SEED_PAUSE_S
+    assert world.state.matcher is None
+
+
+def test_one_that_others_ask_reads_at_once(world: _World) -> None:
+    seeds = _Seeds(world)
+    seeds.replies = {'me:1': _whole_word(), 'up:1': _whole_word()}
+    introduction = seeds.introduction()
+    introduction.run()
+    introduction.wait()
+    assert seeds.asked == []
