Tell all VMs which plain servers fail requests

VMs tell the one that reads for others how their requests went and hear how all did; what fails wherever it runs counts for no server.

With it: another server that answers at an address is no attempt at the one that was meant.

--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -1,9 +1,9 @@
 """What one entry VM knows of the backend servers, and which one it chooses.
 
 Every entry VM sees only its own requests and what answers tell, so the choice
-weighs three things for each candidate: the load that its last answer told (as
-long as that is fresh), the requests that this entry VM has with it now, and how
-it treated the last ones. A server that fails, stalls or sheds loses weight for
+weighs for each candidate the load that its last answer told (as long as that is
+fresh), the requests that this entry VM has with it now, and how it treated the
+last ones, those of this entry VM and those of all (`experience`). A server that fails, stalls or sheds loses weight for
 a few seconds and then gets a request again, so that one which recovered is
 found without probes.
 
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 import random
 from typing import Final
@@ -27,6 +28,13 @@
 # to be chosen all the same. Six slots a plain server: one failure is as bad
 # as a server that is full.
 FAULT_WEIGHT: Final = 6.0
+# Weight of a server that fails all of its requests, in requests of queue: for a
+# request that may run once only, whose caller gets nothing then, and for one
+# that is sent again elsewhere. A queue of twenty makes a request late.
+LOSS_WEIGHT: Final = 50.0
+RETRY_WEIGHT: Final = 6.0
+# How long what was told of that counts, seconds; it is told anew every 0.4 s.
+FAILING_S: Final = 1.5
 # Decayed failures above which a server is kept out of the plan: one failure
 # counts for three seconds.
 FAULTY: Final = 0.5
@@ -52,6 +60,8 @@
 
     __slots__ = (
         'backend',
+        'failing',
+        'failing_at',
         'fault_at',
         'faults',
         'full_until',
@@ -79,6 +89,10 @@
         self.fault_at = 0.0
         self.full_until = 0.0
         self.misdirected_until = 0.0
+        # Part of its requests that it fails beyond what the best server of its
+        # service does, as all entry VMs see it, and when that was told.
+        self.failing = 0.0
+        self.failing_at = -math.inf
         # Smoothed time of one request, seconds; 0 until one was measured.
         self.took_s = 0.0
         # When it vanished from the list; None while it is listed.
@@ -90,6 +104,10 @@
             return 0.0
         return self.faults * math.exp2((self.fault_at - now) / FAULT_HALF_S)
 
+    def failing_now(self, now: float) -> float:
+        """Returns the part of its requests that it fails, if told lately."""
+        return self.failing if now - self.failing_at < FAILING_S else 0.0
+
     def busy(self, now: float) -> float:
         """Returns how many requests it is thought to have."""
         others = 0
@@ -174,8 +192,19 @@
         now: float,
         stage: forwarding.Stage = '',
         avoid: Iterable[str] = (),
+        *,
+        repeatable: bool = True,
     ) -> list[Tally]:
-        """Returns the servers that may get work of a service, best first."""
+        """Returns the servers that may get work of a service, best first.
+
+        Args:
+            service: The service.
+            now: Seconds.
+            stage: What its engines must do; empty for a plain service.
+            avoid: Servers that it must not go to, by id.
+            repeatable: Whether it may run again if its answer is lost.
+        """
+        loss = RETRY_WEIGHT if repeatable else LOSS_WEIGHT
         self._forget(now)
         passed = frozenset(avoid)
         found = [
@@ -189,7 +218,12 @@
         ]
         self._random.shuffle(found)
         typical_s = _typical(found)
-        found.sort(key=lambda tally: self._cost(tally, now, typical_s))
+        found.sort(
+            key=lambda tally: (
+                self._cost(tally, now, typical_s)
+                + loss * tally.failing_now(now)
+            )
+        )
         return found
 
     def usable(self, server: str, now: float) -> forwarding.Backend | None:
@@ -262,6 +296,20 @@
             tally.faults = tally.faults_now(now) + 1.0
             tally.fault_at = now
 
+    def told_failing(self, rates: Mapping[str, float], now: float) -> None:
+        """Takes what part of their requests servers fail, as all see it."""
+        least: dict[str, float] = {}
+        for server, rate in rates.items():
+            tally = self._tallies.get(server)
+            if tally is not None:
+                name = tally.backend.service
+                least[name] = min(rate, least.get(name, 1.0))
+        for server, rate in rates.items():
+            tally = self._tallies.get(server)
+            if tally is not None:
+                tally.failing = rate - least[tally.backend.service]
+                tally.failing_at = now
+
     def full(self, server: str, now: float) -> None:
         """Takes a refusal for want of room."""
         tally = self._tallies.get(server)
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -321,6 +321,9 @@
 
     # For each topic, the offset up to which the asker knows it.
     ends: dict[str, int]
+    # What the asker saw of plain servers since it last asked: requests, and
+    # those that failed, by id.
+    seen: dict[str, tuple[float, float]] = {}
 
 
 class RecordsReply(Wire, frozen=True):
@@ -332,6 +335,9 @@
     ends: dict[str, int]
     # Time since this entry VM last had an answer of the store, seconds.
     age_s: float
+    # Part of their requests that plain servers failed lately, by id, as seen by
+    # all that ask this entry VM.
+    failing: dict[str, float] = {}
 
 
 class AskPlace(Wire, frozen=True):
@@ -401,6 +407,8 @@
     server: str
     # The entry VM that reports it.
     holder: str
+    # Whether another server answered at its address, so that it is surely gone.
+    replaced: bool = False
 
 
 class KeptPlace(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -15,6 +15,7 @@
 
 from foxtaildale import balance
 from foxtaildale import errors
+from foxtaildale import experience
 from foxtaildale import fleet
 from foxtaildale import forwarding
 from foxtaildale import messages
@@ -53,6 +54,7 @@
         '_surveyed',
         '_unreadable',
         'entry_vms',
+        'experience',
         'failed_at',
         'fleet',
         'fresh_at',
@@ -94,6 +96,7 @@
         # Servers whose newest entry can't be read; told once each.
         self._unreadable: set[str] = set()
         self.fleet = fleet.Fleet(data_centre, rng)
+        self.experience = experience.Experience()
         # The configuration in force; None while none is known.
         self.matcher: routes.Matcher | None = None
         # Whether the list of servers was read once.
@@ -139,6 +142,7 @@
             self._learn(topic, news, now, 'peer', since)
         if self.servers_known:
             self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
+        self.fleet.told_failing(reply.failing, now)
 
     def reply(
         self, ask: messages.AskRecords, now: float
@@ -153,14 +157,26 @@
         }
         ends = {topic: known.end for topic, known in self._mirrors.items()}
         age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
-        return messages.RecordsReply(records=records, ends=ends, age_s=age_s)
+        self.experience.told(now, ask.seen)
+        return messages.RecordsReply(
+            records=records,
+            ends=ends,
+            age_s=age_s,
+            failing=self.experience.rates(now),
+        )
 
     def ask(self) -> messages.AskRecords:
         """Returns the question for another entry VM."""
         return messages.AskRecords(
-            ends={topic: known.end for topic, known in self._mirrors.items()}
+            ends={topic: known.end for topic, known in self._mirrors.items()},
+            seen=self.experience.news(),
         )
 
+    def ask_self(self, now: float) -> None:
+        """Takes what was seen here, as the one that others ask."""
+        self.experience.told(now, self.experience.news())
+        self.fleet.told_failing(self.experience.rates(now), now)
+
     def handle(self, msg: messages.Any, now: float) -> messages.Any:
         """Answers a message of another entry VM."""
         if isinstance(msg, messages.AskRecords):
@@ -269,6 +285,11 @@
         plan = self._plans.setdefault(msg.service, placing.Plan())
         plan.failed(now, msg)
 
+    def plain_failed(self, server: str, now: float) -> None:
+        """Takes a failure of a plain server under a request of this VM."""
+        self.fleet.failed(server, now)
+        self.experience.note(server, failed=True)
+
     def keep_places(self, msg: messages.KeepPlaces, now: float) -> None:
         """Takes what an entry VM holds as the home of a service."""
         # What is held at an earlier start of a worker is lost there.
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -19,8 +19,9 @@
 from foxtaildaled import passage
 from foxtaildaled import sends
 
-# Connections that may fail to open before a request is given up; nothing was
-# sent by those, so they are no attempts.
+# Servers that may turn out not to be there before a request is given up. Their
+# connections don't open, or another server says that it has their address; the
+# one that was meant got nothing, so they are no attempts.
 CONNECTS: Final = 3
 # An idempotent request without an answer is sent elsewhere after this many
 # times its target, and no sooner than the least, seconds: a server that hangs
@@ -48,14 +49,25 @@
 class _Tries:
     """What was tried for one request."""
 
-    __slots__ = ('last', 'may_have_run', 'sent', 'servers', 'unopened')
+    __slots__ = (
+        'arrived',
+        'last',
+        'may_have_run',
+        'missed',
+        'sent',
+        'servers',
+    )
 
     def __init__(self) -> None:
         # Ids of the servers, in order.
         self.servers: list[str] = []
-        # Requests that left, and connections that did not open.
+        # Requests that left, and those that reached the server that they were
+        # sent to.
+        self.arrived = 0
         self.sent = 0
-        self.unopened = 0
+        # Servers that were not there: connections that did not open, and other
+        # servers that answered in their place.
+        self.missed = 0
         # The last answer; None if the last send got none.
         self.last: _Whole | None = None
         # Whether a send may have run without an answer that says so.
@@ -108,7 +120,11 @@
     def _on_answer(
         self, req: passage.Passage, tries: _Tries, got: _Whole
     ) -> bool:
-        tries.sent += 1
+        tries.arrived += 1
+        if got.head.misdirected:
+            tries.missed += 1
+        else:
+            tries.sent += 1
         tries.last = got
         if self._again(req, got, tries.sent):
             req.log(
@@ -125,8 +141,9 @@
         self, req: passage.Passage, tries: _Tries, exc: errors.PortError
     ) -> bool:
         if isinstance(exc, errors.UnreachableError):
-            tries.unopened += 1
+            tries.missed += 1
             return True
+        tries.arrived += 1
         tries.sent += 1
         tries.last = None
         tries.may_have_run = True
@@ -143,11 +160,14 @@
     ) -> forwarding.Backend | None:
         """Returns the best server that was not tried, else any."""
         service = req.service.name
+        repeatable = req.route.repeatable
 
         def turn(
             state: beliefs.Beliefs, now: float
         ) -> forwarding.Backend | None:
-            found = state.fleet.candidates(service, now, avoid=tried)
+            found = state.fleet.candidates(
+                service, now, avoid=tried, repeatable=repeatable
+            )
             return found[0].backend if found else None
 
         return self._owner.run(turn)
@@ -155,9 +175,9 @@
     def _may_send(
         self, req: passage.Passage, tries: _Tries, server: forwarding.Backend
     ) -> bool:
-        if tries.unopened >= CONNECTS or req.left_s() < passage.MIN_LEFT_S:
+        if tries.missed >= CONNECTS or req.left_s() < passage.MIN_LEFT_S:
             return False
-        if not tries.sent:
+        if not tries.arrived:
             return True
         if tries.sent >= req.route.max_attempts:
             return False
@@ -188,7 +208,7 @@
             req.log('send failed', server=server.id, error=str(exc))
             if not req.gone.is_set():
                 self._owner.run(
-                    lambda state, now: state.fleet.failed(server.id, now)
+                    lambda state, now: state.plain_failed(server.id, now)
                 )
             return exc
         finally:
@@ -208,13 +228,13 @@
         self, server: forwarding.Backend, head: forwarding.Head, took_s: float
     ) -> None:
         def turn(state: beliefs.Beliefs, now: float) -> None:
-            known = state.fleet
             if head.ran == 'no':
-                known.not_run(server.id, now, head)
+                state.fleet.not_run(server.id, now, head)
             elif head.status >= 500:
-                known.failed(server.id, now)
+                state.plain_failed(server.id, now)
             else:
-                known.answered(server.id, now, head.load, took_s)
+                state.experience.note(server.id, failed=False)
+                state.fleet.answered(server.id, now, head.load, took_s)
 
         self._owner.run(turn)
 
@@ -236,7 +256,7 @@
             self._fail(req)
         else:
             code, figures = codes.NO_BACKEND, {}
-            if tries.sent:
+            if tries.arrived:
                 code, figures = codes.BACKEND_REFUSED, {'reason': 'full'}
             retry_s = comeback.retry_after_s(
                 FULL_WAIT_S, req.left_s(), self._rng
