Tell the home of an engine whose address another start has; ask for what a resumed stream has

The home placed ten requests there, each VM in turn was told 421, seven were refused, 23,100 prompt tokens read for nothing. One such report now closes it for all, and 421 is no attempt. A resumed stream asked for its prompt alone, and outgrew its share by what it had made.

--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -232,7 +232,7 @@
 
     def failed(self, now: float, msg: messages.ServerFailed) -> None:
         """Takes a holder's report of a failed server."""
-        self._reports.note(now, msg.server, msg.holder)
+        self._reports.note(now, msg.server, msg.holder, replaced=msg.replaced)
 
     def keep(self, now: float, msg: messages.KeepPlaces) -> None:
         """Takes a holder's repeat of all that it holds."""
--- a/packages/core/foxtaildale/reports.py
+++ b/packages/core/foxtaildale/reports.py
@@ -7,7 +7,8 @@
 
 One entry VM may be cut off from engines that all others reach. A report of one
 VM alone therefore takes nothing from the others; its own requests name the
-servers that it can't use.
+servers that it can't use. That another server answers at an engine's address is
+no matter of the way there: one such report is enough.
 """
 
 from typing import Final
@@ -17,6 +18,8 @@
 # How long a report counts, seconds. An engine that crashed has another id when
 # it is back, so a longer time would cost only those that failed by chance.
 COUNTS_S: Final = 3.0
+# Witness that is no entry VM.
+_ADDRESS: Final = ''
 
 
 class Reports:
@@ -28,9 +31,22 @@
         # When each entry VM last reported it, by server.
         self._reported: dict[str, dict[str, float]] = {}
 
-    def note(self, now: float, server: str, holder: str) -> None:
-        """Takes the report of an entry VM."""
-        self._reported.setdefault(server, {})[holder] = now
+    def note(
+        self, now: float, server: str, holder: str, *, replaced: bool = False
+    ) -> None:
+        """Takes the report of an entry VM.
+
+        Args:
+            now: Seconds.
+            server: The server's id.
+            holder: The entry VM.
+            replaced: Whether another server answered at its address.
+        """
+        reports = self._reported.setdefault(server, {})
+        reports[holder] = now
+        if replaced:
+            # Stands for the second witness.
+            reports[_ADDRESS] = now
 
     def forget(self, server: str) -> None:
         """Forgets a server that started again."""
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -113,6 +113,7 @@
         Raises:
             attempt.Refused: It ends here.
         """
+        req.call.after_event = answer.splitter.position
         began = self._clock()
         spot = self._spots.find(req, sent, started=answer.started)
         waited_s = self._clock() - began
@@ -150,7 +151,6 @@
         prefilled = answer.prefilled
         server = reserved.worker
         left_s = req.left_s()
-        req.call.after_event = answer.splitter.position
         flight = self._workers.decode(
             req.call,
             reserved,
@@ -167,10 +167,12 @@
             head = flight.head(self._patience(req, sent))
             if head.ran == 'no':
                 spot.refused = not head.misdirected
-                self._owner.run(
-                    lambda state, now: state.fleet.not_run(server.id, now, head)
-                )
+                self._spots.not_run(req, server, head)
                 req.log('not run', server=server.id, status=head.status)
+                if head.misdirected:
+                    # It never reached the server that it was sent to.
+                    sent.remove(server.id)
+                    return False
                 if answer.started or len(sent) < req.route.max_attempts:
                     return False
                 raise attempt.Refused(codes.BACKEND_REFUSED, reason='full')
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -73,12 +73,23 @@
             self._held.get(msg.service, {}).pop(msg.request, None)
         self._asking.tell(msg.service, msg)
 
-    def report(self, service: str, server: str) -> None:
-        """Reports a failed server; the home hears of it a moment later."""
+    def report(
+        self, service: str, server: str, *, replaced: bool = False
+    ) -> None:
+        """Reports a failed server; the home hears of it a moment later.
+
+        Args:
+            service: Its service.
+            server: Its id.
+            replaced: Whether another server answered at its address.
+        """
         self._asking.tell(
             service,
             messages.ServerFailed(
-                service=service, server=server, holder=self._entry_vm
+                service=service,
+                server=server,
+                holder=self._entry_vm,
+                replaced=replaced,
             ),
         )
 
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -22,14 +22,23 @@
 HANDLE_PART: Final = 0.7
 
 
-# Takes the failure of a server under a request.
+# Takes the failure of a server under a request, and its promise that it did not
+# run one.
 Failed = Callable[[passage.Passage, forwarding.Backend], None]
+NotRun = Callable[[passage.Passage, forwarding.Backend, forwarding.Head], None]
 
 
 class Prompts:
     """Sends prompts to prefill workers."""
 
-    __slots__ = ('_clock', '_failed', '_owner', '_sends', '_workers')
+    __slots__ = (
+        '_clock',
+        '_failed',
+        '_not_run',
+        '_owner',
+        '_sends',
+        '_workers',
+    )
 
     def __init__(
         self,
@@ -39,12 +48,14 @@
         budget: sends.Sends,
         clock: ports.Clock,
         failed: Failed,
+        not_run: NotRun,
     ) -> None:
         self._owner = owner
         self._workers = workers
         self._sends = budget
         self._clock = clock
         self._failed = failed
+        self._not_run = not_run
 
     def read(
         self, req: passage.Passage, spot: attempt.Spot, answer: attempt.Answer
@@ -137,9 +148,7 @@
             head = flight.head(left_s)
             body = read_small(flight, left_s)
             if head.ran == 'no':
-                self._owner.run(
-                    lambda state, now: state.fleet.not_run(server.id, now, head)
-                )
+                self._not_run(req, server, head)
                 req.log('prefill refused', server=server.id, status=head.status)
                 return None
             if not (head.ok and head.matches):
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -369,6 +369,7 @@
                 budget=budget,
                 clock=clock,
                 failed=finder.failed,
+                not_run=finder.not_run,
             ),
             tidy=self._tidy,
             clock=clock,
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -14,6 +14,7 @@
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import room
+from foxtaildale import routes
 from foxtaildaled import actors
 from foxtaildaled import attempt
 from foxtaildaled import beliefs
@@ -98,6 +99,23 @@
         self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
         self._plan.report(req.service.name, server.id)
 
+    def not_run(
+        self,
+        req: passage.Passage,
+        server: forwarding.Backend,
+        head: forwarding.Head,
+    ) -> None:
+        """Takes a server's promise that it did not run a request.
+
+        Where another server answered, the list still names one that is gone;
+        the home would send it everybody's next request until the list is right.
+        """
+        self._owner.run(
+            lambda state, now: state.fleet.not_run(server.id, now, head)
+        )
+        if head.misdirected:
+            self._plan.report(req.service.name, server.id, replaced=True)
+
     def check(self, req: passage.Passage, sent: list[str]) -> None:
         """Ends a request whose caller or whose time is gone.
 
@@ -207,13 +225,17 @@
         started: bool,
     ) -> messages.AskPlace:
         call = req.call
+        # What a resumed stream has made so far is read with its prompt, and is
+        # no part of what is still to come. Planned as a new request, it outgrew
+        # its share, and the engine had another one read again.
+        made = (call.after_event or 0) * req.service.event_tokens
         return messages.AskPlace(
             service=req.service.name,
             request=name,
             holder=self._entry_vm,
-            prompt=call.prompt_tokens,
-            hinted=call.hinted_tokens,
-            longest=call.output_tokens,
+            prompt=call.prompt_tokens + made,
+            hinted=_rest(call.hinted_tokens, made, req.service),
+            longest=_rest(call.output_tokens, made, req.service),
             waited_ms=int(req.age_s() * 1000),
             target_ms=int(req.route.target_s * 1000),
             priority=req.priority,
@@ -348,3 +370,8 @@
 
     def _full(self, server: forwarding.Backend) -> None:
         self._owner.run(lambda state, now: state.fleet.full(server.id, now))
+
+
+def _rest(tokens: int, made: int, service: routes.Service) -> int:
+    """Returns what is left of a length, tokens; 0 if it is not known."""
+    return max(service.event_tokens, tokens - made) if tokens else 0
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -35,6 +35,8 @@
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
         self.ended: list[str] = []
+        # Requests that were meant for another server.
+        self.missed = 0
         # Handles read and not taken yet, holds, and prompts freed.
         self.freed: list[str] = []
         # Orders that came, in order.
@@ -87,6 +89,7 @@
         expected = req.headers.get('foxtaildale-expect-instance')
         mine: tuple[tuple[str, str], ...] = ((_ATTEMPT, attempt),)
         if expected not in (None, self.name):
+            self.missed += 1
             return serving.Response(status=421, headers=mine)
         if self.refuse:
             refused = (*mine, ('Foxtaildale-Not-Executed', '1'))
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -30,3 +30,15 @@
     assert found.failed(2.5)
     assert not found.failed(reports.COUNTS_S + 0.1)
     assert not found.failed(reports.COUNTS_S + 2.1)
+
+
+def test_one_vm_that_met_another_server_takes_it_from_all() -> None:
+    """An engine crashed and is back under another name at the same address.
+
+    The list names the one before for seconds more. It has the most room in the
+    plan, so each VM in turn would have a prompt read for it and be turned away.
+    """
+    found = reports.Reports()
+    found.note(0.0, 'd1', 'vm-1', replaced=True)
+    assert found.failed(0.1) == {'d1'}
+    assert not found.failed(reports.COUNTS_S + 0.1)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -13,6 +13,7 @@
 from foxtaildale import messages
 from foxtaildale_adapters import peers
 from foxtaildaled import balancing
+from foxtaildaled import places
 from tests import site as sites
 
 Site = sites.Site
@@ -169,6 +170,35 @@
         assert (status, body) == (200, sites.events(f'a{number}', 5))
 
 
+def test_a_stream_that_goes_on_asks_for_room_for_what_it_has(
+    calm: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A decode worker breaks a long answer off near its end.
+
+    Planned as a new request, what it has made so far would outgrow its share of
+    the next worker, which then has another caller's prompt read again.
+    """
+    asked: list[messages.AskPlace] = []
+    ask = places.Places.ask
+
+    def note(
+        self: places.Places, msg: messages.AskPlace
+    ) -> places.Answer | None:
+        asked.append(msg)
+        return ask(self, msg)
+
+    monkeypatch.setattr(places.Places, 'ask', note)
+    for name in ('d1', 'd2'):
+        calm.workers[name].events = 8
+        calm.workers[name].break_after = 6
+    sites.send(calm, 'POST', '/chat/x')
+    first, second = asked[0], asked[-1]
+    assert (first.prompt, first.longest, first.started) == (500, 640, False)
+    made = 6 * 64
+    assert (second.prompt, second.longest) == (500 + made, 640 - made)
+    assert second.started
+
+
 def test_a_stream_that_may_not_go_on_is_cut(calm: Site) -> None:
     """Its answer must not look complete, and it must not run twice."""
     calm.workers['d1'].break_after = calm.workers['d2'].break_after = 3
@@ -265,6 +295,25 @@
     assert not calm.workers['s1'].ran
 
 
+@pytest.mark.parametrize('path', ['/single/x', '/chat/x'])
+def test_an_engine_that_is_back_under_another_name_costs_no_attempt(
+    calm: Site, path: str
+) -> None:
+    """A decode worker crashed and another start answers at its address.
+
+    The list does not tell it yet. A request whose route allows one attempt is
+    served by the other engine, its prompt read once, and the next ones are not
+    even sent there.
+    """
+    calm.workers['d1'].name = 'new'
+    for number in range(8):
+        status, _, body = sites.send(calm, 'POST', path, attempt=f'a{number}')
+        assert (status, body) == (200, sites.events(f'a{number}', 5))
+    assert not calm.workers['d1'].ran
+    assert calm.workers['d1'].missed <= 2
+    assert len(calm.workers['p1'].ran) == 8
+
+
 def test_a_change_is_in_force_soon_and_stays(calm: Site) -> None:
     calm.store.put('keyed.op', 'config', sites.config(2, skip='safe'))
     sites.until(lambda: sites.send(calm, 'GET', '/safe/x')[0] == 404, 2.0)
