--- a/packages/core/foxtaildale/placing.py
+++ b/packages/core/foxtaildale/placing.py
@@ -5,12 +5,8 @@
 all; so nobody asks a full engine, requests go first come first served over the
 whole deployment, and a prompt is read only when its place is sure.
 
-A request that can still meet its target goes before one that can't: served in
-order of arrival, an overload of some seconds would make every request late. One
-that was refused and came back counts from when it came first. Its target is
-missed, so it makes nobody else late, and it is the first of those that wait for
-what is left. Before all others goes a stream that broke: its caller has a part
-of the answer, and if it goes on at once the pause is hardly seen.
+Who is next is `queues`; where a request fits, `packing`; who reads its prompt,
+`prefills` and `ownreads`.
 
 `ask` grants or queues; `end` gives back; `keep` and `expire` keep the plan true
 to the holders. A wrong plan costs time and never correctness: engines refuse
@@ -30,12 +26,12 @@
 from foxtaildale import ownreads
 from foxtaildale import packing
 from foxtaildale import prefills
+from foxtaildale import queues
 from foxtaildale import refusals
 from foxtaildale import reports
 from foxtaildale import room
 from foxtaildale import routes
 from foxtaildale import speeds
-from foxtaildale import tries
 
 # Waiters that fit nowhere and are passed over by smaller ones behind them. For
 # each of them the worker is kept that it will fit at first, so that none
@@ -44,24 +40,10 @@
 # Time between looks at the plan while requests wait, seconds. A look goes through
 # all engines; done at every ask, a home with many waiters did nothing else.
 LOOK_S: Final = 0.02
-# A waiter that did not ask again for this long has gone, seconds: four times
-# the longest time between asks.
-WAITER_S: Final = 0.5
-# Least time between two tries of one request, seconds; what differs by less is
-# one try as two clocks see it.
-AGAIN_S: Final = 0.05
 # A grant whose holder did not repeat it for this long has lapsed, seconds.
 KEEP_S: Final = 4.0
-# Time between asks of a waiter, milliseconds: the first one's, what each one
-# before it adds, and the longest.
-AGAIN_MS: Final = 40
-AGAIN_STEP_MS: Final = 12
-AGAIN_MOST_MS: Final = 250
 # Time of one token until some are measured, seconds.
 TOKEN_S: Final = 0.0007
-# Longest time between two grants that is learned from, seconds; a longer one
-# means that nobody asked.
-BETWEEN_MOST_S: Final = 1.0
 # How much a new measurement counts.
 _LEARN: Final = 0.1
 
@@ -73,19 +55,16 @@
     """The engines of one service; the time is an argument."""
 
     __slots__ = (
-        '_between_s',
         '_decode_speeds',
-        '_granted_at',
         '_held',
         '_lengths',
         '_look_at',
         '_own_reads',
         '_prefills',
+        '_queue',
         '_refusals',
         '_reports',
         '_token_s',
-        '_tries',
-        '_waiting',
         'balance',
     )
 
@@ -94,12 +73,8 @@
         self.balance = balance.Balance()
         # By request.
         self._held: dict[str, holdings.Held] = {}
-        self._waiting: dict[str, holdings.Waiter] = {}
-        self._tries = tries.FirstTries()
+        self._queue = queues.Queue()
         self._lengths = lengths.Lengths()
-        # Smoothed time between grants, seconds, and when the last one was.
-        self._between_s = 0.0
-        self._granted_at = 0.0
         # When the plan is next looked at, seconds.
         self._look_at = 0.0
         self._own_reads = ownreads.OwnReads()
@@ -125,23 +100,18 @@
             engines: Returns the decode workers and the prefill workers that
                 may get work, best first.
         """
-        waiter = self._waiting.get(msg.request)
+        waiter = self._queue.get(msg.request)
         if waiter is None or waiter.place is None:
             too_late = self._too_late(msg)
             if too_late is not None:
-                self._waiting.pop(msg.request, None)
+                self._queue.leave(msg.request)
                 return too_late
         if waiter is None:
-            came_at = now - msg.waited_ms / 1000
-            first_at = self._tries.came_first(now, msg.digest, came_at)
-            came_back = first_at < came_at - AGAIN_S
-            waiter = holdings.Waiter(msg, first_at, came_back=came_back)
-            waiter.position = self._unplaced()
+            waiter = self._queue.join(now, msg)
             guess = msg.hinted or self._lengths.expected(0, msg.longest)
             self.balance.note(msg.prompt, guess)
             if not waiter.position:
                 self._look_at = now
-            self._waiting[msg.request] = waiter
         waiter.asked_at = now
         waiter.msg = msg
         if now >= self._look_at:
@@ -156,26 +126,9 @@
                 _sound(prefillers, failed),
             )
         if waiter.place is not None:
-            del self._waiting[msg.request]
+            self._queue.leave(msg.request)
             return waiter.place
-        again_ms = AGAIN_MS + AGAIN_STEP_MS * waiter.position
-        return messages.Queued(
-            again_in_ms=min(again_ms, AGAIN_MOST_MS),
-            position=waiter.position,
-            wait_ms=int(waiter.position * self._between_s * 1000),
-            came_back=waiter.came_back,
-            short_of=waiter.short_of,
-        )
-
-    def _unplaced(self) -> int:
-        """Returns how many wait for a place.
-
-        Those that have one and did not ask for it yet are not counted. A waiter
-        is told to ask later the more there are before it; with them counted,
-        a burst that is over would go on delaying everybody, since some that have
-        just got a place are always there.
-        """
-        return sum(waiter.place is None for waiter in self._waiting.values())
+        return self._queue.told(waiter)
 
     def _too_late(self, msg: messages.AskPlace) -> messages.TooLate | None:
         """Returns what ends a request whose answer can't be whole in time."""
@@ -190,13 +143,13 @@
 
     def end(self, now: float, msg: messages.EndPlace) -> None:
         """Takes a place back, with what its holder measured."""
-        self._waiting.pop(msg.request, None)
+        self._queue.leave(msg.request)
         held = self._held.pop(msg.request, None)
         if held is None:
             return
         self._look_at = min(self._look_at, now)
         if msg.whole:
-            self._tries.served(held.digest)
+            self._queue.served(held.digest)
         if msg.refused or msg.tokens:
             place, taken = held.place, not msg.refused
             self._refusals.note(now, place.worker, place.prefiller, taken=taken)
@@ -240,7 +193,7 @@
         for request, held in list(self._held.items()):
             # Its end was lost, unless it is still on its way to its holder.
             lost = held.holder == msg.holder and request not in named
-            if lost and now - held.kept_at > WAITER_S:
+            if lost and now - held.kept_at > queues.WAITER_S:
                 del self._held[request]
         for place in msg.places:
             known = self._held.get(place.request)
@@ -286,7 +239,7 @@
 
     def waiting(self) -> int:
         """Returns how many wait."""
-        return len(self._waiting)
+        return len(self._queue)
 
     def planned(self) -> dict[str, int]:
         """Returns how many requests each decode worker is planned with."""
@@ -303,9 +256,6 @@
         prefillers: Sequence[fleet.Tally],
     ) -> None:
         """Grants to the first waiters for as long as there is room."""
-        ranked = sorted(
-            self._waiting.values(), key=lambda item: self._rank(now, item)
-        )
         found = packing.Packing(
             now,
             service,
@@ -315,13 +265,11 @@
         )
         passed = 0
         position = 0
-        for waiter in ranked:
-            if waiter.place is not None:
-                continue
+        for waiter in self._queue.ranked(now, self._prefills.mean_s):
             if passed <= PASSED and not found.full:
                 passed += not self._try(now, waiter, found, prefillers)
             if waiter.place is not None:
-                self._note_grant(now)
+                self._queue.granted(now)
                 continue
             waiter.position = position
             position += 1
@@ -406,32 +354,14 @@
             msg.holder, place, running, now, msg.digest
         )
 
-    def _note_grant(self, now: float) -> None:
-        """Learns how fast places come free while requests wait."""
-        between_s = min(now - self._granted_at, BETWEEN_MOST_S)
-        self._granted_at = now
-        self._between_s += _LEARN * (between_s - self._between_s)
-
     def _token_s_at(self, now: float, worker: str) -> float:
         return self._token_s * self._decode_speeds.slowness(now, worker)
 
-    def _rank(
-        self, now: float, waiter: holdings.Waiter
-    ) -> tuple[bool, bool, int, float, str]:
-        msg = waiter.msg
-        age_s = now - waiter.arrived_at
-        target_s = msg.target_ms / 1000
-        late = room.too_late(age_s, target_s, self._prefills.mean_s)
-        rest = msg.priority, waiter.arrived_at, msg.request
-        return not msg.started, late, *rest
-
     def _forget(self, now: float) -> None:
         """Drops waiters that stopped asking and places that lapsed."""
-        for request, waiter in list(self._waiting.items()):
-            if now - waiter.asked_at > WAITER_S:
-                del self._waiting[request]
-                if waiter.place is not None:
-                    self._held.pop(request, None)
+        for waiter in self._queue.expire(now):
+            if waiter.place is not None:
+                self._held.pop(waiter.msg.request, None)
         for request, held in list(self._held.items()):
             if now - held.kept_at > KEEP_S:
                 del self._held[request]
--- a/packages/daemon/foxtaildaled/balancing.py
+++ b/packages/daemon/foxtaildaled/balancing.py
@@ -71,7 +71,9 @@
 
     def step(self) -> None:
         """Looks once at every service that is planned here."""
-        wanted = self._owner.run(lambda state, now: state.stage_changes(now))
+        wanted = self._owner.run(
+            lambda state, now: state.plans.stage_changes(now)
+        )
         for service, changes in wanted.items():
             if self._clock() < self._next_at.get(service, 0.0):
                 continue
@@ -121,7 +123,9 @@
         server = change.backend
         # Noted first: whatever its answer, it may be carried out.
         self._owner.run(
-            lambda state, now: state.stage_ordered(service, server.id, now)
+            lambda state, now: state.plans.stage_ordered(
+                service, server.id, now
+            )
         )
         try:
             answer = self._workers.order_stage(
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -6,34 +6,20 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Sequence
 import logging
-import math
 import random
 
-import msgspec
-
-from foxtaildale import balance
 from foxtaildale import errors
 from foxtaildale import experience
 from foxtaildale import fleet
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import mirror
-from foxtaildale import placing
 from foxtaildale import ports
 from foxtaildale import routes
 from foxtaildale_adapters import logs
+from foxtaildaled import plans
 
-# A service is surveyed as long as places of it were asked for within this time,
-# at this pace (a little under the time between looks, so that none is left out),
-# and its home gives none when it was surveyed longer ago, seconds.
-_ASKED_S = 2.0
-_SURVEY_S = 0.9
-_SURVEYED_S = 3.0
-# VMs that are surveyed beside those that hold places by the plan, each second in
-# turn, so that the home of a large site is not busy with the answers of all.
-_SURVEY_SAMPLE = 16
 # A store that failed within this time may have let entries of living servers
 # lapse, seconds: servers write every 1.2 s, entries lapse after three of
 # those, and living ones are back two seconds after the store is.
@@ -44,14 +30,10 @@
     """State of a router; the time is an argument."""
 
     __slots__ = (
-        '_asked',
         '_codec',
         '_mirrors',
         '_peer_address',
-        '_plans',
         '_seeds',
-        '_survey_from',
-        '_surveyed',
         '_unreadable',
         'entry_vms',
         'experience',
@@ -60,7 +42,7 @@
         'fresh_at',
         'matcher',
         'on_restarted',
-        'on_unsurveyed',
+        'plans',
         'servers_known',
     )
 
@@ -80,16 +62,6 @@
             codec.servers_topic: mirror.Mirror(),
             codec.members_topic: mirror.Mirror(),
         }
-        # Of the services that this entry VM is the home of.
-        self._plans: dict[str, placing.Plan] = {}
-        # When places were last asked for here, and when it was last known what
-        # all entry VMs hold, by service.
-        self._asked: dict[str, float] = {}
-        self._surveyed: dict[str, float] = {}
-        # Where the sample of VMs to survey goes on.
-        self._survey_from = 0
-        # Called when a survey is needed at once.
-        self.on_unsurveyed: Callable[[], None] = lambda: None
         # Called with a server that started again under its id; ends what was
         # sent to it before, and returns how many requests that were.
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
@@ -108,6 +80,8 @@
         # failed to answer.
         self.fresh_at: float | None = None
         self.failed_at: float | None = None
+        # Of the services that this entry VM is the home of.
+        self.plans = plans.Plans(self, peer_address)
 
     def end(self, topic: str) -> int:
         """Returns the offset up to which a topic is known."""
@@ -182,145 +156,20 @@
         if isinstance(msg, messages.AskRecords):
             return self.reply(msg, now)
         if isinstance(msg, messages.AskPlace):
-            return self.ask_place(msg, now)
+            return self.plans.ask(msg, now)
         if isinstance(msg, messages.EndPlace):
-            self.end_place(msg, now)
+            self.plans.end(msg, now)
             return messages.Pong()
         if isinstance(msg, messages.ServerFailed):
-            self.server_failed(msg, now)
+            self.plans.failed(msg, now)
             return messages.Pong()
         return messages.Fail(code='not-for-a-router')
 
-    def ask_place(self, msg: messages.AskPlace, now: float) -> messages.Any:
-        """Answers as the home of a service."""
-        if self.matcher is None:
-            return messages.Fail(code='not-ready')
-        name = msg.service
-        service = self.matcher.table.service(name)
-        plan = self._plans.setdefault(name, placing.Plan())
-        self._asked[name] = now
-        engines = self._engines(name, now)
-        if not self._is_surveyed(name, now):
-            # Asked as a waiter it loses no time: its place is granted as soon
-            # as it is known what there is to grant.
-            self.on_unsurveyed()
-            engines = _no_engines
-        return plan.ask(now, msg, service, engines)
-
-    def surveys_due(self, now: float) -> list[str]:
-        """Returns the services of which it should be asked what is held."""
-        return [
-            service
-            for service, asked_at in self._asked.items()
-            if now - asked_at < _ASKED_S
-            and now - self._surveyed.get(service, -math.inf) >= _SURVEY_S
-        ]
-
-    def survey_peers(self, service: str, now: float) -> list[str]:
-        """Returns the addresses of those to ask what they hold.
-
-        All of them if that was not known lately; else those that hold places
-        by the plan, and a sample of the others.
-        """
-        addresses = self.peers()
-        if not self._is_surveyed(service, now):
-            return addresses
-        names = self._plans[service].holders() if service in self._plans else ()
-        holders = {
-            self.entry_vms[name].peer_address
-            for name in names
-            if name in self.entry_vms
-        }
-        others = [address for address in addresses if address not in holders]
-        if len(others) > _SURVEY_SAMPLE:
-            start = self._survey_from % len(others)
-            self._survey_from = start + _SURVEY_SAMPLE
-            others = (others + others)[start : start + _SURVEY_SAMPLE]
-        holders.discard(self._peer_address)
-        return sorted({*holders, *others})
-
-    def surveyed(
-        self, service: str, found: Iterable[messages.KeepPlaces], now: float
-    ) -> bool:
-        """Takes what entry VMs hold.
-
-        Returns:
-            Whether that was not known here.
-        """
-        first = not self._is_surveyed(service, now)
-        for held in found:
-            self.keep_places(held, now)
-        self._surveyed[service] = now
-        return first
-
-    def _is_surveyed(self, service: str, now: float) -> bool:
-        return now - self._surveyed.get(service, -math.inf) < _SURVEYED_S
-
-    def stage_changes(
-        self, now: float
-    ) -> dict[str, tuple[balance.Change, ...]]:
-        """Returns which engines should change their stage, by service."""
-        if self.matcher is None:
-            return {}
-        table = self.matcher.table
-        return {
-            name: plan.stage_changes(
-                now, table.service(name), self._engines(name, now)
-            )
-            for name, plan in self._plans.items()
-        }
-
-    def stage_ordered(self, service: str, server: str, now: float) -> None:
-        """Notes that an engine was ordered to change."""
-        self._plans[service].balance.ordered(now, server)
-
-    def end_place(self, msg: messages.EndPlace, now: float) -> None:
-        """Takes a place back as the home of a service."""
-        plan = self._plans.get(msg.service)
-        if plan is not None:
-            plan.end(now, msg)
-
-    def server_failed(self, msg: messages.ServerFailed, now: float) -> None:
-        """Takes a report of a failed server as the home of its service."""
-        plan = self._plans.setdefault(msg.service, placing.Plan())
-        plan.failed(now, msg)
-
     def plain_failed(self, server: str, now: float) -> None:
         """Takes a failure of a plain server under a request of this VM."""
         self.fleet.failed(server, now)
         self.experience.note(server, failed=True)
 
-    def keep_places(self, msg: messages.KeepPlaces, now: float) -> None:
-        """Takes what an entry VM holds as the home of a service."""
-        # What is held at an earlier start of a worker is lost there.
-        places = tuple(
-            place
-            for place in msg.places
-            if place.born >= self.fleet.born(place.worker)
-        )
-        plan = self._plans.setdefault(msg.service, placing.Plan())
-        plan.keep(now, msgspec.structs.replace(msg, places=places))
-
-    def planned_services(self) -> tuple[str, ...]:
-        """Returns the services whose engines are planned by a home."""
-        if self.matcher is None:
-            return ()
-        services = self.matcher.table.services
-        return tuple(item.name for item in services if item.kv_tokens)
-
-    def planned(self) -> dict[str, dict[str, object]]:
-        """Returns the plans for a person to read."""
-        return {
-            name: {'waiting': plan.waiting(), 'planned': plan.planned()}
-            for name, plan in self._plans.items()
-        }
-
-    def _engines(self, service: str, now: float) -> placing.Engines:
-        return lambda: (
-            self.fleet.candidates(service, now, 'decode'),
-            self.fleet.candidates(service, now, 'prefill'),
-        )
-
     def on_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes changed settings."""
         self._seeds = seeds
@@ -478,8 +327,7 @@
         self, backend: forwarding.Backend, before: int, offset: int, source: str
     ) -> None:
         """Forgets all that was known of the starts before."""
-        for plan in self._plans.values():
-            plan.restarted(backend.id)
+        self.plans.restarted(backend.id)
         logs.event(
             logging.INFO,
             'backend server started again',
@@ -501,10 +349,6 @@
             self.entry_vms = left
 
 
-def _no_engines() -> tuple[Sequence[fleet.Tally], Sequence[fleet.Tally]]:
-    return (), ()
-
-
 def _differs(before: forwarding.Backend, after: forwarding.Backend) -> bool:
     """Whether a server's entry changed in what requests depend on."""
     return (before.leaving, before.stage) != (after.leaving, after.stage)
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -125,7 +125,7 @@
     )
     survey_loop = process.Loop('surveys', surveys.LOOK_S, survey.step)
     owner.run(
-        lambda state, _: setattr(state, 'on_unsurveyed', survey_loop.wake)
+        lambda state, _: setattr(state.plans, 'on_unsurveyed', survey_loop.wake)
     )
     config = follow(codec.config_topic, syncing.CONFIG_WAIT_S)
     balance = _unless(stopping, balancer.step)
--- a/packages/daemon/foxtaildaled/places.py
+++ b/packages/daemon/foxtaildaled/places.py
@@ -109,7 +109,9 @@
 
     def step(self) -> None:
         """Probes homes that are not heard of yet and suspects, as a loop."""
-        services = self._owner.run(lambda state, _: state.planned_services())
+        services = self._owner.run(
+            lambda state, _: state.plans.planned_services()
+        )
         for service in services:
             self._asking.greet(service)
         self._asking.probe()
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -463,7 +463,7 @@
                     for tally in state.fleet.known()
                 ],
                 'busy': self._server.busy(),
-                'plans': state.planned(),
+                'plans': state.plans.planned(),
                 'accounts': self._counting.levels(),
             }
 
--- a/packages/daemon/foxtaildaled/surveys.py
+++ b/packages/daemon/foxtaildaled/surveys.py
@@ -46,14 +46,14 @@
 
     def step(self) -> None:
         """Asks for the services that are due."""
-        due = self._owner.run(lambda state, now: state.surveys_due(now))
+        due = self._owner.run(lambda state, now: state.plans.surveys_due(now))
         for service in due:
             self._survey(service)
 
     def _survey(self, service: str) -> None:
         began = self._clock()
         addresses = self._owner.run(
-            lambda state, now: state.survey_peers(service, now)
+            lambda state, now: state.plans.survey_peers(service, now)
         )
         ask = messages.AskHeld(service=service)
         replies = self._peers.ask_all(addresses, ask, ANSWER_S)
@@ -63,7 +63,7 @@
             if isinstance(reply, messages.KeepPlaces)
         ]
         first = self._owner.run(
-            lambda state, now: state.surveyed(service, found, now)
+            lambda state, now: state.plans.surveyed(service, found, now)
         )
         if not first:
             return
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -61,7 +61,7 @@
         ('backend server known', 'decode'),
         ('backend server leaving', 'decode'),
     ]
-    assert json.dumps(state.planned()) == '{}'
+    assert json.dumps(state.plans.planned()) == '{}'
 
 
 def _state() -> beliefs.Beliefs:
@@ -156,18 +156,18 @@
         for number in range(100)
     }
     everybody = state.peers()
-    assert state.survey_peers('s', 1.0) == everybody
+    assert state.plans.survey_peers('s', 1.0) == everybody
     place = messages.KeptPlace(
         request='r', worker='i-1', prompt=9, hinted=9, longest=9
     )
     kept = messages.KeepPlaces(service='s', holder='vm-7', places=(place,))
-    state.surveyed('s', [kept], 1.0)
+    state.plans.surveyed('s', [kept], 1.0)
     seen: set[str] = set()
     for _ in range(8):
-        asked = state.survey_peers('s', 1.5)
+        asked = state.plans.survey_peers('s', 1.5)
         assert 'vm-7:1' in asked
         assert len(asked) < 20
         seen.update(asked)
     assert seen == set(everybody)
     # Known too long ago: all again.
-    assert state.survey_peers('s', 9.0) == everybody
+    assert state.plans.survey_peers('s', 9.0) == everybody
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -110,16 +110,16 @@
     """
     state = _state(['vm-1', 'vm-2'], 'vm-1:1')
     woken: list[bool] = []
-    state.on_unsurveyed = lambda: woken.append(True)
-    assert isinstance(state.ask_place(_ask('new'), 1.0), messages.Queued)
+    state.plans.on_unsurveyed = lambda: woken.append(True)
+    assert isinstance(state.plans.ask(_ask('new'), 1.0), messages.Queued)
     assert woken
-    assert state.surveys_due(1.0) == [_SERVICE]
-    assert state.surveyed(_SERVICE, [_kept('a', 'b')], 1.01)
-    again = state.ask_place(_ask('new'), 1.05)
+    assert state.plans.surveys_due(1.0) == [_SERVICE]
+    assert state.plans.surveyed(_SERVICE, [_kept('a', 'b')], 1.01)
+    again = state.plans.ask(_ask('new'), 1.05)
     assert isinstance(again, messages.Queued)
     # Both have ended by the next time that it asks.
-    assert not state.surveyed(_SERVICE, [_kept()], 2.05)
-    place = state.ask_place(_ask('new'), 2.1)
+    assert not state.plans.surveyed(_SERVICE, [_kept()], 2.05)
+    place = state.plans.ask(_ask('new'), 2.1)
     assert isinstance(place, messages.Place)
 
 
@@ -135,11 +135,11 @@
     survey = surveys.Surveys(
         owner=owner, peers=vms, held=lambda _: _kept('b'), clock=lambda: 5.0
     )
-    owner.run(lambda found, now: found.ask_place(_ask('new'), now))
+    owner.run(lambda found, now: found.plans.ask(_ask('new'), now))
     survey.step()
-    assert owner.run(lambda found, _: found.planned())[_SERVICE]['planned'] == {
-        'd': 2
-    }
+    assert owner.run(lambda found, _: found.plans.planned())[_SERVICE][
+        'planned'
+    ] == {'d': 2}
     owner.stop()
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -11,6 +11,7 @@
 from foxtaildale import messages
 from foxtaildale import placing
 from foxtaildale import prefills
+from foxtaildale import queues
 from foxtaildale import reading
 from foxtaildale import routes
 
@@ -179,7 +180,7 @@
     _ask(plan, 0.1, 'here')
     for number in range(3):
         _end(plan, 0.2, f'fill-{number}')
-    now = 0.2 + placing.WAITER_S + 0.1
+    now = 0.2 + queues.WAITER_S + 0.1
     _ask(plan, now, 'here')
     assert isinstance(_ask(plan, now, 'here'), messages.Place)
 
@@ -234,7 +235,7 @@
     empty = messages.KeepPlaces(service='s', holder='vm-1', places=())
     plan.keep(0.1, empty)
     assert plan.planned(), 'it may still be on its way to its holder'
-    plan.keep(placing.WAITER_S + 0.2, empty)
+    plan.keep(queues.WAITER_S + 0.2, empty)
     assert not plan.planned()
 
 
@@ -682,4 +683,4 @@
     assert isinstance(_ask(plan, 0.3, 'w0', prefillers=_MANY), messages.Place)
     found = _ask(plan, 0.301, 'new', prompt=500, hinted=50, longest=50)
     if isinstance(found, messages.Queued):
-        assert found.again_in_ms <= 2 * placing.AGAIN_MS
+        assert found.again_in_ms <= 2 * queues.AGAIN_MS
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -231,8 +231,8 @@
             for born in (1000, 2000)
         ),
     )
-    reader.state.surveyed('s', [kept], 1.0)
-    assert reader.state.planned()['s']['planned'] == {'i-1': 1}
+    reader.state.plans.surveyed('s', [kept], 1.0)
+    assert reader.state.plans.planned()['s']['planned'] == {'i-1': 1}
 
 
 class _Flight:
