An empty list of accounts gives nobody a key; callers over a limit are told to come back in turn

A configuration that names accounts and has none left opened all routes: it was taken for one without accounts (test, seen red). Callers that were turned away together were told the same time and came back together; each is told a time behind those before it now (test: six of six let in when they come back).

--- a/packages/core/foxtaildale/bucket.py
+++ b/packages/core/foxtaildale/bucket.py
@@ -11,6 +11,9 @@
 seldom for a large one, so an account that is over its limit would have none of
 its large ones served. One therefore passes no larger one that was turned away a
 moment before, unless it is so small that the other hardly waits for it.
+
+Those that are turned away together and told the same time come back together,
+and one of them finds enough. So each is told a time behind those before it.
 """
 
 from typing import Final
@@ -24,12 +27,23 @@
 ROOM_S: Final = 2.0
 # Part of a larger one's cost up to which a request passes it.
 SMALL_PART: Final = 0.125
+# Longest time by which those that were told to come back put others off,
+# seconds. Not all of them do, and callers heed no longer times.
+PROMISED_S: Final = 3.0
 
 
 class Bucket:
     """One account's; the time is an argument."""
 
-    __slots__ = ('_at', '_level', '_room', '_room_until', 'limit')
+    __slots__ = (
+        '_at',
+        '_level',
+        '_promised',
+        '_promised_at',
+        '_room',
+        '_room_until',
+        'limit',
+    )
 
     def __init__(self, limit: accounts.Limit, now: float, level: float) -> None:
         self.limit = limit
@@ -40,6 +54,10 @@
         # when, seconds.
         self._room = 0.0
         self._room_until = now
+        # What was turned away and told to come back, as of a time; it is worked
+        # off at the rate.
+        self._promised = 0.0
+        self._promised_at = now
 
     @property
     def most(self) -> float:
@@ -67,7 +85,7 @@
             if own >= self._room:
                 self._room = own
                 self._room_until = now + ROOM_S
-            return (needed - level) / self.limit.rate
+            return (needed - level + self._promise(now, own)) / self.limit.rate
         self._set(now, level - cost)
         return 0.0
 
@@ -85,6 +103,19 @@
         self.limit = limit
         self._set(now, level + max(0.0, self.most - most))
 
+    def _promise(self, now: float, cost: float) -> float:
+        """Puts a request behind those that were turned away before it.
+
+        Returns:
+            What those are to take first, units.
+        """
+        rate = self.limit.rate
+        worked_off = rate * (now - self._promised_at)
+        before = max(0.0, self._promised - worked_off)
+        self._promised = min(before + cost, PROMISED_S * rate)
+        self._promised_at = now
+        return before
+
     def _set(self, now: float, level: float) -> None:
         self._at = max(now, self._at)
         self._level = min(self.most, level)
--- a/packages/core/foxtaildale/routes.py
+++ b/packages/core/foxtaildale/routes.py
@@ -89,8 +89,9 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: Limits = Limits()
-    # Client accounts; without any, requests need no key.
-    client_accounts: tuple[accounts.Account, ...] = ()
+    # Client accounts; None where requests need no key. Where there are to be
+    # accounts and none is left, nobody has a key.
+    client_accounts: tuple[accounts.Account, ...] | None = None
 
     def service(self, name: str) -> Service:
         """Returns a service; an unknown one has no special features."""
@@ -112,7 +113,7 @@
 
     def __init__(self, table: Table) -> None:
         self.table = table
-        self.client_accounts = accounts.Accounts(table.client_accounts)
+        self.client_accounts = accounts.Accounts(table.client_accounts or ())
         hosts: dict[str, list[Route]] = {}
         for route in table.routes:
             hosts.setdefault(route.host.lower(), []).append(route)
@@ -121,6 +122,11 @@
             for host, routes in hosts.items()
         }
 
+    @property
+    def keyed(self) -> bool:
+        """Whether requests need the key of a client account."""
+        return self.table.client_accounts is not None
+
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins the path.
 
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -266,7 +266,7 @@
             version=table.version,
             offset=entry.offset,
             routes=len(table.routes),
-            accounts=len(table.client_accounts),
+            accounts=len(table.client_accounts or ()),
             source=source,
         )
 
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -94,7 +94,7 @@
             self._refuse(exchange, codes.NO_PRESET, UNREADY_S)
             return
         try:
-            call = self._decode(exchange, keyed=bool(matcher.client_accounts))
+            call = self._decode(exchange, keyed=matcher.keyed)
         except errors.DecodeError as exc:
             self._refuse(exchange, codes.BAD_REQUEST, reason=str(exc))
             return
@@ -134,7 +134,7 @@
         """Refuses what has no account, or lies beyond its account's limit."""
         if req.account is not None:
             return self._keeps_limit(req, req.account)
-        if not matcher.client_accounts or req.route.public:
+        if not matcher.keyed or req.route.public:
             return True
         reason = 'no client account has its key'
         if req.call.key is None:
--- a/tests/test_account_path.py
+++ b/tests/test_account_path.py
@@ -131,6 +131,20 @@
     assert not any('authorization' in head for head in seen)
 
 
+def test_where_the_last_account_is_taken_away_no_key_is_good(
+    keyed: sites.Site,
+) -> None:
+    """Without accounts nobody needs a key; with an empty list nobody has one.
+
+    Taken for the former, the last account that is removed would open all routes
+    to anybody.
+    """
+    _publish(keyed, _config(7))
+    assert _send(keyed, '/safe/x')[0] == 401
+    assert _send(keyed, '/safe/x', None)[0] == 401
+    assert _send(keyed, '/open/x', None)[0] == 200
+
+
 def test_a_route_that_is_not_there_is_not_there_without_a_key(
     keyed: sites.Site,
 ) -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -72,6 +72,7 @@
 
 def test_an_account_without_figures_has_no_limit() -> None:
     table = records.table(_config(3, {'name': 'a', 'api_keys': ['k']}))
+    assert table.client_accounts is not None
     account = table.client_accounts[0]
     assert account.priority is None
     assert not account.limit.rate
@@ -221,4 +222,5 @@
 def test_a_decoded_account_holds_no_key() -> None:
     table = records.table(_config(3, _TENANT))
     assert _SECRET not in repr(table)
+    assert table.client_accounts is not None
     assert not any(part == _SECRET for part in _walk(table.client_accounts[0]))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -48,6 +48,20 @@
     assert found.take(wait_s + 0.01, 900.0) == 0.0
 
 
+def test_those_that_are_turned_away_together_come_back_in_turn() -> None:
+    """Six callers ask at the same moment for more than there is.
+
+    Told the same time all of them would come back at once, and five be turned
+    away for good.
+    """
+    found = _full()
+    assert found.take(0.0, 2000.0) == 0.0
+    waits = [found.take(0.0, 400.0) for _ in range(6)]
+    assert sorted(set(waits)) == waits
+    for wait_s in waits:
+        assert found.take(wait_s + 0.001, 400.0) == 0.0
+
+
 def test_what_did_not_run_is_given_back() -> None:
     found = _full()
     assert found.take(0.0, 2000.0) == 0.0
