--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -103,3 +103,34 @@
     file.write_text('\n'.join(_LINES))
     assert main.run(('explain', 'r', '--log', str(file))) == 0
     assert 'refused as backend-refused' in capsys.readouterr().out
+
+
+def test_a_customer_over_its_limit_hears_what_was_counted() -> None:
+    """A customer calls: it was refused although it sends little.
+
+    On-call finds who counted, what this request counts as and what was left.
+    """
+    figures = {
+        'account': 'pad-7',
+        'cost': 7400,
+        'remaining': 310,
+        'rate': 29000.0,
+        'burst': 29000.0,
+        'unit': 'token',
+        'by': 'home',
+        'took_ms': 2,
+    }
+    line = _line(
+        2.0,
+        'refused',
+        request='r',
+        code='over-limit',
+        status=429,
+        retry_after_s=0.25,
+        **figures,
+    )
+    found = story.tell(story.parse([line]), 'r')
+    assert isinstance(found, story.Story)
+    assert 'client account pad-7 may take 29000.0 tokens' in found.conclusion
+    assert 'counts as 7400 and 310 are left' in found.conclusion
+    assert 'by=home' in found.text()
