Take an engine for replaced only where another one says so

An engine that has just changed its stage answers 421 as well to what it did before; reported as gone it got nothing for three seconds of what it does now.

--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -93,12 +93,21 @@
     load: Load | None = None
     # Whether the answer is for the request that was sent.
     matches: bool = True
+    # Id of the server that answered; empty if it does not say.
+    server: str = ''
 
     @property
     def misdirected(self) -> bool:
         """Whether another server than the one that was meant answered."""
         return self.status == MISDIRECTED
 
+    def replaces(self, server: str) -> bool:
+        """Whether another server answered at the address of one that is gone.
+
+        One that is itself there may refuse as well what its stage does not do.
+        """
+        return self.misdirected and bool(self.server) and self.server != server
+
     @property
     def ok(self) -> bool:
         """Whether it is a success."""
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -121,7 +121,7 @@
         self, req: passage.Passage, tries: _Tries, got: _Whole
     ) -> bool:
         tries.arrived += 1
-        if got.head.misdirected:
+        if got.head.replaces(tries.servers[-1]):
             tries.missed += 1
         else:
             tries.sent += 1
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -169,7 +169,7 @@
                 spot.refused = not head.misdirected
                 self._spots.not_run(req, server, head)
                 req.log('not run', server=server.id, status=head.status)
-                if head.misdirected:
+                if head.replaces(server.id):
                     # It never reached the server that it was sent to.
                     sent.remove(server.id)
                     return False
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -113,7 +113,7 @@
         self._owner.run(
             lambda state, now: state.fleet.not_run(server.id, now, head)
         )
-        if head.misdirected:
+        if head.replaces(server.id):
             self._plan.report(req.service.name, server.id, replaced=True)
 
     def check(self, req: passage.Passage, sent: list[str]) -> None:
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -90,7 +90,8 @@
         mine: tuple[tuple[str, str], ...] = ((_ATTEMPT, attempt),)
         if expected not in (None, self.name):
             self.missed += 1
-            return serving.Response(status=421, headers=mine)
+            found = (*mine, ('Foxtaildale-Instance-Id', self.name))
+            return serving.Response(status=421, headers=found)
         if self.refuse:
             refused = (*mine, ('Foxtaildale-Not-Executed', '1'))
             return serving.Response(status=503, headers=refused)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,5 +1,8 @@
 """Failures that entry VMs report to the home of a service."""
 
+import pytest
+
+from foxtaildale import forwarding
 from foxtaildale import reports
 
 
@@ -42,3 +45,24 @@
     found.note(0.0, 'd1', 'vm-1', replaced=True)
     assert found.failed(0.1) == {'d1'}
     assert not found.failed(reports.COUNTS_S + 0.1)
+
+
+@pytest.mark.parametrize(
+    ('status', 'server', 'replaced'),
+    [
+        (421, 'other', True),
+        (421, 'd1', False),
+        (421, '', False),
+        (503, 'x', False),
+    ],
+)
+def test_only_another_server_replaces_one(
+    status: int, server: str, replaced: bool
+) -> None:
+    """An engine that has just changed its stage refuses what the other does.
+
+    It is there and sound. Taken for one that is gone, it would get nothing for
+    seconds of what it does now.
+    """
+    head = forwarding.Head(status=status, headers=(), server=server)
+    assert head.replaces('d1') == replaced
