Leave a reader at once that the store fails

Found by reading for a failed test (below): with one reader for all, the VM that the store turns away is asked by all until its word is over 1.1 to 1.65 s old, and then all read the store together. It says so now; all go to the next one, which begins at once, and it asks others itself. Where the next one says the same the store fails everybody, and no further one is tried for three seconds.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -338,6 +338,8 @@
     # Part of their requests that plain servers failed lately, by id, as seen by
     # all that ask this entry VM.
     failing: dict[str, float] = {}
+    # Whether the store failed this entry VM since it last answered.
+    store_lost: bool = False
 
 
 class AskPlace(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -137,6 +137,7 @@
             ends=ends,
             age_s=age_s,
             failing=self.experience.rates(now),
+            store_lost=self.store_lost(),
         )
 
     def ask(self) -> messages.AskRecords:
@@ -184,6 +185,12 @@
             return 0.0
         return max(0.0, self.fresh_at + limit_s - now)
 
+    def store_lost(self) -> bool:
+        """Whether the store failed this entry VM since it last answered."""
+        if self.failed_at is None:
+            return False
+        return self.fresh_at is None or self.failed_at > self.fresh_at
+
     def failed(self, now: float) -> None:
         """Takes a failed call to the store."""
         self.failed_at = now
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -75,6 +75,15 @@
         rng=rng,
     )
 
+    # Wake those that leave reading to another VM, which may be no reader now.
+    wakes: list[threading.Event] = []
+
+    def wake_all() -> None:
+        for wake in wakes:
+            wake.set()
+
+    readers.on_passed = wake_all
+
     def follow(name: str, wait_s: float) -> Callable[[], None]:
         lazy = syncing.Lazy(
             topic=topic(name, wait_s),
@@ -84,7 +93,8 @@
             limit_s=limit_s,
             rng=rng,
         )
-        return _behind(introduction, _paced(lazy.step, on_read))
+        wakes.append(threading.Event())
+        return _behind(introduction, _paced(lazy.step, on_read, wakes[-1]))
 
     members = syncing.Members(
         name=cfg.entry_vm,
@@ -158,14 +168,17 @@
 
 
 def _paced(
-    step: Callable[[], float], after: Callable[[], None]
+    step: Callable[[], float],
+    after: Callable[[], None],
+    wake: threading.Event,
 ) -> Callable[[], None]:
-    """Waits as long as a step says."""
+    """Waits as long as a step says, unless it is woken."""
 
     def run() -> None:
         wait_s = step()
         after()
-        time.sleep(wait_s)
+        wake.wait(wait_s)
+        wake.clear()
 
     return run
 
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -8,6 +8,7 @@
 leaving servers unused. While the store fails, any other entry VM is asked.
 """
 
+from collections.abc import Callable
 import logging
 import math
 import random
@@ -301,8 +302,11 @@
     Calls to the store are shared by all entry VMs and priced; were each to
     read for itself, they would grow with their number. One, by rendezvous hash,
     reads, and the others ask it; where there are many, one a data centre. One
-    that does not answer or has nothing fresh is passed over for a while. Safe
-    for concurrent use.
+    that does not answer or has nothing fresh is passed over for a while, and one
+    that the store fails as soon as it says so: else all would wait until what they
+    know is too old, and then read the store together. Where the next one says the
+    same, the store fails everybody, and another reader is no help. Safe for
+    concurrent use.
     """
 
     __slots__ = (
@@ -312,8 +316,10 @@
         '_entry_vm',
         '_homes',
         '_lock',
+        '_lost_until',
         '_near',
         '_passed',
+        'on_passed',
     )
 
     def __init__(
@@ -331,6 +337,10 @@
         self._homes = homes.Homes()
         # Until when each one that failed is passed over, seconds.
         self._passed: dict[str, float] = {}
+        # Until when no other one is for a store that fails it, seconds.
+        self._lost_until = -math.inf
+        # Called when another one reads from now on, maybe this entry VM.
+        self.on_passed: Callable[[], None] = lambda: None
 
     def choose(self, known: dict[str, forwarding.EntryVm]) -> str:
         """Returns the name of the reader; this entry VM's own if none fits."""
@@ -351,6 +361,18 @@
         """Takes a reader that did not answer or had nothing fresh."""
         with self._lock:
             self._passed[name] = self._clock() + PASSED_S
+        self.on_passed()
+
+    def store_lost(self, name: str) -> bool:
+        """Takes a reader that the store fails; returns whether it is left."""
+        with self._lock:
+            now = self._clock()
+            if now < self._lost_until:
+                return False
+            self._lost_until = now + PASSED_S
+            self._passed[name] = now + PASSED_S
+        self.on_passed()
+        return True
 
 
 class Lazy:
@@ -449,14 +471,14 @@
             reply = self._ask(known[reader].peer_address)
             if reply is None or reply.age_s > self._limit_s:
                 self._readers.failed(reader)
-                logs.event(
-                    logging.INFO,
-                    'reader passed over',
-                    reader=reader,
-                    answered=reply is not None,
-                )
+                _log_passed(reader, answered=reply is not None)
+            elif reply.store_lost and self._readers.store_lost(reader):
+                _log_passed(reader, answered=True)
         else:
             self._owner.run(lambda state, now: state.ask_self(now))
+            lost = self._owner.run(lambda state, _: state.store_lost())
+            if lost and self._readers.store_lost(reader):
+                _log_passed(reader, answered=True)
         if self._owner.run(
             lambda state, now: state.is_fresh(now, self._limit_s)
         ):
@@ -479,3 +501,9 @@
             return None
         self._owner.run(lambda state, now: state.take_reply(reply, now))
         return reply
+
+
+def _log_passed(reader: str, *, answered: bool) -> None:
+    logs.event(
+        logging.INFO, 'reader passed over', reader=reader, answered=answered
+    )
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -5,6 +5,7 @@
 import time
 from typing import Any
 
+import msgspec
 import pytest
 
 from foxtaildale import errors
@@ -479,3 +480,84 @@
     introduction.run()
     introduction.wait()
     assert seeds.asked == []
+
+
+class _Lost(_Net):
+    """Other entry VMs, some of which the store fails."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Addresses of those.
+        self.lost: set[str] = set()
+
+    def ask(
+        self, address: str, msg: messages.Any, timeout_s: float
+    ) -> messages.Any:
+        reply = super().ask(address, msg, timeout_s)
+        return msgspec.structs.replace(reply, store_lost=address in self.lost)
+
+
+def _lost_net(world: _World) -> _Lost:
+    net = _Lost()
+    world.sync = syncing.PeerSync(
+        owner=world.owner,
+        peers=net,
+        readers=world.readers,
+        entry_vm='me',
+        limit_s=_LIMIT_S,
+        rng=random.Random(1),
+    )
+    return net
+
+
+def test_a_reader_that_the_store_fails_is_left_at_once(world: _World) -> None:
+    """The store turns the one VM away that reads for all.
+
+    Its word is young for a second more. Left only then, all would know of a key
+    that was taken away two seconds late, and read the store together.
+    """
+    net = _lost_net(world)
+    woken: list[bool] = []
+    world.readers.on_passed = lambda: woken.append(True)
+    first = _other_reader(world)
+    net.age_s = {f'o{n}:1': 0.2 for n in range(6)}
+    net.lost = {f'{first}:1'}
+    world.sync.step()
+    assert woken
+    second = world.readers.choose(world.state.entry_vms)
+    assert second != first
+    # What it knew was taken all the same.
+    assert world.state.is_fresh(world.now, _LIMIT_S)
+
+
+def test_a_store_that_fails_everybody_makes_no_row_of_readers(
+    world: _World,
+) -> None:
+    """The store is down: each VM in turn would try it as the reader."""
+    net = _lost_net(world)
+    _other_reader(world)
+    net.age_s = {f'o{n}:1': 0.2 for n in range(6)}
+    net.lost = set(net.age_s)
+    chosen = set()
+    for _ in range(6):
+        chosen.add(world.readers.choose(world.state.entry_vms))
+        world.sync.step()
+        world.now += syncing.PEER_S
+    assert len(chosen) == 2
+
+
+def test_a_reader_without_a_store_asks_others(world: _World) -> None:
+    """The VM that reads for all is turned away by the store itself."""
+    net = _lost_net(world)
+    # By the hash it reads itself.
+    names = (f'o{n}' for n in range(50))
+    for name in names:
+        world.know(**{name: _vm(f'{name}:1')})
+        if world.readers.choose(world.state.entry_vms) == 'me':
+            break
+    world.state.fresh_at = world.now
+    world.state.failed(world.now + 0.1)
+    net.age_s = {f'{name}:1': 0.2}
+    world.sync.step()
+    world.sync.step()
+    assert net.asked == [f'{name}:1']
