Log what one request is over all its tries, and whether a server ended under it

'sent' now has the fingerprint (digest of account, host, method, target and body); 'server probed' tells whether the server still takes connections, with the time since it began; foxtaildale_broken_total counts it.

--- a/packages/adapters/foxtaildale_adapters/metrics.py
+++ b/packages/adapters/foxtaildale_adapters/metrics.py
@@ -138,6 +138,7 @@
         'accounts',
         'answer_seconds',
         'between_tokens_seconds',
+        'broken',
         'first_answer_seconds',
         'log_appends',
         'message_bytes',
@@ -194,6 +195,14 @@
             'Prompt tokens prefilled whose result nobody used.',
             'service',
         )
+        self.broken = Counter(
+            lock,
+            'foxtaildale_broken_total',
+            'Connections to backend servers that broke under a request, and'
+            ' what became of the server.',
+            'service',
+            'reach',
+        )
         self.retries = Counter(
             lock,
             'foxtaildale_retries_total',
--- /dev/null
+++ b/packages/adapters/foxtaildale_adapters/probe.py
@@ -0,0 +1,26 @@
+"""Asks whether anything listens at a backend server's address."""
+
+import socket
+from typing import Final
+
+from foxtaildale import ports
+
+# Longest wait for a connection, seconds.
+PROBE_S: Final = 0.15
+
+
+class Probe:
+    """Opens a connection and sends nothing; a `ports.Probe`."""
+
+    __slots__ = ()
+
+    def reach(self, address: str) -> ports.Reach:
+        """Returns what became of a connection to 'IP:PORT'."""
+        host, _, port = address.rpartition(':')
+        try:
+            socket.create_connection((host, int(port)), PROBE_S).close()
+        except ConnectionRefusedError:
+            return 'refused'
+        except OSError:
+            return 'silent'
+        return 'open'
--- a/packages/core/foxtaildale/errors.py
+++ b/packages/core/foxtaildale/errors.py
@@ -42,6 +42,10 @@
     """Something was sent and no answer came: the effect is unknown."""
 
 
+class BrokenOffError(AnswerLostError):
+    """The connection broke after something was sent."""
+
+
 class RejectedError(PortError):
     """The other side answered that it did not do what was asked.
 
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -67,7 +67,13 @@
         ('held_ms',),
     ),
     'sent': Event(
-        'it was sent to {server} (attempt {attempt})', ('server', 'attempt')
+        'it was sent to {server} (attempt {attempt})',
+        ('server', 'attempt', 'fingerprint'),
+    ),
+    'server probed': Event(
+        'its connection to {server} broke after {ran_ms} ms; the server is'
+        ' now {reach}',
+        ('server', 'reach', 'fingerprint', 'began', 'ran_ms'),
     ),
     'not run': Event(
         '{server} promised that it did not run it (status {status})',
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
+from typing import Literal
 from typing import Protocol
 
 import msgspec
@@ -216,6 +217,17 @@
         """
 
 
+# What became of a connection that was opened to see whether a server is up.
+Reach = Literal['open', 'refused', 'silent']
+
+
+class Probe(Protocol):
+    """Looks whether a backend server is up."""
+
+    def reach(self, address: str) -> Reach:
+        """Returns what became of a connection to 'IP:PORT'."""
+
+
 class Tidy(Protocol):
     """Gives back what engines keep, without making anybody wait."""
 
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -12,10 +12,12 @@
 from foxtaildale import codes
 from foxtaildale import comeback
 from foxtaildale import errors
+from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import ports
 from foxtaildaled import actors
 from foxtaildaled import beliefs
+from foxtaildaled import breaks
 from foxtaildaled import passage
 from foxtaildaled import sends
 
@@ -77,7 +79,7 @@
 class Forward:
     """Serves requests of plain services."""
 
-    __slots__ = ('_clock', '_owner', '_rng', '_sends', '_workers')
+    __slots__ = ('_breaks', '_clock', '_owner', '_rng', '_sends', '_workers')
 
     def __init__(
         self,
@@ -85,12 +87,14 @@
         owner: actors.Owner[beliefs.Beliefs],
         workers: ports.Workers,
         budget: sends.Sends,
+        broken: breaks.Breaks,
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
         self._owner = owner
         self._workers = workers
         self._sends = budget
+        self._breaks = broken
         self._clock = clock
         self._rng = rng
 
@@ -111,7 +115,12 @@
             self._give_up(req, tries)
             return False
         tries.servers.append(server.id)
-        req.log('sent', server=server.id, attempt=tries.sent + 1)
+        req.log(
+            'sent',
+            server=server.id,
+            attempt=tries.sent + 1,
+            fingerprint=fingerprint.text(req.fingerprint),
+        )
         outcome = self._send(req, server, tries.sent)
         if isinstance(outcome, _Whole):
             return self._on_answer(req, tries, outcome)
@@ -206,6 +215,7 @@
             whole = _Whole(head, _read(flight, req))
         except errors.PortError as exc:
             req.log('send failed', server=server.id, error=str(exc))
+            self._breaks.note(req, server, exc, sent_at=began)
             if not req.gone.is_set():
                 self._owner.run(
                     lambda state, now: state.plain_failed(server.id, now)
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -12,11 +12,13 @@
 from foxtaildale import codes
 from foxtaildale import comeback
 from foxtaildale import errors
+from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import ports
 from foxtaildaled import actors
 from foxtaildaled import attempt
 from foxtaildaled import beliefs
+from foxtaildaled import breaks
 from foxtaildaled import passage
 from foxtaildaled import prompts
 from foxtaildaled import sends
@@ -38,6 +40,7 @@
     """Serves requests for model engines."""
 
     __slots__ = (
+        '_breaks',
         '_clock',
         '_owner',
         '_prompts',
@@ -57,6 +60,7 @@
         finder: spots.Spots,
         reader: prompts.Prompts,
         tidy: ports.Tidy,
+        broken: breaks.Breaks,
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
@@ -66,6 +70,7 @@
         self._spots = finder
         self._prompts = reader
         self._tidy = tidy
+        self._breaks = broken
         self._clock = clock
         self._rng = rng
 
@@ -158,13 +163,20 @@
             left_s,
             repeatable=req.route.resumable,
         )
-        req.log('sent', server=server.id, attempt=len(sent))
+        req.log(
+            'sent',
+            server=server.id,
+            attempt=len(sent),
+            fingerprint=fingerprint.text(req.fingerprint),
+        )
         before = answer.splitter.position or 0
         began = self._clock()
+        head_at: float | None = None
         try:
             req.attach(flight)
             flight.send(left_s)
             head = flight.head(self._patience(req, sent))
+            head_at = self._clock()
             if head.ran == 'no':
                 spot.refused = not head.misdirected
                 self._spots.not_run(req, server, head)
@@ -184,6 +196,7 @@
             self._relay(req, answer, flight, head, sent)
             spot.whole = True
         except errors.PortError as exc:
+            self._breaks.note(req, server, exc, sent_at=began, head_at=head_at)
             return self._broken(req, answer, server, exc, sent)
         finally:
             req.attach(None)
--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -14,6 +14,7 @@
 
 from foxtaildale import accounts
 from foxtaildale import codes
+from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import ports
 from foxtaildale import routes
@@ -39,6 +40,7 @@
         'deadline',
         'entry_vm',
         'ex',
+        'fingerprint',
         'gone',
         'on_not_run',
         'route',
@@ -63,6 +65,8 @@
     ) -> None:
         self.ex = exchange
         self.call = call
+        # The same for all sends of it, at all entry VMs.
+        self.fingerprint = fingerprint.of(call)
         # The client account that it is of; None where there are none.
         self.account = account
         # Called when it ends and did not run, nor will.
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -9,6 +9,7 @@
 from foxtaildaled import actors
 from foxtaildaled import attempt
 from foxtaildaled import beliefs
+from foxtaildaled import breaks
 from foxtaildaled import passage
 from foxtaildaled import sends
 
@@ -32,6 +33,7 @@
     """Sends prompts to prefill workers."""
 
     __slots__ = (
+        '_breaks',
         '_clock',
         '_failed',
         '_not_run',
@@ -46,6 +48,7 @@
         owner: actors.Owner[beliefs.Beliefs],
         workers: ports.Workers,
         budget: sends.Sends,
+        broken: breaks.Breaks,
         clock: ports.Clock,
         failed: Failed,
         not_run: NotRun,
@@ -53,6 +56,7 @@
         self._owner = owner
         self._workers = workers
         self._sends = budget
+        self._breaks = broken
         self._clock = clock
         self._failed = failed
         self._not_run = not_run
@@ -156,6 +160,8 @@
             handle = self._workers.handle(body)
         except (errors.PortError, errors.DecodeError) as exc:
             req.log('prefill failed', server=server.id, error=str(exc))
+            if isinstance(exc, errors.PortError):
+                self._breaks.note(req, server, exc, sent_at=began)
             if not req.gone.is_set():
                 self._failed(req, server)
             return None
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -25,10 +25,12 @@
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import metrics
 from foxtaildale_adapters import peers
+from foxtaildale_adapters import probe
 from foxtaildale_adapters import wire
 from foxtaildaled import actors
 from foxtaildaled import asking
 from foxtaildaled import beliefs
+from foxtaildaled import breaks
 from foxtaildaled import fitness
 from foxtaildaled import forward
 from foxtaildaled import generate
@@ -215,6 +217,7 @@
             cfg.entry_vm,
             first_start=cfg.first_start,
         )
+        broken = breaks.Breaks(probe.Probe(), clock)
         handler = router.Router(
             entry_vm=cfg.entry_vm,
             matcher=lambda: self._state.matcher,
@@ -223,10 +226,11 @@
                 owner=owner,
                 workers=made.workers,
                 budget=budget,
+                broken=broken,
                 clock=clock,
                 rng=rng,
             ),
-            model=self._make_generate(made, budget, rng),
+            model=self._make_generate(made, budget, broken, rng),
             limiter=self._make_limiter(),
             counts=self._metrics,
             clock=clock,
@@ -349,7 +353,11 @@
         return matcher.client_accounts if matcher is not None else None
 
     def _make_generate(
-        self, made: Adapters, budget: sends.Sends, rng: random.Random
+        self,
+        made: Adapters,
+        budget: sends.Sends,
+        broken: breaks.Breaks,
+        rng: random.Random,
     ) -> generate.Generate:
         finder = spots.Spots(
             owner=self._owner,
@@ -367,11 +375,13 @@
                 owner=self._owner,
                 workers=made.workers,
                 budget=budget,
+                broken=broken,
                 clock=clock,
                 failed=finder.failed,
                 not_run=finder.not_run,
             ),
             tidy=self._tidy,
+            broken=broken,
             clock=clock,
             rng=rng,
         )
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -12,6 +12,7 @@
     'asking',
     'balancing',
     'beliefs',
+    'breaks',
     'forward',
     'generate',
     'limits',
