--- /dev/null
+++ b/tests/standins/crasher.py
@@ -0,0 +1,81 @@
+"""A backend server that ends when it begins to run certain requests.
+
+It is back at the same address after a while, under a new id, as the users' workers
+are. Its entry in the list is removed and written by this process.
+"""
+
+import threading
+from typing import Final
+
+from tests.standins import keyedstore
+from tests.standins import relay
+from tests.standins import serving
+from tests.standins import wireworker
+
+_SERVERS: Final = 'keyed.servers'
+
+
+class Crasher:
+    """Starts of a server, one after the other."""
+
+    def __init__(
+        self,
+        worker: wireworker.WireWorker,
+        store: keyedstore.KeyedStore,
+        bad: str,
+        back_s: float,
+    ) -> None:
+        """Lists the server.
+
+        Args:
+            worker: What runs the requests.
+            store: Holds the list of servers.
+            bad: Part of the target of a request that ends the server.
+            back_s: Time until it is back, seconds.
+        """
+        self.worker = worker
+        self.relay = relay.Relay(worker.address)
+        worker.address = self.relay.address
+        worker.on_run = self._run
+        self._store = store
+        self._bad = bad
+        self._back_s = back_s
+        self._name = worker.name
+        self._lock = threading.Lock()
+        self._down = False
+        self.crashes = 0
+        store.put(_SERVERS, worker.name, worker.entry())
+
+    def crash(self) -> None:
+        """Ends the server; it is back after a while."""
+        with self._lock:
+            if self._down:
+                return
+            self._down = True
+            self.crashes += 1
+        self.relay.stop()
+        timer = threading.Timer(self._back_s, self._start)
+        timer.daemon = True
+        timer.start()
+
+    def arrivals(self, part: str) -> int:
+        """Returns how many requests on a target came, prefills as well."""
+        return sum(part in req.target for req in list(self.worker.ran))
+
+    def close(self) -> None:
+        """Ends it for good; the worker is closed by its owner."""
+        self.relay.close()
+
+    def _run(self, req: serving.Request) -> None:
+        if self._bad in req.target:
+            self.crash()
+            raise serving.Cut
+
+    def _start(self) -> None:
+        old = self.worker.name
+        self.worker.name = f'{self._name}-{self.crashes}'
+        self.relay.start()
+        with self._lock:
+            self._down = False
+        self._store.put(_SERVERS, old, None)
+        self._store.put(_SERVERS, self.worker.name, self.worker.entry())
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -2,7 +2,8 @@
 
 `cut` closes every connection and accepts no new ones. `silence` forgets the
 connections that are open: they stay open, and what comes on them is thrown
-away, while new ones work. `delay_s` holds up each block of bytes.
+away, while new ones work. `delay_s` holds up each block of bytes. `stop` ends it
+as the end of a process does, `start` listens at the same address again.
 """
 
 import contextlib
@@ -43,7 +44,7 @@
         self.accepted = 0
         self.cut_off = False
         self.delay_s = 0.0
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._accept_from(self._listener)
 
     def __enter__(self) -> 'Relay':
         return self
@@ -67,14 +68,31 @@
             for pair in self._conns:
                 self._silent.update(pair)
 
-    def close(self) -> None:
-        """Ends the relay."""
-        self._closed = True
+    def stop(self) -> None:
+        """Closes every connection and the port; new ones are refused."""
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self._drop_all()
 
+    def start(self) -> None:
+        """Listens again."""
+        if self._closed:
+            return
+        host, _, port = self.address.rpartition(':')
+        self._listener = socket.create_server((host, int(port)))
+        self._accept_from(self._listener)
+
+    def close(self) -> None:
+        """Ends the relay."""
+        self._closed = True
+        self.stop()
+
+    def _accept_from(self, listener: socket.socket) -> None:
+        threading.Thread(
+            target=self._accept, args=(listener,), daemon=True
+        ).start()
+
     def _drop_all(self) -> None:
         with self._lock:
             pairs, self._conns = self._conns, []
@@ -82,10 +100,10 @@
         for pair in pairs:
             _shut(pair)
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while not self._closed:
             try:
-                near, _ = self._listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return
             self.accepted += 1
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -2,9 +2,11 @@
 
 It notes what ran. Faults are fields: `refuse` sheds everything, `error`
 answers 500, `cut` closes after it ran without an answer, `break_after` breaks
-a stream off after so many events, `pace_s` is the time between events.
+a stream off after so many events, `pace_s` is the time between events. `on_run`
+is called as a request begins to run, behind the head of a stream.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import json
 import threading
@@ -31,6 +33,7 @@
         self.pace_s = 0.0
         self.work_s = 0.0
         self.events = 5
+        self.on_run: Callable[[serving.Request], None] = lambda _: None
         self._lock = threading.Lock()
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
@@ -117,17 +120,21 @@
         if self.stage == 'decode':
             start = int(req.headers.get('last-event-id', '0'))
             return serving.Response(
-                self._stream(attempt, start),
+                self._stream(req, attempt, start),
                 kind='text/event-stream',
                 headers=stamped,
             )
+        self.on_run(req)
         time.sleep(self.work_s)
         self.ended.append(attempt)
         return serving.Response(
             f'{attempt}:{req.target}'.encode(), headers=stamped
         )
 
-    def _stream(self, attempt: str, start: int) -> Iterator[bytes]:
+    def _stream(
+        self, req: serving.Request, attempt: str, start: int
+    ) -> Iterator[bytes]:
+        self.on_run(req)
         for number in range(start + 1, self.events + 1):
             if self.break_after is not None and number > self.break_after:
                 # In the middle of an event.
--- /dev/null
+++ b/tests/test_quarantine_path.py
@@ -0,0 +1,149 @@
+"""A request that ends servers, before routers on real sockets.
+
+Each server that begins to run it ends, and is back after a while. Its callers send
+it again and again, under new ids, to any entry VM.
+"""
+
+from collections.abc import Iterator
+import itertools
+import time
+
+import pytest
+
+from tests import site as sites
+from tests.standins import crasher
+
+_BAD = '/bad'
+# Ends after which the request must reach no server any more, and the sends that may
+# still be on their way.
+_ENDS = 3
+_LATE = 3
+# Time in which all entry VMs in touch must know, seconds.
+_KNOWN_S = 3.0
+_BACK_S = 0.4
+# Time until entry VMs read of a new start, seconds.
+_LISTED_S = 0.7
+_KINDS = ['safe', 'once', 'chat', 'single']
+
+
+class _Site(sites.Site):
+    """Servers that the bad request ends, and entry VMs before them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.crashers: list[crasher.Crasher] = []
+        self.ids = (f'a{number}' for number in itertools.count())
+        self.store.put('keyed.op', 'config', sites.config(1))
+        for name in ('s1', 's2', 's3'):
+            self._crasher(name, 'plain')
+        self.worker('p1', 'model', 'prefill')
+        for name in ('d1', 'd2', 'd3'):
+            self._crasher(name, 'model', 'decode')
+
+    def _crasher(self, name: str, service: str, stage: str = '') -> None:
+        worker = self.worker(name, service, stage)
+        made = crasher.Crasher(worker, self.store, _BAD, _BACK_S)
+        self.crashers.append(made)
+
+    def crashes(self) -> int:
+        return sum(made.crashes for made in self.crashers)
+
+    def arrivals(self) -> int:
+        """Returns how often the bad request reached a server."""
+        return sum(
+            _BAD in req.target
+            for worker in self.workers.values()
+            for req in list(worker.ran)
+        )
+
+    def ask(
+        self, target: str, number: int, headers: dict[str, str] | None = None
+    ) -> int:
+        """Sends a request under a new id; returns its status."""
+        status, _, body = sites.send(
+            self,
+            'POST',
+            target,
+            attempt=next(self.ids),
+            number=number,
+            headers=headers,
+        )
+        return 0 if body == b'(cut)' else status
+
+    def end_servers(self, kind: str, numbers: tuple[int, ...]) -> None:
+        """Lets the bad request end servers, at some entry VMs in turn."""
+        for number in itertools.cycle(numbers):
+            self.ask(f'/{kind}{_BAD}', number)
+            if self.crashes() >= _ENDS:
+                return
+            time.sleep(_BACK_S + _LISTED_S)
+
+    def repeats(self, kind: str, numbers: tuple[int, ...]) -> int:
+        """Sends it six times; returns how many reach a server."""
+        before = self.arrivals()
+        for number in itertools.islice(itertools.cycle(numbers), 6):
+            time.sleep(_BACK_S + _LISTED_S)
+            self.ask(f'/{kind}{_BAD}', number)
+        return self.arrivals() - before
+
+    def start_routers(self, count: int) -> None:
+        for _ in range(count):
+            self.router(seeds=tuple(self.peers[:1]), retry_burst=60.0)
+        names = {f'vm-{number + 1}' for number in range(count)}
+        for number, router in enumerate(self.routers):
+            sites.until(lambda n=number: sites.ready(self, n))  # type: ignore[misc]
+            sites.until(lambda r=router: names <= r.entry_vms())  # type: ignore[misc]
+
+    def close(self) -> None:
+        for made in self.crashers:
+            made.close()
+        super().close()
+
+
+@pytest.fixture
+def site() -> Iterator[_Site]:
+    made = _Site()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize('kind', _KINDS)
+def test_a_request_that_ends_servers_is_stopped_at_all_vms(
+    site: _Site, kind: str
+) -> None:
+    """Guards against repeats under new ids, each a first send at its VM."""
+    site.start_routers(3)
+    site.end_servers(kind, (0, 1))
+    time.sleep(_KNOWN_S)
+    assert site.repeats(kind, (2, 1, 0)) <= _LATE
+
+
+def test_a_vm_that_starts_later_stops_it_too(site: _Site) -> None:
+    """Guards against a new VM that knows nothing of what came before it."""
+    site.start_routers(2)
+    site.end_servers('safe', (0, 1))
+    time.sleep(_KNOWN_S)
+    site.start_routers(1)
+    assert site.repeats('safe', (2,)) <= _LATE
+
+
+def test_a_vm_without_the_store_stops_it_too(site: _Site) -> None:
+    """Guards against knowledge that only the store passes on."""
+    site.start_routers(3)
+    site.cut_store(2)
+    site.end_servers('chat', (0, 1))
+    time.sleep(_KNOWN_S)
+    assert site.repeats('chat', (2,)) <= _LATE
+
+
+def test_it_is_stopped_after_all_vms_ended(site: _Site) -> None:
+    """Guards against knowledge that ends with the processes that have it."""
+    site.start_routers(2)
+    site.end_servers('safe', (0, 1))
+    time.sleep(_KNOWN_S)
+    for router in site.routers:
+        router.close()
+    site.routers.clear()
+    site.start_routers(2)
+    time.sleep(1.0)
+    assert site.repeats('safe', (0, 1)) <= _LATE
