Hold a request back under which three servers ended, at all entry VMs

A repeat comes under a new id, often at another VM, and was a first send there, with retries of its own.

Now each VM tells the home of such reports what ran under servers that ended (a connection that broke, and a refused one behind it). The home looks for the fewest requests that explain the ends, so that others lost beside them are spared, tells all VMs, and keeps what is held in the store; readers pass it on too. A held request gets 503 (quarantined) at once, while it waits for a place, before its prompt is read and before each further send. It lapses after 15 minutes. One that ran to its end anywhere in 5 minutes is no suspect, and clears a wrong hold.

New: reports survive a home that starts again, polls that many send, other requests of the route.

--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -177,6 +177,13 @@
     'no',
     'Not run: the backend servers did not take it ({reason}).',
 )
+QUARANTINED: Final = Code(
+    'quarantined',
+    503,
+    'no',
+    'Not run: backend servers ended each time they began to run this request; it'
+    ' is sent to none for {left_s} s more.',
+)
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
 TOO_LARGE: Final = Code(
     'too-large',
--- /dev/null
+++ b/packages/core/foxtaildale/crashes.py
@@ -0,0 +1,133 @@
+"""Which request is to blame for servers that ended.
+
+A request can end each server that begins to run it. All others that ran there are
+lost with it, some of them more than once, since their callers try again too. What
+tells them apart is that the request to blame began a moment before every one of
+these ends, while each other one is missing from some of them or had been running
+for long. So the fewest requests are looked for that explain the ends: the one that
+explains most is taken first, and the ends that it explains count against nobody
+else.
+
+Nothing here does I/O; the time is an argument.
+"""
+
+from collections.abc import Collection
+from typing import Final
+
+from foxtaildale import messages
+
+# Ends that one request must explain to be blamed.
+ENDS: Final = 3.0
+# A request that began this long before an end, seconds, is a likely cause.
+SOON_S: Final = 0.5
+# How much an end counts against a request that had been running for longer, or of
+# which it is not known that it began.
+_UNLIKELY: Final = 0.5
+# Time from the first report of an end until it is judged, seconds: reports of
+# other entry VMs may name a likelier cause.
+SETTLE_S: Final = 0.5
+# How long an end counts, seconds.
+COUNTS_S: Final = 300.0
+# Ends that are remembered, and requests for each of them.
+MOST_ENDS: Final = 256
+MOST_REQUESTS: Final = 64
+
+# One start of a server: its id, and when it started.
+_Start = tuple[str, int]
+
+
+class _End:
+    """The end of a server, and what ran there."""
+
+    __slots__ = ('at', 'ran')
+
+    def __init__(self, at: float) -> None:
+        # When it was first reported, seconds.
+        self.at = at
+        # By fingerprint.
+        self.ran: dict[int, messages.Crash] = {}
+
+    def weight(self, fingerprint: int) -> float:
+        """Returns how much it counts against a request."""
+        found = self.ran.get(fingerprint)
+        if found is None:
+            return 0.0
+        return 1.0 if is_likely(found) else _UNLIKELY
+
+
+class Crashes:
+    """Ends of servers that entry VMs reported."""
+
+    __slots__ = ('_ends',)
+
+    def __init__(self) -> None:
+        # Those that were reported first at the front.
+        self._ends: dict[_Start, _End] = {}
+
+    def note(self, now: float, crash: messages.Crash) -> None:
+        """Takes a request that ran on a server as that ended."""
+        start = crash.server, crash.born
+        end = self._ends.get(start)
+        if end is None:
+            end = self._ends[start] = _End(now)
+            if len(self._ends) > MOST_ENDS:
+                del self._ends[next(iter(self._ends))]
+        end.ran[crash.fingerprint] = crash
+        if len(end.ran) > MOST_REQUESTS:
+            longest = max(end.ran.values(), key=lambda ran: ran.ran_ms)
+            del end.ran[longest.fingerprint]
+
+    def acquit(self, fingerprint: int) -> None:
+        """Forgets a request that is not to blame."""
+        for end in self._ends.values():
+            end.ran.pop(fingerprint, None)
+
+    def blamed(self, now: float, known: Collection[int]) -> list[int]:
+        """Returns the fingerprints of requests to blame that are not known.
+
+        Args:
+            now: Seconds.
+            known: Fingerprints of those that were blamed before.
+        """
+        self._forget(now)
+        open_ends = [
+            end
+            for end in self._ends.values()
+            if now - end.at >= SETTLE_S
+            and not any(end.weight(known_one) >= 1.0 for known_one in known)
+        ]
+        found = []
+        while (best := _likeliest(open_ends)) is not None:
+            found.append(best)
+            open_ends = [end for end in open_ends if best not in end.ran]
+        return found
+
+    def pending(self) -> bool:
+        """Whether there is anything to judge."""
+        return bool(self._ends)
+
+    def _forget(self, now: float) -> None:
+        for start, end in list(self._ends.items()):
+            if now - end.at <= COUNTS_S:
+                break
+            del self._ends[start]
+
+
+def is_likely(crash: messages.Crash) -> bool:
+    """Whether a server ended as it began to run a request."""
+    return crash.began and crash.ran_ms <= SOON_S * 1000
+
+
+def _likeliest(ends: list[_End]) -> int | None:
+    """Returns the request that explains most of some ends, if enough."""
+    weights: dict[int, float] = {}
+    ran_ms: dict[int, int] = {}
+    for end in ends:
+        for fingerprint, crash in end.ran.items():
+            weight = weights.get(fingerprint, 0.0) + end.weight(fingerprint)
+            weights[fingerprint] = weight
+            ran_ms[fingerprint] = ran_ms.get(fingerprint, 0) + crash.ran_ms
+    if not weights:
+        return None
+    best = max(weights, key=lambda one: (weights[one], -ran_ms[one]))
+    return best if weights[best] >= ENDS else None
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -44,6 +44,15 @@
     cores: float = 1.0
 
 
+class Held(msgspec.Struct, frozen=True):
+    """A request that is sent to no server, as the store keeps it."""
+
+    # Digest of the request; the same for all sends of it.
+    fingerprint: int
+    # Seconds since the epoch.
+    until: float
+
+
 class Call(msgspec.Struct, kw_only=True):
     """One request of a caller."""
 
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -215,6 +215,23 @@
             '{server} was ordered to do {stage}, and said: {answer}',
             ('server', 'service', 'stage', 'fence', 'answer'),
         ),
+        (
+            'request held',
+            'requests of this fingerprint go to no server for {left_s} s, by'
+            ' {source}',
+            ('fingerprint', 'left_s', 'source'),
+        ),
+        (
+            'request cleared',
+            'requests of this fingerprint run to their end, and are held no'
+            ' more',
+            ('fingerprint',),
+        ),
+        (
+            'quarantine not saved',
+            'the store was not told what is held: {error}',
+            ('error',),
+        ),
         ('home not told', 'too much waited; lost: {what}', ('what',)),
         (
             'left to lapse',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -340,6 +340,10 @@
     failing: dict[str, float] = {}
     # Whether the store failed this entry VM since it last answered.
     store_lost: bool = False
+    # Requests that are sent to no server, and those that can't be held, for how
+    # long, seconds, by fingerprint.
+    held: dict[int, float] = {}
+    cleared: dict[int, float] = {}
 
 
 class AskPlace(Wire, frozen=True):
@@ -413,6 +417,39 @@
     replaced: bool = False
 
 
+class Crash(Wire, frozen=True):
+    """A request that ran on a server as that ended."""
+
+    # The server's id, and when it started, Unix milliseconds.
+    server: str
+    born: int
+    # Digest of the request; the same for all sends of it.
+    fingerprint: int
+    # For how long the server had it.
+    ran_ms: int
+    # Whether it had begun to run it.
+    began: bool
+
+
+class CrashReports(Wire, frozen=True):
+    """From an entry VM to the home of such reports."""
+
+    crashes: tuple[Crash, ...] = ()
+    # Fingerprints of requests that are held and ran to their end there.
+    cleared: tuple[int, ...] = ()
+
+
+class Quarantined(Wire, frozen=True):
+    """Which requests are sent to no server; answers that, and told to all."""
+
+    # Tells the process that says so from others.
+    judge: int
+    # For how long, seconds, by fingerprint.
+    held: dict[int, float] = {}
+    # For how long others can't be held, seconds.
+    cleared: dict[int, float] = {}
+
+
 class KeptPlace(Wire, frozen=True):
     """A place in use."""
 
@@ -522,6 +559,8 @@
     | TooLate
     | EndPlace
     | ServerFailed
+    | CrashReports
+    | Quarantined
     | AskCredit
     | Credit
     | GiveBack
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -117,6 +117,18 @@
     def member(self, key: str, value: bytes) -> forwarding.EntryVm:
         """Decodes an entry VM."""
 
+    def held(self, value: bytes) -> forwarding.Held:
+        """Decodes a request that is held back."""
+
+    def held_request(self, key: str) -> int | None:
+        """Returns the fingerprint that a key names; None for other keys."""
+
+    def held_key(self, fingerprint: int) -> str:
+        """Returns the key of a request that is held back."""
+
+    def encode_held(self, held: forwarding.Held) -> tuple[str, bytes]:
+        """Returns the key and value that keep a request back."""
+
     def encode_member(self, member: forwarding.EntryVm) -> bytes:
         """Encodes an entry VM."""
 
--- a/packages/daemon/foxtaildaled/attempt.py
+++ b/packages/daemon/foxtaildaled/attempt.py
@@ -4,6 +4,8 @@
 `Spot` is where one attempt of it runs.
 """
 
+import math
+
 from foxtaildale import codes
 from foxtaildale import forwarding
 from foxtaildale import sse
@@ -13,15 +15,37 @@
     """Ends a request with an outcome; never reaches the handler."""
 
     def __init__(
-        self, code: codes.Code, reason: str = '', **figures: float | str
+        self,
+        code: codes.Code,
+        reason: str = '',
+        *,
+        retry_after_s: float = 0.0,
+        **figures: float | str,
     ) -> None:
         super().__init__(code.name)
+        # When to come back, seconds; 0 if that is to be worked out.
+        self.retry_after_s = retry_after_s
         if reason:
             figures['reason'] = reason
         self.code = code
         self.figures = figures
 
 
+def check_held(left_s: float) -> None:
+    """Ends a request that must be sent to no server.
+
+    Args:
+        left_s: For how long; 0 if it may be sent.
+
+    Raises:
+        Refused: It must not.
+    """
+    if left_s:
+        raise Refused(
+            codes.QUARANTINED, retry_after_s=left_s, left_s=math.ceil(left_s)
+        )
+
+
 class Answer:
     """What the caller has of its answer."""
 
--- a/packages/daemon/foxtaildaled/breaks.py
+++ b/packages/daemon/foxtaildaled/breaks.py
@@ -4,7 +4,7 @@
 may have. A server that has ended refuses the next connection.
 """
 
-from typing import Final
+from typing import Protocol
 
 from foxtaildale import errors
 from foxtaildale import fingerprint
@@ -13,14 +13,31 @@
 from foxtaildaled import passage
 
 
+class OnEnd(Protocol):
+    """Takes a request that ran on a server as that ended."""
+
+    def __call__(
+        self,
+        server: forwarding.Backend,
+        request: int,
+        *,
+        ran_s: float,
+        began: bool,
+    ) -> None:
+        """Takes the fingerprint of a request; see `Quarantining.crashed`."""
+
+
 class Breaks:
     """Probes servers under which a request broke off."""
 
-    __slots__ = ('_clock', '_probe')
+    __slots__ = ('_clock', '_on_end', '_probe')
 
-    def __init__(self, probe: ports.Probe, clock: ports.Clock) -> None:
-        self._probe: Final = probe
+    def __init__(
+        self, probe: ports.Probe, clock: ports.Clock, on_end: OnEnd
+    ) -> None:
+        self._probe = probe
         self._clock = clock
+        self._on_end = on_end
 
     def note(
         self,
@@ -28,8 +45,8 @@
         server: forwarding.Backend,
         exc: errors.PortError,
         *,
-        sent_at: float,
-        head_at: float | None = None,
+        began_at: float,
+        began: bool = True,
     ) -> None:
         """Takes an error of a send.
 
@@ -37,13 +54,12 @@
             req: The request.
             server: Where it was sent.
             exc: What came of it.
-            sent_at: When it was sent, seconds.
-            head_at: When the head of its answer came, seconds; None if none
-                did.
+            began_at: When the server began to run it, seconds; when it was
+                sent, if that is not known.
+            began: Whether the server may have begun.
         """
         if not isinstance(exc, errors.BrokenOffError) or req.gone.is_set():
             return
-        began_at = sent_at if head_at is None else head_at
         ran_s = self._clock() - began_at
         reach = self._probe.reach(server.address)
         req.counts.broken.add(1, req.service.name, reach)
@@ -52,6 +68,8 @@
             server=server.id,
             reach=reach,
             fingerprint=fingerprint.text(req.fingerprint),
-            began=head_at is not None,
+            began=began,
             ran_ms=int(ran_s * 1000),
         )
+        if reach == 'refused':
+            self._on_end(server, req.fingerprint, ran_s=ran_s, began=began)
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -6,6 +6,7 @@
 which breaks off can still be replaced.
 """
 
+from collections.abc import Callable
 import random
 from typing import Final
 
@@ -79,7 +80,15 @@
 class Forward:
     """Serves requests of plain services."""
 
-    __slots__ = ('_breaks', '_clock', '_owner', '_rng', '_sends', '_workers')
+    __slots__ = (
+        '_breaks',
+        '_clock',
+        '_on_completed',
+        '_owner',
+        '_rng',
+        '_sends',
+        '_workers',
+    )
 
     def __init__(
         self,
@@ -88,6 +97,7 @@
         workers: ports.Workers,
         budget: sends.Sends,
         broken: breaks.Breaks,
+        on_completed: Callable[[int], None],
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
@@ -95,6 +105,8 @@
         self._workers = workers
         self._sends = budget
         self._breaks = broken
+        # Takes the fingerprint of a request that ran to its good end.
+        self._on_completed = on_completed
         self._clock = clock
         self._rng = rng
 
@@ -110,6 +122,9 @@
         if req.caller_gone():
             req.refuse(codes.CANCELLED if tries.sent else codes.GONE)
             return False
+        if req.held_s():
+            self._hold(req, tries)
+            return False
         server = self._choose(req, tries.servers)
         if server is None or not self._may_send(req, tries, server):
             self._give_up(req, tries)
@@ -215,7 +230,7 @@
             whole = _Whole(head, _read(flight, req))
         except errors.PortError as exc:
             req.log('send failed', server=server.id, error=str(exc))
-            self._breaks.note(req, server, exc, sent_at=began)
+            self._breaks.note(req, server, exc, began_at=began)
             if not req.gone.is_set():
                 self._owner.run(
                     lambda state, now: state.plain_failed(server.id, now)
@@ -273,6 +288,12 @@
             )
             req.refuse(code, figures, retry_s)
 
+    def _hold(self, req: passage.Passage, tries: _Tries) -> None:
+        if tries.may_have_run:
+            self._fail(req)
+        else:
+            req.refuse_held()
+
     def _fail(self, req: passage.Passage) -> None:
         if req.left_s() < passage.MIN_LEFT_S:
             limit_ms = int((req.deadline - req.started_at) * 1000)
@@ -281,6 +302,8 @@
             req.refuse(codes.UNKNOWN)
 
     def _deliver(self, req: passage.Passage, got: _Whole) -> None:
+        if got.head.ok:
+            self._on_completed(req.fingerprint)
         whole = req.ex.respond(
             got.head.status, dict(got.head.headers), got.body
         )
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -6,6 +6,7 @@
 that breaks goes on at another worker where its route allows that.
 """
 
+from collections.abc import Callable
 import random
 from typing import Final
 
@@ -42,6 +43,7 @@
     __slots__ = (
         '_breaks',
         '_clock',
+        '_on_completed',
         '_owner',
         '_prompts',
         '_rng',
@@ -61,6 +63,7 @@
         reader: prompts.Prompts,
         tidy: ports.Tidy,
         broken: breaks.Breaks,
+        on_completed: Callable[[int], None],
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
@@ -71,6 +74,8 @@
         self._prompts = reader
         self._tidy = tidy
         self._breaks = broken
+        # Takes the fingerprint of a request that ran to its good end.
+        self._on_completed = on_completed
         self._clock = clock
         self._rng = rng
 
@@ -131,6 +136,7 @@
         )
         try:
             self._prompts.read(req, spot, answer)
+            attempt.check_held(req.held_s())
             if req.caller_gone():
                 raise attempt.Refused(codes.CANCELLED if sent else codes.GONE)
             used = True
@@ -196,7 +202,13 @@
             self._relay(req, answer, flight, head, sent)
             spot.whole = True
         except errors.PortError as exc:
-            self._breaks.note(req, server, exc, sent_at=began, head_at=head_at)
+            self._breaks.note(
+                req,
+                server,
+                exc,
+                began_at=began if head_at is None else head_at,
+                began=head_at is not None,
+            )
             return self._broken(req, answer, server, exc, sent)
         finally:
             req.attach(None)
@@ -238,6 +250,7 @@
             raise errors.AnswerLostError('it ended within an event')
         if not answer.started:
             self._first(req, answer, head)
+        self._on_completed(req.fingerprint)
         whole_answer = req.ex.finish()
         req.answered(
             head.status,
@@ -338,7 +351,9 @@
             # the request, an earlier send of which may have run.
             exc = attempt.Refused(codes.BROKEN)
         retry_s = 0.0
-        if exc.code.ran == 'no':
+        if exc.retry_after_s:
+            retry_s = exc.retry_after_s
+        elif exc.code.ran == 'no':
             wait_ms = exc.figures.get('wait_ms', 0)
             wait_s = max(FULL_WAIT_S, float(wait_ms) / 1000)
             retry_s = comeback.retry_after_s(wait_s, req.left_s(), self._rng)
--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -33,6 +33,7 @@
     __slots__ = (
         '_clock',
         '_flight',
+        '_held_s',
         '_lock',
         'account',
         'call',
@@ -62,11 +63,13 @@
         clock: ports.Clock,
         ends_at: float = math.inf,
         account: accounts.Account | None = None,
+        held_s: Callable[[int], float] = lambda _: 0.0,
     ) -> None:
         self.ex = exchange
         self.call = call
         # The same for all sends of it, at all entry VMs.
         self.fingerprint = fingerprint.of(call)
+        self._held_s = held_s
         # The client account that it is of; None where there are none.
         self.account = account
         # Called when it ends and did not run, nor will.
@@ -110,6 +113,10 @@
         """Returns how long ago it came, seconds."""
         return self._clock() - self.started_at
 
+    def held_s(self) -> float:
+        """Returns for how long it must be sent to no server, seconds."""
+        return self._held_s(self.fingerprint)
+
     def caller_gone(self) -> bool:
         """Whether the caller has hung up; looks at the connection."""
         if not self.gone.is_set() and self.ex.gone():
@@ -147,6 +154,11 @@
             return
         refuse(self.ex, code, figures, self.entry_vm, retry_after_s)
 
+    def refuse_held(self) -> None:
+        """Refuses it, since it must be sent to no server."""
+        left_s = self.held_s()
+        self.refuse(codes.QUARANTINED, {'left_s': math.ceil(left_s)}, left_s)
+
     def answered(self, status: int, *, whole: bool, **fields: object) -> None:
         """Notes that a backend server's answer was given to the caller."""
         self.log('answered', status=status, whole=whole, **fields)
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -103,7 +103,8 @@
         """Has the prompt read; None if the decode worker must read it.
 
         Raises:
-            attempt.Refused: No send beyond one that failed is allowed.
+            attempt.Refused: No send beyond one that failed is allowed, or it
+                is held.
         """
         tried: list[str] = []
         while len(tried) < PREFILLS:
@@ -111,6 +112,7 @@
             server = server or self._prefiller(req, tried)
             if server is None:
                 return None
+            attempt.check_held(req.held_s())
             tried.append(server.id)
             began = self._clock()
             prefilled = self._prefill_at(req, server)
@@ -161,7 +163,7 @@
         except (errors.PortError, errors.DecodeError) as exc:
             req.log('prefill failed', server=server.id, error=str(exc))
             if isinstance(exc, errors.PortError):
-                self._breaks.note(req, server, exc, sent_at=began)
+                self._breaks.note(req, server, exc, began_at=began)
             if not req.gone.is_set():
                 self._failed(req, server)
             return None
--- /dev/null
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -0,0 +1,286 @@
+"""Finds requests that end servers, and has all entry VMs hold them back.
+
+Each VM tells the home of all such reports (`asking`) what ran under servers that
+ended, and keeps its own reports, so that a home that is new or started again hears
+of them too. The home judges (`crashes`), tells all VMs at once, and keeps what is
+held in the store, since no VM is left to ask after all have lost power. What a VM
+missed comes with its next question to the reader (`beliefs`).
+"""
+
+from collections.abc import Callable
+import logging
+import math
+import random
+import threading
+from typing import Final
+
+from foxtaildale import crashes
+from foxtaildale import errors
+from foxtaildale import fingerprint
+from foxtaildale import forwarding
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale import quarantine
+from foxtaildale_adapters import logs
+from foxtaildaled import actors
+from foxtaildaled import asking
+from foxtaildaled import beliefs
+
+# What it is the home of.
+HOME: Final = 'crashes'
+# Time between looks, seconds; a report wakes the loop.
+LOOK_S: Final = 0.25
+# Longest wait for the home's answer, and for those of all VMs, seconds.
+ANSWER_S: Final = 0.25
+# Own reports that are kept, for as long as they count.
+MOST_REPORTS: Final = 256
+# Requests that ran to their end here and are remembered, and for how long,
+# seconds.
+MOST_COMPLETED: Final = 2048
+COMPLETED_S: Final = 300.0
+# Time between looks at what the store keeps, seconds.
+SAVE_S: Final = 1.0
+
+
+class Quarantining:
+    """Reports, judges and tells; safe for concurrent use."""
+
+    __slots__ = (
+        '_clock',
+        '_codec',
+        '_completed',
+        '_home',
+        '_homes',
+        '_judge',
+        '_lock',
+        '_owner',
+        '_peers',
+        '_pending',
+        '_reports',
+        '_save_at',
+        '_store',
+        '_tell',
+        '_untold',
+        'on_report',
+    )
+
+    def __init__(
+        self,
+        *,
+        owner: actors.Owner[beliefs.Beliefs],
+        homes: asking.Asking,
+        peers: ports.PeerGroup,
+        codec: ports.RecordCodec,
+        store: ports.Topics,
+        clock: ports.Clock,
+    ) -> None:
+        self._owner = owner
+        self._homes = homes
+        self._peers = peers
+        self._codec = codec
+        self._store = store
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Own reports with the time of each, oldest first, and those that the
+        # home has not heard of.
+        self._reports: list[tuple[float, messages.Crash]] = []
+        self._pending: list[messages.Crash] = []
+        # Cleared here, and not told to the home yet.
+        self._untold: list[int] = []
+        # When requests ran to their end here, seconds, by fingerprint.
+        self._completed: dict[int, float] = {}
+        # Tells this process from others that are or were the home.
+        self._judge = random.getrandbits(48)
+        # The home that has heard of all own reports.
+        self._home = 0
+        self._save_at = 0.0
+        # Whether others must hear of a change, if this is the home.
+        self._tell = False
+        # Wakes the loop.
+        self.on_report: Callable[[], None] = lambda: None
+
+    def crashed(
+        self,
+        server: forwarding.Backend,
+        request: int,
+        *,
+        ran_s: float,
+        began: bool,
+    ) -> None:
+        """Takes a request that ran on a server as that ended.
+
+        Args:
+            server: The server.
+            request: The request's fingerprint.
+            ran_s: For how long it had been there, seconds.
+            began: Whether the server had begun to run it.
+        """
+        crash = messages.Crash(
+            server=server.id,
+            born=server.born,
+            fingerprint=request,
+            ran_ms=int(ran_s * 1000),
+            began=began,
+        )
+        now = self._clock()
+        with self._lock:
+            if now - self._completed.get(request, -math.inf) < COMPLETED_S:
+                return
+            self._reports.append((now, crash))
+            del self._reports[:-MOST_REPORTS]
+            self._pending.append(crash)
+            del self._pending[:-MOST_REPORTS]
+        self.on_report()
+
+    def completed(self, request: int) -> None:
+        """Takes a request that ran to its good end."""
+        with self._lock:
+            self._completed.pop(request, None)
+            self._completed[request] = self._clock()
+            if len(self._completed) > MOST_COMPLETED:
+                del self._completed[next(iter(self._completed))]
+
+    def report(self, msg: messages.CrashReports) -> messages.Quarantined:
+        """Takes reports as the home."""
+
+        def turn(state: beliefs.Beliefs, now: float) -> messages.Quarantined:
+            for crash in msg.crashes:
+                state.crashes.note(now, crash)
+            for request in msg.cleared:
+                state.acquit(now, request)
+            return self._told(state, now)
+
+        reply = self._owner.run(turn)
+        if msg.cleared:
+            self._tell = True
+        if msg.crashes or msg.cleared:
+            self.on_report()
+        return reply
+
+    def take(self, msg: messages.Quarantined) -> messages.Pong:
+        """Takes what another VM says is held."""
+        self._owner.run(
+            lambda state, now: state.take_held(
+                now, msg.held, msg.cleared, 'home'
+            )
+        )
+        return messages.Pong()
+
+    def step(self) -> None:
+        """Reports, judges and tells what is due, as a loop."""
+        self._object()
+        self._tell_home()
+        if self._judge_reports():
+            self._tell = True
+        if self._tell and self._homes.is_home(HOME):
+            self._tell = False
+            self._tell_all()
+        now = self._clock()
+        if now >= self._save_at:
+            self._save_at = now + SAVE_S
+            if self._homes.is_home(HOME):
+                self._save()
+
+    def _object(self) -> None:
+        """Clears what is held although it ran to its end here."""
+        held = self._owner.run(lambda state, now: state.quarantine.held(now))
+        now = self._clock()
+        with self._lock:
+            wrong = [
+                request
+                for request in held
+                if now - self._completed.get(request, -math.inf) < COMPLETED_S
+            ]
+            self._untold.extend(wrong)
+        for request in wrong:
+            self._acquit(request)
+            logs.event(
+                logging.INFO,
+                'request cleared',
+                fingerprint=fingerprint.text(request),
+            )
+
+    def _acquit(self, request: int) -> None:
+        def turn(state: beliefs.Beliefs, now: float) -> None:
+            state.acquit(now, request)
+
+        self._owner.run(turn)
+
+    def _tell_home(self) -> None:
+        now = self._clock()
+        with self._lock:
+            self._reports = [
+                (at, crash)
+                for at, crash in self._reports
+                if now - at <= crashes.COUNTS_S
+            ]
+            if not self._reports and not self._untold:
+                return
+            sent, self._pending = self._pending, []
+            cleared, self._untold = self._untold, []
+        self._note(sent)
+        reply = self._ask_home(sent, cleared)
+        if reply is None:
+            with self._lock:
+                self._pending = sent + self._pending
+                self._untold = cleared + self._untold
+        elif reply.judge != self._home:
+            with self._lock:
+                rest = [one for _, one in self._reports if one not in sent]
+            if not rest or self._ask_home(rest, []) is not None:
+                self._home = reply.judge
+
+    def _note(self, sent: list[messages.Crash]) -> None:
+        def turn(state: beliefs.Beliefs, now: float) -> None:
+            for crash in sent:
+                state.crashes.note(now, crash)
+
+        if sent:
+            self._owner.run(turn)
+
+    def _ask_home(
+        self, sent: list[messages.Crash], cleared: list[int]
+    ) -> messages.Quarantined | None:
+        msg = messages.CrashReports(crashes=tuple(sent), cleared=tuple(cleared))
+        reply = self._homes.ask(HOME, msg, (messages.Quarantined,), ANSWER_S)
+        if reply is not None:
+            self.take(reply)
+        return reply
+
+    def _judge_reports(self) -> bool:
+        """Judges what is known here; returns whether more is held now."""
+
+        def turn(state: beliefs.Beliefs, now: float) -> bool:
+            if not state.crashes.pending():
+                return False
+            known = state.quarantine.held(now)
+            found = state.crashes.blamed(now, known)
+            held = dict.fromkeys(found, quarantine.HELD_S)
+            return state.take_held(now, held, {}, 'reports')
+
+        return self._owner.run(turn)
+
+    def _tell_all(self) -> None:
+        msg, addresses = self._owner.run(
+            lambda state, now: (self._told(state, now), state.peers())
+        )
+        self._peers.ask_all(addresses, msg, ANSWER_S)
+
+    def _told(self, state: beliefs.Beliefs, now: float) -> messages.Quarantined:
+        return messages.Quarantined(
+            judge=self._judge,
+            held=state.quarantine.held(now),
+            cleared=state.quarantine.cleared(now),
+        )
+
+    def _save(self) -> None:
+        """Writes to the store what it does not keep yet, removes what lapsed."""
+        due = self._owner.run(lambda state, now: state.unsaved(now))
+        for key, value in due:
+            try:
+                self._store.put(self._codec.members_topic, key, value)
+            except errors.PortError as exc:
+                logs.event(
+                    logging.WARNING, 'quarantine not saved', error=str(exc)
+                )
+                return
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -57,6 +57,7 @@
         '_entry_vm',
         '_forward',
         '_generate',
+        '_held_s',
         '_limiter',
         '_matcher',
     )
@@ -73,11 +74,15 @@
         counts: metrics.Metrics,
         clock: ports.Clock,
         ends_at: Callable[[], float],
+        held_s: Callable[[int], float],
     ) -> None:
         self._entry_vm = entry_vm
         # Returns when this process ends at the latest; infinity while it is not
         # being stopped.
         self._ends_at = ends_at
+        # Returns how long a request must be sent to no server, seconds, by its
+        # fingerprint.
+        self._held_s = held_s
         self._matcher = matcher
         self._decode = decode
         self._forward = plain
@@ -128,6 +133,7 @@
             clock=self._clock,
             ends_at=self._ends_at(),
             account=account,
+            held_s=self._held_s,
         )
 
     def _is_let_in(self, req: passage.Passage, matcher: routes.Matcher) -> bool:
@@ -183,6 +189,9 @@
         return False
 
     def _serve(self, req: passage.Passage) -> None:
+        if req.held_s():
+            req.refuse_held()
+            return
         req.watch()
         if req.route.kind == 'stream':
             self._generate.serve(req)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -17,6 +17,7 @@
 
 from foxtaildale import accounts
 from foxtaildale import allowances
+from foxtaildale import fingerprint
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
@@ -39,6 +40,7 @@
 from foxtaildaled import places
 from foxtaildaled import process
 from foxtaildaled import prompts
+from foxtaildaled import quarantining
 from foxtaildaled import router
 from foxtaildaled import sends
 from foxtaildaled import spots
@@ -129,6 +131,7 @@
         '_owner',
         '_peers',
         '_places',
+        '_quarantining',
         '_readiness',
         '_responder',
         '_server',
@@ -209,6 +212,14 @@
             peers=self._peers,
             clock=clock,
         )
+        self._quarantining = quarantining.Quarantining(
+            owner=owner,
+            homes=self._asking,
+            peers=self._peers,
+            codec=made.codec,
+            store=self._make_store(made),
+            clock=clock,
+        )
         budget = sends.Sends(
             cfg.retry_ratio,
             cfg.retry_burst,
@@ -217,7 +228,7 @@
             cfg.entry_vm,
             first_start=cfg.first_start,
         )
-        broken = breaks.Breaks(probe.Probe(), clock)
+        broken = breaks.Breaks(probe.Probe(), clock, self._quarantining.crashed)
         handler = router.Router(
             entry_vm=cfg.entry_vm,
             matcher=lambda: self._state.matcher,
@@ -227,6 +238,7 @@
                 workers=made.workers,
                 budget=budget,
                 broken=broken,
+                on_completed=self._quarantining.completed,
                 clock=clock,
                 rng=rng,
             ),
@@ -235,6 +247,7 @@
             counts=self._metrics,
             clock=clock,
             ends_at=lambda: self._ends_at,
+            held_s=lambda found: self._state.quarantine.left_s(clock(), found),
         )
         self._server = callers.Server(
             cfg.caller_address,
@@ -268,6 +281,8 @@
             messages.AskCredit: self._counting.ask,
             messages.GiveBack: self._counting.take_back,
             messages.LetIn: self._counting.told,
+            messages.CrashReports: self._quarantining.report,
+            messages.Quarantined: self._quarantining.take,
             messages.AskHeld: lambda msg: self._places.held(msg.service),
             messages.Dump: lambda _: messages.DumpReply(state=self._dump()),
         }
@@ -382,6 +397,7 @@
             ),
             tidy=self._tidy,
             broken=broken,
+            on_completed=self._quarantining.completed,
             clock=clock,
             rng=rng,
         )
@@ -389,18 +405,18 @@
     def _make_loops(
         self, made: Adapters, rng: random.Random
     ) -> list[process.Loop]:
-        def store() -> ports.Topics:
-            found = made.store(self.cfg.store)
-            self._stores.append(found)
-            return found
-
         tell = process.Loop('limits', limits.TELL_S, self._counting.step)
+        hold = process.Loop(
+            'quarantine', quarantining.LOOK_S, self._quarantining.step
+        )
+        self._quarantining.on_report = hold.wake
         return [
             tell,
+            hold,
             *loops.make(
                 self.cfg,
                 codec=made.codec,
-                store=store,
+                store=lambda: self._make_store(made),
                 workers=made.workers,
                 owner=self._owner,
                 peers=self._peers,
@@ -414,6 +430,11 @@
             ),
         ]
 
+    def _make_store(self, made: Adapters) -> ports.Topics:
+        found = made.store(self.cfg.store)
+        self._stores.append(found)
+        return found
+
     def _apply_limits(self) -> None:
         matcher = self._state.matcher
         if matcher is None or matcher.table.version == self._limits_version:
@@ -429,7 +450,10 @@
     def _handle(self, msg: messages.Any) -> messages.Any:
         # Whoever is refused chooses another home or reader at once; left to
         # notice the end of this process, it would wait for it first.
-        needs_home = isinstance(msg, messages.AskPlace | messages.AskCredit)
+        needs_home = isinstance(
+            msg,
+            messages.AskPlace | messages.AskCredit | messages.CrashReports,
+        )
         if needs_home and self._fitness.reason():
             return messages.Fail(code=self._fitness.reason())
         if isinstance(msg, messages.AskRecords) and self._stopping.is_set():
@@ -475,6 +499,10 @@
                 'busy': self._server.busy(),
                 'plans': state.plans.planned(),
                 'accounts': self._counting.levels(),
+                'held': {
+                    fingerprint.text(found): round(left_s)
+                    for found, left_s in state.quarantine.held(now).items()
+                },
             }
 
         return json.dumps(self._owner.run(turn), sort_keys=True).encode()
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -117,13 +117,14 @@
             self._plan.report(req.service.name, server.id, replaced=True)
 
     def check(self, req: passage.Passage, sent: list[str]) -> None:
-        """Ends a request whose caller or whose time is gone.
+        """Ends a request whose caller or time is gone, or that is held.
 
         Raises:
             attempt.Refused: It is.
         """
         if req.caller_gone():
             raise attempt.Refused(codes.CANCELLED if sent else codes.GONE)
+        attempt.check_held(req.held_s())
         if req.left_s() < passage.MIN_LEFT_S:
             limit_ms = int((req.deadline - req.started_at) * 1000)
             raise attempt.Refused(codes.TIMED_OUT, limit_ms=limit_ms)
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -3,7 +3,8 @@
 It notes what ran. Faults are fields: `refuse` sheds everything, `error`
 answers 500, `cut` closes after it ran without an answer, `break_after` breaks
 a stream off after so many events, `pace_s` is the time between events. `on_run`
-is called as a request begins to run, behind the head of a stream.
+is called as a request begins to run, behind the head of a stream, and `on_prefill`
+as its prompt is read.
 """
 
 from collections.abc import Callable
@@ -34,6 +35,7 @@
         self.work_s = 0.0
         self.events = 5
         self.on_run: Callable[[serving.Request], None] = lambda _: None
+        self.on_prefill: Callable[[serving.Request], None] = lambda _: None
         self._lock = threading.Lock()
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
@@ -103,6 +105,7 @@
         if self.cut:
             raise serving.Cut
         if req.headers.get('foxtaildale-stage') == 'prefill':
+            self.on_prefill(req)
             time.sleep(self.work_s)
             body = {'handle_id': f'kv-{attempt}', 'tokens': 1, 'version': 1}
             return serving.Response(json.dumps(body).encode(), headers=mine)
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -19,6 +19,7 @@
     'passage',
     'places',
     'prompts',
+    'quarantining',
     'router',
     'routing',
     'spots',
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -6,10 +6,14 @@
 
 from collections.abc import Iterator
 import itertools
+import json
+import threading
 import time
 
+import msgspec
 import pytest
 
+from foxtaildale import forwarding
 from tests import site as sites
 from tests.standins import crasher
 
@@ -45,6 +49,15 @@
         made = crasher.Crasher(worker, self.store, _BAD, _BACK_S)
         self.crashers.append(made)
 
+    def ends_at_prefill(self, name: str) -> None:
+        """Lets the bad request end a prefill worker, in place of decoders."""
+        made = crasher.Crasher(self.workers[name], self.store, _BAD, _BACK_S)
+        self.workers[name].on_prefill = self.workers[name].on_run
+        for other in self.workers.values():
+            if other.stage == 'decode':
+                other.on_run = lambda _: None
+        self.crashers.append(made)
+
     def crashes(self) -> int:
         return sum(made.crashes for made in self.crashers)
 
@@ -147,3 +160,92 @@
     site.start_routers(2)
     time.sleep(1.0)
     assert site.repeats('safe', (0, 1)) <= _LATE
+
+
+def test_other_requests_of_its_route_are_served(site: _Site) -> None:
+    """Guards against a route or a server that is closed for one request."""
+    site.start_routers(2)
+    site.end_servers('chat', (0, 1))
+    time.sleep(_KNOWN_S)
+    assert site.ask(f'/chat{_BAD}', 0) == 503
+    for number in (0, 1):
+        assert site.ask('/chat/good', number) == 200
+        assert site.ask('/safe/good', number) == 200
+        assert site.ask(f'/safe{_BAD}/other', number) != 503
+
+
+def test_a_refusal_says_why_and_for_how_long(site: _Site) -> None:
+    site.start_routers(2)
+    site.end_servers('safe', (0, 1))
+    time.sleep(_KNOWN_S)
+    status, headers, body = sites.send(site, 'POST', f'/safe{_BAD}', number=1)
+    assert status == 503
+    assert 800 < float(headers['retry-after']) <= 900
+    found = json.loads(body)['error']
+    assert (found['code'], found['ran']) == ('quarantined', 'no')
+
+
+def test_a_poll_that_many_send_is_not_held(site: _Site) -> None:
+    """Guards against holding what all callers send alike, where servers crash."""
+    site.start_routers(2)
+    over = threading.Event()
+
+    def poll(number: int) -> None:
+        while not over.is_set():
+            site.ask('/safe/poll', number)
+
+    polls = [
+        threading.Thread(target=poll, args=(number % 2,)) for number in range(4)
+    ]
+    for worker in site.workers.values():
+        worker.work_s = 0.02
+    for thread in polls:
+        thread.start()
+    for made in site.crashers[:3] * 2:
+        time.sleep(_BACK_S + _LISTED_S)
+        made.crash()
+    time.sleep(_BACK_S + _LISTED_S)
+    over.set()
+    for thread in polls:
+        thread.join()
+    assert [site.ask('/safe/poll', number) for number in (0, 1)] == [200, 200]
+
+
+def test_a_home_that_started_again_hears_all_of_it(site: _Site) -> None:
+    """Guards against reports that end with the VM that had them."""
+    site.start_routers(3)
+    reporter = site.routers[0]._quarantining
+    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
+    for server in ('x1', 'x2'):
+        found = msgspec.structs.replace(ended, id=server)
+        reporter.crashed(found, 7, ran_s=0.01, began=True)
+    time.sleep(1.0)
+    for router in site.routers[1:]:
+        router.close()
+    del site.routers[1:]
+    site.start_routers(1)
+    # One more, reported by another VM: the home must add up all three.
+    found = msgspec.structs.replace(ended, id='x3')
+    other = site.routers[1]._quarantining
+    other.crashed(found, 7, ran_s=0.01, began=True)
+
+    def known() -> bool:
+        return all(
+            7 in router._state.quarantine.held(0.0) for router in site.routers
+        )
+
+    sites.until(known, 6.0)
+
+
+def test_a_request_that_ends_prefill_workers_is_stopped_too(
+    site: _Site,
+) -> None:
+    """Guards against prompts that are read on as they end prefill workers."""
+    for name in ('p2', 'p3'):
+        site.worker(name, 'model', 'prefill')
+    for name in ('p1', 'p2', 'p3'):
+        site.ends_at_prefill(name)
+    site.start_routers(3)
+    site.end_servers('chat', (0, 1))
+    time.sleep(_KNOWN_S)
+    assert site.repeats('chat', (2, 0)) <= _LATE
