--- a/packages/daemon/foxtaildaled/breaks.py
+++ b/packages/daemon/foxtaildaled/breaks.py
@@ -72,4 +72,5 @@
             ran_ms=int(ran_s * 1000),
         )
         if reach == 'refused':
+            req.ended_stages.add(server.stage)
             self._on_end(server, req.fingerprint, ran_s=ran_s, began=began)
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -201,6 +201,8 @@
                 return self._pass_on(req, answer, flight, head, sent)
             self._relay(req, answer, flight, head, sent)
             spot.whole = True
+            if not req.ended_stages - {server.stage}:
+                self._on_completed(req.fingerprint)
         except errors.PortError as exc:
             self._breaks.note(
                 req,
@@ -250,7 +252,6 @@
             raise errors.AnswerLostError('it ended within an event')
         if not answer.started:
             self._first(req, answer, head)
-        self._on_completed(req.fingerprint)
         whole_answer = req.ex.finish()
         req.answered(
             head.status,
--- a/packages/daemon/foxtaildaled/passage.py
+++ b/packages/daemon/foxtaildaled/passage.py
@@ -39,6 +39,7 @@
         'call',
         'counts',
         'deadline',
+        'ended_stages',
         'entry_vm',
         'ex',
         'fingerprint',
@@ -88,6 +89,8 @@
         # When its final answer is due: also before this process ends, so that
         # what would be cut then is refused, and runs whole at another VM.
         self.deadline = min(self.started_at + limit_s, ends_at)
+        # Stages of servers that ended as they had it.
+        self.ended_stages: set[forwarding.Stage] = set()
         # Set when the caller has hung up.
         self.gone = threading.Event()
         # Guards the flight against a hang-up that comes as it starts.
