Soak: workers that end, and a bad request that ends them, beside the other faults

Three more faults a seed, drawn apart so that the schedules of old seeds stay as they are. After all faults the bad request must reach workers three times at most, 3 s after it has ended three, and no healthy request may be refused for it.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -7,12 +7,14 @@
 store and the workers; they delay, reset, cut and silence connections. Routers
 are killed, paused, stopped by plan and started again by signals; workers fail
 in their own ways; the store forgets, answers 503, or breaks off; configurations
-and lists change. Faults come in series and overlap, by a schedule that the seed
+and lists change. Workers end, and are back under new ids, by themselves or by a bad
+request that ends each worker that begins to run it. Faults come in series and overlap, by a schedule that the seed
 fixes; what the machine's timing adds is not fixed.
 
 Callers see and check, while it goes on: whole answers that are their own, in
-order; "not run" that is true; nothing run twice that must not be. When all
-faults have ended every router must serve again. Only processes that the soak
+order; "not run" that is true; nothing run twice that must not be; no refusal of a
+healthy request for a bad one. When all faults have ended every router must serve
+again, and the bad request must reach no worker any more. Only processes that the soak
 started are ended, by their ids.
 """
 
@@ -31,6 +33,7 @@
 import time
 from typing import Final
 
+from tests.standins import crasher
 from tests.standins import keyedstore
 from tests.standins import relay
 from tests.standins import wireworker
@@ -45,6 +48,14 @@
 # over is asked again after 2 s.
 RECOVER_S: Final = 12.0
 _EVENTS: Final = 12
+# Time until a worker that ended is back, seconds.
+_BACK_S: Final = 0.5
+# Ends after which the bad request must be known, the time until all routers in
+# touch know it, seconds, and the sends that may be on their way.
+_BAD_ENDS: Final = 3
+_KNOWN_S: Final = 3.0
+_BAD_LATE: Final = 3
+_BAD: Final = 'bad'
 # Time from a process's start in which the interpreter may not have come to our
 # first line yet, seconds: 30 ms on an idle machine, several times that on a busy
 # one. Loading the libraries takes half a second after that, and is not excused.
@@ -52,6 +63,7 @@
 # Ports of a router: for callers, the balancer, other routers and operators.
 _PORTS: Final = 4
 _START_S: Final = 20.0
+_KINDS: Final = ('safe', 'once', 'chat', 'single')
 # Statuses that promise that a request did not run and never will.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 
@@ -209,6 +221,8 @@
     pick: int
 
 
+# Faults of workers that end; drawn apart, so that a seed's others stay as they are.
+_ENDS: Final = ('worker-ends', 'bad')
 _FAULTS: Final = (
     'kill',
     'pause',
@@ -234,29 +248,45 @@
 )
 
 
-def schedule(seed: int) -> list[Fault]:
-    """Returns the faults of a seed, in order of time."""
+def schedule(seed: int, *, ends: bool = False) -> list[Fault]:
+    """Returns the faults of a seed, in order of time.
+
+    Args:
+        seed: Fixes them.
+        ends: Whether workers end, too.
+    """
     rng = random.Random(seed)
-    count = rng.randint(5, 12)
-    return sorted(
-        (
-            Fault(
-                at=rng.uniform(0.3, FAULTS_S),
-                lasts=rng.uniform(0.2, FAULT_S),
-                name=rng.choice(_FAULTS),
-                pick=rng.randrange(1000),
-            )
-            for _ in range(count)
-        ),
-        key=lambda fault: fault.at,
-    )
+    found = _draw(rng, _FAULTS, rng.randint(5, 12))
+    if ends:
+        found += _draw(random.Random(f'{seed}/ends'), _ENDS, 3)
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def _draw(
+    rng: random.Random, names: tuple[str, ...], count: int
+) -> list[Fault]:
+    return [
+        Fault(
+            at=rng.uniform(0.3, FAULTS_S),
+            lasts=rng.uniform(0.2, FAULT_S),
+            name=rng.choice(names),
+            pick=rng.randrange(1000),
+        )
+        for _ in range(count)
+    ]
 
 
 class Soak:
     """One seed."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, *, ends: bool = False
+    ) -> None:
         self.seed = seed
+        self.ends = ends
+        # The route of the bad request.
+        self.bad_kind = random.Random(f'{seed}/bad').choice(_KINDS)
+        self.bad_sent = 0
         self.store = keyedstore.KeyedStore()
         self.workers = [
             wireworker.WireWorker(name, service, stage)
@@ -271,14 +301,14 @@
                 ('d3', 'model', 'decode'),
             )
         ]
-        self.relays = []
+        self.crashers = []
         self.version = 1
         for worker in self.workers:
             worker.events = _EVENTS
             worker.pace_s = worker.work_s = 0.01
-            passed = relay.Relay(worker.address)
-            worker.address = passed.address
-            self.relays.append(passed)
+            made = crasher.Crasher(worker, self.store, f'/{_BAD}', _BACK_S)
+            self.crashers.append(made)
+        self.relays = [made.relay for made in self.crashers]
         found = ports(ROUTERS * _PORTS)
         self.routers = [
             Router(
@@ -309,14 +339,14 @@
             for caller in callers:
                 caller.join(30)
             self._recover()
+            if self.ends:
+                self._recover_from_bad()
             return [*self.faults, *self._judge()]
         finally:
             self._end()
 
     def _begin(self) -> None:
         self._configure()
-        for worker in self.workers:
-            self.store.put('keyed.servers', worker.name, worker.entry())
         seeds = [router.control_relay.address for router in self.routers]
         for router in self.routers:
             router.write(seeds)
@@ -368,7 +398,7 @@
         count = 0
         while not self._over.is_set():
             count += 1
-            kind = rng.choice(('safe', 'once', 'chat', 'single'))
+            kind = rng.choice(_KINDS)
             request = f'{number}-{count}'
             if conn is None or rng.random() < 0.3:
                 port = rng.choice(self.routers).front
@@ -382,7 +412,11 @@
             time.sleep(rng.uniform(0.0, 0.04))
 
     def _send(
-        self, conn: http.client.HTTPConnection, request: str, kind: str
+        self,
+        conn: http.client.HTTPConnection,
+        request: str,
+        kind: str,
+        name: str = 'x',
     ) -> Seen:
         headers = {
             'Host': 'h.example',
@@ -392,7 +426,7 @@
         }
         status, body = 0, b''
         try:
-            conn.request('POST', f'/{kind}/x', headers=headers)
+            conn.request('POST', f'/{kind}/{name}', headers=headers)
             resp = conn.getresponse()
             status = resp.status
             body = resp.read()
@@ -407,7 +441,7 @@
     def _play(self) -> None:
         began = time.monotonic()
         threads = []
-        for fault in schedule(self.seed):
+        for fault in schedule(self.seed, ends=self.ends):
             time.sleep(max(0.0, began + fault.at - time.monotonic()))
             thread = threading.Thread(target=self._fault, args=(fault,))
             thread.start()
@@ -431,6 +465,8 @@
             _disturb(router.control_relay, what, fault.lasts)
         elif area == 'worker':
             self._fault_worker(index, what, fault.lasts)
+        elif area == 'bad':
+            self._send_bad(fault)
         elif area == 'config':
             with self._lock:
                 self.version += 1
@@ -460,6 +496,8 @@
             worker.break_after = 4
             time.sleep(lasts)
             worker.break_after = None
+        elif what == 'ends':
+            self.crashers[index].crash()
         elif what == 'leaves':
             entry = worker.entry('draining')
             self.store.put('keyed.servers', worker.name, entry)
@@ -500,7 +538,7 @@
 
     def _serves(self, router: Router) -> bool:
         conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
-        for kind in ('safe', 'once', 'chat', 'single'):
+        for kind in _KINDS:
             name = f'after-{router.number}-{time.monotonic_ns()}'
             seen = self._send(conn, name, kind)
             self.seen.append(seen)
@@ -508,6 +546,45 @@
                 return False
         return True
 
+    def _ask_bad(self, router: Router) -> None:
+        self.bad_sent += 1
+        conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
+        name = f'bad-{self.bad_sent}'
+        seen = self._send(conn, name, self.bad_kind, _BAD)
+        self.seen.append(seen)
+        conn.close()
+
+    def _send_bad(self, fault: Fault) -> None:
+        end = time.monotonic() + fault.lasts
+        rng = random.Random(fault.pick)
+        while time.monotonic() < end:
+            self._ask_bad(rng.choice(self.routers))
+            time.sleep(0.1)
+
+    def _recover_from_bad(self) -> None:
+        """Sends the bad request until it must be known, then looks."""
+
+        def known() -> bool:
+            ends = sum(made.bad_ends for made in self.crashers)
+            if ends < _BAD_ENDS:
+                self._ask_bad(self.routers[ends % ROUTERS])
+            return ends >= _BAD_ENDS
+
+        if not self._wait(known, RECOVER_S):
+            self.faults.append('the bad request ends no workers')
+        time.sleep(_KNOWN_S)
+        before = self._bad_arrivals()
+        for router in self.routers * 2:
+            self._ask_bad(router)
+            time.sleep(_BACK_S)
+        if (count := self._bad_arrivals() - before) > _BAD_LATE:
+            self.faults.append(f'the bad request reached workers {count} times')
+        if not all(self._serves(router) for router in self.routers):
+            self.faults.append('a healthy request is not served beside it')
+
+    def _bad_arrivals(self) -> int:
+        return sum(made.arrivals(f'/{_BAD}') for made in self.crashers)
+
     def _judge(self) -> list[str]:
         runs: dict[str, int] = {}
         for worker in self.workers:
@@ -518,12 +595,15 @@
         found = []
         for seen in self.seen:
             count = runs.get(seen.request, 0)
+            bad = seen.request.startswith(_BAD)
+            if not bad and b'quarantined' in seen.body:
+                found.append(f'{seen.request} was held for a bad one')
             if seen.kind in ('once', 'single') and count > 1:
                 found.append(f'{seen.request} ({seen.kind}) ran {count} times')
             promised = seen.status in _PROMISES and seen.kind != 'safe'
             if promised and count:
                 found.append(f'{seen.request} got {seen.status} and ran')
-            if seen.status == 200 and seen.whole:
+            if seen.status == 200 and seen.whole and not bad:
                 found.extend(_judge_answer(seen))
         return found
 
@@ -543,8 +623,8 @@
             router.relay.close()
             router.control_relay.close()
             router.out.close()
-        for passed in self.relays:
-            passed.close()
+        for made in self.crashers:
+            made.close()
         for worker in self.workers:
             worker.close()
         self.store.close()
@@ -576,13 +656,13 @@
         passed.mend()
 
 
-def play(seed: int) -> list[str]:
+def play(seed: int, *, ends: bool = False) -> list[str]:
     """Plays one seed; keeps the routers' logs of a seed that failed."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    soak = Soak(seed, folder)
+    soak = Soak(seed, folder, ends=ends)
     found = soak.run()
     whole = sum(seen.status == 200 and seen.whole for seen in soak.seen)
-    names = ', '.join(f.name for f in schedule(seed))
+    names = ', '.join(f.name for f in schedule(seed, ends=ends))
     print(f'seed {seed}: {len(soak.seen)} requests, {whole} whole ({names})')
     if not found:
         for file in folder.iterdir():
@@ -601,7 +681,7 @@
     if not seeds:
         first = time.time_ns() // 1_000_000_000 % 10**8
         seeds = list(range(first, first + 50))
-    failed = [seed for seed in seeds if play(seed)]
+    failed = [seed for seed in seeds if play(seed, ends=True)]
     print(f'{len(seeds)} seeds, {len(failed)} failed: {failed}')
     sys.exit(1 if failed else 0)
 
--- a/tests/standins/crasher.py
+++ b/tests/standins/crasher.py
@@ -44,15 +44,18 @@
         self._lock = threading.Lock()
         self._down = False
         self.crashes = 0
+        # Those that a bad request brought about.
+        self.bad_ends = 0
         store.put(_SERVERS, worker.name, worker.entry())
 
-    def crash(self) -> None:
+    def crash(self, *, bad: bool = False) -> None:
         """Ends the server; it is back after a while."""
         with self._lock:
             if self._down:
                 return
             self._down = True
             self.crashes += 1
+            self.bad_ends += bad
         self.relay.stop()
         timer = threading.Timer(self._back_s, self._start)
         timer.daemon = True
@@ -68,7 +71,7 @@
 
     def _run(self, req: serving.Request) -> None:
         if self._bad in req.target:
-            self.crash()
+            self.crash(bad=True)
             raise serving.Cut
 
     def _start(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,3 +32,9 @@
     "not run", or a second run of what may run once.
     """
     assert soak.play(seed) == []
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_a_bad_request_is_stopped_beside_other_faults(seed: int) -> None:
+    """Guards against workers ended on and on while routers and store fail."""
+    assert soak.play(seed, ends=True) == []
