--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -100,6 +100,9 @@
     headers: tuple[tuple[str, str], ...]
     ran: Ran = 'maybe'
     load: Load | None = None
+    # Requests a second that the server takes from all entry VMs together; None
+    # if it names no limit.
+    limit: float | None = None
     # Whether the answer is for the request that was sent.
     matches: bool = True
     # Id of the server that answered; empty if it does not say.
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -215,6 +215,17 @@
             '{server} was ordered to do {stage}, and said: {answer}',
             ('server', 'service', 'stage', 'fence', 'answer'),
         ),
+        (
+            'server limit',
+            '{server} takes {limit} requests a second of all VMs together,'
+            ' {before} before',
+            ('server', 'limit', 'before'),
+        ),
+        (
+            'limit not readable',
+            'a server named a limit that is no number: {limit}',
+            ('limit',),
+        ),
         (
             'request held',
             'requests of this fingerprint go to no server for {left_s} s, by'
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -42,6 +42,7 @@
 from foxtaildaled import prompts
 from foxtaildaled import quarantining
 from foxtaildaled import router
+from foxtaildaled import sendlimits
 from foxtaildaled import sends
 from foxtaildaled import spots
 from foxtaildaled import tidy
@@ -134,6 +135,7 @@
         '_quarantining',
         '_readiness',
         '_responder',
+        '_send_limits',
         '_server',
         '_state',
         '_stopping',
@@ -163,12 +165,15 @@
             made.codec, cfg.peer_address, cfg.seeds, cfg.data_centre, rng
         )
         running = watched.Running()
+        self._send_limits = sendlimits.SendLimits()
         self._state.on_restarted = running.restarted
         made = Adapters(
             codec=made.codec,
             store=made.store,
             decode=made.decode,
-            workers=watched.Workers(made.workers, running),
+            workers=watched.Workers(
+                made.workers, running, self._send_limits.told
+            ),
         )
         owner = self._owner = actors.Owner(self._state, clock)
         self._peers = peers.Peers(_HEARTBEAT_S, _SILENCE_S)
--- a/packages/daemon/foxtaildaled/watched.py
+++ b/packages/daemon/foxtaildaled/watched.py
@@ -1,4 +1,7 @@
-"""Ends requests to a backend server that started again.
+"""Watches requests on their way, for what concerns their backend server.
+
+Ends those to a backend server that started again, and takes the limits that servers
+name in their answers.
 
 A server that loses power says nothing on its connections. What a caller waits
 for there never comes, and a request that may not go on elsewhere would be held
@@ -7,11 +10,15 @@
 """
 
 import collections
+from collections.abc import Callable
 import threading
 
 from foxtaildale import forwarding
 from foxtaildale import ports
 
+# Takes what an answer of a server says of its limit, requests a second.
+OnLimit = Callable[[forwarding.Backend, float | None], None]
+
 
 class Running:
     """Flights in progress, by server; safe for concurrent use."""
@@ -55,21 +62,29 @@
 class _Watched:
     """A flight that is registered while it lasts; a `ports.Flight`."""
 
-    __slots__ = ('_flight', '_running', 'server')
+    __slots__ = ('_flight', '_on_limit', '_running', 'server')
 
     def __init__(
-        self, flight: ports.Flight, server: forwarding.Backend, running: Running
+        self,
+        flight: ports.Flight,
+        server: forwarding.Backend,
+        running: Running,
+        on_limit: OnLimit,
     ) -> None:
         self.server = server
         self._flight = flight
         self._running = running
+        self._on_limit = on_limit
         running.add(self)
 
     def send(self, timeout_s: float) -> None:
         self._flight.send(timeout_s)
 
     def head(self, timeout_s: float) -> forwarding.Head:
-        return self._flight.head(timeout_s)
+        head = self._flight.head(timeout_s)
+        if head.matches and not head.replaces(self.server.id):
+            self._on_limit(self.server, head.limit)
+        return head
 
     def read(self, timeout_s: float) -> bytes:
         return self._flight.read(timeout_s)
@@ -85,11 +100,19 @@
 class Workers:
     """Backend servers whose flights are registered; a `ports.Workers`."""
 
-    __slots__ = ('_running', '_workers')
+    __slots__ = ('_on_limit', '_running', '_workers')
 
-    def __init__(self, workers: ports.Workers, running: Running) -> None:
+    def __init__(
+        self, workers: ports.Workers, running: Running, on_limit: OnLimit
+    ) -> None:
         self._workers = workers
         self._running = running
+        self._on_limit = on_limit
+
+    def _watch(
+        self, flight: ports.Flight, server: forwarding.Backend
+    ) -> _Watched:
+        return _Watched(flight, server, self._running, self._on_limit)
 
     def plain(
         self,
@@ -103,14 +126,14 @@
         flight = self._workers.plain(
             call, server, left_s, repeatable=repeatable
         )
-        return _Watched(flight, server, self._running)
+        return self._watch(flight, server)
 
     def prefill(
         self, call: forwarding.Call, server: forwarding.Backend, left_s: float
     ) -> ports.Flight:
         """Prepares a prefill of a request's prompt."""
         flight = self._workers.prefill(call, server, left_s)
-        return _Watched(flight, server, self._running)
+        return self._watch(flight, server)
 
     def decode(
         self,
@@ -125,7 +148,7 @@
         flight = self._workers.decode(
             call, reserved, prefilled, left_s, repeatable=repeatable
         )
-        return _Watched(flight, reserved.worker, self._running)
+        return self._watch(flight, reserved.worker)
 
     def handle(self, body: bytes) -> str:
         """Returns the handle that the answer of a prefill names."""
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -21,6 +21,7 @@
     'prompts',
     'quarantining',
     'router',
+    'sendlimits',
     'routing',
     'spots',
     'surveys',
@@ -37,7 +38,8 @@
 def _in_code() -> set[str]:
     found = set()
     paths = [_DAEMON / f'{module}.py' for module in _MODULES]
-    adapters = [_PLATFORM / 'records.py', _PLATFORM / 'store.py']
+    names = ('records', 'store', 'workers')
+    adapters = [_PLATFORM / f'{name}.py' for name in names]
     for path in (*paths, *adapters):
         text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
