--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -36,6 +36,10 @@
         self.events = 5
         self.on_run: Callable[[serving.Request], None] = lambda _: None
         self.on_prefill: Callable[[serving.Request], None] = lambda _: None
+        # Requests a second that it says it takes from all routers together.
+        self.limit: float | None = None
+        # When requests came, refused ones as well, seconds.
+        self.came_at: list[float] = []
         self._lock = threading.Lock()
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
@@ -93,6 +97,9 @@
         attempt = req.headers.get(_ATTEMPT.lower(), '')
         expected = req.headers.get('foxtaildale-expect-instance')
         mine: tuple[tuple[str, str], ...] = ((_ATTEMPT, attempt),)
+        if self.limit is not None:
+            mine = (*mine, ('Server-Limit', str(self.limit)))
+        self.came_at.append(time.monotonic())
         if expected not in (None, self.name):
             self.missed += 1
             found = (*mine, ('Foxtaildale-Instance-Id', self.name))
