--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,7 +8,7 @@
 are killed, paused, stopped by plan and started again by signals; workers fail
 in their own ways; the store forgets, answers 503, or breaks off; configurations
 and lists change. Workers end, and are back under new ids, by themselves or by a bad
-request that ends each worker that begins to run it. Faults come in series and overlap, by a schedule that the seed
+request that ends each worker that begins to run it, and name limits. Faults come in series and overlap, by a schedule that the seed
 fixes; what the machine's timing adds is not fixed.
 
 Callers see and check, while it goes on: whole answers that are their own, in
@@ -56,6 +56,13 @@
 _KNOWN_S: Final = 3.0
 _BAD_LATE: Final = 3
 _BAD: Final = 'bad'
+# Requests a second that workers name as their limit; the time until it must be kept,
+# the span in which they are counted, seconds, and what may come in it beyond.
+_LIMIT: Final = 3.0
+_KEPT_S: Final = 3.0
+_SPAN_S: Final = 4.0
+_LIMIT_RATIO: Final = 1.5
+_LIMIT_EXTRA: Final = 5.0
 # Time from a process's start in which the interpreter may not have come to our
 # first line yet, seconds: 30 ms on an idle machine, several times that on a busy
 # one. Loading the libraries takes half a second after that, and is not excused.
@@ -223,6 +230,7 @@
 
 # Faults of workers that end; drawn apart, so that a seed's others stay as they are.
 _ENDS: Final = ('worker-ends', 'bad')
+_LIMITS: Final = ('worker-limits',)
 _FAULTS: Final = (
     'kill',
     'pause',
@@ -253,12 +261,13 @@
 
     Args:
         seed: Fixes them.
-        ends: Whether workers end, too.
+        ends: Whether workers end and name limits, too.
     """
     rng = random.Random(seed)
     found = _draw(rng, _FAULTS, rng.randint(5, 12))
     if ends:
         found += _draw(random.Random(f'{seed}/ends'), _ENDS, 3)
+        found += _draw(random.Random(f'{seed}/limits'), _LIMITS, 2)
     return sorted(found, key=lambda fault: fault.at)
 
 
@@ -341,6 +350,7 @@
             self._recover()
             if self.ends:
                 self._recover_from_bad()
+                self._check_limits()
             return [*self.faults, *self._judge()]
         finally:
             self._end()
@@ -498,6 +508,10 @@
             worker.break_after = None
         elif what == 'ends':
             self.crashers[index].crash()
+        elif what == 'limits':
+            worker.limit = _LIMIT
+            time.sleep(lasts)
+            worker.limit = None
         elif what == 'leaves':
             entry = worker.entry('draining')
             self.store.put('keyed.servers', worker.name, entry)
@@ -582,6 +596,32 @@
         if not all(self._serves(router) for router in self.routers):
             self.faults.append('a healthy request is not served beside it')
 
+    def _check_limits(self) -> None:
+        """Has all workers name a limit, and callers come to all routers."""
+        for worker in self.workers:
+            worker.limit = _LIMIT
+        self._over.clear()
+        began = time.monotonic()
+        callers = [
+            threading.Thread(target=self._call, args=(CALLERS + number,))
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(_KEPT_S + _SPAN_S + 1.0)
+        self._over.set()
+        for caller in callers:
+            caller.join(30)
+        allowed = _LIMIT_RATIO * _SPAN_S * _LIMIT + _LIMIT_EXTRA
+        for worker in self.workers:
+            times = [at for at in worker.came_at if at >= began + _KEPT_S]
+            most = max(
+                (sum(0 <= at - t < _SPAN_S for at in times) for t in times),
+                default=0,
+            )
+            if most > allowed:
+                self.faults.append(f'{worker.name} got {most} in {_SPAN_S} s')
+
     def _bad_arrivals(self) -> int:
         return sum(made.arrivals(f'/{_BAD}') for made in self.crashers)
 
