Loops of held requests and server limits rest while there is nothing to do

Each woke its process four or five times a second on every VM; once now, and as soon as a report or a limit comes.

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -106,6 +106,10 @@
         """Whether there is anything to judge."""
         return bool(self._ends)
 
+    def is_settling(self, now: float) -> bool:
+        """Whether an end was reported a moment ago."""
+        return any(now - end.at <= 2 * SETTLE_S for end in self._ends.values())
+
     def _forget(self, now: float) -> None:
         for start, end in list(self._ends.items()):
             if now - end.at <= COUNTS_S:
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -34,14 +34,25 @@
     # For logs and the state dump.
     name: str
     _step: Callable[[], None]
-    _period_s: float
+    _period_s: float | Callable[[], float]
     _wake: threading.Event
     _stop: threading.Event
     _thread: threading.Thread
 
     def __init__(
-        self, name: str, period_s: float, step: Callable[[], None]
+        self,
+        name: str,
+        period_s: float | Callable[[], float],
+        step: Callable[[], None],
     ) -> None:
+        """Prepares it.
+
+        Args:
+            name: For logs and the state dump.
+            period_s: Time between steps, seconds; where it depends on what is
+                going on, returns it.
+            step: What to repeat.
+        """
         self.name = name
         self._step = step
         self._period_s = period_s
@@ -72,7 +83,8 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             self._guarded()
-            self._wake.wait(self._period_s)
+            period_s = self._period_s
+            self._wake.wait(period_s() if callable(period_s) else period_s)
             self._wake.clear()
 
     def _guarded(self) -> None:
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -28,8 +28,10 @@
 
 # What it is the home of.
 HOME: Final = 'crashes'
-# Time between looks, seconds; a report wakes the loop.
+# Time between looks while an end is judged, and else, seconds; a report
+# wakes the loop.
 LOOK_S: Final = 0.25
+REST_S: Final = 1.0
 # Longest wait for the home's answer, and for those of all VMs, seconds.
 ANSWER_S: Final = 0.25
 # Own reports that are kept, for as long as they count.
@@ -166,6 +168,13 @@
         )
         return messages.Pong()
 
+    def pace_s(self) -> float:
+        """Returns when to look again, seconds."""
+        busy = self._owner.run(
+            lambda state, now: state.crashes.is_settling(now)
+        )
+        return LOOK_S if busy else REST_S
+
     def step(self) -> None:
         """Reports, judges and tells what is due, as a loop."""
         self._object()
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -423,11 +423,11 @@
     ) -> list[process.Loop]:
         tell = process.Loop('limits', limits.TELL_S, self._counting.step)
         hold = process.Loop(
-            'quarantine', quarantining.LOOK_S, self._quarantining.step
+            'quarantine', self._quarantining.pace_s, self._quarantining.step
         )
         self._quarantining.on_report = hold.wake
         ask = process.Loop(
-            'server limits', sendlimits.ASK_S, self._send_limits.step
+            'server limits', self._send_limits.pace_s, self._send_limits.step
         )
         self._send_limits.on_told = ask.wake
         return [
--- a/packages/daemon/foxtaildaled/sendlimits.py
+++ b/packages/daemon/foxtaildaled/sendlimits.py
@@ -20,8 +20,9 @@
 
 # What it is the home of.
 HOME: Final = 'server limits'
-# Time between asks, seconds.
+# Time between asks while a limit is known, and between looks else, seconds.
 ASK_S: Final = 0.2
+REST_S: Final = 1.0
 # Longest wait for the home's answer, and for those of all VMs, seconds.
 ANSWER_S: Final = 0.15
 
@@ -101,6 +102,11 @@
         with self._lock:
             return self._tokens.limits()
 
+    def pace_s(self) -> float:
+        """Returns when to ask again, seconds."""
+        with self._lock:
+            return ASK_S if self._tokens.limits() else REST_S
+
     def step(self) -> None:
         """Asks the home for what will be needed, as a loop."""
         with self._lock:
