--- a/packages/core/foxtaildale/sendtokens.py
+++ b/packages/core/foxtaildale/sendtokens.py
@@ -33,6 +33,8 @@
 _WAITS_S: Final = 0.8
 # Tokens that one VM is lent at once.
 _MOST: Final = 64
+# VMs that are remembered of one limit, those that asked last.
+VMS: Final = 1024
 # Servers whose limits are remembered.
 SERVERS: Final = 512
 
@@ -232,23 +234,21 @@
         gathered = self.rate() * (now - self.level_at) + lapsed
         self.level = min(self.most(), self.level + gathered)
         self.level_at = now
-        self.vms = {
-            vm: times
-            for vm, times in self.vms.items()
-            if now - max(times) <= HOLDS_S
-        }
-        lent_at, _ = self.vms.get(holder, (-math.inf, 0.0))
-        before = sum(
-            now - asked_at <= _WAITS_S and vm_lent_at < lent_at
-            for vm, (vm_lent_at, asked_at) in self.vms.items()
-            if vm != holder
-        )
-        lent = min(wants, max(0, int(self.level) - before))
-        self.level -= lent
+        lent_at, _ = self.vms.pop(holder, (-math.inf, 0.0))
+        lent = 0
+        if wants and self.level >= 1.0:
+            before = sum(
+                now - asked_at <= _WAITS_S and vm_lent_at < lent_at
+                for vm_lent_at, asked_at in self.vms.values()
+            )
+            lent = min(wants, max(0, int(self.level) - before))
+            self.level -= lent
         self.vms[holder] = (
             now if lent else lent_at,
             now if lent < wants else -math.inf,
         )
+        if len(self.vms) > VMS:
+            del self.vms[next(iter(self.vms))]
         return lent
 
 
--- a/packages/daemon/foxtaildaled/sendlimits.py
+++ b/packages/daemon/foxtaildaled/sendlimits.py
@@ -23,6 +23,8 @@
 # Time between asks while a limit is known, and between looks else, seconds.
 ASK_S: Final = 0.2
 REST_S: Final = 1.0
+# Time between asks for each entry VM, seconds: all of them ask one home.
+ASK_EACH_S: Final = 0.001
 # Longest wait for the home's answer, and for those of all VMs, seconds.
 ANSWER_S: Final = 0.15
 
@@ -104,8 +106,9 @@
 
     def pace_s(self) -> float:
         """Returns when to ask again, seconds."""
-        with self._lock:
-            return ASK_S if self._tokens.limits() else REST_S
+        if not self.limits():
+            return REST_S
+        return max(ASK_S, ASK_EACH_S * len(self._addresses()))
 
     def step(self) -> None:
         """Asks the home for what will be needed, as a loop."""
