--- a/bench/start.py
+++ b/bench/start.py
@@ -21,7 +21,7 @@
 from typing import Final
 
 from bench import daemons
-from tests import soak
+from tests import soakrouter
 from tests.standins import keyedstore
 from tests.standins import wireworker
 
@@ -113,11 +113,11 @@
     worker = wireworker.WireWorker('w', 'plain')
     store.put('keyed.servers', 'w', worker.entry())
     store.put('keyed.op', 'config', _CONFIG)
-    front, ready, control = soak.ports(3)
+    front, ready, control = soakrouter.ports(3)
     with tempfile.TemporaryDirectory() as work:
         boot = pathlib.Path(work) / 'boot.toml'
         boot.write_text(
-            soak.BOOT.format(
+            soakrouter.BOOT.format(
                 number=1,
                 seeds='',
                 front=front,
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -6,24 +6,21 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import logging
 import random
 import time
 
-from foxtaildale import crashes
 from foxtaildale import errors
 from foxtaildale import experience
-from foxtaildale import fingerprint
 from foxtaildale import fleet
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import ports
-from foxtaildale import quarantine
 from foxtaildale import routes
 from foxtaildale_adapters import logs
 from foxtaildaled import plans
+from foxtaildaled import verdicts
 
 # A store that failed within this time may have let entries of living servers
 # lapse, seconds: servers write every 1.2 s, entries lapse after three of
@@ -38,11 +35,8 @@
         '_codec',
         '_mirrors',
         '_peer_address',
-        '_saved',
         '_seeds',
         '_unreadable',
-        '_wall',
-        'crashes',
         'entry_vms',
         'experience',
         'failed_at',
@@ -51,8 +45,8 @@
         'matcher',
         'on_restarted',
         'plans',
-        'quarantine',
         'servers_known',
+        'verdicts',
     )
 
     def __init__(
@@ -66,8 +60,6 @@
         wall: ports.Clock = time.time,
     ) -> None:
         self._codec = codec
-        # Seconds since the epoch; records are dated by it.
-        self._wall = wall
         self._peer_address = peer_address
         self._seeds = seeds
         self._mirrors = {
@@ -82,10 +74,7 @@
         self._unreadable: set[str] = set()
         self.fleet = fleet.Fleet(data_centre, rng)
         self.experience = experience.Experience()
-        self.crashes = crashes.Crashes()
-        self.quarantine = quarantine.Quarantine()
-        # Until when requests are held, by the store, seconds since the epoch.
-        self._saved: dict[int, float] = {}
+        self.verdicts = verdicts.Verdicts(codec, wall)
         # The configuration in force; None while none is known.
         self.matcher: routes.Matcher | None = None
         # Whether the list of servers was read once.
@@ -134,7 +123,7 @@
         if self.servers_known:
             self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
         self.fleet.told_failing(reply.failing, now)
-        self.take_held(now, reply.held, reply.cleared, 'peer')
+        self.verdicts.take(now, reply.held, reply.cleared, 'peer')
 
     def reply(
         self, ask: messages.AskRecords, now: float
@@ -156,8 +145,8 @@
             age_s=age_s,
             failing=self.experience.rates(now),
             store_lost=self.store_lost(),
-            held=self.quarantine.held(now),
-            cleared=self.quarantine.cleared(now),
+            held=self.verdicts.quarantine.held(now),
+            cleared=self.verdicts.quarantine.cleared(now),
         )
 
     def ask(self) -> messages.AskRecords:
@@ -186,44 +175,6 @@
             return messages.Pong()
         return messages.Fail(code='not-for-a-router')
 
-    def take_held(
-        self,
-        now: float,
-        held: Mapping[int, float],
-        cleared: Mapping[int, float],
-        source: str,
-    ) -> bool:
-        """Takes requests to hold back; returns whether any is new here."""
-        found = self.quarantine.take(now, held, cleared)
-        for request in found:
-            logs.event(
-                logging.WARNING,
-                'request held',
-                fingerprint=fingerprint.text(request),
-                left_s=int(held[request]),
-                source=source,
-            )
-        return bool(found)
-
-    def acquit(self, now: float, request: int) -> None:
-        """Takes a request that ran to its end, and ends no server."""
-        self.crashes.acquit(request)
-        self.quarantine.clear(now, request)
-
-    def unsaved(self, now: float) -> list[tuple[str, bytes]]:
-        """Returns the records of held requests that the store should get."""
-        wall = self._wall()
-        held = self.quarantine.held(now)
-        due = []
-        for request, left_s in held.items():
-            if request not in self._saved:
-                found = forwarding.Held(request, wall + left_s)
-                due.append(self._codec.encode_held(found))
-        for request in self._saved:
-            if request not in held:
-                due.append((self._codec.held_key(request), b''))
-        return due
-
     def plain_failed(self, server: str, now: float) -> None:
         """Takes a failure of a plain server under a request of this VM."""
         self.fleet.failed(server, now)
@@ -297,9 +248,7 @@
                     if entry.key in since:
                         before = since[entry.key]
                         self._mirrors[topic].repeats(entry, before)
-                elif self._codec.held_request(entry.key) is not None:
-                    self._learn_held(entry, now, source)
-                else:
+                elif not self.verdicts.learn(entry, now, source):
                     self._learn_member(entry)
             except errors.DecodeError as exc:
                 if topic == self._codec.servers_topic:
@@ -406,18 +355,6 @@
             source=source,
         )
 
-    def _learn_held(self, entry: mirror.Entry, now: float, source: str) -> None:
-        request = self._codec.held_request(entry.key)
-        if request is None:
-            return
-        if not entry.value:
-            self._saved.pop(request, None)
-            return
-        until = self._codec.held(entry.value).until
-        self._saved[request] = until
-        left_s = min(quarantine.HELD_S, until - self._wall())
-        self.take_held(now, {request: left_s}, {}, source)
-
     def _learn_member(self, entry: mirror.Entry) -> None:
         if entry.value:
             member = self._codec.member(entry.key, entry.value)
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -18,8 +18,10 @@
 from foxtaildaled import balancing
 from foxtaildaled import beliefs
 from foxtaildaled import fitness
+from foxtaildaled import introductions
 from foxtaildaled import places
 from foxtaildaled import process
+from foxtaildaled import storereaders
 from foxtaildaled import surveys
 from foxtaildaled import syncing
 
@@ -63,8 +65,8 @@
 
     pace_s = cfg.leaving_s / syncing.READS_PER_BOUND
     limit_s = cfg.leaving_s * syncing.STALE_PART
-    readers = syncing.Readers(cfg.entry_vm, cfg.data_centre, clock)
-    introduction = syncing.Introduction(
+    readers = storereaders.Readers(cfg.entry_vm, cfg.data_centre, clock)
+    introduction = introductions.Introduction(
         owner=owner,
         peers=peers,
         own=cfg.peer_address,
@@ -156,7 +158,7 @@
 
 
 def _behind(
-    introduction: syncing.Introduction, step: Callable[[], None]
+    introduction: introductions.Introduction, step: Callable[[], None]
 ) -> Callable[[], None]:
     """Waits until what others know has been taken, or none of them knows."""
 
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -20,7 +20,6 @@
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import ports
-from foxtaildale import quarantine
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import asking
@@ -147,9 +146,9 @@
 
         def turn(state: beliefs.Beliefs, now: float) -> messages.Quarantined:
             for crash in msg.crashes:
-                state.crashes.note(now, crash)
+                state.verdicts.crashes.note(now, crash)
             for request in msg.cleared:
-                state.acquit(now, request)
+                state.verdicts.acquit(now, request)
             return self._told(state, now)
 
         reply = self._owner.run(turn)
@@ -162,7 +161,7 @@
     def take(self, msg: messages.Quarantined) -> messages.Pong:
         """Takes what another VM says is held."""
         self._owner.run(
-            lambda state, now: state.take_held(
+            lambda state, now: state.verdicts.take(
                 now, msg.held, msg.cleared, 'home'
             )
         )
@@ -171,7 +170,7 @@
     def pace_s(self) -> float:
         """Returns when to look again, seconds."""
         busy = self._owner.run(
-            lambda state, now: state.crashes.is_settling(now)
+            lambda state, now: state.verdicts.crashes.is_settling(now)
         )
         return LOOK_S if busy else REST_S
 
@@ -179,7 +178,7 @@
         """Reports, judges and tells what is due, as a loop."""
         self._object()
         self._tell_home()
-        if self._judge_reports():
+        if self._owner.run(lambda state, now: state.verdicts.judge(now)):
             self._tell = True
         if self._tell and self._homes.is_home(HOME):
             self._tell = False
@@ -192,7 +191,9 @@
 
     def _object(self) -> None:
         """Clears what is held although it ran to its end here."""
-        held = self._owner.run(lambda state, now: state.quarantine.held(now))
+        held = self._owner.run(
+            lambda state, now: state.verdicts.quarantine.held(now)
+        )
         now = self._clock()
         with self._lock:
             wrong = [
@@ -211,7 +212,7 @@
 
     def _acquit(self, request: int) -> None:
         def turn(state: beliefs.Beliefs, now: float) -> None:
-            state.acquit(now, request)
+            state.verdicts.acquit(now, request)
 
         self._owner.run(turn)
 
@@ -242,7 +243,7 @@
     def _note(self, sent: list[messages.Crash]) -> None:
         def turn(state: beliefs.Beliefs, now: float) -> None:
             for crash in sent:
-                state.crashes.note(now, crash)
+                state.verdicts.crashes.note(now, crash)
 
         if sent:
             self._owner.run(turn)
@@ -256,19 +257,6 @@
             self.take(reply)
         return reply
 
-    def _judge_reports(self) -> bool:
-        """Judges what is known here; returns whether more is held now."""
-
-        def turn(state: beliefs.Beliefs, now: float) -> bool:
-            if not state.crashes.pending():
-                return False
-            known = state.quarantine.held(now)
-            found = state.crashes.blamed(now, known)
-            held = dict.fromkeys(found, quarantine.HELD_S)
-            return state.take_held(now, held, {}, 'reports')
-
-        return self._owner.run(turn)
-
     def _tell_all(self) -> None:
         msg, addresses = self._owner.run(
             lambda state, now: (self._told(state, now), state.peers())
@@ -278,13 +266,13 @@
     def _told(self, state: beliefs.Beliefs, now: float) -> messages.Quarantined:
         return messages.Quarantined(
             judge=self._judge,
-            held=state.quarantine.held(now),
-            cleared=state.quarantine.cleared(now),
+            held=state.verdicts.quarantine.held(now),
+            cleared=state.verdicts.quarantine.cleared(now),
         )
 
     def _save(self) -> None:
         """Writes to the store what it does not keep yet, removes what lapsed."""
-        due = self._owner.run(lambda state, now: state.unsaved(now))
+        due = self._owner.run(lambda state, now: state.verdicts.unsaved(now))
         for key, value in due:
             try:
                 self._store.put(self._codec.members_topic, key, value)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -259,7 +259,9 @@
             counts=self._metrics,
             clock=clock,
             ends_at=lambda: self._ends_at,
-            held_s=lambda found: self._state.quarantine.left_s(clock(), found),
+            held_s=lambda found: self._state.verdicts.quarantine.left_s(
+                clock(), found
+            ),
         )
         self._server = callers.Server(
             cfg.caller_address,
@@ -526,7 +528,9 @@
                 'server_limits': self._send_limits.limits(),
                 'held': {
                     fingerprint.text(found): round(left_s)
-                    for found, left_s in state.quarantine.held(now).items()
+                    for found, left_s in state.verdicts.quarantine.held(
+                        now
+                    ).items()
                 },
             }
 
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -1,30 +1,27 @@
 """Loops that keep a router's beliefs fresh.
 
 One entry VM, or one a data centre, reads the store, the others ask it
-(`Readers`). A process that starts asks first (`Introduction`). The
+(`storereaders`). A process that starts asks first (`introductions`). The
 configuration is waited for, since it must be in force soon after it was
 accepted. Entries of servers change with every heartbeat, so waiting for them
 would return at once; they are read at a pace that leaves most of the bound for
 leaving servers unused. While the store fails, any other entry VM is asked.
 """
 
-from collections.abc import Callable
 import logging
 import math
 import random
-import threading
-import time
 from typing import Final
 
 from foxtaildale import errors
 from foxtaildale import forwarding
-from foxtaildale import homes
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import metrics
 from foxtaildaled import actors
 from foxtaildaled import beliefs
+from foxtaildaled import storereaders
 
 # Wait of one read for the configuration, seconds. A connection that went
 # silent is noticed this long plus an answer's bound later.
@@ -54,19 +51,6 @@
 # Time between asks, and the longest wait for an answer, seconds.
 PEER_S: Final = 0.4
 PEER_ANSWER_S: Final = 0.3
-# How long a reader that failed is passed over, seconds.
-PASSED_S: Final = 3.0
-# Entry VMs up to which one reads for all; more than those would be a quarter of
-# a core for it, and much that goes between data centres.
-ONE_READER: Final = 120
-# How long a process that starts asks others before it reads the store itself,
-# seconds: at the first start of all, long before callers come, and else as long
-# as an answer of one that is up takes. Then the longest wait for one answer, and
-# the pause after all were asked.
-FIRST_START_S: Final = 2.0
-ANSWERED_S: Final = 0.1
-SEED_ANSWER_S: Final = 0.12
-SEED_PAUSE_S: Final = 0.03
 # Shortest pause of a loop that has nothing to read, seconds; it looks again when
 # what is known may be too old.
 LAZY_S: Final = 0.1
@@ -154,7 +138,7 @@
         owner: actors.Owner[beliefs.Beliefs],
         store: ports.Topics,
         topic: Topic,
-        readers: 'Readers',
+        readers: storereaders.Readers,
         clock: ports.Clock,
     ) -> None:
         self._name = name
@@ -204,177 +188,6 @@
         self._list_at = self._clock() + LISTED_S
 
 
-class Introduction:
-    """Learns at the start from an entry VM that is up, in place of the store.
-
-    Each start would else read all there is, and with the store slow or down it
-    would wait for it. The VMs that the settings name read the store; the others
-    ask those. Where none knows enough at once, as when all VMs lost power, this
-    one reads the store itself: callers wait for it. At the first start of all
-    nobody does, and it can ask again.
-    """
-
-    __slots__ = (
-        '_clock',
-        '_done',
-        '_limit_s',
-        '_owner',
-        '_patience_s',
-        '_peers',
-        '_seeds',
-    )
-
-    def __init__(
-        self,
-        *,
-        owner: actors.Owner[beliefs.Beliefs],
-        peers: ports.Peers,
-        own: str,
-        seeds: tuple[str, ...],
-        limit_s: float,
-        first_start: bool,
-        clock: ports.Clock,
-        rng: random.Random,
-    ) -> None:
-        """Prepares it.
-
-        Args:
-            owner: Owns what the router believes.
-            peers: The other entry VMs.
-            own: Peer address of this entry VM.
-            seeds: Peer addresses that the settings name.
-            limit_s: Greatest age of what is taken, seconds.
-            first_start: Whether all entry VMs start for the first time.
-            clock: Seconds.
-            rng: Chooses which seed is asked first.
-        """
-        self._owner = owner
-        self._peers = peers
-        # One that the settings name must read, since all others ask it.
-        self._seeds = [] if own in seeds else rng.sample(seeds, len(seeds))
-        self._limit_s = limit_s
-        self._patience_s = FIRST_START_S if first_start else ANSWERED_S
-        self._clock = clock
-        self._done = threading.Event()
-
-    def wait(self) -> None:
-        """Returns when it is over, whatever came of it."""
-        self._done.wait()
-
-    def run(self) -> None:
-        """Asks, for a while at most; does nothing once it is over."""
-        if self._done.is_set():
-            return
-        end = self._clock() + self._patience_s
-        asked = 0
-        while self._seeds and (left_s := end - self._clock()) > 0:
-            seed = self._seeds[asked % len(self._seeds)]
-            if self._ask(seed, min(left_s, SEED_ANSWER_S)):
-                break
-            asked += 1
-            if asked % len(self._seeds) == 0:
-                time.sleep(SEED_PAUSE_S)
-        self._done.set()
-
-    def _ask(self, seed: str, answer_s: float) -> bool:
-        """Asks one; returns whether it knew enough to begin with."""
-        ask = self._owner.run(lambda state, _: state.ask())
-        try:
-            reply = self._peers.ask(seed, ask, answer_s)
-        except errors.PortError as exc:
-            logs.event(logging.INFO, 'peer lost', address=seed, error=str(exc))
-            return False
-        if not isinstance(reply, messages.RecordsReply):
-            return False
-        if reply.age_s > self._limit_s:
-            return False
-
-        def turn(state: beliefs.Beliefs, now: float) -> bool:
-            state.take_reply(reply, now)
-            return state.matcher is not None and bool(state.entry_vms)
-
-        return self._owner.run(turn)
-
-
-class Readers:
-    """Which entry VM reads the store for others.
-
-    Calls to the store are shared by all entry VMs and priced; were each to
-    read for itself, they would grow with their number. One, by rendezvous hash,
-    reads, and the others ask it; where there are many, one a data centre. One
-    that does not answer or has nothing fresh is passed over for a while, and one
-    that the store fails as soon as it says so: else all would wait until what they
-    know is too old, and then read the store together. Where the next one says the
-    same, the store fails everybody, and another reader is no help. Safe for
-    concurrent use.
-    """
-
-    __slots__ = (
-        '_all',
-        '_clock',
-        '_data_centre',
-        '_entry_vm',
-        '_homes',
-        '_lock',
-        '_lost_until',
-        '_near',
-        '_passed',
-        'on_passed',
-    )
-
-    def __init__(
-        self, entry_vm: str, data_centre: str, clock: ports.Clock
-    ) -> None:
-        self._entry_vm = entry_vm
-        self._data_centre = data_centre
-        self._clock = clock
-        self._lock = threading.Lock()
-        self._all = homes.Strong(lambda vm: vm.cores)
-        # Of this data centre.
-        self._near = homes.Strong(
-            lambda vm: vm.cores if vm.data_centre == data_centre else 0.0
-        )
-        self._homes = homes.Homes()
-        # Until when each one that failed is passed over, seconds.
-        self._passed: dict[str, float] = {}
-        # Until when no other one is for a store that fails it, seconds.
-        self._lost_until = -math.inf
-        # Called when another one reads from now on, maybe this entry VM.
-        self.on_passed: Callable[[], None] = lambda: None
-
-    def choose(self, known: dict[str, forwarding.EntryVm]) -> str:
-        """Returns the name of the reader; this entry VM's own if none fits."""
-        now = self._clock()
-        alone = len(known) <= ONE_READER
-        what = 'read' if alone else f'read {self._data_centre}'
-        with self._lock:
-            strong = self._all if alone else self._near
-            fit = tuple(
-                name
-                for name in strong.among(known, frozenset())
-                if self._passed.get(name, 0.0) <= now
-            )
-            reader = self._homes.home(what, fit)
-        return reader or self._entry_vm
-
-    def failed(self, name: str) -> None:
-        """Takes a reader that did not answer or had nothing fresh."""
-        with self._lock:
-            self._passed[name] = self._clock() + PASSED_S
-        self.on_passed()
-
-    def store_lost(self, name: str) -> bool:
-        """Takes a reader that the store fails; returns whether it is left."""
-        with self._lock:
-            now = self._clock()
-            if now < self._lost_until:
-                return False
-            self._lost_until = now + PASSED_S
-            self._passed[name] = now + PASSED_S
-        self.on_passed()
-        return True
-
-
 class Lazy:
     """Reads a topic from the store unless a reader's word is fresh."""
 
@@ -393,7 +206,7 @@
         *,
         topic: Topic,
         owner: actors.Owner[beliefs.Beliefs],
-        readers: Readers,
+        readers: storereaders.Readers,
         entry_vm: str,
         limit_s: float,
         rng: random.Random,
@@ -451,7 +264,7 @@
         *,
         owner: actors.Owner[beliefs.Beliefs],
         peers: ports.Peers,
-        readers: Readers,
+        readers: storereaders.Readers,
         entry_vm: str,
         limit_s: float,
         rng: random.Random,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,18 +21,16 @@
 from collections.abc import Callable
 import dataclasses
 import http.client
-import os
 import pathlib
 import random
 import signal
-import socket
-import subprocess
 import sys
 import tempfile
 import threading
 import time
 from typing import Final
 
+from tests import soakrouter
 from tests.standins import crasher
 from tests.standins import keyedstore
 from tests.standins import relay
@@ -63,10 +61,6 @@
 _SPAN_S: Final = 4.0
 _LIMIT_RATIO: Final = 1.5
 _LIMIT_EXTRA: Final = 5.0
-# Time from a process's start in which the interpreter may not have come to our
-# first line yet, seconds: 30 ms on an idle machine, several times that on a busy
-# one. Loading the libraries takes half a second after that, and is not excused.
-UNBORN_S: Final = 0.15
 # Ports of a router: for callers, the balancer, other routers and operators.
 _PORTS: Final = 4
 _START_S: Final = 20.0
@@ -74,136 +68,6 @@
 # Statuses that promise that a request did not run and never will.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 
-BOOT: Final = """
-node_name = "vm-{number}"
-ip = "127.0.0.1"
-zone = "here"
-seeds = [{seeds}]
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-control = "127.0.0.1:{control}"
-[bounds]
-drain_ms = 2000
-grace_s = 5
-retry_budget_ratio = 0.2
-budget_slack = 60
-[platform]
-address = "{store}"
-"""
-
-
-def ports(count: int) -> list[int]:
-    """Returns free ports below those that the kernel gives to connections.
-
-    A router is down for a while and takes its ports again; one that the kernel
-    chose could be some connection's by then. All of a run are drawn together:
-    a router that is not started yet has none that a look would find taken.
-    """
-    text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
-    below = int(text.split()[0])
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(below - 12_000, below)
-        try:
-            socket.create_server(('127.0.0.1', port)).close()
-        except OSError:
-            continue
-        if port not in found:
-            found.append(port)
-    return found
-
-
-class Router:
-    """One router process, started again after each end."""
-
-    def __init__(
-        self, number: int, folder: pathlib.Path, store: str, ports: list[int]
-    ) -> None:
-        self.relay = relay.Relay(store)
-        self.front, self.ready, self.control, self._metrics = ports
-        self.control_relay = relay.Relay(f'127.0.0.1:{self.control}')
-        self.file = folder / f'vm-{number}.toml'
-        self.number = number
-        self.out = (folder / f'vm-{number}.log').open('ab')
-        self.process: subprocess.Popen[bytes] | None = None
-        # Whether the soak itself ended the process.
-        self.ended = False
-        # When the process was started, seconds.
-        self.started_at = 0.0
-        # When it last got a SIGHUP, seconds.
-        self.signalled_at = 0.0
-
-    def write(self, seeds: list[str]) -> None:
-        """Writes the settings file."""
-        quoted = ', '.join(f'"{seed}"' for seed in seeds)
-        text = BOOT.format(
-            number=self.number,
-            seeds=quoted,
-            front=self.front,
-            ready=self.ready,
-            control=self.control,
-            store=self.relay.address,
-        )
-        self.file.write_text(text)
-
-    def start(self) -> None:
-        """Starts the process."""
-        env = os.environ | {
-            'FOXTAILDALE_BOOT': str(self.file),
-            'PYTHONPATH': os.pathsep.join(sys.path),
-        }
-        self.ended = False
-        self.started_at = time.monotonic()
-        self.process = subprocess.Popen(
-            [
-                sys.executable,
-                '-m',
-                'foxtaildaled',
-                '--metrics-port',
-                str(self._metrics),
-            ],
-            env=env,
-            stdout=self.out,
-            stderr=subprocess.STDOUT,
-        )
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process."""
-        if number == signal.SIGHUP:
-            self.signalled_at = time.monotonic()
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def start_if_unborn(self) -> None:
-        """Starts it again if SIGHUP met the interpreter before our first line.
-
-        No program can handle a signal that comes before it runs; the platform
-        starts a process that ended again, and so does this, once.
-        """
-        process = self.process
-        if process is None or process.poll() != -signal.SIGHUP:
-            return
-        lived_s = self.signalled_at - self.started_at
-        if lived_s < UNBORN_S:
-            self.start()
-
-    def end(self, number: signal.Signals) -> None:
-        """Ends the process and waits for it."""
-        self.ended = True
-        self.send_signal(number)
-        if self.process is not None:
-            self.process.wait(10)
-
-    def is_ready(self) -> bool:
-        """Asks the process whether it takes callers."""
-        try:
-            conn = http.client.HTTPConnection('127.0.0.1', self.ready, 1)
-            conn.request('GET', '/api/ready')
-            return conn.getresponse().status == 200
-        except (OSError, http.client.HTTPException):
-            return False
-
 
 @dataclasses.dataclass
 class Seen:
@@ -318,9 +182,9 @@
             made = crasher.Crasher(worker, self.store, f'/{_BAD}', _BACK_S)
             self.crashers.append(made)
         self.relays = [made.relay for made in self.crashers]
-        found = ports(ROUTERS * _PORTS)
+        found = soakrouter.ports(ROUTERS * _PORTS)
         self.routers = [
-            Router(
+            soakrouter.Router(
                 number,
                 folder,
                 self.store.address,
@@ -484,7 +348,9 @@
         else:
             self._fault_router(router, area, fault.lasts)
 
-    def _fault_store(self, router: Router, what: str, lasts: float) -> None:
+    def _fault_store(
+        self, router: soakrouter.Router, what: str, lasts: float
+    ) -> None:
         if what == 'forgets':
             for topic in ('keyed.op', 'keyed.servers'):
                 self.store.forget(topic)
@@ -520,7 +386,9 @@
         else:
             _disturb(self.relays[index], what, lasts)
 
-    def _fault_router(self, router: Router, what: str, lasts: float) -> None:
+    def _fault_router(
+        self, router: soakrouter.Router, what: str, lasts: float
+    ) -> None:
         if what == 'pause':
             router.send_signal(signal.SIGSTOP)
             time.sleep(lasts)
@@ -550,7 +418,7 @@
             if router.process is None or router.process.poll() is not None:
                 self.faults.append(f'router {router.number} ended by itself')
 
-    def _serves(self, router: Router) -> bool:
+    def _serves(self, router: soakrouter.Router) -> bool:
         conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
         for kind in _KINDS:
             name = f'after-{router.number}-{time.monotonic_ns()}'
@@ -560,7 +428,7 @@
                 return False
         return True
 
-    def _ask_bad(self, router: Router) -> None:
+    def _ask_bad(self, router: soakrouter.Router) -> None:
         self.bad_sent += 1
         conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
         name = f'bad-{self.bad_sent}'
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -15,6 +15,7 @@
     'breaks',
     'forward',
     'generate',
+    'introductions',
     'limits',
     'passage',
     'places',
@@ -24,9 +25,11 @@
     'sendlimits',
     'routing',
     'spots',
+    'storereaders',
     'surveys',
     'syncing',
     'tidy',
+    'verdicts',
 )
 _CALL = re.compile(
     r'(?:logs\.event\(\s*\w+\.\w+,|\.log\()\s*'
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -231,7 +231,8 @@
 
     def known() -> bool:
         return all(
-            7 in router._state.quarantine.held(0.0) for router in site.routers
+            7 in router._state.verdicts.quarantine.held(0.0)
+            for router in site.routers
         )
 
     sites.until(known, 6.0)
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -17,6 +17,8 @@
 from foxtaildale_platform import records
 from foxtaildaled import actors
 from foxtaildaled import beliefs
+from foxtaildaled import introductions
+from foxtaildaled import storereaders
 from foxtaildaled import syncing
 
 _CODEC = records.Codec()
@@ -86,7 +88,7 @@
         self.state = state
         self.net = _Net()
         self.store = _Store()
-        self.readers = syncing.Readers('me', 'here', lambda: self.now)
+        self.readers = storereaders.Readers('me', 'here', lambda: self.now)
         topic = syncing.Topic(
             _CODEC.servers_topic,
             self.owner,
@@ -133,7 +135,8 @@
 def test_all_choose_the_same_reader_of_their_data_centre() -> None:
     known = {f'o{n}': _vm(f'o{n}:1', dc) for n, dc in enumerate('aabbab')}
     chosen = {
-        syncing.Readers(name, 'a', lambda: 0.0).choose(known) for name in known
+        storereaders.Readers(name, 'a', lambda: 0.0).choose(known)
+        for name in known
     }
     assert len(chosen) == 1
     assert known[chosen.pop()].data_centre == 'a'
@@ -142,7 +145,7 @@
 def test_a_weak_vm_reads_for_nobody() -> None:
     known = {f'o{n}': _vm(f'o{n}:1', cores=0.5) for n in range(9)}
     known['strong'] = _vm('strong:1', cores=2.0)
-    readers = syncing.Readers('o1', 'here', lambda: 0.0)
+    readers = storereaders.Readers('o1', 'here', lambda: 0.0)
     assert readers.choose(known) == 'strong'
 
 
@@ -178,7 +181,7 @@
     reader = _other_reader(world)
     world.sync.step()
     assert world.readers.choose(world.state.entry_vms) != reader
-    world.now += syncing.PASSED_S + 0.1
+    world.now += storereaders.PASSED_S + 0.1
     assert world.readers.choose(world.state.entry_vms) == reader
 
 
@@ -356,9 +359,9 @@
     many = few | {f'p{n}': _vm(f'p{n}:1', dc) for n, dc in enumerate('ab' * 50)}
     for known, count in ((few, 1), (many, 2)):
         chosen = {
-            syncing.Readers(name, known[name].data_centre, lambda: 0.0).choose(
-                known
-            )
+            storereaders.Readers(
+                name, known[name].data_centre, lambda: 0.0
+            ).choose(known)
             for name in known
         }
         assert len(chosen) == count
@@ -384,8 +387,10 @@
             raise found
         return found
 
-    def introduction(self, *, first: bool = False) -> syncing.Introduction:
-        return syncing.Introduction(
+    def introduction(
+        self, *, first: bool = False
+    ) -> introductions.Introduction:
+        return introductions.Introduction(
             owner=self.world.owner,
             peers=self,
             own='me:1',
@@ -468,8 +473,8 @@
     introduction = seeds.introduction(first=first)
     introduction.run()
     introduction.wait()
-    most_s = syncing.FIRST_START_S if first else syncing.ANSWERED_S
-    assert world.now - began <= most_s + syncing.SEED_PAUSE_S
+    most_s = introductions.FIRST_START_S if first else introductions.ANSWERED_S
+    assert world.now - began <= most_s + introductions.SEED_PAUSE_S
     assert world.state.matcher is None
 
 
