Only the home judges reports of ends; a refusal says 'limited' only where it is

Found reading the change. A VM that is not the home judged its own reports, so that a request lost on three servers beside the cause could be held there, and by a reader everywhere; it does so only where no home answers now (a test; not run on the code before).

--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -129,10 +129,7 @@
         if req.caller_gone():
             req.refuse(codes.CANCELLED if tries.sent else codes.GONE)
             return False
-        if req.held_s():
-            self._hold(req, tries)
-            return False
-        server = self._choose(req, tries)
+        server = None if req.held_s() else self._choose(req, tries)
         if server is None or not self._may_send(req, tries, server):
             self._give_up(req, tries)
             return False
@@ -202,10 +199,10 @@
             return [tally.backend for tally in found]
 
         found = self._owner.run(turn)
-        tries.limited = bool(found)
         for server in found:
             if self._send_limits.take(server.id):
                 return server
+        tries.limited = bool(found)
         return None
 
     def _may_send(
@@ -291,6 +288,8 @@
             self._deliver(req, last)
         elif tries.may_have_run:
             self._fail(req)
+        elif req.held_s():
+            req.refuse_held()
         else:
             code, figures = codes.NO_BACKEND, {}
             if tries.limited:
@@ -302,12 +301,6 @@
             )
             req.refuse(code, figures, retry_s)
 
-    def _hold(self, req: passage.Passage, tries: _Tries) -> None:
-        if tries.may_have_run:
-            self._fail(req)
-        else:
-            req.refuse_held()
-
     def _fail(self, req: passage.Passage) -> None:
         if req.left_s() < passage.MIN_LEFT_S:
             limit_ms = int((req.deadline - req.started_at) * 1000)
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -177,17 +177,22 @@
     def step(self) -> None:
         """Reports, judges and tells what is due, as a loop."""
         self._object()
-        self._tell_home()
-        if self._owner.run(lambda state, now: state.verdicts.judge(now)):
+        heard = self._tell_home()
+        is_home = self._homes.is_home(HOME)
+        # Only the home has the reports of all VMs; judged by one VM's alone, a
+        # request may be blamed for an end that others' reports explain.
+        judges = is_home or not heard
+        if judges and self._owner.run(
+            lambda state, now: state.verdicts.judge(now)
+        ):
             self._tell = True
-        if self._tell and self._homes.is_home(HOME):
+        if self._tell and is_home:
             self._tell = False
             self._tell_all()
         now = self._clock()
-        if now >= self._save_at:
+        if is_home and now >= self._save_at:
             self._save_at = now + SAVE_S
-            if self._homes.is_home(HOME):
-                self._save()
+            self._save()
 
     def _object(self) -> None:
         """Clears what is held although it ran to its end here."""
@@ -216,7 +221,8 @@
 
         self._owner.run(turn)
 
-    def _tell_home(self) -> None:
+    def _tell_home(self) -> bool:
+        """Tells what is due; returns whether the home has heard it all."""
         now = self._clock()
         with self._lock:
             self._reports = [
@@ -225,7 +231,7 @@
                 if now - at <= crashes.COUNTS_S
             ]
             if not self._reports and not self._untold:
-                return
+                return True
             sent, self._pending = self._pending, []
             cleared, self._untold = self._untold, []
         self._note(sent)
@@ -234,11 +240,14 @@
             with self._lock:
                 self._pending = sent + self._pending
                 self._untold = cleared + self._untold
-        elif reply.judge != self._home:
+            return False
+        if reply.judge != self._home:
             with self._lock:
                 rest = [one for _, one in self._reports if one not in sent]
-            if not rest or self._ask_home(rest, []) is not None:
-                self._home = reply.judge
+            if rest and self._ask_home(rest, []) is None:
+                return False
+            self._home = reply.judge
+        return True
 
     def _note(self, sent: list[messages.Crash]) -> None:
         def turn(state: beliefs.Beliefs, now: float) -> None:
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -14,6 +14,7 @@
 import pytest
 
 from foxtaildale import forwarding
+from foxtaildaled import quarantining
 from tests import site as sites
 from tests.standins import crasher
 
@@ -211,6 +212,33 @@
     assert [site.ask('/safe/poll', number) for number in (0, 1)] == [200, 200]
 
 
+def test_reports_of_one_vm_alone_hold_nothing(site: _Site) -> None:
+    """Guards against a VM that blames what the reports of others explain."""
+    site.start_routers(3)
+    at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
+    home = at_home.index(True)
+    one, other = (
+        site.routers[number]._quarantining
+        for number in range(3)
+        if number != home
+    )
+    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
+    for server in ('x1', 'x2', 'x3', 'x4'):
+        found = msgspec.structs.replace(ended, id=server)
+        other.crashed(found, 8, ran_s=0.01, began=True)
+    for server in ('x1', 'x2', 'x3'):
+        found = msgspec.structs.replace(ended, id=server)
+        one.crashed(found, 7, ran_s=0.01, began=True)
+
+    def held(number: int) -> set[int]:
+        state = site.routers[number]._state
+        return set(state.verdicts.quarantine.held(0.0))
+
+    sites.until(lambda: all(held(number) == {8} for number in range(3)))
+    time.sleep(1.5)
+    assert all(held(number) == {8} for number in range(3))
+
+
 def test_a_home_that_started_again_hears_all_of_it(site: _Site) -> None:
     """Guards against reports that end with the VM that had them."""
     site.start_routers(3)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -145,9 +145,10 @@
         status, _, _ = sites.send(calm, 'POST', '/once/x', attempt=f'a{number}')
         assert status == 200
     calm.workers['s2'].refuse = True
-    status, headers, _ = sites.send(calm, 'POST', '/once/x', attempt='b')
+    status, headers, body = sites.send(calm, 'POST', '/once/x', attempt='b')
     assert status == 503
     assert 0 < float(headers['retry-after']) <= 1.0
+    assert b'(full)' in body
 
 
 def test_a_failure_of_the_server_is_the_callers_answer(calm: Site) -> None:
