Blame by when a request was sent, not by whether its head came; nothing sent after an end

Reports now tell how long ago the end was, and what was sent after the first sign of it is left out.

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -18,14 +18,17 @@
 
 # Ends that one request must explain to be blamed.
 ENDS: Final = 3.0
-# A request that began this long before an end, seconds, is a likely cause.
+# A request that began this long before an end, seconds, is a likely cause; one of
+# which that is not known, if it was sent then. Its answer's head may be lost with
+# the server, so that nothing tells that it had begun.
 SOON_S: Final = 0.5
-# How much an end counts against a request that had been running for longer, or of
-# which it is not known that it began.
+# How much an end counts against a request that had been there for longer.
 _UNLIKELY: Final = 0.5
 # Time from the first report of an end until it is judged, seconds: reports of
 # other entry VMs may name a likelier cause.
 SETTLE_S: Final = 0.5
+# How much longer one report may be on its way than another, seconds.
+_WAY_S: Final = 0.1
 # How long an end counts, seconds.
 COUNTS_S: Final = 300.0
 # Ends that are remembered, and requests for each of them.
@@ -39,13 +42,37 @@
 class _End:
     """The end of a server, and what ran there."""
 
-    __slots__ = ('at', 'ran')
+    __slots__ = ('_began_at', 'at', 'ended_at', 'ran')
 
-    def __init__(self, at: float) -> None:
-        # When it was first reported, seconds.
+    def __init__(self, at: float, ended_at: float) -> None:
+        # When it was first reported, and when it was, seconds.
         self.at = at
+        self.ended_at = ended_at
         # By fingerprint.
         self.ran: dict[int, messages.Crash] = {}
+        # When each began there, seconds, by fingerprint.
+        self._began_at: dict[int, float] = {}
+
+    def add(self, crash: messages.Crash, broke_at: float) -> None:
+        """Adds a request; leaves out what was sent after the end.
+
+        That went on a kept connection, which the end had broken before.
+        """
+        request = crash.fingerprint
+        self.ran[request] = crash
+        self._began_at[request] = broke_at - crash.ran_ms / 1000
+        self.ended_at = min(self.ended_at, broke_at)
+        last = self.ended_at + _WAY_S
+        for late in [one for one, at in self._began_at.items() if at > last]:
+            self.drop(late)
+        if len(self.ran) > MOST_REQUESTS:
+            longest = max(self.ran.values(), key=lambda ran: ran.ran_ms)
+            self.drop(longest.fingerprint)
+
+    def drop(self, fingerprint: int) -> None:
+        """Removes a request; harmless if it is not there."""
+        self.ran.pop(fingerprint, None)
+        self._began_at.pop(fingerprint, None)
 
     def weight(self, fingerprint: int) -> float:
         """Returns how much it counts against a request."""
@@ -67,20 +94,18 @@
     def note(self, now: float, crash: messages.Crash) -> None:
         """Takes a request that ran on a server as that ended."""
         start = crash.server, crash.born
+        broke_at = now - crash.age_ms / 1000
         end = self._ends.get(start)
         if end is None:
-            end = self._ends[start] = _End(now)
+            end = self._ends[start] = _End(now, broke_at)
             if len(self._ends) > MOST_ENDS:
                 del self._ends[next(iter(self._ends))]
-        end.ran[crash.fingerprint] = crash
-        if len(end.ran) > MOST_REQUESTS:
-            longest = max(end.ran.values(), key=lambda ran: ran.ran_ms)
-            del end.ran[longest.fingerprint]
+        end.add(crash, broke_at)
 
     def acquit(self, fingerprint: int) -> None:
         """Forgets a request that is not to blame."""
         for end in self._ends.values():
-            end.ran.pop(fingerprint, None)
+            end.drop(fingerprint)
 
     def blamed(self, now: float, known: Collection[int]) -> list[int]:
         """Returns the fingerprints of requests to blame that are not known.
@@ -119,7 +144,7 @@
 
 def is_likely(crash: messages.Crash) -> bool:
     """Whether a server ended as it began to run a request."""
-    return crash.began and crash.ran_ms <= SOON_S * 1000
+    return crash.ran_ms <= SOON_S * 1000
 
 
 def _likeliest(ends: list[_End]) -> int | None:
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -425,10 +425,10 @@
     born: int
     # Digest of the request; the same for all sends of it.
     fingerprint: int
-    # For how long the server had it.
+    # For how long the server had run it, or had it if that is not known.
     ran_ms: int
-    # Whether it had begun to run it.
-    began: bool
+    # How long ago the server ended, as this is told, milliseconds.
+    age_ms: int = 0
 
 
 class CrashReports(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/breaks.py
+++ b/packages/daemon/foxtaildaled/breaks.py
@@ -22,7 +22,6 @@
         request: int,
         *,
         ran_s: float,
-        began: bool,
     ) -> None:
         """Takes the fingerprint of a request; see `Quarantining.crashed`."""
 
@@ -73,4 +72,4 @@
         )
         if reach == 'refused':
             req.ended_stages.add(server.stage)
-            self._on_end(server, req.fingerprint, ran_s=ran_s, began=began)
+            self._on_end(server, req.fingerprint, ran_s=ran_s)
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -14,6 +14,8 @@
 import threading
 from typing import Final
 
+import msgspec
+
 from foxtaildale import crashes
 from foxtaildale import errors
 from foxtaildale import fingerprint
@@ -42,6 +44,9 @@
 # Time between looks at what the store keeps, seconds.
 SAVE_S: Final = 1.0
 
+# When a server ended, seconds, and what ran there.
+_Report = tuple[float, messages.Crash]
+
 
 class Quarantining:
     """Reports, judges and tells; safe for concurrent use."""
@@ -84,8 +89,8 @@
         self._lock = threading.Lock()
         # Own reports with the time of each, oldest first, and those that the
         # home has not heard of.
-        self._reports: list[tuple[float, messages.Crash]] = []
-        self._pending: list[messages.Crash] = []
+        self._reports: list[_Report] = []
+        self._pending: list[_Report] = []
         # Cleared here, and not told to the home yet.
         self._untold: list[int] = []
         # When requests ran to their end here, seconds, by fingerprint.
@@ -106,22 +111,20 @@
         request: int,
         *,
         ran_s: float,
-        began: bool,
     ) -> None:
         """Takes a request that ran on a server as that ended.
 
         Args:
             server: The server.
             request: The request's fingerprint.
-            ran_s: For how long it had been there, seconds.
-            began: Whether the server had begun to run it.
+            ran_s: For how long it had run, or been there if that is not
+                known, seconds.
         """
         crash = messages.Crash(
             server=server.id,
             born=server.born,
             fingerprint=request,
             ran_ms=int(ran_s * 1000),
-            began=began,
         )
         now = self._clock()
         with self._lock:
@@ -129,7 +132,7 @@
                 return
             self._reports.append((now, crash))
             del self._reports[:-MOST_REPORTS]
-            self._pending.append(crash)
+            self._pending.append((now, crash))
             del self._pending[:-MOST_REPORTS]
         self.on_report()
 
@@ -243,24 +246,26 @@
             return False
         if reply.judge != self._home:
             with self._lock:
-                rest = [one for _, one in self._reports if one not in sent]
+                rest = [one for one in self._reports if one not in sent]
             if rest and self._ask_home(rest, []) is None:
                 return False
             self._home = reply.judge
         return True
 
-    def _note(self, sent: list[messages.Crash]) -> None:
+    def _note(self, sent: list[_Report]) -> None:
         def turn(state: beliefs.Beliefs, now: float) -> None:
-            for crash in sent:
+            for crash in _aged(sent, now):
                 state.verdicts.crashes.note(now, crash)
 
         if sent:
             self._owner.run(turn)
 
     def _ask_home(
-        self, sent: list[messages.Crash], cleared: list[int]
+        self, sent: list[_Report], cleared: list[int]
     ) -> messages.Quarantined | None:
-        msg = messages.CrashReports(crashes=tuple(sent), cleared=tuple(cleared))
+        msg = messages.CrashReports(
+            crashes=_aged(sent, self._clock()), cleared=tuple(cleared)
+        )
         reply = self._homes.ask(HOME, msg, (messages.Quarantined,), ANSWER_S)
         if reply is not None:
             self.take(reply)
@@ -290,3 +295,11 @@
                     logging.WARNING, 'quarantine not saved', error=str(exc)
                 )
                 return
+
+
+def _aged(reports: list[_Report], now: float) -> tuple[messages.Crash, ...]:
+    """Returns reports as they are told, with how long ago each was."""
+    return tuple(
+        msgspec.structs.replace(crash, age_ms=int((now - at) * 1000))
+        for at, crash in reports
+    )
