Reports outlive a home that made them; whoever is asked judges

Traced: a router that was the home of reports and had made two of the three itself was killed; the others were paused and stopping. Reports go to the two that would be home next as well.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -437,6 +437,8 @@
     crashes: tuple[Crash, ...] = ()
     # Fingerprints of requests that are held and ran to their end there.
     cleared: tuple[int, ...] = ()
+    # Whether it goes to one that may be home next, and not to the home.
+    copy: bool = False
 
 
 class Quarantined(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -1,8 +1,8 @@
 """Finds requests that end servers, and has all entry VMs hold them back.
 
 Each VM tells the home of all such reports (`asking`) what ran under servers that
-ended, and keeps its own reports, so that a home that is new or started again hears
-of them too. The home judges (`crashes`), tells all VMs at once, and keeps what is
+ended, and those that would be home next. It keeps its own reports, so that a home
+that is new or started again hears of them too. The home judges (`crashes`), tells all VMs at once, and keeps what is
 held in the store, since no VM is left to ask after all have lost power. What a VM
 missed comes with its next question to the reader (`beliefs`).
 """
@@ -33,6 +33,10 @@
 # wakes the loop.
 LOOK_S: Final = 0.25
 REST_S: Final = 1.0
+# Other VMs that are told of reports: those that would be home next.
+HEIRS: Final = 2
+# How long a VM that was told of reports judges them, seconds.
+JUDGES_S: Final = 5.0
 # Longest wait for the home's answer, and for those of all VMs, seconds.
 ANSWER_S: Final = 0.25
 # Own reports that are kept, for as long as they count.
@@ -58,6 +62,7 @@
         '_home',
         '_homes',
         '_judge',
+        '_judges_until',
         '_lock',
         '_owner',
         '_peers',
@@ -100,6 +105,9 @@
         # The home that has heard of all own reports.
         self._home = 0
         self._save_at = 0.0
+        # Until when it judges for those that asked it, home or not, seconds:
+        # they have passed over one that it has not.
+        self._judges_until = 0.0
         # Whether others must hear of a change, if this is the home.
         self._tell = False
         # Wakes the loop.
@@ -157,6 +165,8 @@
         reply = self._owner.run(turn)
         if msg.cleared:
             self._tell = True
+        if not msg.copy:
+            self._judges_until = self._clock() + JUDGES_S
         if msg.crashes or msg.cleared:
             self.on_report()
         return reply
@@ -182,17 +192,17 @@
         self._object()
         heard = self._tell_home()
         is_home = self._homes.is_home(HOME)
+        now = self._clock()
         # Only the home has the reports of all VMs; judged by one VM's alone, a
         # request may be blamed for an end that others' reports explain.
-        judges = is_home or not heard
-        if judges and self._owner.run(
+        is_asked = is_home or now < self._judges_until
+        if (is_asked or not heard) and self._owner.run(
             lambda state, now: state.verdicts.judge(now)
         ):
             self._tell = True
-        if self._tell and is_home:
+        if self._tell and is_asked:
             self._tell = False
             self._tell_all()
-        now = self._clock()
         if is_home and now >= self._save_at:
             self._save_at = now + SAVE_S
             self._save()
@@ -266,6 +276,11 @@
         msg = messages.CrashReports(
             crashes=_aged(sent, self._clock()), cleared=tuple(cleared)
         )
+        if sent:
+            # Else they would end with a home that reports to itself.
+            heirs = self._homes.heirs(HOME, HEIRS)
+            copy = msgspec.structs.replace(msg, copy=True)
+            self._peers.ask_all(heirs, copy, ANSWER_S)
         reply = self._homes.ask(HOME, msg, (messages.Quarantined,), ANSWER_S)
         if reply is not None:
             self.take(reply)
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -475,14 +475,14 @@
         # notice the end of this process, it would wait for it first.
         needs_home = isinstance(
             msg,
-            messages.AskPlace
-            | messages.AskCredit
-            | messages.AskSends
-            | messages.CrashReports,
+            messages.AskPlace | messages.AskCredit | messages.AskSends,
         )
         if needs_home and self._fitness.reason():
             return messages.Fail(code=self._fitness.reason())
-        if isinstance(msg, messages.AskRecords) and self._stopping.is_set():
+        needs_life = isinstance(
+            msg, messages.AskRecords | messages.CrashReports
+        )
+        if needs_life and self._stopping.is_set():
             return messages.Fail(code='stopping')
         handler = self._handlers.get(type(msg))
         if handler is not None:
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -266,6 +266,29 @@
     sites.until(known, 6.0)
 
 
+def test_reports_outlive_a_home_that_made_them(site: _Site) -> None:
+    """Guards against reports that end with a VM that is their home as well."""
+    site.start_routers(3)
+    at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
+    home = site.routers.pop(at_home.index(True))
+    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
+    for server in ('x1', 'x2'):
+        found = msgspec.structs.replace(ended, id=server)
+        home._quarantining.crashed(found, 7, ran_s=0.01)
+    time.sleep(1.0)
+    home.close()
+    found = msgspec.structs.replace(ended, id='x3')
+    site.routers[0]._quarantining.crashed(found, 7, ran_s=0.01)
+
+    def known() -> bool:
+        return all(
+            7 in router._state.verdicts.quarantine.held(0.0)
+            for router in site.routers
+        )
+
+    sites.until(known, 6.0)
+
+
 def test_a_request_that_ends_prefill_workers_is_stopped_too(
     site: _Site,
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -34,7 +34,8 @@
     assert soak.play(seed) == []
 
 
-@pytest.mark.parametrize('seed', [1, 2])
+# 7026: a killed router was the home of reports and had made two of three itself.
+@pytest.mark.parametrize('seed', [1, 2, 7026])
 def test_a_bad_request_is_stopped_beside_other_faults(seed: int) -> None:
     """Guards against workers ended on and on while routers and store fail."""
     assert soak.play(seed, ends=True) == []
