Whoever judges for a home that is gone saves the verdict too

Traced: a router judged, since another had asked it, and took a killed one for the home, which alone saves; then all routers were started again, and two that stopped by plan tell nobody anything. The test of it failed before and passes.

--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -105,8 +105,8 @@
         # The home that has heard of all own reports.
         self._home = 0
         self._save_at = 0.0
-        # Until when it judges for those that asked it, home or not, seconds:
-        # they have passed over one that it has not.
+        # Until when it judges, tells and saves for those that asked it, home or
+        # not, seconds: they have passed over one that it has not.
         self._judges_until = 0.0
         # Whether others must hear of a change, if this is the home.
         self._tell = False
@@ -203,7 +203,7 @@
         if self._tell and is_asked:
             self._tell = False
             self._tell_all()
-        if is_home and now >= self._save_at:
+        if is_asked and now >= self._save_at:
             self._save_at = now + SAVE_S
             self._save()
 
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -13,6 +13,7 @@
 import msgspec
 import pytest
 
+from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildaled import quarantining
 from tests import site as sites
@@ -289,6 +290,19 @@
     sites.until(known, 6.0)
 
 
+def test_who_judges_for_a_home_that_is_gone_saves_too(site: _Site) -> None:
+    """Guards against a verdict that ends with the VMs, since no home saved it."""
+    site.start_routers(3)
+    at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
+    site.routers.pop(at_home.index(True)).close()
+    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
+    for server in ('x1', 'x2', 'x3'):
+        found = msgspec.structs.replace(ended, id=server)
+        site.routers[0]._quarantining.crashed(found, 7, ran_s=0.01)
+    key = f'held/{fingerprint.text(7)}'
+    sites.until(lambda: key in site.store.keys('keyed.entryvms'), 6.0)
+
+
 def test_a_request_that_ends_prefill_workers_is_stopped_too(
     site: _Site,
 ) -> None:
