A late event of a closed connection ends no watch of the one that has its descriptor

The caller before it had just closed; the watcher had the event of that descriptor, was held up on the busy machine, and took it for the connection that had the same descriptor by then. The watcher now looks at the connection that has the descriptor.

--- a/packages/adapters/foxtaildale_adapters/hangups.py
+++ b/packages/adapters/foxtaildale_adapters/hangups.py
@@ -26,7 +26,6 @@
 PROBE_S: Final = 1.0
 # TCP keepalive: idle time, time between probes (both seconds), and probes.
 _KEEPALIVE: Final = (10, 5, 3)
-_RESET: Final = select.EPOLLERR | select.EPOLLHUP
 
 
 def keep_alive(sock: socket.socket) -> None:
@@ -38,7 +37,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, count)
 
 
-def look(sock: socket.socket) -> tuple[bool, bool]:
+def look(sock: socket.socket | int) -> tuple[bool, bool]:
     """Returns whether a socket was reset, and whether a FIN came."""
     poll = select.poll()
     try:
@@ -151,23 +150,25 @@
         next_probe = self._clock() + PROBE_S
         while not self._closing:
             wait_s = max(0.0, next_probe - self._clock())
-            for fd, flags in self._epoll.poll(wait_s):
+            for fd, _ in self._epoll.poll(wait_s):
                 if fd == self._wake.fileno():
                     self._wake.clear()
                 else:
-                    self._notice(fd, flags)
+                    self._notice(fd)
             if self._clock() >= next_probe:
                 self._probe_all()
                 next_probe = self._clock() + PROBE_S
 
-    def _notice(self, fd: int, flags: int) -> None:
+    def _notice(self, fd: int) -> None:
         with self._lock:
             watched = self._watched.get(fd)
-        if watched is None:
-            return
-        if flags & _RESET:
+            if watched is None:
+                return
+            # The event may be of a connection that had the descriptor before.
+            reset, fin = look(fd)
+        if reset:
             self._end(fd, watched)
-        elif flags & select.EPOLLRDHUP:
+        elif fin:
             watched.fin = True
             self._probe(fd, watched)
 
