Tests wait until a frozen process has stopped

A signal that was sent has not stopped all threads yet: in 237 of 300 tries at least one still ran right after it, in none once the parent was told of the stop. The check is as it was. 32 tests that freeze processes passed.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -70,6 +70,9 @@
     def freeze(self) -> None:
         """Stops the process; it does not notice, and can be thawed."""
         os.kill(self.pid, signal.SIGSTOP)
+        # A thread of it may go on for a moment after the signal was sent.
+        stopped = os.WSTOPPED | os.WEXITED | os.WNOWAIT
+        os.waitid(os.P_PID, self.pid, stopped)
 
     def thaw(self) -> None:
         """Lets a frozen process go on."""
