--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -10,7 +10,6 @@
 import threading
 import time
 
-import msgspec
 import pytest
 
 from foxtaildale import fingerprint
@@ -101,6 +100,13 @@
             self.ask(f'/{kind}{_BAD}', number)
         return self.arrivals() - before
 
+    def all_hold(self, request: int) -> bool:
+        """Whether all entry VMs hold a request, by its fingerprint."""
+        return all(
+            request in router._state.verdicts.quarantine.held(0.0)
+            for router in self.routers
+        )
+
     def start_routers(self, count: int) -> None:
         for _ in range(count):
             self.router(seeds=tuple(self.peers[:1]), retry_burst=60.0)
@@ -115,6 +121,15 @@
         super().close()
 
 
+def _report(vm: quarantining.Quarantining, request: int, *servers: str) -> None:
+    """Has an entry VM report that servers ended under a request."""
+    for server in servers:
+        ended = forwarding.Backend(
+            id=server, service='plain', address='127.0.0.1:1'
+        )
+        vm.crashed(ended, request, ran_s=0.01)
+
+
 @pytest.fixture
 def site() -> Iterator[_Site]:
     made = _Site()
@@ -223,13 +238,8 @@
         for number in range(3)
         if number != home
     )
-    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
-    for server in ('x1', 'x2', 'x3', 'x4'):
-        found = msgspec.structs.replace(ended, id=server)
-        other.crashed(found, 8, ran_s=0.01)
-    for server in ('x1', 'x2', 'x3'):
-        found = msgspec.structs.replace(ended, id=server)
-        one.crashed(found, 7, ran_s=0.01)
+    _report(other, 8, 'x1', 'x2', 'x3', 'x4')
+    _report(one, 7, 'x1', 'x2', 'x3')
 
     def held(number: int) -> set[int]:
         state = site.routers[number]._state
@@ -244,27 +254,17 @@
     """Guards against reports that end with the VM that had them."""
     site.start_routers(3)
     reporter = site.routers[0]._quarantining
-    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
-    for server in ('x1', 'x2'):
-        found = msgspec.structs.replace(ended, id=server)
-        reporter.crashed(found, 7, ran_s=0.01)
+    _report(reporter, 7, 'x1', 'x2')
     time.sleep(1.0)
     for router in site.routers[1:]:
         router.close()
     del site.routers[1:]
     site.start_routers(1)
     # One more, reported by another VM: the home must add up all three.
-    found = msgspec.structs.replace(ended, id='x3')
     other = site.routers[1]._quarantining
-    other.crashed(found, 7, ran_s=0.01)
+    _report(other, 7, 'x3')
 
-    def known() -> bool:
-        return all(
-            7 in router._state.verdicts.quarantine.held(0.0)
-            for router in site.routers
-        )
-
-    sites.until(known, 6.0)
+    sites.until(lambda: site.all_hold(7), 6.0)
 
 
 def test_reports_outlive_a_home_that_made_them(site: _Site) -> None:
@@ -272,22 +272,12 @@
     site.start_routers(3)
     at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
     home = site.routers.pop(at_home.index(True))
-    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
-    for server in ('x1', 'x2'):
-        found = msgspec.structs.replace(ended, id=server)
-        home._quarantining.crashed(found, 7, ran_s=0.01)
+    _report(home._quarantining, 7, 'x1', 'x2')
     time.sleep(1.0)
     home.close()
-    found = msgspec.structs.replace(ended, id='x3')
-    site.routers[0]._quarantining.crashed(found, 7, ran_s=0.01)
-
-    def known() -> bool:
-        return all(
-            7 in router._state.verdicts.quarantine.held(0.0)
-            for router in site.routers
-        )
+    _report(site.routers[0]._quarantining, 7, 'x3')
 
-    sites.until(known, 6.0)
+    sites.until(lambda: site.all_hold(7), 6.0)
 
 
 def test_who_judges_for_a_home_that_is_gone_saves_too(site: _Site) -> None:
@@ -295,10 +285,7 @@
     site.start_routers(3)
     at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
     site.routers.pop(at_home.index(True)).close()
-    ended = forwarding.Backend(id='x', service='plain', address='127.0.0.1:1')
-    for server in ('x1', 'x2', 'x3'):
-        found = msgspec.structs.replace(ended, id=server)
-        site.routers[0]._quarantining.crashed(found, 7, ran_s=0.01)
+    _report(site.routers[0]._quarantining, 7, 'x1', 'x2', 'x3')
     key = f'held/{fingerprint.text(7)}'
     sites.until(lambda: key in site.store.keys('keyed.entryvms'), 6.0)
 
