Read what servers say of leaving and rest, and log it; nothing follows yet

The logs could not tell whether a header was never read, forgotten, or came too late. Server-Leaving and the Retry-After of a 503 are decoded beside the limit and the load (forwarding.Said), and have a line each. Like the limit they are for this VM, so callers don't get them.

--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -93,16 +93,27 @@
     slots: int
 
 
+class Said(msgspec.Struct, frozen=True, kw_only=True):
+    """What a backend server says of itself with an answer."""
+
+    load: Load | None = None
+    # Requests a second that the server takes from all entry VMs together; None
+    # if it names no limit.
+    limit: float | None = None
+    # Whether it leaves, and takes no new work.
+    leaving: bool = False
+    # For how long it wants no requests from this entry VM, seconds; None if it
+    # does not say.
+    rest_s: float | None = None
+
+
 class Head(msgspec.Struct, frozen=True, kw_only=True):
     """Status and headers of a backend server's answer."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
     ran: Ran = 'maybe'
-    load: Load | None = None
-    # Requests a second that the server takes from all entry VMs together; None
-    # if it names no limit.
-    limit: float | None = None
+    said: Said = Said()
     # Whether the answer is for the request that was sent.
     matches: bool = True
     # Id of the server that answered; empty if it does not say.
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -222,9 +222,20 @@
             ('server', 'limit', 'before'),
         ),
         (
-            'limit not readable',
-            'a server named a limit that is no number: {limit}',
-            ('limit',),
+            'header not readable',
+            'the header {header} of a server is no number: {text}',
+            ('header', 'text'),
+        ),
+        (
+            'leave announced',
+            '{server} says that it leaves, heard from {source}',
+            ('server', 'born', 'service', 'source'),
+        ),
+        (
+            'rest asked',
+            '{server} wants nothing from this VM for {rest_s} s, heard from'
+            ' {source}',
+            ('server', 'born', 'service', 'rest_s', 'source'),
         ),
         (
             'request held',
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -268,7 +268,7 @@
                 state.plain_failed(server.id, now)
             else:
                 state.experience.note(server.id, failed=False)
-                state.fleet.answered(server.id, now, head.load, took_s)
+                state.fleet.answered(server.id, now, head.said.load, took_s)
 
         self._owner.run(turn)
 
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -218,7 +218,9 @@
             spot.decode_s = self._clock() - began
             spot.events = (answer.splitter.position or 0) - before
         self._owner.run(
-            lambda state, now: state.fleet.answered(server.id, now, head.load)
+            lambda state, now: state.fleet.answered(
+                server.id, now, head.said.load
+            )
         )
         return True
 
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -187,7 +187,7 @@
         took_s = self._clock() - began
         self._owner.run(
             lambda state, now: state.fleet.answered(
-                server.id, now, head.load, took_s
+                server.id, now, head.said.load, took_s
             )
         )
         req.log('prefilled', server=server.id, took_ms=int(took_s * 1000))
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -42,6 +42,7 @@
 from foxtaildaled import prompts
 from foxtaildaled import quarantining
 from foxtaildaled import router
+from foxtaildaled import selfreports
 from foxtaildaled import sendlimits
 from foxtaildaled import sends
 from foxtaildaled import spots
@@ -198,7 +199,9 @@
             store=made.store,
             decode=made.decode,
             workers=watched.Workers(
-                made.workers, running, self._send_limits.told
+                made.workers,
+                running,
+                selfreports.SelfReports(self._send_limits).hear,
             ),
         )
         self._tidy = tidy.Tidy(made.workers)
--- a/packages/daemon/foxtaildaled/watched.py
+++ b/packages/daemon/foxtaildaled/watched.py
@@ -1,7 +1,7 @@
 """Watches requests on their way, for what concerns their backend server.
 
-Ends those to a backend server that started again, and takes the limits that servers
-name in their answers.
+Ends those to a backend server that started again, and takes what servers say of
+themselves in their answers.
 
 A server that loses power says nothing on its connections. What a caller waits
 for there never comes, and a request that may not go on elsewhere would be held
@@ -16,8 +16,8 @@
 from foxtaildale import forwarding
 from foxtaildale import ports
 
-# Takes what an answer of a server says of its limit, requests a second.
-OnLimit = Callable[[forwarding.Backend, float | None], None]
+# Takes what an answer of a server says of it.
+OnSaid = Callable[[forwarding.Backend, forwarding.Said], None]
 
 
 class Running:
@@ -62,19 +62,19 @@
 class _Watched:
     """A flight that is registered while it lasts; a `ports.Flight`."""
 
-    __slots__ = ('_flight', '_on_limit', '_running', 'server')
+    __slots__ = ('_flight', '_on_said', '_running', 'server')
 
     def __init__(
         self,
         flight: ports.Flight,
         server: forwarding.Backend,
         running: Running,
-        on_limit: OnLimit,
+        on_said: OnSaid,
     ) -> None:
         self.server = server
         self._flight = flight
         self._running = running
-        self._on_limit = on_limit
+        self._on_said = on_said
         running.add(self)
 
     def send(self, timeout_s: float) -> None:
@@ -83,7 +83,7 @@
     def head(self, timeout_s: float) -> forwarding.Head:
         head = self._flight.head(timeout_s)
         if head.matches and not head.replaces(self.server.id):
-            self._on_limit(self.server, head.limit)
+            self._on_said(self.server, head.said)
         return head
 
     def read(self, timeout_s: float) -> bytes:
@@ -100,19 +100,19 @@
 class Workers:
     """Backend servers whose flights are registered; a `ports.Workers`."""
 
-    __slots__ = ('_on_limit', '_running', '_workers')
+    __slots__ = ('_on_said', '_running', '_workers')
 
     def __init__(
-        self, workers: ports.Workers, running: Running, on_limit: OnLimit
+        self, workers: ports.Workers, running: Running, on_said: OnSaid
     ) -> None:
         self._workers = workers
         self._running = running
-        self._on_limit = on_limit
+        self._on_said = on_said
 
     def _watch(
         self, flight: ports.Flight, server: forwarding.Backend
     ) -> _Watched:
-        return _Watched(flight, server, self._running, self._on_limit)
+        return _Watched(flight, server, self._running, self._on_said)
 
     def plain(
         self,
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -22,6 +22,7 @@
     'prompts',
     'quarantining',
     'router',
+    'selfreports',
     'sendlimits',
     'routing',
     'spots',
--- a/tests/test_sendlimits_path.py
+++ b/tests/test_sendlimits_path.py
@@ -166,4 +166,6 @@
     text: str | None, limit: float | None
 ) -> None:
     """Guards against a server spared, or flooded, for a header of garbage."""
-    assert platform_workers._limit(text) == limit
+    headers = {} if text is None else {'server-limit': text}
+    said = platform_workers._said(200, headers)
+    assert said.limit == limit
