--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -136,6 +136,7 @@
         '_quarantining',
         '_readiness',
         '_responder',
+        '_self_reports',
         '_send_limits',
         '_server',
         '_state',
@@ -194,6 +195,7 @@
             addresses=lambda: owner.run(lambda state, _: state.peers()),
             clock=clock,
         )
+        self._self_reports = selfreports.SelfReports(self._send_limits)
         made = Adapters(
             codec=made.codec,
             store=made.store,
@@ -201,7 +203,7 @@
             workers=watched.Workers(
                 made.workers,
                 running,
-                selfreports.SelfReports(self._send_limits).hear,
+                self._self_reports.hear,
             ),
         )
         self._tidy = tidy.Tidy(made.workers)
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -38,8 +38,16 @@
         self.on_prefill: Callable[[serving.Request], None] = lambda _: None
         # Requests a second that it says it takes from all routers together.
         self.limit: float | None = None
-        # When requests came, refused ones as well, seconds.
+        # Whether its answers say that it leaves, and for how long it wants nothing
+        # more from a router that it refuses, seconds.
+        self.leaving = False
+        self.rest_s: float | None = None
+        # When it started, Unix milliseconds.
+        self.born = 0
+        self._beats = 0
+        # When requests came, refused ones as well, seconds, and their ids.
         self.came_at: list[float] = []
+        self.came: list[tuple[float, str]] = []
         self._lock = threading.Lock()
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
@@ -55,7 +63,8 @@
         )
 
     def entry(self, state: str = 'ready') -> dict[str, object]:
-        """Returns its entry in the list."""
+        """Returns its entry in the list, as it writes it next."""
+        self._beats += 1
         return {
             'service': self.service,
             'address': self.address,
@@ -65,7 +74,8 @@
             'slots': 8,
             'state': state,
             'stage': self.stage,
-            'seq_no': 1,
+            'seq_no': self._beats,
+            'born': self.born,
         }
 
     def ids(self) -> list[str]:
@@ -79,7 +89,10 @@
 
     def _handle(self, req: serving.Request) -> serving.Response:
         if req.path == '/api/hold-take':
-            return serving.as_json({'hold': 'h1'})
+            if self.refuse:
+                return serving.Response(status=503, headers=self._said())
+            hold = json.dumps({'hold': 'h1'}).encode()
+            return serving.Response(hold, headers=self._said())
         if req.path == '/api/order':
             return self._order(req)
         if req.path.startswith('/api/'):
@@ -96,10 +109,9 @@
     def _run(self, req: serving.Request) -> serving.Response:
         attempt = req.headers.get(_ATTEMPT.lower(), '')
         expected = req.headers.get('foxtaildale-expect-instance')
-        mine: tuple[tuple[str, str], ...] = ((_ATTEMPT, attempt),)
-        if self.limit is not None:
-            mine = (*mine, ('Server-Limit', str(self.limit)))
+        mine = ((_ATTEMPT, attempt), *self._said())
         self.came_at.append(time.monotonic())
+        self.came.append((self.came_at[-1], attempt))
         if expected not in (None, self.name):
             self.missed += 1
             found = (*mine, ('Foxtaildale-Instance-Id', self.name))
@@ -118,6 +130,16 @@
             return serving.Response(json.dumps(body).encode(), headers=mine)
         return self._answer(req, attempt, mine)
 
+    def _said(self) -> tuple[tuple[str, str], ...]:
+        found: list[tuple[str, str]] = []
+        if self.limit is not None:
+            found.append(('Server-Limit', str(self.limit)))
+        if self.leaving:
+            found.append(('Server-Leaving', '1'))
+        if self.refuse and self.rest_s is not None:
+            found.append(('Retry-After', str(self.rest_s)))
+        return tuple(found)
+
     def _answer(
         self,
         req: serving.Request,
