One way in for what servers say of themselves

Cause of the class: the limit came in by a callback of its own, the load and a refusal were noted by plain requests, prefills and streams each by itself, for plain ones only behind the body and for streams at their end (with the load of their beginning), and answers to reservations, handles and orders told nothing. So each new header had to be found three times, or was not.

Calls that carry no request return a forwarding.Reply. Plain sends note their end and result in one turn of the actor, so a request costs as many turns as before.

--- a/packages/adapters/foxtaildale_adapters/exchange.py
+++ b/packages/adapters/foxtaildale_adapters/exchange.py
@@ -40,10 +40,11 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """Status and body of an HTTP answer."""
+    """Status, body and headers of an HTTP answer."""
 
     status: int
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class TimeoutLostError(errors.AnswerLostError):
@@ -130,7 +131,7 @@
         except (TimeoutLostError, SilentError):
             self._drop(address)
             raise
-        return Answer(resp.status, data)
+        return Answer(resp.status, data, tuple(resp.headers.items()))
 
     def _read(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
         chunks: list[bytes] = []
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -272,23 +272,41 @@
         self,
         server: str,
         now: float,
-        load: forwarding.Load | None,
         took_s: float | None = None,
     ) -> None:
-        """Takes a good answer, with the load that it told."""
+        """Takes a good answer."""
         tally = self._tallies.get(server)
         if tally is None:
             return
-        if load is not None:
-            tally.load = load
-            tally.load_at = now
-            tally.load_mine = tally.in_flight
         if took_s is not None:
             old_s = tally.took_s or took_s
             tally.took_s = old_s + _SPEED_SHARE * (took_s - old_s)
         tally.faults = tally.faults_now(now) * 0.5
         tally.fault_at = now
 
+    def loaded(
+        self,
+        server: str,
+        now: float,
+        load: forwarding.Load,
+        *,
+        streams: bool = False,
+    ) -> None:
+        """Takes the load that an answer told.
+
+        Args:
+            server: The server's id.
+            now: Seconds.
+            load: What it said.
+            streams: Whether it is still at work on what it answered.
+        """
+        tally = self._tallies.get(server)
+        if tally is None:
+            return
+        tally.load = load
+        tally.load_at = now
+        tally.load_mine = max(0, tally.in_flight - (not streams))
+
     def failed(self, server: str, now: float) -> None:
         """Takes a reset, a garbled answer, silence or an error."""
         tally = self._tallies.get(server)
@@ -316,12 +334,16 @@
         if tally is not None:
             tally.full_until = now + FULL_S
 
-    def not_run(self, server: str, now: float, head: forwarding.Head) -> None:
+    def not_run(self, server: str, now: float, *, misdirected: bool) -> None:
         """Takes a promise that a request did not run.
 
-        Either another server has this one's address now, or it had no room.
+        Args:
+            server: The server's id.
+            now: Seconds.
+            misdirected: Whether another server has its address now; else it had
+                no room.
         """
-        if head.misdirected:
+        if misdirected:
             tally = self._tallies.get(server)
             if tally is not None:
                 tally.misdirected_until = now + MISDIRECTED_S
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -15,6 +15,8 @@
 Ran = Literal['no', 'maybe']
 # Status of a server that is not the one that the request was meant for.
 MISDIRECTED: Final = 421
+# Status of a server that turns a request away.
+UNAVAILABLE: Final = 503
 
 
 class Backend(msgspec.Struct, frozen=True, kw_only=True):
@@ -107,23 +109,29 @@
     rest_s: float | None = None
 
 
-class Head(msgspec.Struct, frozen=True, kw_only=True):
-    """Status and headers of a backend server's answer."""
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
+    """What answers of every kind tell of their backend server."""
 
     status: int
-    headers: tuple[tuple[str, str], ...]
-    ran: Ran = 'maybe'
     said: Said = Said()
-    # Whether the answer is for the request that was sent.
-    matches: bool = True
     # Id of the server that answered; empty if it does not say.
     server: str = ''
 
+    @property
+    def ok(self) -> bool:
+        """Whether it is a success."""
+        return 200 <= self.status < 300
+
     @property
     def misdirected(self) -> bool:
         """Whether another server than the one that was meant answered."""
         return self.status == MISDIRECTED
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the server did not do what was asked, and won't."""
+        return self.status in (MISDIRECTED, UNAVAILABLE)
+
     def replaces(self, server: str) -> bool:
         """Whether another server answered at the address of one that is gone.
 
@@ -131,10 +139,26 @@
         """
         return self.misdirected and bool(self.server) and self.server != server
 
+
+class Head(Answer, frozen=True, kw_only=True):
+    """Status and headers of a backend server's answer to a request."""
+
+    headers: tuple[tuple[str, str], ...]
+    ran: Ran = 'maybe'
+    # Whether the answer is for the request that was sent.
+    matches: bool = True
+
     @property
-    def ok(self) -> bool:
-        """Whether it is a success."""
-        return 200 <= self.status < 300
+    def not_run(self) -> bool:
+        """Whether the server promises that the request did not run."""
+        return self.ran == 'no'
+
+
+class Reply(Answer, frozen=True, kw_only=True):
+    """A backend server's answer to a call that carries no request."""
+
+    # What was asked for: the name of a reservation, or what came of an order.
+    text: str = ''
 
 
 class Prefilled(msgspec.Struct, frozen=True):
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -203,13 +203,13 @@
 
     def reserve(
         self, server: forwarding.Backend, tokens: int, ttl_s: float
-    ) -> str:
-        """Reserves a slot and memory; returns its name, empty if full."""
+    ) -> forwarding.Reply:
+        """Reserves a slot and memory; the reply's text names the reservation."""
 
-    def release(self, reserved: forwarding.Reserved) -> None:
+    def release(self, reserved: forwarding.Reserved) -> forwarding.Reply:
         """Gives up a reservation that was not used."""
 
-    def free(self, prefilled: forwarding.Prefilled) -> None:
+    def free(self, prefilled: forwarding.Prefilled) -> forwarding.Reply:
         """Frees a prefilled prompt that was not taken."""
 
     def order_stage(
@@ -218,8 +218,8 @@
         stage: forwarding.Stage,
         holder: str,
         fence: int,
-    ) -> str:
-        """Orders an engine to do another stage; returns what it said.
+    ) -> forwarding.Reply:
+        """Orders an engine to do another stage; the text is what it said.
 
         Args:
             server: The engine.
--- a/packages/daemon/foxtaildaled/balancing.py
+++ b/packages/daemon/foxtaildaled/balancing.py
@@ -130,7 +130,7 @@
         try:
             answer = self._workers.order_stage(
                 server, change.stage, self._entry_vm, fence
-            )
+            ).text
         except errors.PortError as exc:
             answer = str(exc)
         logs.event(
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -230,27 +230,23 @@
         )
         self._owner.run(lambda state, _: state.fleet.sent(server.id))
         began = self._clock()
+        head: forwarding.Head | None = None
         try:
             req.attach(flight)
             flight.send(left_s)
             head = flight.head(self._patience(req, sent))
             if not head.matches:
                 raise errors.AnswerLostError('answer to another request')
-            whole = _Whole(head, _read(flight, req))
+            return _Whole(head, _read(flight, req))
         except errors.PortError as exc:
             req.log('send failed', server=server.id, error=str(exc))
             self._breaks.note(req, server, exc, began_at=began)
-            if not req.gone.is_set():
-                self._owner.run(
-                    lambda state, now: state.plain_failed(server.id, now)
-                )
+            head = None
             return exc
         finally:
             req.attach(None)
             flight.close()
-            self._owner.run(lambda state, _: state.fleet.ended(server.id))
-        self._note(server, whole.head, self._clock() - began)
-        return whole
+            self._note(req, server, head, self._clock() - began)
 
     def _patience(self, req: passage.Passage, sent: int) -> float:
         left_s = req.left_s()
@@ -259,16 +255,26 @@
         return min(left_s, max(STALLED_S, STALLED_TARGETS * req.route.target_s))
 
     def _note(
-        self, server: forwarding.Backend, head: forwarding.Head, took_s: float
+        self,
+        req: passage.Passage,
+        server: forwarding.Backend,
+        head: forwarding.Head | None,
+        took_s: float,
     ) -> None:
+        """Notes the end of a send; the head is None if no whole answer came."""
+
         def turn(state: beliefs.Beliefs, now: float) -> None:
-            if head.ran == 'no':
-                state.fleet.not_run(server.id, now, head)
+            state.fleet.ended(server.id)
+            if head is None:
+                if not req.gone.is_set():
+                    state.plain_failed(server.id, now)
+            elif head.ran == 'no':
+                return
             elif head.status >= 500:
                 state.plain_failed(server.id, now)
             else:
                 state.experience.note(server.id, failed=False)
-                state.fleet.answered(server.id, now, head.said.load, took_s)
+                state.fleet.answered(server.id, now, took_s)
 
         self._owner.run(turn)
 
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -185,9 +185,9 @@
             head_at = self._clock()
             if head.ran == 'no':
                 spot.refused = not head.misdirected
-                self._spots.not_run(req, server, head)
                 req.log('not run', server=server.id, status=head.status)
                 if head.replaces(server.id):
+                    self._spots.replaced(req, server)
                     # It never reached the server that it was sent to.
                     sent.remove(server.id)
                     return False
@@ -217,11 +217,7 @@
             flight.close()
             spot.decode_s = self._clock() - began
             spot.events = (answer.splitter.position or 0) - before
-        self._owner.run(
-            lambda state, now: state.fleet.answered(
-                server.id, now, head.said.load
-            )
-        )
+        self._owner.run(lambda state, now: state.fleet.answered(server.id, now))
         return True
 
     def _relay(
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -24,10 +24,9 @@
 HANDLE_PART: Final = 0.7
 
 
-# Takes the failure of a server under a request, and its promise that it did not
-# run one.
-Failed = Callable[[passage.Passage, forwarding.Backend], None]
-NotRun = Callable[[passage.Passage, forwarding.Backend, forwarding.Head], None]
+# Takes the failure of a server under a request, or that another one has its
+# address.
+OnServer = Callable[[passage.Passage, forwarding.Backend], None]
 
 
 class Prompts:
@@ -37,8 +36,8 @@
         '_breaks',
         '_clock',
         '_failed',
-        '_not_run',
         '_owner',
+        '_replaced',
         '_send_limits',
         '_sends',
         '_workers',
@@ -53,8 +52,8 @@
         send_limits: sendlimits.SendLimits,
         broken: breaks.Breaks,
         clock: ports.Clock,
-        failed: Failed,
-        not_run: NotRun,
+        failed: OnServer,
+        replaced: OnServer,
     ) -> None:
         self._owner = owner
         self._workers = workers
@@ -63,7 +62,7 @@
         self._breaks = broken
         self._clock = clock
         self._failed = failed
-        self._not_run = not_run
+        self._replaced = replaced
 
     def read(
         self, req: passage.Passage, spot: attempt.Spot, answer: attempt.Answer
@@ -167,7 +166,8 @@
             head = flight.head(left_s)
             body = read_small(flight, left_s)
             if head.ran == 'no':
-                self._not_run(req, server, head)
+                if head.replaces(server.id):
+                    self._replaced(req, server)
                 req.log('prefill refused', server=server.id, status=head.status)
                 return None
             if not (head.ok and head.matches):
@@ -186,9 +186,7 @@
             self._owner.run(lambda state, _: state.fleet.ended(server.id))
         took_s = self._clock() - began
         self._owner.run(
-            lambda state, now: state.fleet.answered(
-                server.id, now, head.said.load, took_s
-            )
+            lambda state, now: state.fleet.answered(server.id, now, took_s)
         )
         req.log('prefilled', server=server.id, took_ms=int(took_s * 1000))
         name = req.service.name
--- a/packages/daemon/foxtaildaled/routing.py
+++ b/packages/daemon/foxtaildaled/routing.py
@@ -195,7 +195,7 @@
             addresses=lambda: owner.run(lambda state, _: state.peers()),
             clock=clock,
         )
-        self._self_reports = selfreports.SelfReports(self._send_limits)
+        self._self_reports = selfreports.SelfReports(owner, self._send_limits)
         made = Adapters(
             codec=made.codec,
             store=made.store,
@@ -203,7 +203,7 @@
             workers=watched.Workers(
                 made.workers,
                 running,
-                self._self_reports.hear,
+                self._self_reports,
             ),
         )
         self._tidy = tidy.Tidy(made.workers)
@@ -416,7 +416,7 @@
                 broken=broken,
                 clock=clock,
                 failed=finder.failed,
-                not_run=finder.not_run,
+                replaced=finder.replaced,
             ),
             tidy=self._tidy,
             broken=broken,
--- a/packages/daemon/foxtaildaled/selfreports.py
+++ b/packages/daemon/foxtaildaled/selfreports.py
@@ -1,23 +1,71 @@
-"""Takes what backend servers say of themselves in their answers."""
+"""Takes what backend servers say of themselves in their answers.
+
+The one way in for answers of every kind, as soon as their head is there: what a
+server says holds for the next send, whatever becomes of the body.
+"""
 
 import logging
 
 from foxtaildale import forwarding
 from foxtaildale_adapters import logs
+from foxtaildaled import actors
+from foxtaildaled import beliefs
 from foxtaildaled import sendlimits
 
 
 class SelfReports:
-    """The one way in for it; safe for concurrent use."""
+    """Safe for concurrent use."""
 
-    __slots__ = ('_send_limits',)
+    __slots__ = ('_owner', '_send_limits')
 
-    def __init__(self, send_limits: sendlimits.SendLimits) -> None:
+    def __init__(
+        self,
+        owner: actors.Owner[beliefs.Beliefs],
+        send_limits: sendlimits.SendLimits,
+    ) -> None:
+        self._owner = owner
         self._send_limits = send_limits
 
-    def hear(self, server: forwarding.Backend, said: forwarding.Said) -> None:
-        """Takes what one answer says of the server that gave it."""
-        self._send_limits.told(server, said.limit)
+    def hear(
+        self,
+        server: forwarding.Backend,
+        answer: forwarding.Head | forwarding.Reply,
+        *,
+        streams: bool = False,
+    ) -> None:
+        """Takes what one answer says of the server that gave it.
+
+        Args:
+            server: Where the call was sent.
+            answer: Its answer.
+            streams: Whether the server is still at work on it.
+        """
+        is_head = isinstance(answer, forwarding.Head)
+        if not answer.replaces(server.id):
+            self._take(server, answer.said, is_whole=is_head)
+        load = answer.said.load
+
+        def turn(state: beliefs.Beliefs, now: float) -> None:
+            if answer.not_run:
+                state.fleet.not_run(
+                    server.id, now, misdirected=answer.misdirected
+                )
+            elif load is not None:
+                state.fleet.loaded(server.id, now, load, streams=streams)
+
+        if answer.not_run or load is not None:
+            self._owner.run(turn)
+
+    def _take(
+        self,
+        server: forwarding.Backend,
+        said: forwarding.Said,
+        *,
+        is_whole: bool,
+    ) -> None:
+        # Only answers to requests are known to name all that holds.
+        if is_whole or said.limit is not None:
+            self._send_limits.told(server, said.limit)
         if said.leaving:
             logs.event(
                 logging.INFO,
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -103,22 +103,15 @@
         self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
         self._plan.report(req.service.name, server.id)
 
-    def not_run(
-        self,
-        req: passage.Passage,
-        server: forwarding.Backend,
-        head: forwarding.Head,
+    def replaced(
+        self, req: passage.Passage, server: forwarding.Backend
     ) -> None:
-        """Takes a server's promise that it did not run a request.
+        """Takes that another server answered at a server's address.
 
-        Where another server answered, the list still names one that is gone;
-        the home would send it everybody's next request until the list is right.
+        The list still names one that is gone; the home would send it everybody's
+        next request until the list is right.
         """
-        self._owner.run(
-            lambda state, now: state.fleet.not_run(server.id, now, head)
-        )
-        if head.replaces(server.id):
-            self._plan.report(req.service.name, server.id, replaced=True)
+        self._plan.report(req.service.name, server.id, replaced=True)
 
     def check(self, req: passage.Passage, sent: list[str]) -> None:
         """Ends a request whose caller or time is gone, or that is held.
@@ -339,12 +332,19 @@
             if not self._send_limits.take(server.id):
                 continue
             try:
-                hold = self._workers.reserve(server, tokens, ttl_s)
+                reply = self._workers.reserve(server, tokens, ttl_s)
             except errors.PortError as exc:
                 req.log('reservation failed', server=server.id, error=str(exc))
                 self.failed(req, server)
                 continue
-            if hold:
+            if reply.status == forwarding.UNAVAILABLE:
+                continue
+            if not reply.ok:
+                error = f'status {reply.status}'
+                req.log('reservation failed', server=server.id, error=error)
+                self.failed(req, server)
+                continue
+            if reply.text:
                 req.log(
                     'reserved',
                     server=server.id,
@@ -353,8 +353,7 @@
                     longest=req.call.output_tokens,
                     hinted=req.call.hinted_tokens,
                 )
-                return forwarding.Reserved(server, hold, tokens)
-            self._full(server)
+                return forwarding.Reserved(server, reply.text, tokens)
         return None
 
     def _decoders(
@@ -379,9 +378,6 @@
 
         return self._owner.run(turn)
 
-    def _full(self, server: forwarding.Backend) -> None:
-        self._owner.run(lambda state, now: state.fleet.full(server.id, now))
-
 
 def _rest(tokens: int, made: int, service: routes.Service) -> int:
     """Returns what is left of a length, tokens; 0 if it is not known."""
--- a/packages/daemon/foxtaildaled/watched.py
+++ b/packages/daemon/foxtaildaled/watched.py
@@ -15,9 +15,7 @@
 
 from foxtaildale import forwarding
 from foxtaildale import ports
-
-# Takes what an answer of a server says of it.
-OnSaid = Callable[[forwarding.Backend, forwarding.Said], None]
+from foxtaildaled import selfreports
 
 
 class Running:
@@ -62,19 +60,19 @@
 class _Watched:
     """A flight that is registered while it lasts; a `ports.Flight`."""
 
-    __slots__ = ('_flight', '_on_said', '_running', 'server')
+    __slots__ = ('_flight', '_hear', '_running', 'server')
 
     def __init__(
         self,
         flight: ports.Flight,
         server: forwarding.Backend,
         running: Running,
-        on_said: OnSaid,
+        hear: Callable[[forwarding.Head], None],
     ) -> None:
         self.server = server
         self._flight = flight
         self._running = running
-        self._on_said = on_said
+        self._hear = hear
         running.add(self)
 
     def send(self, timeout_s: float) -> None:
@@ -82,8 +80,8 @@
 
     def head(self, timeout_s: float) -> forwarding.Head:
         head = self._flight.head(timeout_s)
-        if head.matches and not head.replaces(self.server.id):
-            self._on_said(self.server, head.said)
+        if head.matches:
+            self._hear(head)
         return head
 
     def read(self, timeout_s: float) -> bytes:
@@ -98,21 +96,31 @@
 
 
 class Workers:
-    """Backend servers whose flights are registered; a `ports.Workers`."""
+    """Backend servers whose flights and answers are seen; a `ports.Workers`."""
 
-    __slots__ = ('_on_said', '_running', '_workers')
+    __slots__ = ('_reports', '_running', '_workers')
 
     def __init__(
-        self, workers: ports.Workers, running: Running, on_said: OnSaid
+        self,
+        workers: ports.Workers,
+        running: Running,
+        reports: selfreports.SelfReports,
     ) -> None:
         self._workers = workers
         self._running = running
-        self._on_said = on_said
+        self._reports = reports
 
     def _watch(
-        self, flight: ports.Flight, server: forwarding.Backend
+        self,
+        flight: ports.Flight,
+        server: forwarding.Backend,
+        *,
+        streams: bool = False,
     ) -> _Watched:
-        return _Watched(flight, server, self._running, self._on_said)
+        def hear(head: forwarding.Head) -> None:
+            self._reports.hear(server, head, streams=streams)
+
+        return _Watched(flight, server, self._running, hear)
 
     def plain(
         self,
@@ -148,7 +156,7 @@
         flight = self._workers.decode(
             call, reserved, prefilled, left_s, repeatable=repeatable
         )
-        return self._watch(flight, reserved.worker)
+        return self._watch(flight, reserved.worker, streams=True)
 
     def handle(self, body: bytes) -> str:
         """Returns the handle that the answer of a prefill names."""
@@ -156,17 +164,20 @@
 
     def reserve(
         self, server: forwarding.Backend, tokens: int, ttl_s: float
-    ) -> str:
-        """Reserves a slot and memory; returns its name, empty if full."""
-        return self._workers.reserve(server, tokens, ttl_s)
+    ) -> forwarding.Reply:
+        """Reserves a slot and memory; the reply's text names the reservation."""
+        reply = self._workers.reserve(server, tokens, ttl_s)
+        return self._heard(server, reply)
 
-    def release(self, reserved: forwarding.Reserved) -> None:
+    def release(self, reserved: forwarding.Reserved) -> forwarding.Reply:
         """Gives up a reservation that was not used."""
-        self._workers.release(reserved)
+        reply = self._workers.release(reserved)
+        return self._heard(reserved.worker, reply)
 
-    def free(self, prefilled: forwarding.Prefilled) -> None:
+    def free(self, prefilled: forwarding.Prefilled) -> forwarding.Reply:
         """Frees a prefilled prompt that was not taken."""
-        self._workers.free(prefilled)
+        reply = self._workers.free(prefilled)
+        return self._heard(prefilled.worker, reply)
 
     def order_stage(
         self,
@@ -174,6 +185,13 @@
         stage: forwarding.Stage,
         holder: str,
         fence: int,
-    ) -> str:
-        """Orders an engine to do another stage; returns what it said."""
-        return self._workers.order_stage(server, stage, holder, fence)
+    ) -> forwarding.Reply:
+        """Orders an engine to do another stage; the text is what it said."""
+        reply = self._workers.order_stage(server, stage, holder, fence)
+        return self._heard(server, reply)
+
+    def _heard(
+        self, server: forwarding.Backend, reply: forwarding.Reply
+    ) -> forwarding.Reply:
+        self._reports.hear(server, reply)
+        return reply
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -135,12 +135,12 @@
     state = _state()
     _read(state, _entry(0))
     head = forwarding.Head(status=forwarding.MISDIRECTED, headers=(), ran='no')
-    state.fleet.not_run('i-1', 10.0, head)
+    state.fleet.not_run('i-1', 10.0, misdirected=head.misdirected)
     assert state.fleet.usable('i-1', 10.5) is None
     assert not state.fleet.candidates('s', 10.5, 'prefill')
     assert state.fleet.usable('i-1', 10.0 + fleet.MISDIRECTED_S) is not None
     # What changed is tried at once.
-    state.fleet.not_run('i-1', 20.0, head)
+    state.fleet.not_run('i-1', 20.0, misdirected=head.misdirected)
     _read(state, _entry(1, stage='decode'))
     assert state.fleet.usable('i-1', 20.0) is not None
 
--- a/tests/test_experience.py
+++ b/tests/test_experience.py
@@ -72,7 +72,7 @@
         if lost:
             found.failed(server, now)
         else:
-            found.answered(server, now, None, _WORK_S)
+            found.answered(server, now, _WORK_S)
         if in_fault and once:
             self.sent += 1
             self.lost += lost
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -42,7 +42,7 @@
 
 def test_a_fresh_report_tells_of_the_requests_of_others() -> None:
     found = _fleet('a', 'b')
-    found.answered('a', 0.0, forwarding.Load(running=5, waiting=0, slots=6))
+    found.loaded('a', 0.0, forwarding.Load(running=5, waiting=0, slots=6))
     assert _order(found, 0.1) == ['b', 'a']
 
 
@@ -52,7 +52,7 @@
     Passing it over for longer would load the others for nothing.
     """
     found = _fleet('a', 'b')
-    found.answered('a', 0.0, forwarding.Load(running=5, waiting=0, slots=6))
+    found.loaded('a', 0.0, forwarding.Load(running=5, waiting=0, slots=6))
     found.sent('b')
     assert _order(found, fleet.LOAD_FRESH_S + 0.1) == ['a', 'b']
 
@@ -74,7 +74,7 @@
     found = _fleet('a', 'b', 'c')
     for name, took_s in (('a', 0.5), ('b', 0.06), ('c', 0.06)):
         for _ in range(20):
-            found.answered(name, 0.0, None, took_s)
+            found.answered(name, 0.0, took_s)
     for name in ('b', 'c'):
         for _ in range(3):
             found.sent(name)
@@ -140,7 +140,7 @@
         call('x')
     found.failed('x', 0.0)
     found.full('x', 0.0)
-    found.answered('x', 0.0, None)
+    found.answered('x', 0.0)
     assert _order(found) == ['a']
 
 
@@ -151,5 +151,5 @@
     """Another server has its address, or it had no room for a moment."""
     found = _fleet('a', 'b')
     head = forwarding.Head(status=status, headers=(), ran='no')
-    found.not_run('a', 0.0, head)
+    found.not_run('a', 0.0, misdirected=head.misdirected)
     assert _order(found, 0.01) == left
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -259,7 +259,7 @@
             flight,  # type: ignore[arg-type]
             forwarding.Backend(id='i-1', service='s', address='x:1', born=born),
             running,
-            lambda server, limit: None,
+            lambda _: None,
         )
         for born, flight in flights.items()
     ]
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -248,14 +248,14 @@
     site: sites.Site,
 ) -> None:
     """Guards against a place that was granted before the word came."""
-    said = forwarding.Said(rest_s=_REST_S)
+    answer = forwarding.Reply(status=503, said=forwarding.Said(rest_s=_REST_S))
     router = site.routers[0]
 
     def hear(_: object) -> None:
         for name in ('d1', 'd2'):
             entry = router._state.fleet.tally(name)
             assert entry is not None
-            router._self_reports.hear(entry.backend, said)
+            router._self_reports.hear(entry.backend, answer)
 
     for name in ('p1', 'p2'):
         site.workers[name].on_prefill = hear
