A server that says it leaves gets nothing new, whoever heard it

Callers saw answers; the operators saw requests at a server 2.1 s and later after one of its answers had told the VM that it leaves (DRAIN). Cause: Server-Leaving was read by nobody, and the list can't tell while the store is away.

Leaves are kept beside the list, for one start of a server, so neither the next entry nor a lapsed one ends them. Revisions order what VMs tell one another; they go along with the questions to the reader, as no message of their own. An answer to a request that was sent after the word, or three entries read from the store a second apart, withdraw it. What was granted before the word came is looked at once more before a decode worker gets it, and before a prefill.

Ruled out: the list overwriting the word (it was never kept).

--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -16,7 +16,10 @@
 import random
 from typing import Final
 
+import msgspec
+
 from foxtaildale import forwarding
+from foxtaildale import leaves
 
 # A load report counts for this long, seconds. Requests of plain services take
 # some 60 ms, so an older one says nothing about who runs there now.
@@ -67,6 +70,7 @@
         'full_until',
         'held_tokens',
         'in_flight',
+        'listed',
         'load',
         'load_at',
         'load_mine',
@@ -76,6 +80,8 @@
     )
 
     def __init__(self, backend: forwarding.Backend) -> None:
+        # Its entry in the list, and the same with what it said since.
+        self.listed = backend
         self.backend = backend
         # Requests of this entry VM that it has now, and KV memory of those.
         self.in_flight = 0
@@ -120,7 +126,7 @@
 class Fleet:
     """All backend servers; owned by one actor."""
 
-    __slots__ = ('_born', '_data_centre', '_random', '_tallies')
+    __slots__ = ('_born', '_data_centre', '_random', '_tallies', 'leaves')
 
     # By id.
     _tallies: dict[str, Tally]
@@ -132,6 +138,8 @@
         # Newest start of each server, also of some that are gone; those that
         # wrote last at the end.
         self._born: dict[str, int] = {}
+        # Which servers have said that they leave, also some that are not listed.
+        self.leaves = leaves.Leaves()
 
     def put(self, backend: forwarding.Backend) -> bool:
         """Takes a new or changed entry of the list.
@@ -149,14 +157,25 @@
         self._note_start(backend)
         tally = self._tallies.get(backend.id)
         if tally is None or tally.backend.born < backend.born:
-            self._tallies[backend.id] = Tally(backend)
-            return True
-        if tally.backend != backend:
+            tally = self._tallies[backend.id] = Tally(backend)
+        elif tally.listed != backend:
             tally.misdirected_until = 0.0
-        tally.backend = backend
+        tally.listed = backend
         tally.vanished_at = None
+        self.left(backend.id)
         return True
 
+    def left(self, server: str) -> None:
+        """Takes a change of what is known of a server's leave."""
+        tally = self._tallies.get(server)
+        if tally is not None:
+            listed = tally.listed
+            tally.backend = msgspec.structs.replace(
+                listed,
+                leaving=listed.leaving
+                or self.leaves.leaving(server, listed.born),
+            )
+
     def born(self, server: str) -> int:
         """Returns when the newest start of a server was; 0 if not known."""
         return self._born.get(server, 0)
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -44,6 +44,9 @@
             'longest',
         ),
     ),
+    'place given up': Event(
+        '{server} takes no more since it was given', ('server',)
+    ),
     'reserved': Event(
         'without a plan, {server} reserved {tokens} tokens for it',
         ('server', 'tokens', 'prompt', 'longest', 'hinted'),
@@ -228,8 +231,13 @@
         ),
         (
             'leave announced',
-            '{server} says that it leaves, heard from {source}',
-            ('server', 'born', 'service', 'source'),
+            '{server} has said that it leaves, heard from {source}',
+            ('server', 'born', 'revision', 'source'),
+        ),
+        (
+            'leave withdrawn',
+            '{server} does not leave any more, heard from {source}',
+            ('server', 'born', 'revision', 'source'),
         ),
         (
             'rest asked',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -324,6 +324,8 @@
     # What the asker saw of plain servers since it last asked: requests, and
     # those that failed, by id.
     seen: dict[str, tuple[float, float]] = {}
+    # Which servers it lately learned to leave or to stay (`leaves.Word`), by id.
+    leaves: dict[str, tuple[int, int]] = {}
 
 
 class RecordsReply(Wire, frozen=True):
@@ -344,6 +346,8 @@
     # long, seconds, by fingerprint.
     held: dict[int, float] = {}
     cleared: dict[int, float] = {}
+    # Which servers have said that they leave (`leaves.Word`), by id.
+    leaves: dict[str, tuple[int, int]] = {}
 
 
 class AskPlace(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import logging
 import random
 import time
@@ -14,6 +15,7 @@
 from foxtaildale import experience
 from foxtaildale import fleet
 from foxtaildale import forwarding
+from foxtaildale import leaves
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import ports
@@ -123,6 +125,7 @@
         if self.servers_known:
             self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
         self.fleet.told_failing(reply.failing, now)
+        self._take_leaves(reply.leaves, now)
         self.verdicts.take(now, reply.held, reply.cleared, 'peer')
 
     def reply(
@@ -139,6 +142,7 @@
         ends = {topic: known.end for topic, known in self._mirrors.items()}
         age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
         self.experience.told(now, ask.seen)
+        self._take_leaves(ask.leaves, now)
         return messages.RecordsReply(
             records=records,
             ends=ends,
@@ -147,13 +151,15 @@
             store_lost=self.store_lost(),
             held=self.verdicts.quarantine.held(now),
             cleared=self.verdicts.quarantine.cleared(now),
+            leaves=self.fleet.leaves.words(),
         )
 
-    def ask(self) -> messages.AskRecords:
+    def ask(self, now: float) -> messages.AskRecords:
         """Returns the question for another entry VM."""
         return messages.AskRecords(
             ends={topic: known.end for topic, known in self._mirrors.items()},
             seen=self.experience.news(),
+            leaves=self.fleet.leaves.news(now),
         )
 
     def ask_self(self, now: float) -> None:
@@ -180,6 +186,38 @@
         self.fleet.failed(server, now)
         self.experience.note(server, failed=True)
 
+    def on_leave(
+        self, server: forwarding.Backend, now: float, source: str
+    ) -> None:
+        """Takes that a server leaves."""
+        if self.fleet.leaves.said(now, server.id, server.born):
+            self._leave_changed(server.id, source)
+
+    def on_stay(
+        self, server: forwarding.Backend, now: float, source: str
+    ) -> None:
+        """Takes that a server does not leave any more."""
+        if self.fleet.leaves.withdrawn(now, server.id, server.born):
+            self._leave_changed(server.id, source)
+
+    def _take_leaves(
+        self, words: Mapping[str, leaves.Word], now: float
+    ) -> None:
+        for server in self.fleet.leaves.take(now, words):
+            self._leave_changed(server, 'peer')
+
+    def _leave_changed(self, server: str, source: str) -> None:
+        self.fleet.left(server)
+        born, revision = self.fleet.leaves.words()[server]
+        logs.event(
+            logging.INFO,
+            'leave announced' if revision % 2 else 'leave withdrawn',
+            server=server,
+            born=born,
+            revision=revision,
+            source=source,
+        )
+
     def on_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes changed settings."""
         self._seeds = seeds
@@ -291,7 +329,7 @@
     ) -> bool:
         """Takes a record; returns whether it says something new."""
         tally = self.fleet.tally(entry.key)
-        before = tally.backend if tally is not None else None
+        before = tally.listed if tally is not None else None
         if not entry.value:
             self._unreadable.discard(entry.key)
             if before is None:
@@ -324,6 +362,12 @@
             return True
         if known and backend.born > known:
             self._restart(backend, known, entry.offset, source)
+        if backend.leaving:
+            self.fleet.leaves.said(now, entry.key, backend.born)
+        elif source == 'store' and self.fleet.leaves.listed(
+            now, entry.key, backend.born
+        ):
+            self._leave_changed(entry.key, source)
         if before is None or _differs(before, backend):
             logs.event(
                 logging.INFO,
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -139,6 +139,11 @@
             attempt.check_held(req.held_s())
             if req.caller_gone():
                 raise attempt.Refused(codes.CANCELLED if sent else codes.GONE)
+            if not self._spots.takes(reserved.worker):
+                req.log('place given up', server=reserved.worker.id)
+                answer.unsent = True
+                answer.unopened += 1
+                return False
             used = True
             if reserved.worker.id not in sent:
                 sent.append(reserved.worker.id)
--- a/packages/daemon/foxtaildaled/introductions.py
+++ b/packages/daemon/foxtaildaled/introductions.py
@@ -97,7 +97,7 @@
 
     def _ask(self, seed: str, answer_s: float) -> bool:
         """Asks one; returns whether it knew enough to begin with."""
-        ask = self._owner.run(lambda state, _: state.ask())
+        ask = self._owner.run(lambda state, now: state.ask(now))
         try:
             reply = self._peers.ask(seed, ask, answer_s)
         except errors.PortError as exc:
--- a/packages/daemon/foxtaildaled/prompts.py
+++ b/packages/daemon/foxtaildaled/prompts.py
@@ -135,21 +135,24 @@
         first: forwarding.Backend | None,
     ) -> forwarding.Backend | None:
         """Returns the first that takes a request now, the given one if it does."""
-        if first is not None and self._send_limits.take(first.id):
-            return first
         if not req.service.kv_tokens:
             return None
 
         def turn(
             state: beliefs.Beliefs, now: float
         ) -> list[forwarding.Backend]:
-            found = state.fleet.candidates(
-                req.service.name, now, 'prefill', tried
-            )
-            return [tally.backend for tally in found]
+            found = [
+                tally.backend
+                for tally in state.fleet.candidates(
+                    req.service.name, now, 'prefill', tried
+                )
+            ]
+            if first is not None:
+                found.sort(key=lambda server: server.id != first.id)
+            return found
 
         for server in self._owner.run(turn):
-            if server != first and self._send_limits.take(server.id):
+            if self._send_limits.take(server.id):
                 return server
         return None
 
--- a/packages/daemon/foxtaildaled/selfreports.py
+++ b/packages/daemon/foxtaildaled/selfreports.py
@@ -16,7 +16,7 @@
 class SelfReports:
     """Safe for concurrent use."""
 
-    __slots__ = ('_owner', '_send_limits')
+    __slots__ = ('_leaves', '_owner', '_send_limits')
 
     def __init__(
         self,
@@ -24,6 +24,7 @@
         send_limits: sendlimits.SendLimits,
     ) -> None:
         self._owner = owner
+        self._leaves = owner.run(lambda state, _: state.fleet.leaves)
         self._send_limits = send_limits
 
     def hear(
@@ -31,6 +32,7 @@
         server: forwarding.Backend,
         answer: forwarding.Head | forwarding.Reply,
         *,
+        leave: int = 0,
         streams: bool = False,
     ) -> None:
         """Takes what one answer says of the server that gave it.
@@ -38,11 +40,12 @@
         Args:
             server: Where the call was sent.
             answer: Its answer.
+            leave: What `mark` returned before it was sent.
             streams: Whether the server is still at work on it.
         """
         is_head = isinstance(answer, forwarding.Head)
         if not answer.replaces(server.id):
-            self._take(server, answer.said, is_whole=is_head)
+            self._take(server, answer.said, leave, is_whole=is_head)
         load = answer.said.load
 
         def turn(state: beliefs.Beliefs, now: float) -> None:
@@ -56,10 +59,15 @@
         if answer.not_run or load is not None:
             self._owner.run(turn)
 
+    def mark(self, server: forwarding.Backend) -> int:
+        """Returns what is known of a server's leave as something is sent."""
+        return self._leaves.revision(server.id, server.born)
+
     def _take(
         self,
         server: forwarding.Backend,
         said: forwarding.Said,
+        leave: int,
         *,
         is_whole: bool,
     ) -> None:
@@ -67,13 +75,14 @@
         if is_whole or said.limit is not None:
             self._send_limits.told(server, said.limit)
         if said.leaving:
-            logs.event(
-                logging.INFO,
-                'leave announced',
-                server=server.id,
-                born=server.born,
-                service=server.service,
-                source='answer',
+            if not self._leaves.leaving(server.id, server.born):
+                self._owner.run(
+                    lambda state, now: state.on_leave(server, now, 'answer')
+                )
+        elif is_whole and leave % 2 and leave == self.mark(server):
+            # Sent after the word came, so it is newer than that.
+            self._owner.run(
+                lambda state, now: state.on_stay(server, now, 'answer')
             )
         if said.rest_s is not None:
             logs.event(
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -98,6 +98,12 @@
             )
         )
 
+    def takes(self, server: forwarding.Backend) -> bool:
+        """Whether a server that was chosen still takes requests."""
+        return self._owner.run(
+            lambda state, now: state.fleet.usable(server.id, now) is not None
+        )
+
     def failed(self, req: passage.Passage, server: forwarding.Backend) -> None:
         """Takes the failure of a server, for this VM and for the home."""
         self._owner.run(lambda state, now: state.fleet.failed(server.id, now))
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -302,7 +302,7 @@
 
     def _ask(self, address: str) -> messages.RecordsReply | None:
         """Asks one entry VM and takes what it knows; None if it fails."""
-        ask = self._owner.run(lambda state, _: state.ask())
+        ask = self._owner.run(lambda state, now: state.ask(now))
         try:
             reply = self._peers.ask(address, ask, PEER_ANSWER_S)
         except errors.PortError as exc:
--- a/packages/daemon/foxtaildaled/watched.py
+++ b/packages/daemon/foxtaildaled/watched.py
@@ -117,8 +117,10 @@
         *,
         streams: bool = False,
     ) -> _Watched:
+        leave = self._reports.mark(server)
+
         def hear(head: forwarding.Head) -> None:
-            self._reports.hear(server, head, streams=streams)
+            self._reports.hear(server, head, leave=leave, streams=streams)
 
         return _Watched(flight, server, self._running, hear)
 
