A server that asks for rest gets it, from the VM that it turned away

Cause: the Retry-After of a server's 503 was passed over; a server that turned one away was tried again after 80 ms.

The VM that was turned away sends that server nothing until the time is over, on no path: candidates, places and prefills granted before, retries, handles, orders. Longer word holds over shorter, for one start of the server. Other VMs hear of it with the questions to the reader and put the server last, but use it where others are busier: a healthy server that turned one VM away does not stand idle. A request that only resting servers could take is refused at once with the time that is left, spread by a tenth so that callers don't come back together.

Ruled out: sends that were on their way (41 of them, over 2 s).

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -241,9 +241,8 @@
         ),
         (
             'rest asked',
-            '{server} wants nothing from this VM for {rest_s} s, heard from'
-            ' {source}',
-            ('server', 'born', 'service', 'rest_s', 'source'),
+            '{server} wants nothing from this VM for {rest_s} s',
+            ('server', 'born', 'service', 'rest_s'),
         ),
         (
             'request held',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -326,6 +326,8 @@
     seen: dict[str, tuple[float, float]] = {}
     # Which servers it lately learned to leave or to stay (`leaves.Word`), by id.
     leaves: dict[str, tuple[int, int]] = {}
+    # Which servers want a time without requests (`rests.Word`), by id.
+    rests: dict[str, tuple[int, float]] = {}
 
 
 class RecordsReply(Wire, frozen=True):
@@ -346,8 +348,10 @@
     # long, seconds, by fingerprint.
     held: dict[int, float] = {}
     cleared: dict[int, float] = {}
-    # Which servers have said that they leave (`leaves.Word`), by id.
+    # Which servers have said that they leave (`leaves.Word`), and which want a
+    # time without requests (`rests.Word`), by id.
     leaves: dict[str, tuple[int, int]] = {}
+    rests: dict[str, tuple[int, float]] = {}
 
 
 class AskPlace(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -126,6 +126,7 @@
             self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
         self.fleet.told_failing(reply.failing, now)
         self._take_leaves(reply.leaves, now)
+        self.fleet.rests.take(now, reply.rests)
         self.verdicts.take(now, reply.held, reply.cleared, 'peer')
 
     def reply(
@@ -143,6 +144,7 @@
         age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
         self.experience.told(now, ask.seen)
         self._take_leaves(ask.leaves, now)
+        self.fleet.rests.take(now, ask.rests)
         return messages.RecordsReply(
             records=records,
             ends=ends,
@@ -152,6 +154,7 @@
             held=self.verdicts.quarantine.held(now),
             cleared=self.verdicts.quarantine.cleared(now),
             leaves=self.fleet.leaves.words(),
+            rests=self.fleet.rests.words(now),
         )
 
     def ask(self, now: float) -> messages.AskRecords:
@@ -160,6 +163,7 @@
             ends={topic: known.end for topic, known in self._mirrors.items()},
             seen=self.experience.news(),
             leaves=self.fleet.leaves.news(now),
+            rests=self.fleet.rests.words(now),
         )
 
     def ask_self(self, now: float) -> None:
@@ -200,6 +204,20 @@
         if self.fleet.leaves.withdrawn(now, server.id, server.born):
             self._leave_changed(server.id, source)
 
+    def on_rest(
+        self, server: forwarding.Backend, rest_s: float, now: float
+    ) -> None:
+        """Takes that a server wants nothing from this entry VM for a time."""
+        if self.fleet.rests.asked(now, server.id, server.born, rest_s):
+            logs.event(
+                logging.INFO,
+                'rest asked',
+                server=server.id,
+                born=server.born,
+                service=server.service,
+                rest_s=rest_s,
+            )
+
     def _take_leaves(
         self, words: Mapping[str, leaves.Word], now: float
     ) -> None:
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -297,15 +297,29 @@
         elif req.held_s():
             req.refuse_held()
         else:
-            code, figures = codes.NO_BACKEND, {}
-            if tries.limited:
-                code, figures = codes.BACKEND_REFUSED, {'reason': 'limited'}
-            elif tries.arrived:
-                code, figures = codes.BACKEND_REFUSED, {'reason': 'full'}
-            retry_s = comeback.retry_after_s(
-                FULL_WAIT_S, req.left_s(), self._rng
-            )
-            req.refuse(code, figures, retry_s)
+            self._refuse(req, tries)
+
+    def _refuse(self, req: passage.Passage, tries: _Tries) -> None:
+        """Refuses what no server takes, and says for how long."""
+        name = req.service.name
+        rest_s = self._owner.run(
+            lambda state, now: state.fleet.rest_s(name, now)
+        )
+        code, reason = codes.BACKEND_REFUSED, ''
+        if rest_s:
+            reason = 'resting'
+        elif tries.limited:
+            reason = 'limited'
+        elif tries.arrived:
+            reason = 'full'
+        else:
+            code = codes.NO_BACKEND
+        if rest_s:
+            retry_s = comeback.not_before_s(rest_s, self._rng)
+        else:
+            left_s = req.left_s()
+            retry_s = comeback.retry_after_s(FULL_WAIT_S, left_s, self._rng)
+        req.refuse(code, {'reason': reason} if reason else {}, retry_s)
 
     def _fail(self, req: passage.Passage) -> None:
         if req.left_s() < passage.MIN_LEFT_S:
--- a/packages/daemon/foxtaildaled/generate.py
+++ b/packages/daemon/foxtaildaled/generate.py
@@ -356,7 +356,7 @@
             exc = attempt.Refused(codes.BROKEN)
         retry_s = 0.0
         if exc.retry_after_s:
-            retry_s = exc.retry_after_s
+            retry_s = comeback.not_before_s(exc.retry_after_s, self._rng)
         elif exc.code.ran == 'no':
             wait_ms = exc.figures.get('wait_ms', 0)
             wait_s = max(FULL_WAIT_S, float(wait_ms) / 1000)
--- a/packages/daemon/foxtaildaled/plans.py
+++ b/packages/daemon/foxtaildaled/plans.py
@@ -189,8 +189,9 @@
 
     def _engines(self, service: str, now: float) -> placing.Engines:
         return lambda: (
-            self._known.fleet.candidates(service, now, 'decode'),
-            self._known.fleet.candidates(service, now, 'prefill'),
+            # Those that rest for this entry VM may take requests of others.
+            self._known.fleet.candidates(service, now, 'decode', resting=True),
+            self._known.fleet.candidates(service, now, 'prefill', resting=True),
         )
 
     def restarted(self, server: str) -> None:
--- a/packages/daemon/foxtaildaled/selfreports.py
+++ b/packages/daemon/foxtaildaled/selfreports.py
@@ -4,10 +4,8 @@
 server says holds for the next send, whatever becomes of the body.
 """
 
-import logging
-
+from foxtaildale import errors
 from foxtaildale import forwarding
-from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import beliefs
 from foxtaildaled import sendlimits
@@ -84,13 +82,21 @@
             self._owner.run(
                 lambda state, now: state.on_stay(server, now, 'answer')
             )
-        if said.rest_s is not None:
-            logs.event(
-                logging.INFO,
-                'rest asked',
-                server=server.id,
-                born=server.born,
-                service=server.service,
-                rest_s=said.rest_s,
-                source='answer',
+        if rest_s := said.rest_s:
+            self._owner.run(
+                lambda state, now: state.on_rest(server, rest_s, now)
+            )
+
+    def check_rest(self, server: forwarding.Backend) -> None:
+        """Lets a call that carries no request go out.
+
+        Raises:
+            errors.UnreachableError: The server wants nothing from this entry VM.
+        """
+        left_s = self._owner.run(
+            lambda state, now: state.fleet.rests.own_s(
+                now, server.id, server.born
             )
+        )
+        if left_s:
+            raise errors.UnreachableError(f'it rests for {left_s:.1f} s')
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -120,7 +120,7 @@
         self._plan.report(req.service.name, server.id, replaced=True)
 
     def check(self, req: passage.Passage, sent: list[str]) -> None:
-        """Ends a request whose caller or time is gone, or that is held.
+        """Ends a request whose caller or time is gone, or that nothing takes.
 
         Raises:
             attempt.Refused: It is.
@@ -131,6 +131,14 @@
         if req.left_s() < passage.MIN_LEFT_S:
             limit_ms = int((req.deadline - req.started_at) * 1000)
             raise attempt.Refused(codes.TIMED_OUT, limit_ms=limit_ms)
+        stage = _stage(req.service)
+        rest_s = self._owner.run(
+            lambda state, now: state.fleet.rest_s(req.service.name, now, stage)
+        )
+        if rest_s:
+            raise attempt.Refused(
+                codes.BACKEND_REFUSED, 'resting', retry_after_s=rest_s
+            )
 
     def _planned_spot(
         self, req: passage.Passage, sent: list[str], *, started: bool
@@ -144,7 +152,10 @@
             while True:
                 self.check(req, sent)
                 faulty = self._owner.run(
-                    lambda state, now: state.fleet.faulty(req.service.name, now)
+                    lambda state, now: (
+                        *state.fleet.faulty(req.service.name, now),
+                        *state.fleet.resting(req.service.name, now),
+                    )
                 )
                 avoided = (*avoid, *faulty, *self._send_limits.spent())
                 msg = self._question(req, name, avoided, started=started)
@@ -366,7 +377,7 @@
         self, req: passage.Passage, sent: list[str]
     ) -> list[forwarding.Backend]:
         service = req.service
-        stage: forwarding.Stage = 'decode' if service.kv_tokens else ''
+        stage = _stage(service)
         # A route's attempts bound the servers that see a request.
         closed = len(sent) >= req.route.max_attempts
 
@@ -385,6 +396,11 @@
         return self._owner.run(turn)
 
 
+def _stage(service: routes.Service) -> forwarding.Stage:
+    """Returns what the servers do that requests of a service run on."""
+    return 'decode' if service.kv_tokens else ''
+
+
 def _rest(tokens: int, made: int, service: routes.Service) -> int:
     """Returns what is left of a length, tokens; 0 if it is not known."""
     return max(service.event_tokens, tokens - made) if tokens else 0
