Soak: workers that leave or ask for rest in their answers, beside the other faults

Drawn apart, so that a seed's other faults stay as they were; at the end one worker of each kind leaves and one rests, under callers of all routers. Requests name the router they go to, so that what one VM heard can be told; restarts and freezes of the router and cuts of the worker's link excuse.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -8,7 +8,8 @@
 are killed, paused, stopped by plan and started again by signals; workers fail
 in their own ways; the store forgets, answers 503, or breaks off; configurations
 and lists change. Workers end, and are back under new ids, by themselves or by a bad
-request that ends each worker that begins to run it, and name limits. Faults come in series and overlap, by a schedule that the seed
+request that ends each worker that begins to run it, and name limits, leave or ask for
+rest in their answers. Faults come in series and overlap, by a schedule that the seed
 fixes; what the machine's timing adds is not fixed.
 
 Callers see and check, while it goes on: whole answers that are their own, in
@@ -21,6 +22,7 @@
 from collections.abc import Callable
 import dataclasses
 import http.client
+import math
 import pathlib
 import random
 import signal
@@ -30,6 +32,7 @@
 import time
 from typing import Final
 
+from tests import soakreports
 from tests import soakrouter
 from tests.standins import crasher
 from tests.standins import keyedstore
@@ -61,6 +64,11 @@
 _SPAN_S: Final = 4.0
 _LIMIT_RATIO: Final = 1.5
 _LIMIT_EXTRA: Final = 5.0
+# How much longer than other faults a worker says that it leaves; the time between
+# entries that a worker writes, and for which one asks, seconds.
+_SAYS_TIMES: Final = 4.0
+_BEAT_S: Final = 1.2
+_REST_S: Final = 2.0
 # Ports of a router: for callers, the balancer, other routers and operators.
 _PORTS: Final = 4
 _START_S: Final = 20.0
@@ -95,6 +103,8 @@
 # Faults of workers that end; drawn apart, so that a seed's others stay as they are.
 _ENDS: Final = ('worker-ends', 'bad')
 _LIMITS: Final = ('worker-limits',)
+# Faults of workers that say of themselves that they leave, or want rest.
+_SAYS: Final = ('worker-says', 'worker-rests')
 _FAULTS: Final = (
     'kill',
     'pause',
@@ -132,6 +142,7 @@
     if ends:
         found += _draw(random.Random(f'{seed}/ends'), _ENDS, 3)
         found += _draw(random.Random(f'{seed}/limits'), _LIMITS, 2)
+        found += _draw(random.Random(f'{seed}/says'), _SAYS, 4)
     return sorted(found, key=lambda fault: fault.at)
 
 
@@ -194,8 +205,10 @@
         ]
         self.seen: list[Seen] = []
         self.faults: list[str] = []
+        self.checks = soakreports.Checks()
         self._lock = threading.Lock()
         self._over = threading.Event()
+        self._ended = threading.Event()
 
     def run(self) -> list[str]:
         """Plays the schedule; returns what was wrong."""
@@ -215,6 +228,8 @@
             if self.ends:
                 self._recover_from_bad()
                 self._check_limits()
+                self._check_reports()
+                self.faults += self.checks.judge(self.workers)
             return [*self.faults, *self._judge()]
         finally:
             self._end()
@@ -226,6 +241,8 @@
             router.write(seeds)
             router.start()
         self._wait(lambda: all(r.is_ready() for r in self.routers), _START_S)
+        if self.ends:
+            threading.Thread(target=self._beat).start()
 
     def _configure(self) -> None:
         route = {
@@ -273,10 +290,11 @@
         while not self._over.is_set():
             count += 1
             kind = rng.choice(_KINDS)
-            request = f'{number}-{count}'
             if conn is None or rng.random() < 0.3:
-                port = rng.choice(self.routers).front
+                router = rng.choice(self.routers)
+                port = router.front
                 conn = http.client.HTTPConnection('127.0.0.1', port, timeout=5)
+            request = f'{number}-{count}-r{router.number}'
             seen = self._send(conn, request, kind)
             with self._lock:
                 self.seen.append(seen)
@@ -299,6 +317,7 @@
             'Foxtaildale-Token-Count': '500,768',
         }
         status, body = 0, b''
+        self.checks.sent_at[request] = time.monotonic()
         try:
             conn.request('POST', f'/{kind}/{name}', headers=headers)
             resp = conn.getresponse()
@@ -308,6 +327,8 @@
             return Seen(request, kind, status, exc.partial, whole=False)
         except (OSError, http.client.HTTPException):
             return Seen(request, kind, status, body, whole=False)
+        if status == 200:
+            self.checks.served_at[request] = time.monotonic()
         return Seen(request, kind, status, body, whole=True)
 
     # Faults.
@@ -378,17 +399,32 @@
             worker.limit = _LIMIT
             time.sleep(lasts)
             worker.limit = None
+        elif what == 'says':
+            worker.leaving = True
+            time.sleep(_SAYS_TIMES * lasts)
+            worker.leaving = False
+        elif what == 'rests':
+            worker.rest_s = _REST_S
+            worker.refuse = True
+            time.sleep(lasts)
+            worker.refuse = False
         elif what == 'leaves':
             entry = worker.entry('draining')
             self.store.put('keyed.servers', worker.name, entry)
             time.sleep(lasts)
             self.store.put('keyed.servers', worker.name, worker.entry())
         else:
+            began = time.monotonic()
             _disturb(self.relays[index], what, lasts)
+            # What is silent stays so until all is mended.
+            end = math.inf if what == 'silent' else time.monotonic()
+            span = soakreports.Span(f'link {index}', began, end)
+            self.checks.disturbed.append(span)
 
     def _fault_router(
         self, router: soakrouter.Router, what: str, lasts: float
     ) -> None:
+        began = time.monotonic()
         if what == 'pause':
             router.send_signal(signal.SIGSTOP)
             time.sleep(lasts)
@@ -401,6 +437,11 @@
             router.end(ends[what])
             time.sleep(lasts)
             router.start()
+        if what != 'hup':
+            span = soakreports.Span(
+                f'router {router.number}', began, time.monotonic()
+            )
+            self.checks.disturbed.append(span)
 
     # Verdicts.
 
@@ -421,7 +462,7 @@
     def _serves(self, router: soakrouter.Router) -> bool:
         conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
         for kind in _KINDS:
-            name = f'after-{router.number}-{time.monotonic_ns()}'
+            name = f'after-{time.monotonic_ns()}-r{router.number}'
             seen = self._send(conn, name, kind)
             self.seen.append(seen)
             if seen.status != 200 or not seen.whole:
@@ -468,18 +509,10 @@
         """Has all workers name a limit, and callers come to all routers."""
         for worker in self.workers:
             worker.limit = _LIMIT
-        self._over.clear()
         began = time.monotonic()
-        callers = [
-            threading.Thread(target=self._call, args=(CALLERS + number,))
-            for number in range(CALLERS)
-        ]
-        for caller in callers:
-            caller.start()
-        time.sleep(_KEPT_S + _SPAN_S + 1.0)
-        self._over.set()
-        for caller in callers:
-            caller.join(30)
+        self._call_for(_KEPT_S + _SPAN_S + 1.0, CALLERS)
+        for worker in self.workers:
+            worker.limit = None
         allowed = _LIMIT_RATIO * _SPAN_S * _LIMIT + _LIMIT_EXTRA
         for worker in self.workers:
             times = [at for at in worker.came_at if at >= began + _KEPT_S]
@@ -490,6 +523,45 @@
             if most > allowed:
                 self.faults.append(f'{worker.name} got {most} in {_SPAN_S} s')
 
+    def _check_reports(self) -> None:
+        """Has one worker of each kind leave and then one rest, under callers."""
+        time.sleep(_REST_S)
+        leaving = [self.workers[index] for index in (0, 3, 5)]
+        resting = [self.workers[index] for index in (1, 4, 6)]
+        for worker in leaving:
+            worker.leaving = True
+        self._call_for(2 * soakreports.LEAVES_S, 2 * CALLERS)
+        for worker in resting:
+            worker.rest_s = _REST_S
+            worker.refuse = True
+        self._call_for(2 * _REST_S, 3 * CALLERS)
+        for worker in (*leaving, *resting):
+            worker.leaving = worker.refuse = False
+
+    def _call_for(self, for_s: float, first: int) -> None:
+        """Lets callers come to all routers for a time."""
+        self._over.clear()
+        callers = [
+            threading.Thread(target=self._call, args=(first + number,))
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(for_s)
+        self._over.set()
+        for caller in callers:
+            caller.join(30)
+
+    def _beat(self) -> None:
+        """Writes the workers' entries; one that leaves can't reach the store."""
+        while not self._ended.wait(_BEAT_S):
+            for worker in self.workers:
+                if worker.name in self.store.keys('keyed.servers') and (
+                    not worker.leaving
+                ):
+                    entry = worker.entry()
+                    self.store.put('keyed.servers', worker.name, entry)
+
     def _bad_arrivals(self) -> int:
         return sum(made.arrivals(f'/{_BAD}') for made in self.crashers)
 
@@ -525,6 +597,7 @@
 
     def _end(self) -> None:
         self._over.set()
+        self._ended.set()
         for router in self.routers:
             router.send_signal(signal.SIGCONT)
             router.end(signal.SIGKILL)
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
 import json
 import threading
 import time
@@ -20,6 +21,19 @@
 _ATTEMPT = 'Foxtaildale-Attempt-Id'
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that came, whatever became of it."""
+
+    at: float
+    attempt: str
+    # The name under which the server took it, and what it said of itself.
+    server: str
+    leaving: bool
+    # For how long it wanted nothing more, seconds; None if it did not say.
+    rest_s: float | None
+
+
 class WireWorker:
     """One start of one server."""
 
@@ -45,9 +59,8 @@
         # When it started, Unix milliseconds.
         self.born = 0
         self._beats = 0
-        # When requests came, refused ones as well, seconds, and their ids.
-        self.came_at: list[float] = []
-        self.came: list[tuple[float, str]] = []
+        # Requests that came, refused ones as well.
+        self.came: list[Arrival] = []
         self._lock = threading.Lock()
         # Requests that ran, with their headers and targets.
         self.ran: list[serving.Request] = []
@@ -78,6 +91,11 @@
             'born': self.born,
         }
 
+    @property
+    def came_at(self) -> list[float]:
+        """Returns when requests came, refused ones as well, seconds."""
+        return [arrival.at for arrival in list(self.came)]
+
     def ids(self) -> list[str]:
         """Returns the ids of the requests that ran, in order."""
         with self._lock:
@@ -110,8 +128,15 @@
         attempt = req.headers.get(_ATTEMPT.lower(), '')
         expected = req.headers.get('foxtaildale-expect-instance')
         mine = ((_ATTEMPT, attempt), *self._said())
-        self.came_at.append(time.monotonic())
-        self.came.append((self.came_at[-1], attempt))
+        self.came.append(
+            Arrival(
+                at=time.monotonic(),
+                attempt=attempt,
+                server=self.name,
+                leaving=self.leaving,
+                rest_s=self.rest_s if self.refuse else None,
+            )
+        )
         if expected not in (None, self.name):
             self.missed += 1
             found = (*mine, ('Foxtaildale-Instance-Id', self.name))
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -90,9 +90,9 @@
 def _first(site: sites.Site, name: str, number: int, since: float) -> float:
     """Returns when a server first got a request of a router."""
     times = [
-        at
-        for at, attempt in list(site.workers[name].came)
-        if at >= since and attempt.startswith(f'{number}-')
+        arrival.at
+        for arrival in list(site.workers[name].came)
+        if arrival.at >= since and arrival.attempt.startswith(f'{number}-')
     ]
     return min(times, default=float('inf'))
 
@@ -102,13 +102,13 @@
 ) -> int:
     """Returns how many requests of a router a server got in a time."""
     return sum(
-        begin <= at < end and attempt.startswith(f'{number}-')
-        for at, attempt in list(site.workers[name].came)
+        begin <= arrival.at < end and arrival.attempt.startswith(f'{number}-')
+        for arrival in list(site.workers[name].came)
     )
 
 
 def _any(site: sites.Site, name: str, since: float) -> int:
-    return sum(at >= since for at in list(site.workers[name].came_at))
+    return sum(at >= since for at in site.workers[name].came_at)
 
 
 def _is_used(site: sites.Site, name: str) -> bool:
