--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -175,6 +175,11 @@
             '{server} vanished while the store was not well; used on a little',
             ('server', 'offset', 'source'),
         ),
+        (
+            'store era',
+            'the store came back from a copy: era {era}, {before} before',
+            ('era', 'before'),
+        ),
         ('store reached', 'the store answered first', ('topic', 'offset')),
         ('store regained', 'the store answers again', ('topic', 'offset')),
         (
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -1,7 +1,7 @@
 """The users' store of keyed topics, in this process.
 
 Faults: `down` answers 503 and does nothing; `mute` cuts each connection
-without an answer.
+without an answer. `restore` brings it back from a copy.
 """
 
 import base64
@@ -23,6 +23,8 @@
         self.down = False
         self.mute = False
         self.calls = 0
+        # How often it has come back from a copy; None if it does not tell.
+        self.era: int | None = 1
         self._changed = threading.Condition()
         self._topics: dict[str, list[tuple[str, bytes]]] = (
             collections.defaultdict(list)
@@ -44,6 +46,20 @@
             self._first[topic] = len(self._topics[topic])
             self._changed.notify_all()
 
+    def mark(self) -> dict[str, int]:
+        """Returns where each topic ends, for a copy."""
+        with self._changed:
+            return {topic: len(found) for topic, found in self._topics.items()}
+
+    def restore(self, ends: dict[str, int]) -> None:
+        """Comes back from a copy; what was written since is lost."""
+        with self._changed:
+            for topic, found in self._topics.items():
+                del found[ends.get(topic, 0) :]
+                self._first[topic] = min(self._first[topic], len(found))
+            self.era = (self.era or 0) + 1
+            self._changed.notify_all()
+
     def keys(self, topic: str) -> set[str]:
         """Returns the keys that have a value."""
         with self._changed:
@@ -72,6 +88,13 @@
         self.calls += 1
         if self.mute:
             raise serving.Cut
+        answer = self._answer(req)
+        if self.era is not None:
+            era = ('Store-Era', str(self.era))
+            answer.headers = (*answer.headers, era)
+        return answer
+
+    def _answer(self, req: serving.Request) -> serving.Response:
         if self.down:
             return serving.Response(status=503)
         topic = req.query['topic']
@@ -114,7 +137,7 @@
                     break
                 self._changed.wait(left_s)
             first = self._first[topic]
-            if offset < first:
+            if not first <= offset <= len(self._topics[topic]):
                 return serving.as_json({'first': first}, 410)
             records = self._topics[topic][offset:]
             end = len(self._topics[topic])
