--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -131,14 +131,16 @@
     def _read(self, topic: str, offset: int, wait_s: float) -> serving.Response:
         end_at = time.monotonic() + wait_s
         with self._changed:
-            while offset >= len(self._topics[topic]) and not self.down:
+            while True:
+                first = self._first[topic]
+                if not first <= offset <= len(self._topics[topic]):
+                    return serving.as_json({'first': first}, 410)
                 left_s = end_at - time.monotonic()
-                if left_s <= 0:
+                if offset < len(self._topics[topic]) or left_s <= 0:
+                    break
+                if self.down:
                     break
                 self._changed.wait(left_s)
-            first = self._first[topic]
-            if not first <= offset <= len(self._topics[topic]):
-                return serving.as_json({'first': first}, 410)
             records = self._topics[topic][offset:]
             end = len(self._topics[topic])
         body = struct.pack('>QQ', end, first)
