Records keep their order over a store that comes back from a copy

Operators saw a confirmed version not in force 2.3 s after its acknowledgement, and the one before it served (CONFIG). Cause: an offset was taken for a version, a cursor and a fence, and offsets go back and are given out again when the store comes back from a copy: versions 56 and 58 got offsets that every VM had seen in use.

A position is an offset under the store's era, so the higher one is the later one wherever two are compared: ends, changes, peers, claims, fencing tokens. Records of two eras are ordered by what their writers count (version; start and entry of a server), since the copy has older ones at higher positions. What the copy lacks is carried over and told to peers until it is written again, for 20 s; servers that it lacks are taken for vanished, as when the store was away. An answer of an era that is over is passed over; one of a later era is followed by a read of everything. A claim whose answer is of another era is not won, and nobody claims while a holder of the lost history may order. VMs list themselves again, verdicts are written again.

Ruled out: reads that nobody made (each 410 was followed by a read of everything); one VM that holds the others back alone (the VM that read was late as well), though that would have followed, and is tested.

--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -265,6 +265,8 @@
         tally = self._tallies.get(server)
         if tally is None or tally.backend.leaving or self._rest_s(tally, now):
             return None
+        if _is_lost(tally, now):
+            return None
         return tally.backend if tally.misdirected_until <= now else None
 
     def resting(self, service: str, now: float) -> tuple[str, ...]:
@@ -423,8 +425,7 @@
 
     def _forget(self, now: float) -> None:
         for server, tally in list(self._tallies.items()):
-            vanished_at = tally.vanished_at
-            if vanished_at is not None and now - vanished_at > VANISHED_S:
+            if _is_lost(tally, now):
                 del self._tallies[server]
 
     def _rest_s(self, tally: Tally, now: float) -> float:
@@ -450,6 +451,12 @@
         return cost
 
 
+def _is_lost(tally: Tally, now: float) -> bool:
+    """Whether a server vanished from the list and did not come again."""
+    vanished_at = tally.vanished_at
+    return vanished_at is not None and now - vanished_at > VANISHED_S
+
+
 def _typical(tallies: list[Tally]) -> float:
     """Returns the median time of a request, seconds; 0 if none was measured."""
     times = sorted(tally.took_s for tally in tallies if tally.took_s)
--- a/packages/core/foxtaildale/lease.py
+++ b/packages/core/foxtaildale/lease.py
@@ -3,7 +3,8 @@
 Two VMs that order the same engines undo each other's changes, and each change
 takes an engine away for seconds. So a VM first writes a claim to the store,
 under the condition that nothing was written since it looked; the claim's offset
-is its fencing token, higher than all before it. It gives orders only for a
+is its fencing token, higher than all before it, also those of a history that the
+store lost. It gives orders only for a
 short while after, and nobody else claims before that while and the lease are
 surely over. A holder that was paused finds its while over when it wakes; one
 that is cut off from the store can't claim again.
@@ -11,6 +12,7 @@
 Nothing here does I/O; the time is an argument.
 """
 
+import math
 from typing import Final
 
 # How long orders may follow a claim, seconds, counted from before the claim was
@@ -29,7 +31,15 @@
         lease_s: Time between the orders of two holders, seconds.
     """
 
-    __slots__ = ('_claimed_at', '_holder', '_lease_s', '_seen', '_seen_at')
+    __slots__ = (
+        '_claimed_at',
+        '_era',
+        '_holder',
+        '_lease_s',
+        '_lost_at',
+        '_seen',
+        '_seen_at',
+    )
 
     def __init__(self, holder: str, lease_s: float) -> None:
         self._holder = holder
@@ -38,21 +48,34 @@
         self._seen: int | None = None
         self._seen_at = 0.0
         self._claimed_at: float | None = None
+        # The store's era, and when it was seen to have lost claims, seconds.
+        self._era: int | None = None
+        self._lost_at = -math.inf
 
-    def may_claim(self, now: float, offset: int | None, holder: str) -> bool:
+    def may_claim(
+        self, now: float, era: int, offset: int | None, holder: str
+    ) -> bool:
         """Takes the newest claim; returns whether to write another now.
 
         Args:
             now: Seconds.
-            offset: Of the newest claim; None if there was never one.
+            era: The store's (`positions`); a later one may lack claims.
+            offset: Position of the newest claim; None if there was never one.
             holder: Who wrote it.
         """
+        over_s = ORDERS_S + self._lease_s + MARGIN_S
+        if era != self._era:
+            # A process that starts can't tell how long ago it was.
+            if era > 1 or self._era is not None:
+                self._lost_at = now
+            self._era = era
+        if now - self._lost_at < over_s:
+            return False
         if offset is None or holder == self._holder:
             return True
         if offset != self._seen:
             self._seen = offset
             self._seen_at = now
-        over_s = ORDERS_S + self._lease_s + MARGIN_S
         return now - self._seen_at >= over_s
 
     def claiming(self, now: float) -> None:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -177,8 +177,14 @@
         ),
         (
             'store era',
-            'the store came back from a copy: era {era}, {before} before',
-            ('era', 'before'),
+            'the store came back from a copy: {topic} is of era {era} now, {before}'
+            ' before, told by {source}',
+            ('topic', 'era', 'before', 'offset', 'known', 'source'),
+        ),
+        (
+            'old answer passed over',
+            'an answer of {topic} is of an era that is over',
+            ('topic', 'offset', 'known'),
         ),
         ('store reached', 'the store answered first', ('topic', 'offset')),
         ('store regained', 'the store answers again', ('topic', 'offset')),
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -319,7 +319,7 @@
 class AskRecords(Wire, frozen=True):
     """Asks another entry VM for newer records of the store's keyed topics."""
 
-    # For each topic, the offset up to which the asker knows it.
+    # For each topic, the position up to which the asker knows it.
     ends: dict[str, int]
     # What the asker saw of plain servers since it last asked: requests, and
     # those that failed, by id.
@@ -333,9 +333,10 @@
 class RecordsReply(Wire, frozen=True):
     """What an entry VM knows beyond that."""
 
-    # For each topic: key, offset, value of each newer record.
-    records: dict[str, tuple[tuple[str, int, bytes], ...]]
-    # For each topic, the offset up to which this entry VM knows it.
+    # For each topic: key, position, value of each newer record, and the rank of
+    # what a removal removed.
+    records: dict[str, tuple[tuple[str, int, bytes, tuple[int, int]], ...]]
+    # For each topic, the position up to which this entry VM knows it.
     ends: dict[str, int]
     # Time since this entry VM last had an answer of the store, seconds.
     age_s: float
--- a/packages/core/foxtaildale/mirror.py
+++ b/packages/core/foxtaildale/mirror.py
@@ -1,65 +1,120 @@
 """The newest record of each key of a keyed topic, as one process knows it.
 
-Records are ordered by their offset in the store, which every process sees
-alike, so what comes from the store and what comes from a peer merge by taking
-the higher offset. A mirror never goes back: a stale answer of the store or a
-peer that is behind changes nothing.
+Records are ordered by their position in the store (`positions`), which every process
+sees alike, so what comes from the store and what comes from a peer merge by taking
+the higher one. A mirror never goes back: a stale answer of the store or a peer that
+is behind changes nothing.
+
+A store that comes back from a copy has older records at higher positions. Records of
+two histories are therefore ordered by what their writers say (`Rank`), where they do.
+What the copy lacks, or has an older record of, is carried over and told to peers until
+it is written again.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Final
 
 import msgspec
 
+from foxtaildale import positions
+
 # Removed keys that are remembered, so that a peer's older record can't bring
 # one back; some minutes of replaced backend servers at the largest size.
 MAX_REMOVED: Final = 4096
 
+# Orders the records of one key as their writer wrote them; `UNRANKED` where it does
+# not tell.
+Rank = tuple[int, int]
+UNRANKED: Final[Rank] = (0, 0)
+
 
 class Entry(msgspec.Struct, frozen=True):
     """The newest record of one key."""
 
     key: str
+    # Its position.
     offset: int
     # Empty if the key was removed.
     value: bytes
+    # Of what a removal removed.
+    removed: Rank = UNRANKED
+
+
+def _unranked(_key: str, _value: bytes) -> Rank:
+    return UNRANKED
 
 
 class Mirror:
-    """One keyed topic."""
+    """One keyed topic.
+
+    Args:
+        rank: Ranks the value of a key.
+        keeps: Whether what the copy of a later history lacks is known on until it is
+            written again, or given up by `drop_carried`; else it is removed.
+    """
 
-    __slots__ = ('_changed_at', '_entries', '_removed', 'end')
+    __slots__ = (
+        '_before',
+        '_carried',
+        '_changed_at',
+        '_entries',
+        '_keeps',
+        '_rank',
+        '_removed',
+        'end',
+    )
 
     # By key, newest only; removed ones among them.
     _entries: dict[str, Entry]
-    # By key, the offset of the oldest record that said what the newest one
-    # says, with none in between that said something else.
+    # By key, the position of the oldest record of its era that said what the newest
+    # one says, with none in between that said something else.
     _changed_at: dict[str, int]
+    # The same for the era before, of those that said it then already.
+    _before: dict[str, int]
     # Removed keys, oldest removal first.
     _removed: dict[str, None]
-    # Offset up to which the topic is known; the next read begins here.
+    # Keys whose newest record is of an earlier era than the end.
+    _carried: dict[str, None]
+    # Position up to which the topic is known; the next read begins here.
     end: int
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        rank: Callable[[str, bytes], Rank] = _unranked,
+        *,
+        keeps: bool = False,
+    ) -> None:
+        self._rank = rank
+        self._keeps = keeps
         self._entries = {}
         self._changed_at = {}
+        self._before = {}
         self._removed = {}
+        self._carried = {}
         self.end = 0
 
     def apply(self, entries: Iterable[Entry], end: int) -> list[Entry]:
         """Takes records, of the store or of a peer.
 
         Returns:
-            Those that were news here, in order of their offsets.
+            Those that were news here, in order of their positions.
         """
+        self.end = max(self.end, end)
+        era = positions.era(self.end)
         news = []
-        for entry in sorted(entries, key=lambda item: item.offset):
+        for found in sorted(entries, key=lambda item: item.offset):
+            entry = found
             known = self._entries.get(entry.key)
-            if known is not None and known.offset >= entry.offset:
-                continue
-            self._put(entry)
-            news.append(entry)
-        self.end = max(self.end, end)
+            if known is None or self._supersedes(entry, known):
+                if known is not None and not entry.value:
+                    removed = max(entry.removed, self._rank_of(known))
+                    entry = msgspec.structs.replace(found, removed=removed)
+                self._put(entry)
+                news.append(entry)
+                known = entry
+            if positions.era(known.offset) < era:
+                self._carried[entry.key] = None
         return news
 
     def snapshot(self, entries: Iterable[Entry], end: int) -> list[Entry]:
@@ -72,28 +127,53 @@
         """
         listed = list(entries)
         whole = end >= self.end
+        is_later = positions.era(end) > positions.era(self.end)
         news = self.apply(listed, end)
         if not whole:
             return news
         present = {entry.key for entry in listed}
         for key, entry in list(self._entries.items()):
-            if entry.value and key not in present:
-                gone = Entry(key=key, offset=entry.offset, value=b'')
-                self._put(gone)
-                news.append(gone)
+            if not entry.value or key in present:
+                continue
+            if self._keeps and (is_later or key in self._carried):
+                self._carried[key] = None
+                continue
+            news.append(self._remove(entry, lacking=is_later))
         return news
 
+    def drop_carried(self) -> list[Entry]:
+        """Gives up what was not written again since the store came back.
+
+        Returns:
+            Its removals, as news.
+        """
+        found = [self._entries[key] for key in self._carried]
+        self._carried.clear()
+        return [
+            self._remove(entry, lacking=True) for entry in found if entry.value
+        ]
+
+    def is_carried(self, key: str) -> bool:
+        """Whether a key's record was not written in the store's newest era."""
+        known = self._entries.get(key)
+        return known is not None and (
+            positions.era(known.offset) < positions.era(self.end)
+        )
+
     def since(self, end: int) -> list[Entry]:
-        """Returns what a peer lacks that knows the topic up to an offset.
+        """Returns what a peer lacks that knows the topic up to a position.
 
         Records that repeat what their key's older one said are no news to it.
         Servers write every second or so and hardly ever something new; passed
         on, that would be most of what goes between VMs.
         """
+        changed_at = self._changed_at
+        if positions.era(end) < positions.era(self.end):
+            changed_at = changed_at | self._before
         return [
             entry
             for entry in self._entries.values()
-            if self._changed_at[entry.key] >= end
+            if changed_at[entry.key] >= end or entry.key in self._carried
         ]
 
     def repeats(self, entry: Entry, before: int) -> None:
@@ -101,14 +181,19 @@
 
         Args:
             entry: The newest record of its key.
-            before: Since which offset its key has said so.
+            before: Since which position its key has said so.
         """
         known = self._entries.get(entry.key)
-        if known is not None and known.offset == entry.offset:
+        if known is None or known.offset != entry.offset:
+            return
+        if positions.era(before) == positions.era(entry.offset):
             self._changed_at[entry.key] = before
+        else:
+            # Peers of the newest era may know the key from the copy alone.
+            self._before[entry.key] = before
 
     def changed_at(self, key: str) -> int | None:
-        """Returns since which offset a key has had its value; None if none."""
+        """Returns since which position a key has its value; None if none."""
         known = self._entries.get(key)
         return self._changed_at[key] if known and known.value else None
 
@@ -124,10 +209,45 @@
         """Returns the newest record of a key, also a removal."""
         return self._entries.get(key)
 
+    def _supersedes(self, entry: Entry, known: Entry) -> bool:
+        same_era = positions.era(entry.offset) == positions.era(known.offset)
+        if not same_era and entry.value:
+            rank = self._rank(entry.key, entry.value)
+            before = self._rank_of(known)
+            if rank != before:
+                return rank > before
+            if rank != UNRANKED and not known.value:
+                return False
+        return entry.offset > known.offset
+
+    def _rank_of(self, entry: Entry) -> Rank:
+        if not entry.value:
+            return entry.removed
+        return self._rank(entry.key, entry.value)
+
+    def _remove(self, entry: Entry, *, lacking: bool) -> Entry:
+        """Removes a key that the store does not hold.
+
+        Args:
+            entry: Its newest record.
+            lacking: Whether it may come again as it was.
+        """
+        gone = Entry(
+            key=entry.key,
+            # Below the end, from which on it may be written again.
+            offset=max(entry.offset, self.end - 1),
+            value=b'',
+            removed=UNRANKED if lacking else self._rank_of(entry),
+        )
+        self._put(gone)
+        return gone
+
     def _put(self, entry: Entry) -> None:
         self._entries[entry.key] = entry
         self._changed_at[entry.key] = entry.offset
         self._removed.pop(entry.key, None)
+        self._before.pop(entry.key, None)
+        self._carried.pop(entry.key, None)
         if entry.value:
             return
         self._removed[entry.key] = None
@@ -136,3 +256,4 @@
             del self._removed[oldest]
             del self._entries[oldest]
             del self._changed_at[oldest]
+            self._carried.pop(oldest, None)
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -58,7 +58,7 @@
 class Keyed(msgspec.Struct, frozen=True):
     """What a keyed topic gave."""
 
-    # Offset that the next record will get, as far as this answer knows.
+    # Position that the next record will get, as far as this answer knows.
     end: int
     entries: tuple[mirror.Entry, ...]
 
@@ -70,20 +70,22 @@
         """Reads the newest record of every key."""
 
     def follow(self, topic: str, offset: int, wait_s: float) -> Keyed:
-        """Waits for records from an offset on; none if none came in time.
+        """Waits for records from a position on; none if none came in time.
 
         Raises:
-            errors.LapsedError: The offset is older than what is kept.
+            errors.LapsedError: The position is older than what is kept, or of an
+                era that is over.
         """
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes the newest record of a key; an empty value removes it."""
 
     def claim(self, topic: str, key: str, value: bytes, end: int) -> int:
-        """Writes a record if the topic still ends at an offset; returns it.
+        """Writes a record if the topic still ends at a position; returns it.
 
         Raises:
-            errors.RejectedError: Something else was written meanwhile.
+            errors.RejectedError: Something else was written meanwhile, or the store
+                came back from a copy.
         """
 
     def move(self, address: str) -> None:
@@ -105,6 +107,9 @@
     members_topic: str
     holders_topic: str
 
+    def rank(self, topic: str, key: str, value: bytes) -> mirror.Rank:
+        """Ranks a record among those of its writer; raises nothing."""
+
     def seal(self, topic: str, value: bytes) -> bytes:
         """Returns a record with digests in place of secrets; raises nothing."""
 
--- a/packages/daemon/foxtaildaled/balancing.py
+++ b/packages/daemon/foxtaildaled/balancing.py
@@ -13,6 +13,7 @@
 from foxtaildale import errors
 from foxtaildale import lease
 from foxtaildale import ports
+from foxtaildale import positions
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import beliefs
@@ -113,7 +114,8 @@
         for entry in found.entries:
             if entry.key == service:
                 offset, holder = entry.offset, entry.value.decode()
-        if not held.may_claim(self._clock(), offset, holder):
+        era = positions.era(found.end)
+        if not held.may_claim(self._clock(), era, offset, holder):
             return None
         held.claiming(self._clock())
         value = self._holder.encode()
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -7,10 +7,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import logging
+import math
 import random
 import time
 
+import msgspec
+
 from foxtaildale import errors
 from foxtaildale import experience
 from foxtaildale import fleet
@@ -19,6 +23,7 @@
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import ports
+from foxtaildale import positions
 from foxtaildale import routes
 from foxtaildale_adapters import logs
 from foxtaildaled import plans
@@ -28,6 +33,9 @@
 # lapse, seconds: servers write every 1.2 s, entries lapse after three of
 # those, and living ones are back two seconds after the store is.
 _UNWELL_S = 4.0
+# Time after the store came back from a copy in which what it lacks is written again,
+# seconds: an entry VM does so within twelve.
+_REWRITTEN_S = 20.0
 
 
 class Beliefs:
@@ -35,6 +43,7 @@
 
     __slots__ = (
         '_codec',
+        '_era_at',
         '_mirrors',
         '_peer_address',
         '_seeds',
@@ -65,10 +74,19 @@
         self._peer_address = peer_address
         self._seeds = seeds
         self._mirrors = {
-            codec.config_topic: mirror.Mirror(),
-            codec.servers_topic: mirror.Mirror(),
-            codec.members_topic: mirror.Mirror(),
+            topic: mirror.Mirror(
+                functools.partial(codec.rank, topic),
+                # Servers are back within seconds if they live.
+                keeps=topic != codec.servers_topic,
+            )
+            for topic in (
+                codec.config_topic,
+                codec.servers_topic,
+                codec.members_topic,
+            )
         }
+        # When the store was seen to have come back from a copy, seconds.
+        self._era_at = -math.inf
         # Called with a server that started again under its id; ends what was
         # sent to it before, and returns how many requests that were.
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
@@ -100,10 +118,26 @@
     ) -> None:
         """Takes an answer of the store."""
         known = self._mirrors[topic]
+        before = known.end
+        if positions.era(keyed.end) < positions.era(before):
+            logs.event(
+                logging.INFO,
+                'old answer passed over',
+                topic=topic,
+                offset=keyed.end,
+                known=before,
+            )
+            return
         take = known.snapshot if whole else known.apply
         entries = tuple(self._sealed(topic, entry) for entry in keyed.entries)
         since = self._since(topic, entries)
         news = take(entries, keyed.end)
+        self._note_era(topic, before, now, 'store')
+        if (
+            topic != self._codec.config_topic
+            and now - self._era_at > _REWRITTEN_S
+        ):
+            news += known.drop_carried()
         if topic == self._codec.servers_topic:
             self.servers_known = True
             self.fresh_at = now
@@ -118,7 +152,9 @@
             entries = [mirror.Entry(*record) for record in records]
             end = reply.ends.get(topic, 0)
             since = self._since(topic, entries)
+            before = known.end
             news = known.apply(entries, end)
+            self._note_era(topic, before, now, 'peer')
             if topic == self._codec.servers_topic and end:
                 self.servers_known = True
             self._learn(topic, news, now, 'peer', since)
@@ -135,7 +171,7 @@
         """Returns what another entry VM lacks."""
         records = {
             topic: tuple(
-                (entry.key, entry.offset, entry.value)
+                (entry.key, entry.offset, entry.value, entry.removed)
                 for entry in known.since(ask.ends.get(topic, 0))
             )
             for topic, known in self._mirrors.items()
@@ -260,6 +296,13 @@
         """Takes a failed call to the store."""
         self.failed_at = now
 
+    def is_listed(self, name: str, member: forwarding.EntryVm) -> bool:
+        """Whether the store lists an entry VM as it should."""
+        listed = self._mirrors[self._codec.members_topic]
+        return self.entry_vms.get(name) == member and not listed.is_carried(
+            name
+        )
+
     def peers(self) -> list[str]:
         """Returns the peer addresses of the other entry VMs."""
         listed = (vm.peer_address for vm in self.entry_vms.values())
@@ -271,7 +314,35 @@
         value = self._codec.seal(topic, entry.value)
         if value is entry.value:
             return entry
-        return mirror.Entry(entry.key, entry.offset, value)
+        return msgspec.structs.replace(entry, value=value)
+
+    def _note_era(
+        self, topic: str, before: int, now: float, source: str
+    ) -> None:
+        """Notes that a topic is of a later era than it was, if it is."""
+        end = self._mirrors[topic].end
+        era = positions.era(end)
+        if not before or era == positions.era(before):
+            return
+        self._era_at = now
+        if topic == self._codec.members_topic:
+            self.verdicts.store_changed()
+        logs.event(
+            logging.INFO,
+            'store era',
+            topic=topic,
+            era=era,
+            before=positions.era(before),
+            offset=positions.offset(end),
+            known=positions.offset(before),
+            source=source,
+        )
+
+    def _is_well(self, now: float) -> bool:
+        """Whether the store has answered and kept its records of late."""
+        if now - self._era_at <= _UNWELL_S:
+            return False
+        return self.failed_at is None or now - self.failed_at > _UNWELL_S
 
     def _since(
         self, topic: str, entries: Iterable[mirror.Entry]
@@ -352,7 +423,7 @@
             self._unreadable.discard(entry.key)
             if before is None:
                 return True
-            well = self.failed_at is None or now - self.failed_at > _UNWELL_S
+            well = self._is_well(now)
             self.fleet.remove(entry.key, now, store_well=well)
             event = 'backend server gone' if well else 'backend server vanished'
             logs.event(
--- a/packages/daemon/foxtaildaled/syncing.py
+++ b/packages/daemon/foxtaildaled/syncing.py
@@ -159,11 +159,11 @@
             Whether this entry VM was seen listed as it should be.
         """
         known = self._known()
-        if not known or self._readers.choose(known) == self._name:
-            if not self._topic.step():
-                return False
-            known = self._known()
-        if known.get(self._name) == self._member:
+        reads = not known or self._readers.choose(known) == self._name
+        if reads and not self._topic.step():
+            return False
+        name, member = self._name, self._member
+        if self._owner.run(lambda state, _: state.is_listed(name, member)):
             return True
         self._list()
         return False
--- a/packages/daemon/foxtaildaled/verdicts.py
+++ b/packages/daemon/foxtaildaled/verdicts.py
@@ -81,6 +81,10 @@
         self.take(now, {request: left_s}, {}, source)
         return True
 
+    def store_changed(self) -> None:
+        """Takes that the store came back from a copy, and lacks what it had."""
+        self._saved.clear()
+
     def unsaved(self, now: float) -> list[tuple[str, bytes]]:
         """Returns the records that the store lacks, and those to remove."""
         wall = self._wall()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -185,7 +185,7 @@
             now = step * 0.1
             number = rng.randrange(3)
             vm = vms[number]
-            if vm.may_claim(now, offset, holder):
+            if vm.may_claim(now, 0, offset, holder):
                 vm.claiming(now)
                 offset, holder = step, f'vm-{number}'
             for n, other in enumerate(vms):
@@ -198,7 +198,7 @@
 
 def test_a_paused_holder_orders_nothing_when_it_wakes() -> None:
     held = lease.Lease('vm-1', 3.0)
-    assert held.may_claim(10.0, None, '')
+    assert held.may_claim(10.0, 0, None, '')
     held.claiming(10.0)
     assert held.may_order(10.1)
     assert not held.may_order(10.0 + lease.ORDERS_S)
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -79,7 +79,7 @@
     topic = _CODEC.servers_topic
     reply = state.reply(messages.AskRecords(ends={topic: end}), 1.0)
     assert reply.ends[topic] >= end
-    return [offset for _, offset, _ in reply.records[topic]]
+    return [offset for _, offset, _, _ in reply.records[topic]]
 
 
 def test_heartbeats_that_change_nothing_are_not_passed_on() -> None:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -4,8 +4,10 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from foxtaildale import mirror
+from foxtaildale import positions
 
 
 def _entry(key: str, offset: int, value: bytes = b'v') -> mirror.Entry:
@@ -95,3 +97,126 @@
     behind.apply(ahead.since(behind.end), ahead.end)
     assert behind.values() == ahead.values()
     assert behind.end == ahead.end
+
+
+def _ranked(offset: int, count: int, era: int = 1) -> mirror.Entry:
+    """Returns a server's record that tells how often it has written."""
+    position = positions.make(era, offset)
+    return mirror.Entry(key='s', offset=position, value=b'%d' % count)
+
+
+def _rank(_key: str, value: bytes) -> mirror.Rank:
+    return (0, int(value))
+
+
+def _later(keeps: bool = False) -> mirror.Mirror:
+    """Returns a mirror whose store came back from a copy, with an older record."""
+    known = mirror.Mirror(_rank, keeps=keeps)
+    known.apply([_ranked(95, 7)], positions.make(1, 100))
+    known.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    return known
+
+
+def test_an_older_record_of_a_copy_changes_nothing() -> None:
+    """Guards against a copy that is taken for newer, since its position is."""
+    known = _later()
+    assert known.values() == {'s': b'7'}
+    assert known.end == positions.make(2, 90)
+    assert known.is_carried('s')
+
+
+def test_what_a_copy_lacks_is_told_to_peers_that_read_it() -> None:
+    """Guards against VMs of one era that know different versions."""
+    known = _later()
+    peer = mirror.Mirror(_rank)
+    peer.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    peer.apply(known.since(peer.end), known.end)
+    assert peer.values() == {'s': b'7'}
+    news = known.apply([_ranked(91, 8, era=2)], positions.make(2, 92))
+    assert [entry.value for entry in news] == [b'8']
+    assert not known.since(positions.make(2, 92))
+
+
+def test_a_mirror_that_is_behind_does_not_hold_others_back() -> None:
+    """Guards against one VM of the old era that infects those of the new."""
+    behind = mirror.Mirror(_rank)
+    behind.apply([_ranked(95, 7)], positions.make(1, 100))
+    ahead = mirror.Mirror(_rank)
+    ahead.apply([_ranked(93, 9, era=2)], positions.make(2, 94))
+    assert not behind.since(ahead.end)
+    ahead.apply(behind.since(0), behind.end)
+    assert ahead.values() == {'s': b'9'}
+    behind.apply(ahead.since(behind.end), ahead.end)
+    assert behind.values() == {'s': b'9'}
+    assert behind.end == ahead.end
+
+
+@pytest.mark.parametrize('keeps', [True, False])
+def test_what_is_not_written_again_is_given_up(keeps: bool) -> None:
+    """Guards against what is known on for good, since nobody removes it."""
+    known = mirror.Mirror(_rank, keeps=keeps)
+    known.apply([_ranked(95, 7)], positions.make(1, 100))
+    known.snapshot([], positions.make(2, 90))
+    assert bool(known.values()) == keeps
+    known.drop_carried()
+    assert not known.values()
+    assert known.apply([_ranked(91, 7, era=2)], positions.make(2, 92))
+
+
+def test_a_removal_outlives_the_copy() -> None:
+    """Guards against a server that left, and is in the copy still."""
+    known = mirror.Mirror(_rank)
+    known.apply([_ranked(95, 7)], positions.make(1, 96))
+    gone = mirror.Entry('s', positions.make(1, 97), b'')
+    known.apply([gone], positions.make(1, 98))
+    known.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    assert not known.values()
+    assert not known.apply([_ranked(91, 7, era=2)], positions.make(2, 92))
+    assert known.apply([_ranked(92, 8, era=2)], positions.make(2, 93))
+
+
+def test_heartbeats_after_a_return_are_not_all_told_again() -> None:
+    """Guards against the whole list being sent to every VM at each return."""
+    known = _later()
+    before = positions.make(1, 20)
+    again = _ranked(91, 8, era=2)
+    known.apply([again], positions.make(2, 92))
+    known.repeats(again, before)
+    assert not known.since(positions.make(1, 100))
+    assert known.since(positions.make(2, 90))
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(1, 3),
+            strategies.integers(0, 9),
+            strategies.integers(1, 9),
+        ),
+        unique_by=lambda item: item[:2],
+        max_size=8,
+    ),
+    strategies.randoms(use_true_random=False),
+)
+def test_histories_merge_to_no_older_record_than_the_newest_written(
+    written: list[tuple[int, int, int]], order: random.Random
+) -> None:
+    """Guards against an order of arrival that leaves a VM on an older state."""
+    # Within one era the writer counts up with the offsets.
+    counted = {
+        (era, offset): sum(
+            other[2]
+            for other in written
+            if other[0] == era and other[1] <= offset
+        )
+        for era, offset, _ in written
+    }
+    records = [
+        _ranked(offset, count, era) for (era, offset), count in counted.items()
+    ]
+    order.shuffle(records)
+    known = mirror.Mirror(_rank)
+    for record in records:
+        known.apply([record], record.offset + 1)
+    newest = max(counted.values(), default=0)
+    assert known.values() == ({'s': b'%d' % newest} if newest else {})
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -180,9 +180,9 @@
     page = store._decode_page(
         _json({'items': [{'key': 'k', 'value': value, 'offset': 3}], 'end': 4})
     )
-    assert store._entry(page.items[0]).value == b'v'
+    assert store._entry(page.items[0], 0).value == b'v'
     with pytest.raises(errors.DecodeError):
-        store._entry(store._Item(key='k', offset=1, value='?'))
+        store._entry(store._Item(key='k', offset=1, value='?'), 0)
 
 
 def _decode(headers: dict[str, str]) -> forwarding.Call:
--- a/tests/test_syncing.py
+++ b/tests/test_syncing.py
@@ -407,8 +407,8 @@
     vm = _CODEC.encode_member(_vm('o:1'))
     return messages.RecordsReply(
         records={
-            _CODEC.config_topic: ((_CODEC.config_key, 0, config),),
-            _CODEC.members_topic: (('o', 0, vm),),
+            _CODEC.config_topic: ((_CODEC.config_key, 0, config, (0, 0)),),
+            _CODEC.members_topic: (('o', 0, vm, (0, 0)),),
             _CODEC.servers_topic: (),
         },
         ends={
