Soak: a store that comes back from a copy, beside the other faults

During the faults, twice in a row at the end, and once more as all routers lose power; the version that was written since must be in force at all routers, 2 s after the returns and 12 s after the loss of power.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,11 +6,12 @@
 Three routers run as processes of their own. Relays stand between them, the
 store and the workers; they delay, reset, cut and silence connections. Routers
 are killed, paused, stopped by plan and started again by signals; workers fail
-in their own ways; the store forgets, answers 503, or breaks off; configurations
-and lists change. Workers end, and are back under new ids, by themselves or by a bad
-request that ends each worker that begins to run it, and name limits, leave or ask for
-rest in their answers. Faults come in series and overlap, by a schedule that the seed
-fixes; what the machine's timing adds is not fixed.
+in their own ways; the store forgets, answers 503, breaks off, or comes back from
+a copy; configurations and lists change. Workers end, and are back under new ids,
+by themselves or by a bad request that ends each worker that begins to run it, and
+name limits, leave or ask for rest in their answers. Faults come in series and
+overlap, by a schedule that the seed fixes; what the machine's timing adds is not
+fixed.
 
 Callers see and check, while it goes on: whole answers that are their own, in
 order; "not run" that is true; nothing run twice that must not be; no refusal of a
@@ -69,6 +70,10 @@
 _SAYS_TIMES: Final = 4.0
 _BEAT_S: Final = 1.2
 _REST_S: Final = 2.0
+# Time until the operators write again what a copy lacks, and in which a version
+# must be in force, seconds.
+_WRITTEN_S: Final = 0.3
+_CONFIG_S: Final = 2.0
 # Ports of a router: for callers, the balancer, other routers and operators.
 _PORTS: Final = 4
 _START_S: Final = 20.0
@@ -103,6 +108,8 @@
 # Faults of workers that end; drawn apart, so that a seed's others stay as they are.
 _ENDS: Final = ('worker-ends', 'bad')
 _LIMITS: Final = ('worker-limits',)
+# The store comes back from a copy.
+_COPIES: Final = ('copy',)
 # Faults of workers that say of themselves that they leave, or want rest.
 _SAYS: Final = ('worker-says', 'worker-rests')
 _FAULTS: Final = (
@@ -143,6 +150,7 @@
         found += _draw(random.Random(f'{seed}/ends'), _ENDS, 3)
         found += _draw(random.Random(f'{seed}/limits'), _LIMITS, 2)
         found += _draw(random.Random(f'{seed}/says'), _SAYS, 4)
+        found += _draw(random.Random(f'{seed}/copies'), _COPIES, 2)
     return sorted(found, key=lambda fault: fault.at)
 
 
@@ -206,6 +214,8 @@
         self.seen: list[Seen] = []
         self.faults: list[str] = []
         self.checks = soakreports.Checks()
+        # Where the store's topics ended when it was last copied.
+        self.copy: dict[str, int] = {}
         self._lock = threading.Lock()
         self._over = threading.Event()
         self._ended = threading.Event()
@@ -229,6 +239,7 @@
                 self._recover_from_bad()
                 self._check_limits()
                 self._check_reports()
+                self._check_copies()
                 self.faults += self.checks.judge(self.workers)
             return [*self.faults, *self._judge()]
         finally:
@@ -236,6 +247,7 @@
 
     def _begin(self) -> None:
         self._configure()
+        self.copy = self.store.mark()
         seeds = [router.control_relay.address for router in self.routers]
         for router in self.routers:
             router.write(seeds)
@@ -257,6 +269,8 @@
             ('once', 'non_idempotent', 'plain', False),
             ('chat', 'streaming', 'model', True),
             ('single', 'streaming', 'model', False),
+            # Shows which version is in force.
+            (f'v{self.version}', 'idempotent', 'plain', False),
         )
         engine = {
             'slots': 8,
@@ -363,12 +377,28 @@
         elif area == 'bad':
             self._send_bad(fault)
         elif area == 'config':
+            self._publish()
+        elif area == 'copy':
+            self.store.down = True
+            time.sleep(min(fault.lasts, _WRITTEN_S))
+            self._restore()
+            self.store.down = False
+            time.sleep(_WRITTEN_S)
             with self._lock:
-                self.version += 1
                 self._configure()
+                self.copy = self.store.mark()
         else:
             self._fault_router(router, area, fault.lasts)
 
+    def _publish(self) -> None:
+        with self._lock:
+            self.version += 1
+            self._configure()
+
+    def _restore(self) -> None:
+        with self._lock:
+            self.store.restore(self.copy)
+
     def _fault_store(
         self, router: soakrouter.Router, what: str, lasts: float
     ) -> None:
@@ -538,6 +568,38 @@
         for worker in (*leaving, *resting):
             worker.leaving = worker.refuse = False
 
+    def _check_copies(self) -> None:
+        """Has the store come back from copies, twice in a row and as power fails."""
+        self.copy = self.store.mark()
+        for _ in range(3):
+            self._publish()
+            time.sleep(_WRITTEN_S)
+        for _ in range(2):
+            self._restore()
+            self._configure()
+            self._publish()
+        if not self._wait(self._all_in_force, _CONFIG_S):
+            self.faults.append('a version is not in force after two copies')
+        for router in self.routers:
+            router.end(signal.SIGKILL)
+        self._restore()
+        for router in self.routers:
+            router.start()
+        self._configure()
+        self._publish()
+        if not self._wait(self._all_in_force, RECOVER_S):
+            self.faults.append('a version is not in force after power was lost')
+
+    def _all_in_force(self) -> bool:
+        return all(self._has_version(router) for router in self.routers)
+
+    def _has_version(self, router: soakrouter.Router) -> bool:
+        conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
+        name = f'version-{time.monotonic_ns()}-r{router.number}'
+        seen = self._send(conn, name, f'v{self.version}')
+        conn.close()
+        return seen.status == 200
+
     def _call_for(self, for_s: float, first: int) -> None:
         """Lets callers come to all routers for a time."""
         self._over.clear()
