Split what servers announce from the beliefs; bound what of it is told

Times of rest that are over are dropped. A 421 of a server that does not name itself says nothing of the one that was meant. A process that starts behind a return of the store gives what it was told the same 20 s. The callers of two path tests are one class.

--- a/packages/core/foxtaildale/leaves.py
+++ b/packages/core/foxtaildale/leaves.py
@@ -20,8 +20,9 @@
 # ones written again.
 READY_ENTRIES: Final = 3
 ENTRY_S: Final = 1.0
-# How long word that is new here is told to those that are asked, seconds.
-NEWS_S: Final = 3.0
+# How long word that is new here is told to other entry VMs, seconds. One that was
+# cut off for longer hears of it from the list, or from the server.
+NEWS_S: Final = 10.0
 
 # When the server started, Unix milliseconds, and the revision.
 Word = tuple[int, int]
@@ -97,16 +98,17 @@
         return newer
 
     def words(self) -> dict[str, Word]:
-        """Returns all that is known, for another entry VM."""
+        """Returns all that is known, for an entry VM that starts."""
         return dict(self._words)
 
     def news(self, now: float) -> dict[str, Word]:
         """Returns what was learned lately."""
-        return {
-            server: self._words[server]
-            for server, taken_at in self._taken_at.items()
-            if now - taken_at < NEWS_S
-        }
+        found: dict[str, Word] = {}
+        for server, taken_at in reversed(self._taken_at.items()):
+            if now - taken_at >= NEWS_S:
+                break
+            found[server] = self._words[server]
+        return found
 
     def _put(self, now: float, server: str, word: Word) -> None:
         for known in (self._words, self._taken_at, self._ready):
--- a/packages/core/foxtaildale/mirror.py
+++ b/packages/core/foxtaildale/mirror.py
@@ -153,6 +153,10 @@
             self._remove(entry, lacking=True) for entry in found if entry.value
         ]
 
+    def carries(self) -> bool:
+        """Whether anything is known that the store may lack."""
+        return bool(self._carried)
+
     def is_carried(self, key: str) -> bool:
         """Whether a key's record was not written in the store's newest era."""
         known = self._entries.get(key)
--- a/packages/core/foxtaildale/rests.py
+++ b/packages/core/foxtaildale/rests.py
@@ -64,9 +64,11 @@
         """Returns what is known here, for another entry VM."""
         found: dict[str, Word] = {}
         for known in (self._told, self._own):
-            for server, (born, until) in known.items():
+            for server, (born, until) in list(known.items()):
                 word = (born, until - now)
-                if until > now and word > found.get(server, (-1, 0.0)):
+                if until <= now:
+                    del known[server]
+                elif word > found.get(server, (-1, 0.0)):
                     found[server] = word
         return found
 
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import functools
 import logging
 import math
@@ -19,13 +18,13 @@
 from foxtaildale import experience
 from foxtaildale import fleet
 from foxtaildale import forwarding
-from foxtaildale import leaves
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import ports
 from foxtaildale import positions
 from foxtaildale import routes
 from foxtaildale_adapters import logs
+from foxtaildaled import announcements
 from foxtaildaled import plans
 from foxtaildaled import verdicts
 
@@ -48,6 +47,7 @@
         '_peer_address',
         '_seeds',
         '_unreadable',
+        'announcements',
         'entry_vms',
         'experience',
         'failed_at',
@@ -93,6 +93,7 @@
         # Servers whose newest entry can't be read; told once each.
         self._unreadable: set[str] = set()
         self.fleet = fleet.Fleet(data_centre, rng)
+        self.announcements = announcements.Announcements(self.fleet)
         self.experience = experience.Experience()
         self.verdicts = verdicts.Verdicts(codec, wall)
         # The configuration in force; None while none is known.
@@ -161,8 +162,7 @@
         if self.servers_known:
             self.fresh_at = max(self.fresh_at or 0.0, now - reply.age_s)
         self.fleet.told_failing(reply.failing, now)
-        self._take_leaves(reply.leaves, now)
-        self.fleet.rests.take(now, reply.rests)
+        self.announcements.take(reply, now)
         self.verdicts.take(now, reply.held, reply.cleared, 'peer')
 
     def reply(
@@ -179,8 +179,8 @@
         ends = {topic: known.end for topic, known in self._mirrors.items()}
         age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
         self.experience.told(now, ask.seen)
-        self._take_leaves(ask.leaves, now)
-        self.fleet.rests.take(now, ask.rests)
+        self.announcements.take(ask, now)
+        leaves = self.fleet.leaves
         return messages.RecordsReply(
             records=records,
             ends=ends,
@@ -189,7 +189,10 @@
             store_lost=self.store_lost(),
             held=self.verdicts.quarantine.held(now),
             cleared=self.verdicts.quarantine.cleared(now),
-            leaves=self.fleet.leaves.words(),
+            # One that starts knows no topic yet.
+            leaves=leaves.news(now)
+            if any(ask.ends.values())
+            else leaves.words(),
             rests=self.fleet.rests.words(now),
         )
 
@@ -226,52 +229,6 @@
         self.fleet.failed(server, now)
         self.experience.note(server, failed=True)
 
-    def on_leave(
-        self, server: forwarding.Backend, now: float, source: str
-    ) -> None:
-        """Takes that a server leaves."""
-        if self.fleet.leaves.said(now, server.id, server.born):
-            self._leave_changed(server.id, source)
-
-    def on_stay(
-        self, server: forwarding.Backend, now: float, source: str
-    ) -> None:
-        """Takes that a server does not leave any more."""
-        if self.fleet.leaves.withdrawn(now, server.id, server.born):
-            self._leave_changed(server.id, source)
-
-    def on_rest(
-        self, server: forwarding.Backend, rest_s: float, now: float
-    ) -> None:
-        """Takes that a server wants nothing from this entry VM for a time."""
-        if self.fleet.rests.asked(now, server.id, server.born, rest_s):
-            logs.event(
-                logging.INFO,
-                'rest asked',
-                server=server.id,
-                born=server.born,
-                service=server.service,
-                rest_s=rest_s,
-            )
-
-    def _take_leaves(
-        self, words: Mapping[str, leaves.Word], now: float
-    ) -> None:
-        for server in self.fleet.leaves.take(now, words):
-            self._leave_changed(server, 'peer')
-
-    def _leave_changed(self, server: str, source: str) -> None:
-        self.fleet.left(server)
-        born, revision = self.fleet.leaves.words()[server]
-        logs.event(
-            logging.INFO,
-            'leave announced' if revision % 2 else 'leave withdrawn',
-            server=server,
-            born=born,
-            revision=revision,
-            source=source,
-        )
-
     def on_seeds(self, seeds: tuple[str, ...]) -> None:
         """Takes changed settings."""
         self._seeds = seeds
@@ -320,8 +277,12 @@
         self, topic: str, before: int, now: float, source: str
     ) -> None:
         """Notes that a topic is of a later era than it was, if it is."""
-        end = self._mirrors[topic].end
+        known = self._mirrors[topic]
+        end = known.end
         era = positions.era(end)
+        if not before and known.carries():
+            # Others saw it come back before this process started.
+            self._era_at = now
         if not before or era == positions.era(before):
             return
         self._era_at = now
@@ -451,12 +412,7 @@
             return True
         if known and backend.born > known:
             self._restart(backend, known, entry.offset, source)
-        if backend.leaving:
-            self.fleet.leaves.said(now, entry.key, backend.born)
-        elif source == 'store' and self.fleet.leaves.listed(
-            now, entry.key, backend.born
-        ):
-            self._leave_changed(entry.key, source)
+        self.announcements.listed(backend, now, source)
         if before is None or _differs(before, backend):
             logs.event(
                 logging.INFO,
--- a/packages/daemon/foxtaildaled/selfreports.py
+++ b/packages/daemon/foxtaildaled/selfreports.py
@@ -42,7 +42,8 @@
             streams: Whether the server is still at work on it.
         """
         is_head = isinstance(answer, forwarding.Head)
-        if not answer.replaces(server.id):
+        # Whoever answers in its place may not name itself.
+        if not answer.misdirected or answer.server == server.id:
             self._take(server, answer.said, leave, is_whole=is_head)
         load = answer.said.load
 
@@ -75,16 +76,18 @@
         if said.leaving:
             if not self._leaves.leaving(server.id, server.born):
                 self._owner.run(
-                    lambda state, now: state.on_leave(server, now, 'answer')
+                    lambda state, now: state.announcements.leaves(server, now)
                 )
         elif is_whole and leave % 2 and leave == self.mark(server):
             # Sent after the word came, so it is newer than that.
             self._owner.run(
-                lambda state, now: state.on_stay(server, now, 'answer')
+                lambda state, now: state.announcements.stays(server, now)
             )
         if rest_s := said.rest_s:
             self._owner.run(
-                lambda state, now: state.on_rest(server, rest_s, now)
+                lambda state, now: state.announcements.rests(
+                    server, rest_s, now
+                )
             )
 
     def check_rest(self, server: forwarding.Backend) -> None:
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -9,6 +9,7 @@
 _DAEMON = _ROOT / 'packages' / 'daemon' / 'foxtaildaled'
 _PLATFORM = _ROOT / 'platform' / 'foxtaildale_platform'
 _MODULES = (
+    'announcements',
     'asking',
     'balancing',
     'beliefs',
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -1,13 +1,12 @@
 """Servers that leave, or ask for rest, in their answers, before routers."""
 
 from collections.abc import Iterator
-import itertools
-import threading
 import time
 
 import pytest
 
 from foxtaildale import forwarding
+from tests import loads
 from tests import site as sites
 
 _VMS = 3
@@ -31,40 +30,8 @@
 ]
 
 
-class _Callers:
-    """Callers of all routers; ids begin with the router's number."""
-
-    def __init__(self, site: sites.Site, target: str) -> None:
-        self.site = site
-        self.target = target
-        self.ids = itertools.count()
-        # Status and Retry-After of each answer.
-        self.answers: list[tuple[int, str]] = []
-        self.over = threading.Event()
-        self.threads = [
-            threading.Thread(target=self._call, args=(number,))
-            for number in range(len(site.routers))
-            for _ in range(_CALLERS)
-        ]
-        for thread in self.threads:
-            thread.start()
-
-    def end(self) -> None:
-        self.over.set()
-        for thread in self.threads:
-            thread.join()
-
-    def _call(self, number: int) -> None:
-        while not self.over.is_set():
-            status, headers, _ = sites.send(
-                self.site,
-                'POST',
-                f'{self.target}/x',
-                attempt=f'{number}-{next(self.ids)}',
-                number=number,
-            )
-            self.answers.append((status, headers.get('retry-after', '')))
-            time.sleep(0.03)
+def _load(site: sites.Site, target: str) -> loads.Load:
+    return loads.Load(site, target, 0.03, callers=_CALLERS)
 
 
 @pytest.fixture
@@ -129,13 +96,13 @@
     site.store.down = True
     site.workers[name].leaving = True
     began = time.monotonic()
-    load = _Callers(site, target)
+    load = _load(site, target)
     time.sleep(_LEAVES_S + 2.0)
     load.end()
     for number in range(_VMS):
         first = _first(site, name, number, began)
         assert not _count(site, name, number, first + _LEAVES_S, 1e18)
-    assert {status for status, _ in load.answers} == {200}
+    assert set(load.statuses) == {200}
 
 
 def test_a_vm_that_did_not_hear_a_leave_is_told(site: sites.Site) -> None:
@@ -150,7 +117,7 @@
     )
     time.sleep(1.5)
     began = time.monotonic()
-    load = _Callers(site, '/safe')
+    load = _load(site, '/safe')
     time.sleep(1.0)
     load.end()
     assert not _any(site, 's1', began)
@@ -159,7 +126,7 @@
 def test_a_young_vm_knows_who_leaves(site: sites.Site) -> None:
     """Guards against a process that starts with the list alone."""
     site.workers['s1'].leaving = True
-    load = _Callers(site, '/safe')
+    load = _load(site, '/safe')
     time.sleep(1.5)
     load.end()
     site.router(seeds=(site.peers[0],))
@@ -174,7 +141,7 @@
     """Guards against a healthy server that gets nothing for old word."""
     worker = site.workers['s1']
     worker.leaving = True
-    load = _Callers(site, '/safe')
+    load = _load(site, '/safe')
     time.sleep(1.0)
     worker.leaving = False
     for _ in range(5):
@@ -188,7 +155,7 @@
     """Guards against word of one start that is held against the next."""
     worker = site.workers['s1']
     worker.leaving = True
-    load = _Callers(site, '/safe')
+    load = _load(site, '/safe')
     time.sleep(1.0)
     worker.leaving = False
     worker.born = 1
@@ -207,7 +174,7 @@
     worker.refuse = True
     worker.rest_s = _REST_S
     began = time.monotonic()
-    load = _Callers(site, target)
+    load = _load(site, target)
     time.sleep(_REST_S)
     worker.refuse = False
     time.sleep(1.0)
@@ -232,7 +199,7 @@
     for name in names:
         site.workers[name].refuse = True
         site.workers[name].rest_s = _REST_S
-    load = _Callers(site, target)
+    load = _load(site, target)
     time.sleep(1.0)
     load.end()
     began = time.monotonic()
@@ -279,7 +246,7 @@
     )
     time.sleep(1.5)
     began = time.monotonic()
-    load = _Callers(site, '/safe')
+    load = _load(site, '/safe')
     time.sleep(1.0)
     load.end()
     assert not _any(site, 's1', began)
--- a/tests/test_sendlimits_path.py
+++ b/tests/test_sendlimits_path.py
@@ -1,13 +1,12 @@
 """Servers that name a limit for all entry VMs together, before routers."""
 
 from collections.abc import Iterator
-import itertools
-import threading
 import time
 
 import pytest
 
 from foxtaildale_platform import workers as platform_workers
+from tests import loads
 from tests import site as sites
 
 _VMS = 4
@@ -21,41 +20,6 @@
 _LIMIT = 2.5
 
 
-class _Load:
-    """Callers of all routers, for some seconds."""
-
-    def __init__(self, site: sites.Site, target: str, pause_s: float) -> None:
-        self.site = site
-        self.target = target
-        self.pause_s = pause_s
-        self.ids = itertools.count()
-        self.statuses: list[int] = []
-        self.over = threading.Event()
-        self.threads = [
-            threading.Thread(target=self._call, args=(number,))
-            for number in range(len(site.routers))
-        ]
-        for thread in self.threads:
-            thread.start()
-
-    def end(self) -> None:
-        self.over.set()
-        for thread in self.threads:
-            thread.join()
-
-    def _call(self, number: int) -> None:
-        while not self.over.is_set():
-            status, _, _ = sites.send(
-                self.site,
-                'POST',
-                f'{self.target}/{number}',
-                attempt=f'{number}-{next(self.ids)}',
-                number=number,
-            )
-            self.statuses.append(status)
-            time.sleep(self.pause_s)
-
-
 @pytest.fixture
 def site() -> Iterator[sites.Site]:
     made = sites.Site()
@@ -97,7 +61,7 @@
     for name in ('s1', 's2', 's3'):
         site.workers[name].limit = _LIMIT
     began = time.monotonic()
-    load = _Load(site, target, 0.05)
+    load = loads.Load(site, target, 0.05)
     time.sleep(_PLAY_S)
     load.end()
     for name in ('s1', 's2', 's3'):
@@ -113,7 +77,7 @@
     for name in ('p1', 'p2', 'd1', 'd2'):
         site.workers[name].limit = _LIMIT
     began = time.monotonic()
-    load = _Load(site, '/chat', 0.05)
+    load = loads.Load(site, '/chat', 0.05)
     time.sleep(_PLAY_S)
     load.end()
     for name in ('p1', 'p2', 'd1', 'd2'):
@@ -125,7 +89,7 @@
     """Guards against callers refused while servers without a limit have room."""
     site.workers['s1'].limit = 0.5
     began = time.monotonic()
-    load = _Load(site, '/once', 0.05)
+    load = loads.Load(site, '/once', 0.05)
     time.sleep(_PLAY_S)
     load.end()
     assert _most(site, 's1', began + _KEPT_S) <= _allowed(0.5)
@@ -136,7 +100,7 @@
     """Guards against a server that is spared for good after its need."""
     for name in ('s1', 's2', 's3'):
         site.workers[name].limit = 1.0
-    load = _Load(site, '/once', 0.05)
+    load = loads.Load(site, '/once', 0.05)
     time.sleep(_KEPT_S)
     for name in ('s1', 's2', 's3'):
         site.workers[name].limit = None
