--- a/packages/core/foxtaildale/rests.py
+++ b/packages/core/foxtaildale/backoffs.py
@@ -1,4 +1,4 @@
-"""Backend servers that asked for a time without requests.
+"""Backend servers that asked for backoff.
 
 A server that turns a request away may say for how long it wants nothing from the
 entry VM that sent it. That VM sends it nothing meanwhile. The others are told and
@@ -23,7 +23,7 @@
 Word = tuple[int, float]
 
 
-class Rests:
+class Backoffs:
     """What one entry VM knows of them."""
 
     __slots__ = ('_own', '_told')
@@ -34,14 +34,16 @@
         self._own: dict[str, tuple[int, float]] = {}
         self._told: dict[str, tuple[int, float]] = {}
 
-    def asked(self, now: float, server: str, born: int, rest_s: float) -> bool:
+    def asked(
+        self, now: float, server: str, born: int, backoff_s: float
+    ) -> bool:
         """Takes what a server asked of this VM.
 
         Returns:
             Whether it was not left alone by this VM before.
         """
         new = not self.own_s(now, server, born)
-        _put(self._own, now, server, born, now + min(rest_s, MOST_S))
+        _put(self._own, now, server, born, now + min(backoff_s, MOST_S))
         return new
 
     def own_s(self, now: float, server: str, born: int) -> float:
--- a/packages/core/foxtaildale/leaves.py
+++ b/packages/core/foxtaildale/departures.py
@@ -28,7 +28,7 @@
 Word = tuple[int, int]
 
 
-class Leaves:
+class Departures:
     """What one entry VM knows of them."""
 
     __slots__ = ('_ready', '_taken_at', '_words')
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -18,9 +18,9 @@
 
 import msgspec
 
+from foxtaildale import backoffs
+from foxtaildale import departures
 from foxtaildale import forwarding
-from foxtaildale import leaves
-from foxtaildale import rests
 
 # A load report counts for this long, seconds. Requests of plain services take
 # some 60 ms, so an older one says nothing about who runs there now.
@@ -37,8 +37,8 @@
 # that is sent again elsewhere. A queue of twenty makes a request late.
 LOSS_WEIGHT: Final = 50.0
 RETRY_WEIGHT: Final = 6.0
-# Weight of a server that asked other entry VMs for rest, in requests of queue.
-REST_WEIGHT: Final = 20.0
+# Weight of a server that asked other entry VMs to back off, in requests of queue.
+BACKOFF_WEIGHT: Final = 20.0
 # How long what was told of that counts, seconds; it is told anew every 0.4 s.
 FAILING_S: Final = 1.5
 # Decayed failures above which a server is kept out of the plan: one failure
@@ -134,8 +134,8 @@
         '_data_centre',
         '_random',
         '_tallies',
-        'leaves',
-        'rests',
+        'backoffs',
+        'departures',
     )
 
     # By id.
@@ -149,9 +149,9 @@
         # wrote last at the end.
         self._born: dict[str, int] = {}
         # Which servers have said that they leave, also some that are not listed.
-        self.leaves = leaves.Leaves()
-        # Which ones asked for a time without requests.
-        self.rests = rests.Rests()
+        self.departures = departures.Departures()
+        # Which ones asked for backoff.
+        self.backoffs = backoffs.Backoffs()
 
     def put(self, backend: forwarding.Backend) -> bool:
         """Takes a new or changed entry of the list.
@@ -185,7 +185,7 @@
             tally.backend = msgspec.structs.replace(
                 listed,
                 leaving=listed.leaving
-                or self.leaves.leaving(server, listed.born),
+                or self.departures.leaving(server, listed.born),
             )
 
     def born(self, server: str) -> int:
@@ -225,7 +225,7 @@
         avoid: Iterable[str] = (),
         *,
         repeatable: bool = True,
-        resting: bool = False,
+        in_backoff: bool = False,
     ) -> list[Tally]:
         """Returns the servers that may get work of a service, best first.
 
@@ -235,7 +235,7 @@
             stage: What its engines must do; empty for a plain service.
             avoid: Servers that it must not go to, by id.
             repeatable: Whether it may run again if its answer is lost.
-            resting: Whether those count that asked this entry VM for rest.
+            in_backoff: Whether those count that asked this entry VM to back off.
         """
         loss = RETRY_WEIGHT if repeatable else LOSS_WEIGHT
         self._forget(now)
@@ -248,7 +248,7 @@
             and not tally.backend.leaving
             and tally.misdirected_until <= now
             and tally.backend.id not in passed
-            and (resting or not self._rest_s(tally, now))
+            and (in_backoff or not self._backoff_s(tally, now))
         ]
         self._random.shuffle(found)
         typical_s = _typical(found)
@@ -263,31 +263,35 @@
     def usable(self, server: str, now: float) -> forwarding.Backend | None:
         """Returns a server if it is known and may get new work."""
         tally = self._tallies.get(server)
-        if tally is None or tally.backend.leaving or self._rest_s(tally, now):
+        if (
+            tally is None
+            or tally.backend.leaving
+            or self._backoff_s(tally, now)
+        ):
             return None
         if _is_lost(tally, now):
             return None
         return tally.backend if tally.misdirected_until <= now else None
 
-    def resting(self, service: str, now: float) -> tuple[str, ...]:
+    def in_backoff(self, service: str, now: float) -> tuple[str, ...]:
         """Returns the servers that this entry VM must leave alone, by id."""
         return tuple(
             tally.backend.id
             for tally in self._tallies.values()
-            if tally.backend.service == service and self._rest_s(tally, now)
+            if tally.backend.service == service and self._backoff_s(tally, now)
         )
 
-    def rest_s(
+    def backoff_s(
         self, service: str, now: float, stage: forwarding.Stage = ''
     ) -> float:
-        """Returns when the first server takes requests again, if all rest.
+        """Returns when the first server takes requests again, if all are in backoff.
 
         Returns:
-            Seconds; 0 if one does not rest, or there is none.
+            Seconds; 0 if one is not, or there is none.
         """
         return min(
             (
-                self._rest_s(tally, now)
+                self._backoff_s(tally, now)
                 for tally in self._tallies.values()
                 if tally.backend.service == service
                 and tally.backend.stage == stage
@@ -298,7 +302,7 @@
         )
 
     def faulty(self, service: str, now: float) -> tuple[str, ...]:
-        """Returns servers that failed, or rest for others, if any other is left.
+        """Returns servers that failed, or are in backoff elsewhere, if others are left.
 
         Looked at stage by stage: where all of a stage failed, what they share
         is rather at fault, and they are tried again.
@@ -313,7 +317,7 @@
                 tally.backend.id
                 for tally in tallies
                 if tally.faults_now(now) > FAULTY
-                or self._rests_for_others(tally, now)
+                or self._in_backoff_elsewhere(tally, now)
             ]
             if len(failed) < len(tallies):
                 found.extend(failed)
@@ -428,13 +432,13 @@
             if _is_lost(tally, now):
                 del self._tallies[server]
 
-    def _rest_s(self, tally: Tally, now: float) -> float:
+    def _backoff_s(self, tally: Tally, now: float) -> float:
         backend = tally.backend
-        return self.rests.own_s(now, backend.id, backend.born)
+        return self.backoffs.own_s(now, backend.id, backend.born)
 
-    def _rests_for_others(self, tally: Tally, now: float) -> bool:
+    def _in_backoff_elsewhere(self, tally: Tally, now: float) -> bool:
         backend = tally.backend
-        return self.rests.told_s(now, backend.id, backend.born) > 0
+        return self.backoffs.told_s(now, backend.id, backend.born) > 0
 
     def _cost(self, tally: Tally, now: float, typical_s: float) -> float:
         """Returns how long a new request would wait there, in requests."""
@@ -443,8 +447,8 @@
         cost += FAULT_WEIGHT * tally.faults_now(now)
         if tally.full_until > now:
             cost += FAULT_WEIGHT
-        if self._rests_for_others(tally, now):
-            cost += REST_WEIGHT
+        if self._in_backoff_elsewhere(tally, now):
+            cost += BACKOFF_WEIGHT
         if tally.backend.data_centre != self._data_centre:
             # Breaks ties only: bytes between data centres cost a little.
             cost += 0.1
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -95,7 +95,7 @@
     slots: int
 
 
-class Said(msgspec.Struct, frozen=True, kw_only=True):
+class SelfReport(msgspec.Struct, frozen=True, kw_only=True):
     """What a backend server says of itself with an answer."""
 
     load: Load | None = None
@@ -106,14 +106,14 @@
     leaving: bool = False
     # For how long it wants no requests from this entry VM, seconds; None if it
     # does not say.
-    rest_s: float | None = None
+    backoff_s: float | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True):
     """What answers of every kind tell of their backend server."""
 
     status: int
-    said: Said = Said()
+    report: SelfReport = SelfReport()
     # Id of the server that answered; empty if it does not say.
     server: str = ''
 
--- a/packages/core/foxtaildale/lease.py
+++ b/packages/core/foxtaildale/lease.py
@@ -33,7 +33,7 @@
 
     __slots__ = (
         '_claimed_at',
-        '_era',
+        '_epoch',
         '_holder',
         '_lease_s',
         '_lost_at',
@@ -48,27 +48,27 @@
         self._seen: int | None = None
         self._seen_at = 0.0
         self._claimed_at: float | None = None
-        # The store's era, and when it was seen to have lost claims, seconds.
-        self._era: int | None = None
+        # The store's epoch, and when it was seen to have lost claims, seconds.
+        self._epoch: int | None = None
         self._lost_at = -math.inf
 
     def may_claim(
-        self, now: float, era: int, offset: int | None, holder: str
+        self, now: float, epoch: int, offset: int | None, holder: str
     ) -> bool:
         """Takes the newest claim; returns whether to write another now.
 
         Args:
             now: Seconds.
-            era: The store's (`positions`); a later one may lack claims.
+            epoch: The store's (`positions`); a later one may lack claims.
             offset: Position of the newest claim; None if there was never one.
             holder: Who wrote it.
         """
         over_s = ORDERS_S + self._lease_s + MARGIN_S
-        if era != self._era:
+        if epoch != self._epoch:
             # A process that starts can't tell how long ago it was.
-            if era > 1 or self._era is not None:
+            if epoch > 1 or self._epoch is not None:
                 self._lost_at = now
-            self._era = era
+            self._epoch = epoch
         if now - self._lost_at < over_s:
             return False
         if offset is None or holder == self._holder:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -176,14 +176,14 @@
             ('server', 'offset', 'source'),
         ),
         (
-            'store era',
-            'the store came back from a copy: {topic} is of era {era} now, {before}'
+            'store epoch',
+            'the store came back from a copy: {topic} is of epoch {epoch} now, {before}'
             ' before, told by {source}',
-            ('topic', 'era', 'before', 'offset', 'known', 'source'),
+            ('topic', 'epoch', 'before', 'offset', 'known', 'source'),
         ),
         (
             'old answer passed over',
-            'an answer of {topic} is of an era that is over',
+            'an answer of {topic} is of an epoch that is over',
             ('topic', 'offset', 'known'),
         ),
         ('store reached', 'the store answered first', ('topic', 'offset')),
@@ -251,9 +251,9 @@
             ('server', 'born', 'revision', 'source'),
         ),
         (
-            'rest asked',
-            '{server} wants nothing from this VM for {rest_s} s',
-            ('server', 'born', 'service', 'rest_s'),
+            'backoff asked',
+            '{server} wants nothing from this VM for {backoff_s} s',
+            ('server', 'born', 'service', 'backoff_s'),
         ),
         (
             'request held',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -324,10 +324,10 @@
     # What the asker saw of plain servers since it last asked: requests, and
     # those that failed, by id.
     seen: dict[str, tuple[float, float]] = {}
-    # Which servers it lately learned to leave or to stay (`leaves.Word`), by id.
-    leaves: dict[str, tuple[int, int]] = {}
-    # Which servers want a time without requests (`rests.Word`), by id.
-    rests: dict[str, tuple[int, float]] = {}
+    # Which servers it lately learned to leave or to stay (`departures.Word`), by id.
+    departures: dict[str, tuple[int, int]] = {}
+    # Which servers asked for backoff (`backoffs.Word`), by id.
+    backoffs: dict[str, tuple[int, float]] = {}
 
 
 class RecordsReply(Wire, frozen=True):
@@ -349,10 +349,10 @@
     # long, seconds, by fingerprint.
     held: dict[int, float] = {}
     cleared: dict[int, float] = {}
-    # Which servers have said that they leave (`leaves.Word`), and which want a
-    # time without requests (`rests.Word`), by id.
-    leaves: dict[str, tuple[int, int]] = {}
-    rests: dict[str, tuple[int, float]] = {}
+    # Which servers have said that they leave (`departures.Word`), and which asked for
+    # backoff (`backoffs.Word`), by id.
+    departures: dict[str, tuple[int, int]] = {}
+    backoffs: dict[str, tuple[int, float]] = {}
 
 
 class AskPlace(Wire, frozen=True):
--- a/packages/core/foxtaildale/mirror.py
+++ b/packages/core/foxtaildale/mirror.py
@@ -67,14 +67,14 @@
 
     # By key, newest only; removed ones among them.
     _entries: dict[str, Entry]
-    # By key, the position of the oldest record of its era that said what the newest
+    # By key, the position of the oldest record of its epoch that said what the newest
     # one says, with none in between that said something else.
     _changed_at: dict[str, int]
-    # The same for the era before, of those that said it then already.
+    # The same for the epoch before, of those that said it then already.
     _before: dict[str, int]
     # Removed keys, oldest removal first.
     _removed: dict[str, None]
-    # Keys whose newest record is of an earlier era than the end, and whether peers
+    # Keys whose newest record is of an earlier epoch than the end, and whether peers
     # that know what the store holds must be told.
     _carried: dict[str, bool]
     # Position up to which the topic is known; the next read begins here.
@@ -102,7 +102,7 @@
             Those that were news here, in order of their positions.
         """
         self.end = max(self.end, end)
-        era = positions.era(self.end)
+        epoch = positions.epoch(self.end)
         news = []
         for found in sorted(entries, key=lambda item: item.offset):
             entry = found
@@ -114,7 +114,7 @@
                 self._put(entry)
                 news.append(entry)
                 known = entry
-            if positions.era(known.offset) < era:
+            if positions.epoch(known.offset) < epoch:
                 self._carried[entry.key] = not self._says(entry)
         return news
 
@@ -128,7 +128,7 @@
         """
         listed = list(entries)
         whole = end >= self.end
-        is_later = positions.era(end) > positions.era(self.end)
+        is_later = positions.epoch(end) > positions.epoch(self.end)
         news = self.apply(listed, end)
         if not whole:
             return news
@@ -159,10 +159,10 @@
         return bool(self._carried)
 
     def is_carried(self, key: str) -> bool:
-        """Whether a key's record was not written in the store's newest era."""
+        """Whether a key's record was not written in the store's newest epoch."""
         known = self._entries.get(key)
         return known is not None and (
-            positions.era(known.offset) < positions.era(self.end)
+            positions.epoch(known.offset) < positions.epoch(self.end)
         )
 
     def since(self, end: int) -> list[Entry]:
@@ -173,7 +173,7 @@
         on, that would be most of what goes between VMs.
         """
         changed_at = self._changed_at
-        if positions.era(end) < positions.era(self.end):
+        if positions.epoch(end) < positions.epoch(self.end):
             changed_at = changed_at | self._before
         return [
             entry
@@ -191,10 +191,10 @@
         known = self._entries.get(entry.key)
         if known is None or known.offset != entry.offset:
             return
-        if positions.era(before) == positions.era(entry.offset):
+        if positions.epoch(before) == positions.epoch(entry.offset):
             self._changed_at[entry.key] = before
         else:
-            # Peers of the newest era may know the key from the copy alone.
+            # Peers of the newest epoch may know the key from the copy alone.
             self._before[entry.key] = before
 
     def changed_at(self, key: str) -> int | None:
@@ -215,8 +215,10 @@
         return self._entries.get(key)
 
     def _supersedes(self, entry: Entry, known: Entry) -> bool:
-        same_era = positions.era(entry.offset) == positions.era(known.offset)
-        if not same_era and entry.value:
+        same_epoch = positions.epoch(entry.offset) == positions.epoch(
+            known.offset
+        )
+        if not same_epoch and entry.value:
             rank = self._rank(entry.key, entry.value)
             before = self._rank_of(known)
             if rank != before:
@@ -228,7 +230,7 @@
     def _says(self, entry: Entry) -> bool:
         """Whether a copy's older record says what its key's newest one says."""
         since = self._changed_at[entry.key]
-        if positions.era(entry.offset) != positions.era(since) + 1:
+        if positions.epoch(entry.offset) != positions.epoch(since) + 1:
             return False
         # The copy has the offsets of the history that it was made of.
         return positions.offset(since) <= positions.offset(entry.offset)
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -74,7 +74,7 @@
 
         Raises:
             errors.LapsedError: The position is older than what is kept, or of an
-                era that is over.
+                epoch that is over.
         """
 
     def put(self, topic: str, key: str, value: bytes) -> None:
--- a/packages/daemon/foxtaildaled/announcements.py
+++ b/packages/daemon/foxtaildaled/announcements.py
@@ -1,7 +1,7 @@
 """What backend servers announce of themselves, as one router believes it.
 
-Part of its beliefs, and owned by their actor: which servers leave (`leaves`) and which
-want a time without requests (`rests`), from their answers, the list and other VMs.
+Part of its beliefs, and owned by their actor: which servers leave (`departures`) and which
+asked for backoff (`backoffs`), from their answers, the list and other VMs.
 """
 
 import logging
@@ -20,52 +20,54 @@
     def __init__(self, found: fleet.Fleet) -> None:
         self._fleet = found
 
-    def leaves(self, server: forwarding.Backend, now: float) -> None:
+    def departs(self, server: forwarding.Backend, now: float) -> None:
         """Takes an answer that says that its server leaves."""
-        if self._fleet.leaves.said(now, server.id, server.born):
+        if self._fleet.departures.said(now, server.id, server.born):
             self._leave_changed(server.id, 'answer')
 
     def stays(self, server: forwarding.Backend, now: float) -> None:
         """Takes an answer that says so no more."""
-        if self._fleet.leaves.withdrawn(now, server.id, server.born):
+        if self._fleet.departures.withdrawn(now, server.id, server.born):
             self._leave_changed(server.id, 'answer')
 
-    def rests(
-        self, server: forwarding.Backend, rest_s: float, now: float
+    def backs_off(
+        self, server: forwarding.Backend, backoff_s: float, now: float
     ) -> None:
         """Takes that a server wants nothing from this entry VM for a time."""
-        if self._fleet.rests.asked(now, server.id, server.born, rest_s):
+        if self._fleet.backoffs.asked(now, server.id, server.born, backoff_s):
             logs.event(
                 logging.INFO,
-                'rest asked',
+                'backoff asked',
                 server=server.id,
                 born=server.born,
                 service=server.service,
-                rest_s=rest_s,
+                backoff_s=backoff_s,
             )
 
     def listed(
         self, server: forwarding.Backend, now: float, source: str
     ) -> None:
         """Takes an entry of the list."""
-        leaves = self._fleet.leaves
+        departures = self._fleet.departures
         if server.leaving:
-            leaves.said(now, server.id, server.born)
+            departures.said(now, server.id, server.born)
         # Others pass on the first of several alike only.
-        elif source == 'store' and leaves.listed(now, server.id, server.born):
+        elif source == 'store' and departures.listed(
+            now, server.id, server.born
+        ):
             self._leave_changed(server.id, source)
 
     def take(
         self, msg: messages.AskRecords | messages.RecordsReply, now: float
     ) -> None:
         """Takes what another entry VM knows."""
-        for server in self._fleet.leaves.take(now, msg.leaves):
+        for server in self._fleet.departures.take(now, msg.departures):
             self._leave_changed(server, 'peer')
-        self._fleet.rests.take(now, msg.rests)
+        self._fleet.backoffs.take(now, msg.backoffs)
 
     def _leave_changed(self, server: str, source: str) -> None:
         self._fleet.left(server)
-        born, revision = self._fleet.leaves.words()[server]
+        born, revision = self._fleet.departures.words()[server]
         logs.event(
             logging.INFO,
             'leave announced' if revision % 2 else 'leave withdrawn',
--- a/packages/daemon/foxtaildaled/balancing.py
+++ b/packages/daemon/foxtaildaled/balancing.py
@@ -114,8 +114,8 @@
         for entry in found.entries:
             if entry.key == service:
                 offset, holder = entry.offset, entry.value.decode()
-        era = positions.era(found.end)
-        if not held.may_claim(self._clock(), era, offset, holder):
+        epoch = positions.epoch(found.end)
+        if not held.may_claim(self._clock(), epoch, offset, holder):
             return None
         held.claiming(self._clock())
         value = self._holder.encode()
--- a/packages/daemon/foxtaildaled/beliefs.py
+++ b/packages/daemon/foxtaildaled/beliefs.py
@@ -42,7 +42,7 @@
 
     __slots__ = (
         '_codec',
-        '_era_at',
+        '_epoch_at',
         '_mirrors',
         '_peer_address',
         '_seeds',
@@ -86,7 +86,7 @@
             )
         }
         # When the store was seen to have come back from a copy, seconds.
-        self._era_at = -math.inf
+        self._epoch_at = -math.inf
         # Called with a server that started again under its id; ends what was
         # sent to it before, and returns how many requests that were.
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
@@ -120,7 +120,7 @@
         """Takes an answer of the store."""
         known = self._mirrors[topic]
         before = known.end
-        if positions.era(keyed.end) < positions.era(before):
+        if positions.epoch(keyed.end) < positions.epoch(before):
             logs.event(
                 logging.INFO,
                 'old answer passed over',
@@ -133,10 +133,10 @@
         entries = tuple(self._sealed(topic, entry) for entry in keyed.entries)
         since = self._since(topic, entries)
         news = take(entries, keyed.end)
-        self._note_era(topic, before, now, 'store')
+        self._note_epoch(topic, before, now, 'store')
         if (
             topic != self._codec.config_topic
-            and now - self._era_at > _REWRITTEN_S
+            and now - self._epoch_at > _REWRITTEN_S
         ):
             news += known.drop_carried()
         if topic == self._codec.servers_topic:
@@ -155,7 +155,7 @@
             since = self._since(topic, entries)
             before = known.end
             news = known.apply(entries, end)
-            self._note_era(topic, before, now, 'peer')
+            self._note_epoch(topic, before, now, 'peer')
             if topic == self._codec.servers_topic and end:
                 self.servers_known = True
             self._learn(topic, news, now, 'peer', since)
@@ -180,7 +180,7 @@
         age_s = now - self.fresh_at if self.fresh_at is not None else 1e9
         self.experience.told(now, ask.seen)
         self.announcements.take(ask, now)
-        leaves = self.fleet.leaves
+        departures = self.fleet.departures
         return messages.RecordsReply(
             records=records,
             ends=ends,
@@ -190,10 +190,10 @@
             held=self.verdicts.quarantine.held(now),
             cleared=self.verdicts.quarantine.cleared(now),
             # One that starts knows no topic yet.
-            leaves=leaves.news(now)
+            departures=departures.news(now)
             if any(ask.ends.values())
-            else leaves.words(),
-            rests=self.fleet.rests.words(now),
+            else departures.words(),
+            backoffs=self.fleet.backoffs.words(now),
         )
 
     def ask(self, now: float) -> messages.AskRecords:
@@ -201,8 +201,8 @@
         return messages.AskRecords(
             ends={topic: known.end for topic, known in self._mirrors.items()},
             seen=self.experience.news(),
-            leaves=self.fleet.leaves.news(now),
-            rests=self.fleet.rests.words(now),
+            departures=self.fleet.departures.news(now),
+            backoffs=self.fleet.backoffs.words(now),
         )
 
     def ask_self(self, now: float) -> None:
@@ -273,27 +273,27 @@
             return entry
         return msgspec.structs.replace(entry, value=value)
 
-    def _note_era(
+    def _note_epoch(
         self, topic: str, before: int, now: float, source: str
     ) -> None:
-        """Notes that a topic is of a later era than it was, if it is."""
+        """Notes that a topic is of a later epoch than it was, if it is."""
         known = self._mirrors[topic]
         end = known.end
-        era = positions.era(end)
+        epoch = positions.epoch(end)
         if not before and known.carries():
             # Others saw it come back before this process started.
-            self._era_at = now
-        if not before or era == positions.era(before):
+            self._epoch_at = now
+        if not before or epoch == positions.epoch(before):
             return
-        self._era_at = now
+        self._epoch_at = now
         if topic == self._codec.members_topic:
             self.verdicts.store_changed()
         logs.event(
             logging.INFO,
-            'store era',
+            'store epoch',
             topic=topic,
-            era=era,
-            before=positions.era(before),
+            epoch=epoch,
+            before=positions.epoch(before),
             offset=positions.offset(end),
             known=positions.offset(before),
             source=source,
@@ -301,7 +301,7 @@
 
     def _is_well(self, now: float) -> bool:
         """Whether the store has answered and kept its records of late."""
-        if now - self._era_at <= _UNWELL_S:
+        if now - self._epoch_at <= _UNWELL_S:
             return False
         return self.failed_at is None or now - self.failed_at > _UNWELL_S
 
--- a/packages/daemon/foxtaildaled/forward.py
+++ b/packages/daemon/foxtaildaled/forward.py
@@ -302,20 +302,20 @@
     def _refuse(self, req: passage.Passage, tries: _Tries) -> None:
         """Refuses what no server takes, and says for how long."""
         name = req.service.name
-        rest_s = self._owner.run(
-            lambda state, now: state.fleet.rest_s(name, now)
+        backoff_s = self._owner.run(
+            lambda state, now: state.fleet.backoff_s(name, now)
         )
         code, reason = codes.BACKEND_REFUSED, ''
-        if rest_s:
-            reason = 'resting'
+        if backoff_s:
+            reason = 'backoff'
         elif tries.limited:
             reason = 'limited'
         elif tries.arrived:
             reason = 'full'
         else:
             code = codes.NO_BACKEND
-        if rest_s:
-            retry_s = comeback.not_before_s(rest_s, self._rng)
+        if backoff_s:
+            retry_s = comeback.not_before_s(backoff_s, self._rng)
         else:
             left_s = req.left_s()
             retry_s = comeback.retry_after_s(FULL_WAIT_S, left_s, self._rng)
--- a/packages/daemon/foxtaildaled/plans.py
+++ b/packages/daemon/foxtaildaled/plans.py
@@ -189,9 +189,13 @@
 
     def _engines(self, service: str, now: float) -> placing.Engines:
         return lambda: (
-            # Those that rest for this entry VM may take requests of others.
-            self._known.fleet.candidates(service, now, 'decode', resting=True),
-            self._known.fleet.candidates(service, now, 'prefill', resting=True),
+            # Those in backoff for this entry VM may take requests of others.
+            self._known.fleet.candidates(
+                service, now, 'decode', in_backoff=True
+            ),
+            self._known.fleet.candidates(
+                service, now, 'prefill', in_backoff=True
+            ),
         )
 
     def restarted(self, server: str) -> None:
--- a/packages/daemon/foxtaildaled/selfreports.py
+++ b/packages/daemon/foxtaildaled/selfreports.py
@@ -14,7 +14,7 @@
 class SelfReports:
     """Safe for concurrent use."""
 
-    __slots__ = ('_leaves', '_owner', '_send_limits')
+    __slots__ = ('_departures', '_owner', '_send_limits')
 
     def __init__(
         self,
@@ -22,7 +22,7 @@
         send_limits: sendlimits.SendLimits,
     ) -> None:
         self._owner = owner
-        self._leaves = owner.run(lambda state, _: state.fleet.leaves)
+        self._departures = owner.run(lambda state, _: state.fleet.departures)
         self._send_limits = send_limits
 
     def hear(
@@ -44,8 +44,8 @@
         is_head = isinstance(answer, forwarding.Head)
         # Whoever answers in its place may not name itself.
         if not answer.misdirected or answer.server == server.id:
-            self._take(server, answer.said, leave, is_whole=is_head)
-        load = answer.said.load
+            self._take(server, answer.report, leave, is_whole=is_head)
+        load = answer.report.load
 
         def turn(state: beliefs.Beliefs, now: float) -> None:
             if answer.not_run:
@@ -60,12 +60,12 @@
 
     def mark(self, server: forwarding.Backend) -> int:
         """Returns what is known of a server's leave as something is sent."""
-        return self._leaves.revision(server.id, server.born)
+        return self._departures.revision(server.id, server.born)
 
     def _take(
         self,
         server: forwarding.Backend,
-        said: forwarding.Said,
+        said: forwarding.SelfReport,
         leave: int,
         *,
         is_whole: bool,
@@ -74,32 +74,32 @@
         if is_whole or said.limit is not None:
             self._send_limits.told(server, said.limit)
         if said.leaving:
-            if not self._leaves.leaving(server.id, server.born):
+            if not self._departures.leaving(server.id, server.born):
                 self._owner.run(
-                    lambda state, now: state.announcements.leaves(server, now)
+                    lambda state, now: state.announcements.departs(server, now)
                 )
         elif is_whole and leave % 2 and leave == self.mark(server):
             # Sent after the word came, so it is newer than that.
             self._owner.run(
                 lambda state, now: state.announcements.stays(server, now)
             )
-        if rest_s := said.rest_s:
+        if backoff_s := said.backoff_s:
             self._owner.run(
-                lambda state, now: state.announcements.rests(
-                    server, rest_s, now
+                lambda state, now: state.announcements.backs_off(
+                    server, backoff_s, now
                 )
             )
 
-    def check_rest(self, server: forwarding.Backend) -> None:
+    def check_backoff(self, server: forwarding.Backend) -> None:
         """Lets a call that carries no request go out.
 
         Raises:
             errors.UnreachableError: The server wants nothing from this entry VM.
         """
         left_s = self._owner.run(
-            lambda state, now: state.fleet.rests.own_s(
+            lambda state, now: state.fleet.backoffs.own_s(
                 now, server.id, server.born
             )
         )
         if left_s:
-            raise errors.UnreachableError(f'it rests for {left_s:.1f} s')
+            raise errors.UnreachableError(f'backoff for {left_s:.1f} s')
--- a/packages/daemon/foxtaildaled/spots.py
+++ b/packages/daemon/foxtaildaled/spots.py
@@ -132,12 +132,14 @@
             limit_ms = int((req.deadline - req.started_at) * 1000)
             raise attempt.Refused(codes.TIMED_OUT, limit_ms=limit_ms)
         stage = _stage(req.service)
-        rest_s = self._owner.run(
-            lambda state, now: state.fleet.rest_s(req.service.name, now, stage)
+        backoff_s = self._owner.run(
+            lambda state, now: state.fleet.backoff_s(
+                req.service.name, now, stage
+            )
         )
-        if rest_s:
+        if backoff_s:
             raise attempt.Refused(
-                codes.BACKEND_REFUSED, 'resting', retry_after_s=rest_s
+                codes.BACKEND_REFUSED, 'backoff', retry_after_s=backoff_s
             )
 
     def _planned_spot(
@@ -154,7 +156,7 @@
                 faulty = self._owner.run(
                     lambda state, now: (
                         *state.fleet.faulty(req.service.name, now),
-                        *state.fleet.resting(req.service.name, now),
+                        *state.fleet.in_backoff(req.service.name, now),
                     )
                 )
                 avoided = (*avoid, *faulty, *self._send_limits.spent())
--- a/packages/daemon/foxtaildaled/watched.py
+++ b/packages/daemon/foxtaildaled/watched.py
@@ -173,13 +173,13 @@
 
     def release(self, reserved: forwarding.Reserved) -> forwarding.Reply:
         """Gives up a reservation that was not used."""
-        self._reports.check_rest(reserved.worker)
+        self._reports.check_backoff(reserved.worker)
         reply = self._workers.release(reserved)
         return self._heard(reserved.worker, reply)
 
     def free(self, prefilled: forwarding.Prefilled) -> forwarding.Reply:
         """Frees a prefilled prompt that was not taken."""
-        self._reports.check_rest(prefilled.worker)
+        self._reports.check_backoff(prefilled.worker)
         reply = self._workers.free(prefilled)
         return self._heard(prefilled.worker, reply)
 
@@ -191,7 +191,7 @@
         fence: int,
     ) -> forwarding.Reply:
         """Orders an engine to do another stage; the text is what it said."""
-        self._reports.check_rest(server)
+        self._reports.check_backoff(server)
         reply = self._workers.order_stage(server, stage, holder, fence)
         return self._heard(server, reply)
 
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -24,7 +24,7 @@
         self.mute = False
         self.calls = 0
         # How often it has come back from a copy; None if it does not tell.
-        self.era: int | None = 1
+        self.epoch: int | None = 1
         self._changed = threading.Condition()
         self._topics: dict[str, list[tuple[str, bytes]]] = (
             collections.defaultdict(list)
@@ -57,7 +57,7 @@
             for topic, found in self._topics.items():
                 del found[ends.get(topic, 0) :]
                 self._first[topic] = min(self._first[topic], len(found))
-            self.era = (self.era or 0) + 1
+            self.epoch = (self.epoch or 0) + 1
             self._changed.notify_all()
 
     def keys(self, topic: str) -> set[str]:
@@ -90,9 +90,9 @@
         if self.mute:
             raise serving.Cut
         answer = self._answer(req)
-        if self.era is not None:
-            era = ('Store-Era', str(self.era))
-            answer.headers = (*answer.headers, era)
+        if self.epoch is not None:
+            epoch = ('Store-Era', str(self.epoch))
+            answer.headers = (*answer.headers, epoch)
         return answer
 
     def _answer(self, req: serving.Request) -> serving.Response:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -99,9 +99,9 @@
     assert behind.end == ahead.end
 
 
-def _ranked(offset: int, count: int, era: int = 1) -> mirror.Entry:
+def _ranked(offset: int, count: int, epoch: int = 1) -> mirror.Entry:
     """Returns a server's record that tells how often it has written."""
-    position = positions.make(era, offset)
+    position = positions.make(epoch, offset)
     return mirror.Entry(key='s', offset=position, value=b'%d' % count)
 
 
@@ -113,7 +113,7 @@
     """Returns a mirror whose store came back from a copy, with an older record."""
     known = mirror.Mirror(_rank, keeps=keeps)
     known.apply([_ranked(95, 7)], positions.make(1, 100))
-    known.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    known.snapshot([_ranked(40, 4, epoch=2)], positions.make(2, 90))
     return known
 
 
@@ -126,23 +126,23 @@
 
 
 def test_what_a_copy_lacks_is_told_to_peers_that_read_it() -> None:
-    """Guards against VMs of one era that know different versions."""
+    """Guards against VMs of one epoch that know different versions."""
     known = _later()
     peer = mirror.Mirror(_rank)
-    peer.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    peer.snapshot([_ranked(40, 4, epoch=2)], positions.make(2, 90))
     peer.apply(known.since(peer.end), known.end)
     assert peer.values() == {'s': b'7'}
-    news = known.apply([_ranked(91, 8, era=2)], positions.make(2, 92))
+    news = known.apply([_ranked(91, 8, epoch=2)], positions.make(2, 92))
     assert [entry.value for entry in news] == [b'8']
     assert not known.since(positions.make(2, 92))
 
 
 def test_a_mirror_that_is_behind_does_not_hold_others_back() -> None:
-    """Guards against one VM of the old era that infects those of the new."""
+    """Guards against one VM of the old epoch that infects those of the new."""
     behind = mirror.Mirror(_rank)
     behind.apply([_ranked(95, 7)], positions.make(1, 100))
     ahead = mirror.Mirror(_rank)
-    ahead.apply([_ranked(93, 9, era=2)], positions.make(2, 94))
+    ahead.apply([_ranked(93, 9, epoch=2)], positions.make(2, 94))
     assert not behind.since(ahead.end)
     ahead.apply(behind.since(0), behind.end)
     assert ahead.values() == {'s': b'9'}
@@ -157,7 +157,7 @@
     newest = _ranked(95, 7)
     known.apply([newest], positions.make(1, 100))
     known.repeats(newest, positions.make(1, 30))
-    known.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    known.snapshot([_ranked(40, 4, epoch=2)], positions.make(2, 90))
     assert known.values() == {'s': b'7'}
     assert not known.since(known.end)
 
@@ -171,7 +171,7 @@
     assert bool(known.values()) == keeps
     known.drop_carried()
     assert not known.values()
-    assert known.apply([_ranked(91, 7, era=2)], positions.make(2, 92))
+    assert known.apply([_ranked(91, 7, epoch=2)], positions.make(2, 92))
 
 
 def test_a_removal_outlives_the_copy() -> None:
@@ -180,17 +180,17 @@
     known.apply([_ranked(95, 7)], positions.make(1, 96))
     gone = mirror.Entry('s', positions.make(1, 97), b'')
     known.apply([gone], positions.make(1, 98))
-    known.snapshot([_ranked(40, 4, era=2)], positions.make(2, 90))
+    known.snapshot([_ranked(40, 4, epoch=2)], positions.make(2, 90))
     assert not known.values()
-    assert not known.apply([_ranked(91, 7, era=2)], positions.make(2, 92))
-    assert known.apply([_ranked(92, 8, era=2)], positions.make(2, 93))
+    assert not known.apply([_ranked(91, 7, epoch=2)], positions.make(2, 92))
+    assert known.apply([_ranked(92, 8, epoch=2)], positions.make(2, 93))
 
 
 def test_heartbeats_after_a_return_are_not_all_told_again() -> None:
     """Guards against the whole list being sent to every VM at each return."""
     known = _later()
     before = positions.make(1, 20)
-    again = _ranked(91, 8, era=2)
+    again = _ranked(91, 8, epoch=2)
     known.apply([again], positions.make(2, 92))
     known.repeats(again, before)
     assert not known.since(positions.make(1, 100))
@@ -213,17 +213,18 @@
     written: list[tuple[int, int, int]], order: random.Random
 ) -> None:
     """Guards against an order of arrival that leaves a VM on an older state."""
-    # Within one era the writer counts up with the offsets.
+    # Within one epoch the writer counts up with the offsets.
     counted = {
-        (era, offset): sum(
+        (epoch, offset): sum(
             other[2]
             for other in written
-            if other[0] == era and other[1] <= offset
+            if other[0] == epoch and other[1] <= offset
         )
-        for era, offset, _ in written
+        for epoch, offset, _ in written
     }
     records = [
-        _ranked(offset, count, era) for (era, offset), count in counted.items()
+        _ranked(offset, count, epoch)
+        for (epoch, offset), count in counted.items()
     ]
     order.shuffle(records)
     known = mirror.Mirror(_rank)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -109,7 +109,7 @@
 @pytest.mark.parametrize(
     'changed',
     [
-        pytest.param({'state': 'resting'}, id='a state that is not known'),
+        pytest.param({'state': 'backoff'}, id='a state that is not known'),
         pytest.param({'slots': 'many'}, id='a field of another type'),
         pytest.param({'born': 1.5}, id='a start that is no whole number'),
         pytest.param({'address': 'here'}, id='an address that is none'),
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -215,7 +215,9 @@
     site: sites.Site,
 ) -> None:
     """Guards against a place that was granted before the word came."""
-    answer = forwarding.Reply(status=503, said=forwarding.Said(rest_s=_REST_S))
+    answer = forwarding.Reply(
+        status=503, report=forwarding.SelfReport(backoff_s=_REST_S)
+    )
     router = site.routers[0]
 
     def hear(_: object) -> None:
--- a/tests/test_sendlimits_path.py
+++ b/tests/test_sendlimits_path.py
@@ -131,5 +131,5 @@
 ) -> None:
     """Guards against a server spared, or flooded, for a header of garbage."""
     headers = {} if text is None else {'server-limit': text}
-    said = platform_workers._said(200, headers)
+    said = platform_workers._self_report(200, headers)
     assert said.limit == limit
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -283,7 +283,7 @@
     keyed: keyedstore.KeyedStore,
 ) -> None:
     """Guards against a header that is needed where no copy was ever used."""
-    keyed.era = None
+    keyed.epoch = None
     topics = store.Store(keyed.address)
     _fill(keyed, 3)
     end = topics.newest('t').end
