Quarantine: a VM that was told of ends passes them on to a new home

Now each VM tells a new home all that it knows, whoever reported it. Own reports are no longer kept beside what is known of ends; bounded as before, 256 at once.

The new test fails before (not held within 6 s) and passes now.

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -14,6 +14,8 @@
 from collections.abc import Collection
 from typing import Final
 
+import msgspec
+
 from foxtaildale import messages
 
 # Ends that one request must explain to be blamed.
@@ -34,6 +36,8 @@
 # Ends that are remembered, and requests for each of them.
 MOST_ENDS: Final = 256
 MOST_REQUESTS: Final = 64
+# Reports that are passed on at once.
+MOST_REPORTS: Final = 256
 
 # One start of a server: its id, and when it started.
 _Start = tuple[str, int]
@@ -74,6 +78,17 @@
         self.ran.pop(fingerprint, None)
         self._began_at.pop(fingerprint, None)
 
+    def reports(self, now: float) -> list[messages.Crash]:
+        """Returns what was added and still counts, with its age."""
+        found = []
+        for fingerprint, crash in self.ran.items():
+            began_at = self._began_at[fingerprint]
+            age_s = now - began_at - crash.ran_ms / 1000
+            if age_s <= COUNTS_S:
+                aged = msgspec.structs.replace(crash, age_ms=int(age_s * 1000))
+                found.append(aged)
+        return found
+
     def weight(self, fingerprint: int) -> float:
         """Returns how much it counts against a request."""
         found = self.ran.get(fingerprint)
@@ -127,10 +142,22 @@
             open_ends = [end for end in open_ends if best not in end.ran]
         return found
 
-    def pending(self) -> bool:
-        """Whether there is anything to judge."""
+    def pending(self, now: float) -> bool:
+        """Whether any end still counts."""
+        self._forget(now)
         return bool(self._ends)
 
+    def reports(self, now: float) -> list[messages.Crash]:
+        """Returns what was noted and still counts, whoever reported it.
+
+        The newest come last; those that are told are bounded.
+        """
+        self._forget(now)
+        found = [
+            crash for end in self._ends.values() for crash in end.reports(now)
+        ]
+        return found[-MOST_REPORTS:]
+
     def is_settling(self, now: float) -> bool:
         """Whether an end was reported a moment ago."""
         return any(now - end.at <= 2 * SETTLE_S for end in self._ends.values())
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -261,6 +261,12 @@
             ' {source}',
             ('fingerprint', 'left_s', 'source'),
         ),
+        (
+            'ends told',
+            'a new home of such reports is told all {reports} that are known'
+            ' here',
+            ('reports',),
+        ),
         (
             'request cleared',
             'requests of this fingerprint run to their end, and are held no'
--- a/packages/daemon/foxtaildaled/quarantining.py
+++ b/packages/daemon/foxtaildaled/quarantining.py
@@ -1,13 +1,15 @@
 """Finds requests that end servers, and has all entry VMs hold them back.
 
 Each VM tells the home of all such reports (`asking`) what ran under servers that
-ended, and those that would be home next. It keeps its own reports, so that a home
-that is new or started again hears of them too. The home judges (`crashes`), tells all VMs at once, and keeps what is
+ended, and those that would be home next. A home that is new or started again hears
+of all that is known from each VM that knows any, since the VM that reported it may
+have ended too. The home judges (`crashes`), tells all VMs at once, and keeps what is
 held in the store, since no VM is left to ask after all have lost power. What a VM
 missed comes with its next question to the reader (`beliefs`).
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import math
 import random
@@ -16,7 +18,6 @@
 
 import msgspec
 
-from foxtaildale import crashes
 from foxtaildale import errors
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
@@ -39,7 +40,7 @@
 JUDGES_S: Final = 5.0
 # Longest wait for the home's answer, and for those of all VMs, seconds.
 ANSWER_S: Final = 0.25
-# Own reports that are kept, for as long as they count.
+# Own reports that wait until a home hears of them.
 MOST_REPORTS: Final = 256
 # Requests that ran to their end here and are remembered, and for how long,
 # seconds.
@@ -67,7 +68,6 @@
         '_owner',
         '_peers',
         '_pending',
-        '_reports',
         '_save_at',
         '_store',
         '_tell',
@@ -92,9 +92,8 @@
         self._store = store
         self._clock = clock
         self._lock = threading.Lock()
-        # Own reports with the time of each, oldest first, and those that the
-        # home has not heard of.
-        self._reports: list[_Report] = []
+        # Own reports that the home has not heard of, with the time of each,
+        # oldest first.
         self._pending: list[_Report] = []
         # Cleared here, and not told to the home yet.
         self._untold: list[int] = []
@@ -102,7 +101,7 @@
         self._completed: dict[int, float] = {}
         # Tells this process from others that are or were the home.
         self._judge = random.getrandbits(48)
-        # The home that has heard of all own reports.
+        # The home that has heard of all reports known here.
         self._home = 0
         self._save_at = 0.0
         # Until when it judges, tells and saves for those that asked it, home or
@@ -138,8 +137,6 @@
         with self._lock:
             if now - self._completed.get(request, -math.inf) < COMPLETED_S:
                 return
-            self._reports.append((now, crash))
-            del self._reports[:-MOST_REPORTS]
             self._pending.append((now, crash))
             del self._pending[:-MOST_REPORTS]
         self.on_report()
@@ -236,47 +233,45 @@
 
     def _tell_home(self) -> bool:
         """Tells what is due; returns whether the home has heard it all."""
-        now = self._clock()
         with self._lock:
-            self._reports = [
-                (at, crash)
-                for at, crash in self._reports
-                if now - at <= crashes.COUNTS_S
-            ]
-            if not self._reports and not self._untold:
-                return True
             sent, self._pending = self._pending, []
             cleared, self._untold = self._untold, []
-        self._note(sent)
-        reply = self._ask_home(sent, cleared)
+        if not self._note(sent) and not cleared:
+            return True
+        reply = self._ask_home(_aged(sent, self._clock()), cleared)
         if reply is None:
             with self._lock:
                 self._pending = sent + self._pending
                 self._untold = cleared + self._untold
             return False
-        if reply.judge != self._home:
-            with self._lock:
-                rest = [one for one in self._reports if one not in sent]
-            if rest and self._ask_home(rest, []) is None:
-                return False
-            self._home = reply.judge
+        if reply.judge not in (self._home, self._judge):
+            known = self._owner.run(
+                lambda state, now: state.verdicts.crashes.reports(now)
+            )
+            if len(known) > len(sent):
+                if self._ask_home(known, []) is None:
+                    return False
+                logs.event(logging.INFO, 'ends told', reports=len(known))
+        self._home = reply.judge
         return True
 
-    def _note(self, sent: list[_Report]) -> None:
-        def turn(state: beliefs.Beliefs, now: float) -> None:
+    def _note(self, sent: list[_Report]) -> bool:
+        """Notes own reports; returns whether any are known here."""
+
+        def turn(state: beliefs.Beliefs, now: float) -> bool:
             for crash in _aged(sent, now):
                 state.verdicts.crashes.note(now, crash)
+            return state.verdicts.crashes.pending(now)
 
-        if sent:
-            self._owner.run(turn)
+        return self._owner.run(turn)
 
     def _ask_home(
-        self, sent: list[_Report], cleared: list[int]
+        self, found: Sequence[messages.Crash], cleared: list[int]
     ) -> messages.Quarantined | None:
         msg = messages.CrashReports(
-            crashes=_aged(sent, self._clock()), cleared=tuple(cleared)
+            crashes=tuple(found), cleared=tuple(cleared)
         )
-        if sent:
+        if found:
             # Else they would end with a home that reports to itself.
             heirs = self._homes.heirs(HOME, HEIRS)
             copy = msgspec.structs.replace(msg, copy=True)
--- a/packages/daemon/foxtaildaled/verdicts.py
+++ b/packages/daemon/foxtaildaled/verdicts.py
@@ -32,7 +32,7 @@
 
     def judge(self, now: float) -> bool:
         """Judges the reports; returns whether more is held now."""
-        if not self.crashes.pending():
+        if not self.crashes.pending(now):
             return False
         known = self.quarantine.held(now)
         found = self.crashes.blamed(now, known)
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -272,6 +272,28 @@
     sites.until(lambda: site.all_hold(7), 6.0)
 
 
+def test_reports_outlive_both_their_vm_and_their_home(site: _Site) -> None:
+    """Guards against reports that a VM was told of and passes on to no home."""
+    site.start_routers(3)
+    at_home = [r._asking.is_home(quarantining.HOME) for r in site.routers]
+    home = site.routers.pop(at_home.index(True))
+    reporter, heir = site.routers
+    _report(reporter._quarantining, 7, 'x1', 'x2')
+    time.sleep(1.0)
+    reporter.close()
+    home.close()
+    site.routers[:] = [heir]
+    # Another start may leave the VM that was told as the home itself.
+    sites.until(lambda: heir._asking.is_home(quarantining.HOME), 6.0)
+    while heir._asking.is_home(quarantining.HOME):
+        site.start_routers(1)
+    time.sleep(1.5)
+    newest = site.routers[-1]._quarantining
+    _report(newest, 7, 'x3')
+
+    sites.until(lambda: site.all_hold(7), 6.0)
+
+
 def test_who_judges_for_a_home_that_is_gone_saves_too(site: _Site) -> None:
     """Guards against a verdict that ends with the VMs, since no home saved it."""
     site.start_routers(3)
