Soak: ports of a run are kept from other soaks

The other soaks draw from the same range and look only at who listens; a router that is down listens nowhere.

A run now holds each of its ports at another loopback address until it ends, so that a second run can't draw it. Two soaks at once draw their ports so from now on.

--- a/bench/start.py
+++ b/bench/start.py
@@ -113,7 +113,8 @@
     worker = wireworker.WireWorker('w', 'plain')
     store.put('keyed.servers', 'w', worker.entry())
     store.put('keyed.op', 'config', _CONFIG)
-    front, ready, control = soakrouter.ports(3)
+    ports = soakrouter.Ports(3)
+    front, ready, control = ports.numbers
     with tempfile.TemporaryDirectory() as work:
         boot = pathlib.Path(work) / 'boot.toml'
         boot.write_text(
@@ -130,6 +131,7 @@
         found = [
             start(args.deps, boot, front, flags) for _ in range(args.starts)
         ]
+    ports.close()
     bare = statistics.median(bare_s(args.deps) for _ in range(args.starts))
     cpu_s, wall_s, resident = (
         statistics.median(values) for values in zip(*found, strict=True)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -201,7 +201,8 @@
             made = crasher.Crasher(worker, self.store, f'/{_BAD}', _BACK_S)
             self.crashers.append(made)
         self.relays = [made.relay for made in self.crashers]
-        found = soakrouter.ports(ROUTERS * _PORTS)
+        self.ports = soakrouter.Ports(ROUTERS * _PORTS)
+        found = self.ports.numbers
         self.routers = [
             soakrouter.Router(
                 number,
@@ -674,6 +675,7 @@
             router.relay.close()
             router.control_relay.close()
             router.out.close()
+        self.ports.close()
         for made in self.crashers:
             made.close()
         for worker in self.workers:
--- a/tests/soakrouter.py
+++ b/tests/soakrouter.py
@@ -17,6 +17,8 @@
 # first line yet, seconds: 30 ms on an idle machine, several times that on a busy
 # one. Loading the libraries takes half a second after that, and is not excused.
 UNBORN_S: Final = 0.15
+# Where a port is held while nobody listens on it.
+_GUARD_HOST: Final = '127.0.0.2'
 BOOT: Final = """
 node_name = "vm-{number}"
 ip = "127.0.0.1"
@@ -36,25 +38,38 @@
 """
 
 
-def ports(count: int) -> list[int]:
-    """Returns free ports below those that the kernel gives to connections.
+class Ports:
+    """Free ports below those that the kernel gives to connections.
 
     A router is down for a while and takes its ports again; one that the kernel
-    chose could be some connection's by then. All of a run are drawn together:
-    a router that is not started yet has none that a look would find taken.
+    chose could be some connection's by then. All of a run are drawn together, and
+    each is held at another address of this machine, since a router that is down
+    has none that another run's look would find taken.
     """
-    text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
-    below = int(text.split()[0])
-    found: list[int] = []
-    while len(found) < count:
-        port = random.randrange(below - 12_000, below)
-        try:
-            socket.create_server(('127.0.0.1', port)).close()
-        except OSError:
-            continue
-        if port not in found:
-            found.append(port)
-    return found
+
+    def __init__(self, count: int) -> None:
+        text = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+        below = int(text.read_text().split()[0])
+        self.numbers: list[int] = []
+        self._guards: list[socket.socket] = []
+        while len(self.numbers) < count:
+            port = random.randrange(below - 12_000, below)
+            try:
+                guard = socket.create_server((_GUARD_HOST, port))
+            except OSError:
+                continue
+            try:
+                socket.create_server(('127.0.0.1', port)).close()
+            except OSError:
+                guard.close()
+                continue
+            self.numbers.append(port)
+            self._guards.append(guard)
+
+    def close(self) -> None:
+        """Lets other runs have them."""
+        for guard in self._guards:
+            guard.close()
 
 
 class Router:
