--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,7 @@
 
 from tests import soakreports
 from tests import soakrouter
+from tests import soakschedule
 from tests.standins import crasher
 from tests.standins import keyedstore
 from tests.standins import relay
@@ -42,9 +43,6 @@
 
 ROUTERS: Final = 3
 CALLERS: Final = 6
-# How long faults come, and how long each lasts at most, seconds.
-FAULTS_S: Final = 5.0
-FAULT_S: Final = 1.5
 # Time after the last fault in which everything must work again, seconds: a
 # silent connection to the store is noticed after 2.4 s, a home that was passed
 # over is asked again after 2 s.
@@ -95,79 +93,6 @@
     whole: bool
 
 
-@dataclasses.dataclass(frozen=True)
-class Fault:
-    """One fault of a schedule."""
-
-    at: float
-    lasts: float
-    name: str
-    pick: int
-
-
-# Faults of workers that end; drawn apart, so that a seed's others stay as they are.
-_ENDS: Final = ('worker-ends', 'bad')
-_LIMITS: Final = ('worker-limits',)
-# The store comes back from a copy.
-_COPIES: Final = ('copy',)
-# Faults of workers that say of themselves that they leave, or want rest.
-_SAYS: Final = ('worker-says', 'worker-rests')
-_FAULTS: Final = (
-    'kill',
-    'pause',
-    'term',
-    'hup',
-    'store-cut',
-    'store-silent',
-    'store-delay',
-    'store-down',
-    'store-mute',
-    'store-forgets',
-    'peer-cut',
-    'peer-silent',
-    'worker-cut',
-    'worker-silent',
-    'worker-delay',
-    'worker-refuses',
-    'worker-errors',
-    'worker-loses',
-    'worker-breaks',
-    'worker-leaves',
-    'config',
-)
-
-
-def schedule(seed: int, *, ends: bool = False) -> list[Fault]:
-    """Returns the faults of a seed, in order of time.
-
-    Args:
-        seed: Fixes them.
-        ends: Whether workers end and name limits, too.
-    """
-    rng = random.Random(seed)
-    found = _draw(rng, _FAULTS, rng.randint(5, 12))
-    if ends:
-        found += _draw(random.Random(f'{seed}/ends'), _ENDS, 3)
-        found += _draw(random.Random(f'{seed}/limits'), _LIMITS, 2)
-        found += _draw(random.Random(f'{seed}/says'), _SAYS, 4)
-        found += _draw(random.Random(f'{seed}/copies'), _COPIES, 2)
-    return sorted(found, key=lambda fault: fault.at)
-
-
-def _draw(
-    rng: random.Random, names: tuple[str, ...], count: int
-) -> list[Fault]:
-    return [
-        Fault(
-            at=rng.uniform(0.3, FAULTS_S),
-            lasts=rng.uniform(0.2, FAULT_S),
-            name=rng.choice(names),
-            pick=rng.randrange(1000),
-        )
-        for _ in range(count)
-    ]
-
-
 class Soak:
     """One seed."""
 
@@ -351,7 +276,7 @@
     def _play(self) -> None:
         began = time.monotonic()
         threads = []
-        for fault in schedule(self.seed, ends=self.ends):
+        for fault in soakschedule.schedule(self.seed, ends=self.ends):
             time.sleep(max(0.0, began + fault.at - time.monotonic()))
             thread = threading.Thread(target=self._fault, args=(fault,))
             thread.start()
@@ -365,7 +290,7 @@
             router.relay.mend()
             router.control_relay.mend()
 
-    def _fault(self, fault: Fault) -> None:
+    def _fault(self, fault: soakschedule.Fault) -> None:
         router = self.routers[fault.pick % ROUTERS]
         index = fault.pick % len(self.workers)
         area, _, what = fault.name.partition('-')
@@ -509,7 +434,7 @@
         conn.close()
         return seen
 
-    def _send_bad(self, fault: Fault) -> None:
+    def _send_bad(self, fault: soakschedule.Fault) -> None:
         end = time.monotonic() + fault.lasts
         rng = random.Random(fault.pick)
         while time.monotonic() < end:
@@ -715,7 +640,7 @@
     soak = Soak(seed, folder, ends=ends)
     found = soak.run()
     whole = sum(seen.status == 200 and seen.whole for seen in soak.seen)
-    names = ', '.join(f.name for f in schedule(seed, ends=ends))
+    names = ', '.join(f.name for f in soakschedule.schedule(seed, ends=ends))
     print(f'seed {seed}: {len(soak.seen)} requests, {whole} whole ({names})')
     if not found:
         for file in folder.iterdir():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,11 +6,12 @@
 import pytest
 
 from tests import soak
+from tests import soakschedule
 
 
 def test_a_schedule_is_fixed_by_its_seed() -> None:
-    assert soak.schedule(7) == soak.schedule(7)
-    assert soak.schedule(7) != soak.schedule(8)
+    assert soakschedule.schedule(7) == soakschedule.schedule(7)
+    assert soakschedule.schedule(7) != soakschedule.schedule(8)
 
 
 # 1: a planned stop, worker and store faults that overlap.
