Departures: ask for one server's word instead of a copy of all

Each change of a leave copied the whole table, up to 4,096 words, to log one of them; a VM that starts and takes many did so for each. A comment no longer tells how a bound was chosen. Behaviour as before; test_departures, test_selfreports_path, test_beliefs pass.

--- a/packages/core/foxtaildale/departures.py
+++ b/packages/core/foxtaildale/departures.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-# Servers that are remembered; more than a deployment lists.
+# Servers that are remembered; those that changed longest ago go first.
 MOST: Final = 4096
 # Entries that call a server ready, written after it was found to leave, that
 # withdraw its leave, and the least time between two that count, seconds. One may
@@ -97,6 +97,14 @@
             self._put(now, server, (words[server][0], words[server][1]))
         return newer
 
+    def word(self, server: str) -> Word:
+        """Returns the word on a server.
+
+        Raises:
+            KeyError: There is none.
+        """
+        return self._words[server]
+
     def words(self) -> dict[str, Word]:
         """Returns all that is known, for an entry VM that starts."""
         return dict(self._words)
--- a/packages/daemon/foxtaildaled/announcements.py
+++ b/packages/daemon/foxtaildaled/announcements.py
@@ -67,7 +67,7 @@
 
     def _leave_changed(self, server: str, source: str) -> None:
         self._fleet.left(server)
-        born, revision = self._fleet.departures.words()[server]
+        born, revision = self._fleet.departures.word(server)
         logs.event(
             logging.INFO,
             'leave announced' if revision % 2 else 'leave withdrawn',
