Tests: one way to run callers in the soak, one setup for each pair of alike tests

The soak started and joined its callers by the same loop twice; a context manager serves both. Two tests of a leave had the same first steps, two of copies the same last ones.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import http.client
 import math
@@ -150,16 +152,8 @@
         """Plays the schedule; returns what was wrong."""
         try:
             self._begin()
-            callers = [
-                threading.Thread(target=self._call, args=(number,))
-                for number in range(CALLERS)
-            ]
-            for caller in callers:
-                caller.start()
-            self._play()
-            self._over.set()
-            for caller in callers:
-                caller.join(30)
+            with self._calling(0):
+                self._play()
             self._recover()
             if self.ends:
                 self._recover_from_bad()
@@ -471,7 +465,8 @@
         for worker in self.workers:
             worker.limit = _LIMIT
         began = time.monotonic()
-        self._call_for(_KEPT_S + _SPAN_S + 1.0, CALLERS)
+        with self._calling(CALLERS):
+            time.sleep(_KEPT_S + _SPAN_S + 1.0)
         for worker in self.workers:
             worker.limit = None
         allowed = _LIMIT_RATIO * _SPAN_S * _LIMIT + _LIMIT_EXTRA
@@ -491,11 +486,13 @@
         resting = [self.workers[index] for index in (1, 4, 6)]
         for worker in leaving:
             worker.leaving = True
-        self._call_for(2 * soakreports.LEAVES_S, 2 * CALLERS)
+        with self._calling(2 * CALLERS):
+            time.sleep(2 * soakreports.LEAVES_S)
         for worker in resting:
             worker.rest_s = _REST_S
             worker.refuse = True
-        self._call_for(2 * _REST_S, 3 * CALLERS)
+        with self._calling(3 * CALLERS):
+            time.sleep(2 * _REST_S)
         for worker in (*leaving, *resting):
             worker.leaving = worker.refuse = False
 
@@ -531,8 +528,9 @@
         conn.close()
         return seen.status == 200
 
-    def _call_for(self, for_s: float, first: int) -> None:
-        """Lets callers come to all routers for a time."""
+    @contextlib.contextmanager
+    def _calling(self, first: int) -> Iterator[None]:
+        """Lets callers, numbered from the first on, come to all routers."""
         self._over.clear()
         callers = [
             threading.Thread(target=self._call, args=(first + number,))
@@ -540,7 +538,7 @@
         ]
         for caller in callers:
             caller.start()
-        time.sleep(for_s)
+        yield
         self._over.set()
         for caller in callers:
             caller.join(30)
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -8,6 +8,7 @@
 from foxtaildale import forwarding
 from tests import loads
 from tests import site as sites
+from tests.standins import wireworker
 
 _VMS = 3
 # Callers of each router.
@@ -132,13 +133,21 @@
     assert not _any(site, 's1', began)
 
 
-def test_a_leave_that_is_withdrawn_holds_no_more(site: sites.Site) -> None:
-    """Guards against a healthy server that gets nothing for old word."""
-    worker = site.workers['s1']
+def _load_while_leaving(
+    site: sites.Site, worker: wireworker.WireWorker
+) -> loads.Load:
+    """Starts a load, and has a worker say for a second that it leaves."""
     worker.leaving = True
     load = _load(site, '/safe')
     time.sleep(1.0)
     worker.leaving = False
+    return load
+
+
+def test_a_leave_that_is_withdrawn_holds_no_more(site: sites.Site) -> None:
+    """Guards against a healthy server that gets nothing for old word."""
+    worker = site.workers['s1']
+    load = _load_while_leaving(site, worker)
     for _ in range(5):
         site.store.put('keyed.servers', 's1', worker.entry())
         time.sleep(1.2)
@@ -149,10 +158,7 @@
 def test_a_new_start_of_a_server_is_none_that_leaves(site: sites.Site) -> None:
     """Guards against word of one start that is held against the next."""
     worker = site.workers['s1']
-    worker.leaving = True
-    load = _load(site, '/safe')
-    time.sleep(1.0)
-    worker.leaving = False
+    load = _load_while_leaving(site, worker)
     worker.born = 1
     site.store.put('keyed.servers', 's1', worker.entry())
     time.sleep(1.0)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -122,11 +122,8 @@
     sites.until(lambda: site.all_at(8), _CONFIG_S)
 
 
-def test_a_server_that_left_is_not_brought_back(site: _Site) -> None:
-    """Guards against entries of the copy that were removed or left since."""
-    copy = _later(site)
-    entry = site.workers['s1'].entry('draining')
-    site.store.put(_SERVERS, 's1', entry)
+def _check_stays_out(site: _Site, copy: dict[str, int]) -> None:
+    """Checks that a copy with a server that is gone does not bring it back."""
     sites.until(lambda: site.all_know('s1', usable=False))
     site.store.restore(copy)
     for _ in range(10):
@@ -134,15 +131,19 @@
         assert site.all_know('s1', usable=False)
 
 
+def test_a_server_that_left_is_not_brought_back(site: _Site) -> None:
+    """Guards against entries of the copy that were removed or left since."""
+    copy = _later(site)
+    entry = site.workers['s1'].entry('draining')
+    site.store.put(_SERVERS, 's1', entry)
+    _check_stays_out(site, copy)
+
+
 def test_a_server_that_was_removed_is_not_brought_back(site: _Site) -> None:
     """Guards against a dead server in the copy that gets requests again."""
     copy = _later(site)
     site.store.put(_SERVERS, 's1', None)
-    sites.until(lambda: site.all_know('s1', usable=False))
-    site.store.restore(copy)
-    for _ in range(10):
-        time.sleep(0.1)
-        assert site.all_know('s1', usable=False)
+    _check_stays_out(site, copy)
 
 
 def test_a_server_that_the_copy_lacks_is_back_when_written_again(
