Stop: log lines that tell open connections from requests in progress

Cause: 'stopped busy=0' says that no request is in progress, not that none can come.

Change, without any change of logic: 'stopping' and 'stopped' name the open connections; 'connection cut' names each connection that a stop shuts down and the requests that had begun on it.

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -140,6 +140,10 @@
         """Returns the number of exchanges in progress."""
         return self._server.active_requests
 
+    def open_connections(self) -> int:
+        """Returns the number of connections, with or without an exchange."""
+        return self._server.open_connections()
+
     def close(self) -> None:
         """Closes every connection, also those in use.
 
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -142,8 +142,12 @@
         # Whether the connection was ever added to the idle connections.
         self.was_idle = False
         self.discard_input = False
+        # Number of requests that were read from this connection.
+        self.requests_begun = 0
+        http_server.add_connection(self)
 
     def communicate(self) -> bool:
+        self.requests_begun += 1
         try:
             self.rfile.set_deadline(
                 self.server.request_timeout_s or self.server.timeout
@@ -178,6 +182,7 @@
         if self.discard_input:
             self._discard_input()
         super().close()
+        self.server.remove_connection(self)
 
     def _discard_input(self) -> None:
         """Reads and discards input for a short time after an early error.
@@ -337,6 +342,18 @@
             # The request waits for one of the running threads.
             logs.event(logging.WARNING, 'thread not started', exc=exc)
 
+    @staticmethod
+    def _force_close(conn: _Connection | None) -> None:
+        if conn is None or conn.rfile.closed:
+            return
+        logs.event(
+            logging.WARNING,
+            'connection cut',
+            caller=f'{conn.remote_addr}:{conn.remote_port}',
+            requests=conn.requests_begun,
+        )
+        threadpool.ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+
 
 class HttpServer(server.HTTPServer):
     """HTTP server of the library with strict connections."""
@@ -381,6 +398,24 @@
         # Number of requests that a thread handles or that wait for a thread.
         self.active_requests = 0
         self.became_idle = threading.Condition()
+        # Connections that are open, with or without a request; guarded by
+        # `became_idle`.
+        self._open_connections: set[_Connection] = set()
+
+    def add_connection(self, conn: _Connection) -> None:
+        """Counts a connection as open."""
+        with self.became_idle:
+            self._open_connections.add(conn)
+
+    def remove_connection(self, conn: _Connection) -> None:
+        """No longer counts a connection as open."""
+        with self.became_idle:
+            self._open_connections.discard(conn)
+
+    def open_connections(self) -> int:
+        """Returns the number of connections, with or without a request."""
+        with self.became_idle:
+            return len(self._open_connections)
 
     def add_active_requests(self, change: int) -> None:
         """Changes the number of requests in progress."""
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -124,14 +124,30 @@
         ),
         (
             'stopping',
-            'the router is stopping with {busy} requests in progress',
-            ('busy',),
+            'the router is stopping with {busy} requests in progress on'
+            ' {connections} open connections',
+            ('busy', 'connections'),
         ),
         (
             'stopped',
-            'the router stopped with {busy} requests in progress',
-            ('busy',),
+            'the router stopped with {busy} requests in progress on'
+            ' {connections} open connections',
+            ('busy', 'connections'),
         ),
+        (
+            'connection cut',
+            'the stop cut the connection of {caller} on which {requests}'
+            ' requests had begun',
+            ('caller', 'requests'),
+        ),
+        ('handler failed', 'the handler of a request failed: {exc}', ('exc',)),
+        (
+            'thread not started',
+            'no thread could be started, a request waits for another: {exc}',
+            ('exc',),
+        ),
+        ('watch failed', 'a connection is no longer watched: {exc}', ('exc',)),
+        ('http server', 'the HTTP library reports: {message}', ('message',)),
         ('reloaded', 'the settings were reloaded', ('store', 'seeds')),
         (
             'reload failed',
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -353,13 +353,13 @@
         self._ends_at = stopped_at + self.cfg.grace_s - CLOSE_MARGIN_S
         self._stopping.set()
         self._server.announce_stop()
-        logs.event(logging.INFO, 'stopping', busy=self._server.busy())
+        logs.event(logging.INFO, 'stopping', **self._load())
         time.sleep(LAME_DUCK_S)
         self._server.stop_accepting()
         self._server.close_idle()
         while self._server.busy() and clock() < self._ends_at:
             time.sleep(_STOP_POLL_S)
-        logs.event(logging.INFO, 'stopped', busy=self._server.busy())
+        logs.event(logging.INFO, 'stopped', **self._load())
         self.close()
 
     def requests_in_progress(self) -> int:
@@ -400,6 +400,13 @@
             logging.INFO, 'reloaded', store=cfg.store, seeds=list(cfg.seeds)
         )
 
+    def _load(self) -> dict[str, int]:
+        """Returns the requests in progress and the open connections."""
+        return {
+            'busy': self._server.busy(),
+            'connections': self._server.open_connections(),
+        }
+
     def _make_limiter(self) -> account_limits.Limiter:
         local_shares = account_limits.LocalShares(
             lambda: len(self._state.entry_vms), clock
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -8,6 +8,7 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _DAEMON = _ROOT / 'packages' / 'daemon' / 'foxtaildaled'
 _PLATFORM = _ROOT / 'platform' / 'foxtaildale_platform'
+_HTTP_SERVER = _ROOT / 'packages/adapters/foxtaildale_adapters/httpd.py'
 _MODULES = (
     'account_limits',
     'coordinator_client',
@@ -34,7 +35,7 @@
     'store_sync',
 )
 _LOG_CALL = re.compile(
-    r'(?:logs\.event\(\s*\w+\.\w+,|\.log\()\s*'
+    r'(?:logs\.event\(\s*[\w.]+,|\.log\()\s*'
     r"('[^']+'(?:\s+if [^,]+?\s+else\s+'[^']+')?)"
 )
 _EVENT_ASSIGNMENT = re.compile(r"\bevent = \(?\s*('[^']+'[^\n]*)")
@@ -45,7 +46,7 @@
     paths = [_DAEMON / f'{module}.py' for module in _MODULES]
     adapter_names = ('records', 'store', 'server_client')
     adapter_paths = [_PLATFORM / f'{name}.py' for name in adapter_names]
-    for path in (*paths, *adapter_paths):
+    for path in (*paths, *adapter_paths, _HTTP_SERVER):
         text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
         for pattern in (_LOG_CALL, _EVENT_ASSIGNMENT):
