Test: a stop that cuts a stream it took from an open connection, failing

What callers saw: the connection closed in the middle of a stream, about one second after it was sent, 2.8 to 3.2 s after the VM got SIGTERM, with most of the grace time left.

The test stops twelve routers that each hold one kept connection and sends a stream of 1.6 s on it, at times from 50 ms before to 500 ms after the port is closed.

--- /dev/null
+++ b/tests/test_open_connections.py
@@ -0,0 +1,105 @@
+"""Stops of the router while callers still hold connections open."""
+
+from collections.abc import Iterator
+from concurrent import futures
+import http.client
+import time
+from typing import Final
+
+import pytest
+
+from foxtaildaled import router_daemon
+from tests import site as sites
+
+# Times at which a caller sends its request, seconds after the stop began.
+_SEND_TIMES_S: Final = tuple(
+    router_daemon.LAME_DUCK_S + step * 0.05 for step in range(-1, 11)
+)
+# Longer than the time that a closing HTTP server waits for its threads.
+_EVENTS: Final = 32
+_PACE_S: Final = 0.05
+# Time by which a stopped router must have ended, seconds.
+_ENDS_S: Final = 9.0
+
+
+@pytest.fixture(name='site')
+def _site() -> Iterator[sites.Site]:
+    made = sites.Site()
+    sites.make_calm(made)
+    for name in ('d1', 'd2'):
+        made.workers[name].events = _EVENTS
+        made.workers[name].pace_s = _PACE_S
+    yield made
+    made.close()
+
+
+def _open(site: sites.Site, number: int) -> http.client.HTTPConnection:
+    """Returns a connection that one request was answered on."""
+    conn = http.client.HTTPConnection(
+        site.routers[number].addresses['caller'], timeout=_ENDS_S
+    )
+    conn.request('GET', '/safe/x', headers=_headers(f'first-{number}'))
+    assert conn.getresponse().read()
+    # A connection that the router closed must not be replaced by a new one.
+    conn.auto_open = 0
+    return conn
+
+
+def _headers(attempt: str) -> dict[str, str]:
+    return {
+        'Host': 'h.example',
+        'Foxtaildale-Attempt-Id': attempt,
+        'Foxtaildale-Deadline-Ms': '3000',
+        'Foxtaildale-Token-Count': '500,640',
+    }
+
+
+def _ask(conn: http.client.HTTPConnection, attempt: str) -> str:
+    """Sends a stream's request; returns what its caller got."""
+    try:
+        conn.request('POST', '/chat/x', headers=_headers(attempt))
+        resp = conn.getresponse()
+    except (OSError, http.client.HTTPException):
+        return 'closed'
+    try:
+        body = resp.read()
+    except (OSError, http.client.HTTPException):
+        return 'cut'
+    if resp.status == 200 and body == sites.events(attempt, _EVENTS):
+        return 'whole'
+    return 'refused' if resp.status == 503 else 'cut'
+
+
+def _ask_at(
+    site: sites.Site, number: int, sent_s: float
+) -> tuple[float, str, bool]:
+    """Stops a router; returns what a caller got and whether it ran."""
+    attempt = f'late-{number}'
+    conn = _open(site, number)
+    with futures.ThreadPoolExecutor(1) as pool:
+        stopped = pool.submit(site.routers[number].stop)
+        time.sleep(sent_s)
+        found = _ask(conn, attempt)
+        stopped.result(_ENDS_S)
+    conn.close()
+    ran = any(attempt in worker.ids() for worker in site.workers.values())
+    return sent_s, found, ran
+
+
+def test_a_stop_cuts_no_request_that_it_took_from_an_open_connection(
+    site: sites.Site,
+) -> None:
+    """Guards against a stream cut a second after a stopping router took it."""
+    site.start_routers(len(_SEND_TIMES_S) - 1)
+    with futures.ThreadPoolExecutor(len(_SEND_TIMES_S)) as pool:
+        found = list(
+            pool.map(
+                lambda item: _ask_at(site, *item), enumerate(_SEND_TIMES_S)
+            )
+        )
+    lost = [
+        case
+        for case in found
+        if case[1] == 'cut' or (case[1] != 'whole' and case[2])
+    ]
+    assert not lost, found
