Stop: the router ends when no connection is open, not when no request is in progress

What callers saw: a stream cut in its middle about a second after it was sent, 3 s after the VM got SIGTERM, with 4 s of grace time left.

Cause: the stop ended by a count of requests in progress, which says nothing of the connections that may still bring one. With that count at 0 it went on to close(): the HTTP library's selector still passes on what arrives until its select returns (up to 0.5 s), then the threads get 1 s (shutdown_timeout), then the receiving side of what is left is shut down. The router's own watcher takes that for a caller that left, and cancels the stream ('cancelled', 499).

Ruled out: a cut by the worker or the link (each cut comes 1.006 to 1.013 s after the request, on four workers, with the code of a caller that left; the request was taken 0.106 s after 'stopped busy=0').

Change: the HTTP server counts open connections. A connection whose request has arrived is served; one that was just accepted has 0.2 s for its first request. Once 'close' has begun, no further request is begun. The idle timeout is no longer misused for closing, so a configuration that sets it anew during a stop no longer keeps connections open.

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -1,6 +1,8 @@
 """The HTTP server for callers; `httpd` describes its connection handling."""
 
+from collections.abc import Callable
 import threading
+import time
 from typing import Final
 
 from foxtaildale import errors
@@ -12,9 +14,8 @@
 # Interval between checks for connections that exceeded the idle timeout, and
 # maximum delay of a close, seconds. Each check wakes a thread.
 IDLE_CHECK_S: Final = 0.1
-# The negated value, set as idle timeout, closes every idle connection at the
-# library's next check, even if the wall clock was adjusted; seconds.
-NEVER_IDLE_S: Final = 1e6
+# Interval at which a drain closes connections that became idle, seconds.
+_SWEEP_INTERVAL_S: Final = 0.05
 
 Exchange = caller_exchange.Exchange
 Handler = caller_exchange.Handler
@@ -119,21 +120,52 @@
             self._server.stop_accepting()
 
     def close_idle(self) -> None:
-        """Closes the connections that wait for a request at the next check.
+        """Closes the connections that wait for a request.
 
-        A connection with a request in progress closes after its response.
+        A request that has arrived is served, and its connection is closed
+        after the response.
         """
-        self._server.timeout = -NEVER_IDLE_S  # type: ignore[assignment]
+        self._server.request_idle_sweep()
 
     def drain(self, timeout_s: float) -> bool:
-        """Waits until no exchange is in progress.
+        """Waits until no exchange is in progress and none can begin.
+
+        Idle connections are closed after the last exchange. Call
+        `stop_accepting` before; a connection that is accepted later can bring
+        another exchange.
 
         Returns:
-            False if some were still in progress at the timeout.
+            False if a connection was still open at the timeout.
+        """
+        deadline = time.monotonic() + timeout_s
+        if not self._wait_for(
+            lambda: not self._server.active_requests, deadline
+        ):
+            return False
+        first_sweep = self._server.sweeps + 1
+        while not self._is_closed(first_sweep):
+            if time.monotonic() >= deadline:
+                return False
+            self._server.request_idle_sweep()
+            self._wait_for(
+                lambda: self._is_closed(first_sweep),
+                min(deadline, time.monotonic() + _SWEEP_INTERVAL_S),
+            )
+        return True
+
+    def _is_closed(self, sweep: int) -> bool:
+        """Whether no connection is open after a sweep with this number.
+
+        Until the sweep, the selector's thread may hold a connection that it has
+        accepted and not counted yet.
         """
+        server = self._server
+        return server.sweeps >= sweep and not server.open_connections()
+
+    def _wait_for(self, condition: Callable[[], bool], deadline: float) -> bool:
         with self._server.became_idle:
             return self._server.became_idle.wait_for(
-                lambda: not self._server.active_requests, timeout_s
+                condition, max(0.0, deadline - time.monotonic())
             )
 
     def busy(self) -> int:
@@ -151,6 +183,7 @@
         """
         if self._thread is None or not self._thread.is_alive():
             return
+        self._server.closing = True
         self.stop_accepting()
         # The library waits for its threads without a timeout, so a handler
         # that hangs would keep a stopped process alive forever.
--- a/packages/adapters/foxtaildale_adapters/disconnects.py
+++ b/packages/adapters/foxtaildale_adapters/disconnects.py
@@ -55,6 +55,13 @@
     return reset, bool(flags & select.POLLRDHUP)
 
 
+def has_input(sock: socket.socket) -> bool:
+    """Returns whether bytes or a FIN arrived, or the socket was reset."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def is_writable(sock: socket.socket) -> bool:
     """Returns whether a few bytes can be sent without blocking."""
     poll = select.poll()
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -5,18 +5,22 @@
 the connection to the selector. An invalid request receives a typed JSON error,
 if a response is possible, and its connection is closed.
 
-The server differs from the library in four ways. A request must arrive
+The server differs from the library in five ways. A request must arrive
 completely within one deadline, since with a timeout per read a slow sender
 could occupy a thread indefinitely. A connection occupies no thread before it
 has sent a byte. When every thread is busy, further requests are refused at
 once instead of being queued without a reply. Threads are started on demand,
-since most VMs never need many.
+since most VMs never need many. A stop can wait until no connection is open: a
+count of the requests in progress alone misses the request that arrives next.
 """
 
 from collections.abc import Callable
 import logging
+import math
+import selectors
 import socket
 import threading
+import time
 from typing import Any
 from typing import Final
 
@@ -30,6 +34,7 @@
 from foxtaildale_adapters import connection_files
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import wakes
 
 # Maximum number of idle connections that stay open.
 MAX_IDLE_CONNECTIONS: Final = 1000
@@ -41,6 +46,9 @@
 MAX_QUEUED_REQUESTS: Final = 8
 # Delay after which a caller refused for busy threads should retry, seconds.
 BUSY_RETRY_AFTER_S: Final = 1
+# Time for the first request on a new connection to arrive before a stop closes
+# the connection as idle, seconds.
+FIRST_REQUEST_S: Final = 0.2
 # How long unread input is read and discarded before a close, seconds.
 DISCARD_INPUT_S: Final = 1.0
 _READ_BYTES: Final = 4096
@@ -144,8 +152,16 @@
         self.discard_input = False
         # Number of requests that were read from this connection.
         self.requests_begun = 0
+        self._opened_at = time.monotonic()
         http_server.add_connection(self)
 
+    def expects_request(self) -> bool:
+        """Whether a request has arrived, or a first one is likely to."""
+        if disconnects.has_input(self.socket):
+            return True
+        age_s = time.monotonic() - self._opened_at
+        return not self.requests_begun and age_s < FIRST_REQUEST_S
+
     def communicate(self) -> bool:
         self.requests_begun += 1
         try:
@@ -181,8 +197,10 @@
     def close(self) -> None:
         if self.discard_input:
             self._discard_input()
-        super().close()
-        self.server.remove_connection(self)
+        try:
+            super().close()
+        finally:
+            self.server.remove_connection(self)
 
     def _discard_input(self) -> None:
         """Reads and discards input for a short time after an early error.
@@ -355,6 +373,35 @@
         threadpool.ThreadPool._force_close(conn)  # type: ignore[attr-defined]
 
 
+class _IdleSweep:
+    """Closes the idle connections, in the selector's thread.
+
+    Another thread may not close them, since the selector's thread may just be
+    passing their requests on. The sweep is registered with the selector like a
+    connection, and is readable from the start.
+    """
+
+    def __init__(self, http_server: 'HttpServer') -> None:
+        self._server = http_server
+        self._ready = wakes.WakeEvent()
+        self._ready.set()
+        # The library closes connections that were used before a limit.
+        self.last_used = math.inf
+
+    def fileno(self) -> int:
+        """Returns the descriptor to register."""
+        return self._ready.fileno()
+
+    def run(self) -> None:
+        """Closes the idle connections; the selector has removed the sweep."""
+        self.close()
+        self._server.close_idle_connections()
+
+    def close(self) -> None:
+        """Releases the descriptor."""
+        self._ready.close()
+
+
 class HttpServer(server.HTTPServer):
     """HTTP server of the library with strict connections."""
 
@@ -401,6 +448,11 @@
         # Connections that are open, with or without a request; guarded by
         # `became_idle`.
         self._open_connections: set[_Connection] = set()
+        # Number of completed sweeps of idle connections; guarded by
+        # `became_idle`.
+        self.sweeps = 0
+        # Set when the server closes and must no longer begin any request.
+        self.closing = False
 
     def add_connection(self, conn: _Connection) -> None:
         """Counts a connection as open."""
@@ -411,6 +463,8 @@
         """No longer counts a connection as open."""
         with self.became_idle:
             self._open_connections.discard(conn)
+            if not self._open_connections:
+                self.became_idle.notify_all()
 
     def open_connections(self) -> int:
         """Returns the number of connections, with or without a request."""
@@ -424,8 +478,37 @@
             if not self.active_requests:
                 self.became_idle.notify_all()
 
-    def process_conn(self, conn: _Connection) -> None:
+    def request_idle_sweep(self) -> None:
+        """Has the selector's thread close the idle connections soon."""
+        sweep = _IdleSweep(self)
+        try:
+            self._connections._selector.register(
+                sweep.fileno(), selectors.EVENT_READ, data=sweep
+            )
+        except (ValueError, KeyError):
+            # The selector was closed, and with it every idle connection.
+            sweep.close()
+
+    def close_idle_connections(self) -> None:
+        """Closes the connections without a request; the sweep calls it."""
+        selector = self._connections._selector
+        for fd, conn in list(selector.connections):
+            if isinstance(conn, _Connection) and not conn.expects_request():
+                selector.unregister(fd)
+                conn.close()
+        with self.became_idle:
+            self.sweeps += 1
+            self.became_idle.notify_all()
+
+    def process_conn(self, conn: _Connection | _IdleSweep) -> None:
         """Adds a new connection to the selector; queues one that sent data."""
+        if isinstance(conn, _IdleSweep):
+            conn.run()
+            return
+        if self.closing:
+            # There is no time left to run a request.
+            conn.close()
+            return
         if not conn.was_idle:
             conn.was_idle = True
             self._connections.put(conn)
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -74,7 +74,7 @@
 _READY_THREADS: Final = 2
 _READY_TIMEOUT_S: Final = 30.0
 _READY_BODY: Final = 1024
-# Interval at which a stop checks for requests in progress, seconds.
+# Interval at which a stop compares the clock with its end, seconds.
 _STOP_POLL_S: Final = 0.05
 # Interval at which each of the three servers checks for idle connections,
 # seconds. It is long enough that an idle process rarely wakes up for the
@@ -356,9 +356,11 @@
         logs.event(logging.INFO, 'stopping', **self._load())
         time.sleep(LAME_DUCK_S)
         self._server.stop_accepting()
-        self._server.close_idle()
-        while self._server.busy() and clock() < self._ends_at:
-            time.sleep(_STOP_POLL_S)
+        while clock() < self._ends_at:
+            # A later request on an idle connection would have less time left.
+            self._server.close_idle()
+            if self._server.drain(_STOP_POLL_S):
+                break
         logs.event(logging.INFO, 'stopped', **self._load())
         self.close()
 
