Stop: requests begun before the signal end with an answer before the process does

What callers saw: a request that was in progress when its VM got SIGTERM, and still was when the grace time ended, had its connection closed without an answer.

Cause: of the same class as the cut streams: the stop's end was read once, when a request arrived, so one from before the signal kept a deadline beyond the end of its process. It was still placed, retried and prefilled against that deadline, and nothing ended it before 'close' or SIGKILL did.

Change: the deadline follows the process's end. What is in progress at that end has its sends cancelled, so its handler answers (504) in the 0.3 s that follow; 'requests cut' tells how many.

Ruled out: nothing of it concerns requests that a worker still ran in the last sixth of the grace time on purpose; those end the same, with an answer.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -134,6 +134,12 @@
             ' {connections} open connections',
             ('busy', 'connections'),
         ),
+        (
+            'requests cut',
+            'the stop cut {requests} requests to backend servers at the end of'
+            ' the grace time',
+            ('requests',),
+        ),
         (
             'connection cut',
             'the stop cut the connection of {caller} on which {requests}'
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -34,13 +34,14 @@
         '_clock',
         '_flight',
         '_lock',
+        '_own_deadline',
+        '_process_ends_at',
         '_quarantine_left_s',
         'account',
         'caller_disconnected',
         'caller_request',
         'config_version',
         'crashed_stages',
-        'deadline',
         'entry_vm',
         'exchange',
         'fingerprint',
@@ -62,7 +63,7 @@
         entry_vm: str,
         request_metrics: metrics.Metrics,
         clock: ports.Clock,
-        process_ends_at: float = math.inf,
+        process_ends_at: Callable[[], float] = lambda: math.inf,
         account: accounts.Account | None = None,
         quarantine_left_s: Callable[[int], float] = lambda _: 0.0,
     ) -> None:
@@ -86,10 +87,10 @@
         timeout_s = route.timeout_s
         if caller_request.patience_s is not None:
             timeout_s = min(timeout_s, caller_request.patience_s)
-        # Deadline of the final response. It is not later than the end of this
-        # process: a request that would be cut off then is refused instead, and
-        # can run to its end at another VM.
-        self.deadline = min(self.started_at + timeout_s, process_ends_at)
+        # Deadline that the route and the caller set.
+        self._own_deadline = self.started_at + timeout_s
+        # Returns the time at which this process ends at the latest.
+        self._process_ends_at = process_ends_at
         # Stages of the servers that crashed while they ran this request.
         self.crashed_stages: set[forwarding.Stage] = set()
         # Set when the caller has disconnected.
@@ -105,6 +106,15 @@
             return self.route.priority
         return self.account.priority
 
+    @property
+    def deadline(self) -> float:
+        """Returns the deadline of the final response, seconds of the clock.
+
+        It is not later than the end of this process: a request that would be
+        cut off then is refused instead, and can run to its end at another VM.
+        """
+        return min(self._own_deadline, self._process_ends_at())
+
     def watch_caller(self) -> None:
         """Starts to watch the caller's connection."""
         self.exchange.on_disconnect(self._on_disconnected)
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -134,7 +134,7 @@
             entry_vm=self._entry_vm,
             request_metrics=self._request_metrics,
             clock=self._clock,
-            process_ends_at=self._ends_at(),
+            process_ends_at=self._ends_at,
             account=account,
             quarantine_left_s=self._quarantine_left_s,
         )
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -56,6 +56,8 @@
 LAME_DUCK_S: Final = 2.8
 # Time before SIGKILL that is reserved for closing connections, seconds.
 CLOSE_MARGIN_S: Final = 0.5
+# Part of it in which requests that were cut are answered, seconds.
+_LAST_RESPONSES_S: Final = 0.3
 # Number of threads that serve requests of other entry VMs.
 _PEER_THREADS: Final = 3
 # Interval of heartbeats on connections between entry VMs, seconds. Each entry
@@ -139,6 +141,7 @@
         '_limits_version',
         '_loops',
         '_metrics',
+        '_open_flights',
         '_owner',
         '_peers',
         '_placement_plan',
@@ -175,8 +178,8 @@
         self._state = router_state.RouterState(
             adapters.codec, cfg.peer_address, cfg.seeds, cfg.data_centre, rng
         )
-        open_flights = tracked_flights.OpenFlights()
-        self._state.on_restarted = open_flights.cancel_earlier
+        self._open_flights = tracked_flights.OpenFlights()
+        self._state.on_restarted = self._open_flights.cancel_earlier
         owner = self._owner = actors.StateOwner(self._state, clock)
         self._peers = peers.Peers(_HEARTBEAT_S, _SILENCE_S)
         self._responder = zmq_responder.Responder(
@@ -213,7 +216,7 @@
             decode=adapters.decode,
             workers=tracked_flights.TrackingWorkers(
                 adapters.workers,
-                open_flights,
+                self._open_flights,
                 self._self_reports,
             ),
         )
@@ -356,13 +359,27 @@
         logs.event(logging.INFO, 'stopping', **self._load())
         time.sleep(LAME_DUCK_S)
         self._server.stop_accepting()
-        while clock() < self._ends_at:
+        if not self._drain(self._ends_at):
+            # Without their backend servers the requests end with an error that
+            # still reaches their callers.
+            cancelled = self._open_flights.cancel_all()
+            logs.event(logging.WARNING, 'requests cut', requests=cancelled)
+            self._drain(self._ends_at + _LAST_RESPONSES_S)
+        logs.event(logging.INFO, 'stopped', **self._load())
+        self.close()
+
+    def _drain(self, ends_at: float) -> bool:
+        """Serves the requests in progress until no connection is open.
+
+        Returns:
+            False if one was still open at `ends_at`.
+        """
+        while clock() < ends_at:
             # A later request on an idle connection would have less time left.
             self._server.close_idle()
             if self._server.drain(_STOP_POLL_S):
-                break
-        logs.event(logging.INFO, 'stopped', **self._load())
-        self.close()
+                return True
+        return False
 
     def requests_in_progress(self) -> int:
         """Returns the number of requests in progress."""
--- a/packages/daemon/foxtaildaled/tracked_flights.py
+++ b/packages/daemon/foxtaildaled/tracked_flights.py
@@ -58,6 +58,22 @@
             flight.cancel()
         return len(lost)
 
+    def cancel_all(self) -> int:
+        """Cancels every flight.
+
+        Returns:
+            The number of cancelled flights.
+        """
+        with self._lock:
+            open_flights = [
+                flight
+                for flights in self._flights.values()
+                for flight in flights
+            ]
+        for flight in open_flights:
+            flight.cancel()
+        return len(open_flights)
+
 
 class _TrackedFlight:
     """A `ports.ServerExchange` that is registered until it is closed."""
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -6,6 +6,7 @@
 import time
 from typing import Final
 
+import msgspec
 import pytest
 
 from foxtaildaled import router_daemon
@@ -18,6 +19,9 @@
 # Longer than the time that a closing HTTP server waits for its threads.
 _EVENTS: Final = 32
 _PACE_S: Final = 0.05
+# Grace time of a stop that ends before the requests do, seconds.
+_SHORT_GRACE_S: Final = 4.0
+_LONG_WORK_S: Final = 6.0
 # Time by which a stopped router must have ended, seconds.
 _ENDS_S: Final = 9.0
 
@@ -45,11 +49,11 @@
     return conn
 
 
-def _headers(attempt: str) -> dict[str, str]:
+def _headers(attempt: str, deadline_s: float = 3.0) -> dict[str, str]:
     return {
         'Host': 'h.example',
         'Foxtaildale-Attempt-Id': attempt,
-        'Foxtaildale-Deadline-Ms': '3000',
+        'Foxtaildale-Deadline-Ms': str(int(deadline_s * 1000)),
         'Foxtaildale-Token-Count': '500,640',
     }
 
@@ -103,3 +107,39 @@
         if case[1] == 'cut' or (case[1] != 'whole' and case[2])
     ]
     assert not lost, found
+
+
+def _allow_long_requests(site: sites.Site) -> None:
+    config = sites.config(2)
+    for route in config['routes']:
+        route['timeout_ms'] = 14_000
+    site.store.put('keyed.op', 'config', config)
+    sites.until(lambda: site.routers[0].config_version() == 2)
+
+
+@pytest.mark.parametrize('sent_s', [-0.2, 0.2, 1.5])
+def test_a_request_that_outlasts_the_stop_gets_an_answer(
+    site: sites.Site, sent_s: float
+) -> None:
+    """Guards against a connection closed without an answer as the grace ends."""
+    _allow_long_requests(site)
+    for name in ('s1', 's2'):
+        site.workers[name].work_s = _LONG_WORK_S
+    router = site.routers[0]
+    router.cfg = msgspec.structs.replace(router.cfg, grace_s=_SHORT_GRACE_S)
+    conn = http.client.HTTPConnection(
+        router.addresses['caller'], timeout=_ENDS_S
+    )
+    with futures.ThreadPoolExecutor(1) as pool:
+        if sent_s > 0:
+            stopped = pool.submit(router.stop)
+            time.sleep(sent_s)
+        conn.request('POST', '/once/x', headers=_headers('long', 14.0))
+        if sent_s < 0:
+            sites.until(lambda: router.requests_in_progress() == 1)
+            time.sleep(-sent_s)
+            stopped = pool.submit(router.stop)
+        resp = conn.getresponse()
+        assert resp.status == 504
+        assert resp.read()
+        stopped.result(_ENDS_S)
--- a/tests/test_routed_request.py
+++ b/tests/test_routed_request.py
@@ -13,7 +13,7 @@
 
 
 def _passage(
-    patience_s: float | None, ends_at: float
+    patience_s: float | None, ends_at: list[float]
 ) -> routed_request.RoutedRequest:
     call = forwarding.CallerRequest(
         id='a1',
@@ -43,7 +43,7 @@
         entry_vm='vm-1',
         request_metrics=metrics.Metrics(),
         clock=lambda: 100.0,
-        process_ends_at=ends_at,
+        process_ends_at=lambda: ends_at[0],
     )
 
 
@@ -65,5 +65,13 @@
     its caller has half an answer; a place is refused that lasts too long for
     what is left, so that it is told to come back and runs whole elsewhere.
     """
-    req = _passage(patience_s, ends_at)
+    req = _passage(patience_s, [ends_at])
     assert req.time_left_s() == pytest.approx(left_s)
+
+
+def test_a_request_begun_before_a_stop_ends_before_the_process() -> None:
+    """Guards against work that begins in a stop and that its end cuts."""
+    ends_at = [math.inf]
+    req = _passage(None, ends_at)
+    ends_at[0] = 104.7
+    assert req.time_left_s() == pytest.approx(4.7)
