Signals: received from before the start of serving on, and without a lock

Found by looking for the cause of the cut streams elsewhere: a stop that is graceful from some moment on only. Callers would see their requests cut.

The handlers were set after the daemon had started to serve. A SIGTERM in between ended the process at once. The handlers set a threading.Event that the main thread waits for. A handler runs between two instructions of that thread, which may hold the event's lock: it then waits for itself, the stop never begins, and SIGKILL comes. With a poll of 0.5 s the window is some microseconds in each half second, so nobody has reported it.

Change: 'process.Signals' sets the handlers when it is created, which is before 'start', and its handlers put the signal into a SimpleQueue, which is made for this. SIGHUP is received the same way.

--- a/packages/daemon/foxtaildaled/main.py
+++ b/packages/daemon/foxtaildaled/main.py
@@ -40,11 +40,12 @@
         return start.CONFIG_STATUS
     if check:
         return 0
+    signals = process.Signals()
     process.stop_on_broken_invariants()
     logs.setup(cfg.role, cfg.entry_vm, cfg.log_level)
     daemon = wiring.make_daemon(cfg)
     daemon.start()
-    process.wait_for_stop()
+    signals.wait_for_stop()
     daemon.stop()
     return 0
 
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -1,16 +1,18 @@
 """Lifecycle of a daemon process: periodic loops, signals, graceful shutdown.
 
 Each `Loop` of a role runs in its own thread and can be woken early when there
-is work. SIGTERM and SIGINT set an event that the main thread waits for; the
-role then stops its parts in its own order.
+is work. The main thread waits for SIGTERM or SIGINT; the role then stops its
+parts in its own order.
 """
 
 from collections.abc import Callable
 import os
+import queue
 import signal
 import threading
 import time
 import types
+from typing import Final
 
 from absl import logging as absl_logging
 
@@ -19,8 +21,10 @@
 
 # Exit status of a process that stopped because an invariant was violated.
 INVARIANT_STATUS = 70
-# Maximum time between SIGHUP and the reload, seconds.
+# Maximum time between a signal and its effect, seconds. The kernel may deliver
+# it to a thread other than the main one, which then does not wake up for it.
 SIGNAL_POLL_S = 0.5
+_STOP_SIGNALS: Final = frozenset((signal.SIGTERM, signal.SIGINT))
 # Interval at which the settings are read without a signal, seconds; reading
 # the file takes half a millisecond.
 RELOAD_INTERVAL_S = 5.0
@@ -118,28 +122,52 @@
     threading.excepthook = on_exception
 
 
-def wait_for_stop(reload: Callable[[], None] | None = None) -> None:
-    """Returns when the process receives SIGTERM or SIGINT.
+class Signals:
+    """Receives the signals of the platform from its creation on.
 
-    Args:
-        reload: Called on SIGHUP, and every `RELOAD_INTERVAL_S` since settings
-            may change without a signal. If it is None, SIGHUP is ignored: the
-            default action of SIGHUP would end the process and abort every
-            request in progress.
+    It is created before the role starts to serve: a signal whose default action
+    is still in place ends the process and aborts every request in progress.
+
+    A handler runs between any two instructions of the main thread, which may
+    hold the lock of an event just then. If the handler set that event, it would
+    wait for its own thread forever; `SimpleQueue` takes no such lock.
     """
-    reload_at = time.monotonic() + RELOAD_INTERVAL_S
-    stop = threading.Event()
-    changed = threading.Event()
-
-    def on_signal(_number: int, _frame: types.FrameType | None) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
-    signal.signal(signal.SIGHUP, lambda _number, _frame: changed.set())
-    while not stop.wait(SIGNAL_POLL_S):
-        due = changed.is_set() or time.monotonic() >= reload_at
-        if due and reload is not None:
-            changed.clear()
-            reload_at = time.monotonic() + RELOAD_INTERVAL_S
-            reload()
+
+    __slots__ = ('_received',)
+
+    def __init__(self) -> None:
+        self._received: queue.SimpleQueue[int] = queue.SimpleQueue()
+
+        def on_signal(number: int, _frame: types.FrameType | None) -> None:
+            self._received.put(number)
+
+        for number in (*_STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(number, on_signal)
+
+    def wait_for_stop(self, reload: Callable[[], None] | None = None) -> None:
+        """Returns when the process has received SIGTERM or SIGINT.
+
+        Args:
+            reload: Called on SIGHUP, and every `RELOAD_INTERVAL_S` since
+                settings may change without a signal. If it is None, SIGHUP has
+                no effect.
+        """
+        reload_at = time.monotonic() + RELOAD_INTERVAL_S
+        while True:
+            received = self._receive()
+            if received & _STOP_SIGNALS:
+                return
+            due = signal.SIGHUP in received or time.monotonic() >= reload_at
+            if due and reload is not None:
+                reload_at = time.monotonic() + RELOAD_INTERVAL_S
+                reload()
+
+    def _receive(self) -> set[int]:
+        """Returns the signals received by the end of `SIGNAL_POLL_S`."""
+        received: set[int] = set()
+        try:
+            received.add(self._received.get(timeout=SIGNAL_POLL_S))
+            while True:
+                received.add(self._received.get_nowait())
+        except queue.Empty:
+            return received
--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -44,6 +44,7 @@
         return CONFIG_STATUS
     if check:
         return 0
+    signals = process.Signals()
     process.stop_on_broken_invariants()
     logs.setup_bounded('router', cfg.entry_vm, 'info')
     adapters = router_daemon.Adapters(
@@ -54,7 +55,7 @@
     )
     daemon = router_daemon.RouterDaemon(cfg, adapters, metrics_port)
     daemon.start()
-    process.wait_for_stop(lambda: _reload(daemon))
+    signals.wait_for_stop(lambda: _reload(daemon))
     daemon.stop()
     return 0
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,7 +13,7 @@
 process.RELOAD_INTERVAL_S = float(sys.argv[1])
 process.SIGNAL_POLL_S = 0.02
 print('up', flush=True)
-process.wait_for_stop(lambda: print('again', flush=True))
+process.Signals().wait_for_stop(lambda: print('again', flush=True))
 print('down', flush=True)
 """
 
