Stop: a connection stays open until a response has announced its close

What callers saw: a stream that began before SIGTERM ended with a head that promised to keep the connection, and the connection was closed right after its last byte. A caller that sent its next request at once had it reset unread.

Cause: the close was decided after the response, its announcement before it.

Change: such a connection goes back to the idle ones; its next response carries 'Connection: close'.

Before: the new test in test_caller_server failed (closed without an answer). After: it passes, with the other 48 of test_caller_server and test_open_connections.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -168,8 +168,10 @@
             self.rfile.set_deadline(
                 self.server.request_timeout_s or self.server.timeout
             )
+            # A response that began before a stop did not announce a close, so
+            # its caller may already be sending the next request.
             keep: bool = super().communicate()  # type: ignore[no-untyped-call]
-            return keep and not self.server.draining
+            return keep
         finally:
             self.server.add_active_requests(-1)
 
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -536,6 +536,22 @@
     running.server.close()
 
 
+def test_a_stop_closes_no_connection_that_it_did_not_announce_to_close(
+    running: Running,
+) -> None:
+    """Guards against a request lost on a connection that a stop closed unasked."""
+    with running.connect() as sock:
+        sock.sendall(b'GET /stream HTTP/1.1\r\nHost: x\r\n\r\n')
+        read_until(sock, b'data: 1')
+        running.server.announce_stop()
+        running.script.release.set()
+        read_until(sock, b'0\r\n\r\n')
+        sock.sendall(b'POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nnext')
+        answer = read_all(sock)
+    assert answer.endswith(b'next')
+    assert b'Connection: close' in answer
+
+
 def test_a_handler_that_hangs_does_not_keep_the_process() -> None:
     """The drain is over and one handler still waits for something.
 
