Quarantine: successors that join or restart after a report get it too

Cause: a report goes to the coordinator and to the two VMs that would follow it, once, when it is made. A VM that starts a moment later, or that restarts, never gets a copy; when the coordinator and the reporter then end, the count begins anew.

Change: a VM that knows of crashes sends all its reports to a successor that it has not informed. The coordinator also asks its successors for their id in each round, so that it notices a restart.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -309,6 +309,12 @@
             ' coordinator',
             ('reports',),
         ),
+        (
+            'ends copied',
+            'all {reports} known crash reports were sent to {successors}, the'
+            ' next coordinators',
+            ('reports', 'successors'),
+        ),
         (
             'request cleared',
             'requests with this fingerprint run to completion and are no longer'
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -2,8 +2,8 @@
 
 Each entry VM reports the requests that ran on a crashed server to the
 coordinator of crash reports (`coordinator_client`) and to its successors. A
-coordinator that is new or has restarted gets all reports that any VM has, since
-the VM that first sent a report may have stopped too. The coordinator decides
+coordinator or successor that is new or has restarted gets all reports that any
+VM has, since the VM that first sent a report may have stopped too. The coordinator decides
 which requests are to blame (`crashes`), sends the result to all VMs at once,
 and saves the quarantine in the store, since a loss of power on all VMs would
 lose it otherwise. A VM that missed an update gets it with its next request to
@@ -69,6 +69,7 @@
         '_coordinator_id',
         '_coordinators',
         '_informed_coordinator',
+        '_informed_successors',
         '_is_changed',
         '_lock',
         '_owner',
@@ -108,6 +109,9 @@
         self._coordinator_id = random.getrandbits(48)
         # Id of the coordinator that has received all reports known here.
         self._informed_coordinator = 0
+        # Ids of the successors that have received all reports known here, by
+        # address.
+        self._informed_successors: dict[str, int] = {}
         self._save_at = 0.0
         # Until when this VM acts as coordinator for the VMs that sent it
         # reports, seconds. It does so even if it is not the coordinator by its
@@ -199,6 +203,7 @@
         self._clear_completed()
         all_delivered = self._send_reports()
         is_coordinator = self._coordinators.is_coordinator(COORDINATOR_SUBJECT)
+        self._inform_successors(is_coordinator=is_coordinator)
         now = self._clock()
         # Only the coordinator has the reports of all VMs. From the reports of
         # one VM alone, a request may be blamed for a crash that the reports of
@@ -280,6 +285,66 @@
         self._informed_coordinator = reply.coordinator_id
         return True
 
+    def _inform_successors(self, *, is_coordinator: bool) -> None:
+        """Sends all known reports to successors that may lack them.
+
+        A VM that joins or restarts after a report has no copy of it, and may be
+        the only one left when the others stop. Only the coordinator looks for
+        restarts, which spares the successors a request of each VM.
+        """
+        known_reports = self._owner.run(
+            lambda state, now: state.quarantine_state.crashes.reports(now)
+        )
+        if not known_reports:
+            self._informed_successors.clear()
+            return
+        successors = self._successors()
+        informed = self._informed_successors = {
+            address: informed_id
+            for address, informed_id in self._informed_successors.items()
+            if address in successors
+        }
+        probed = [
+            address
+            for address in successors
+            if is_coordinator or address not in informed
+        ]
+        uninformed = {
+            address: found_id
+            for address, found_id in self._send_copies(
+                probed, messages.CrashReports()
+            ).items()
+            if informed.get(address) != found_id
+        }
+        received = self._send_copies(
+            list(uninformed), messages.CrashReports(tuple(known_reports))
+        )
+        informed.update(received)
+        if received:
+            logs.event(
+                logging.INFO,
+                'ends copied',
+                reports=len(known_reports),
+                successors=list(received),
+            )
+
+    def _successors(self) -> list[str]:
+        return self._coordinators.successor_addresses(
+            COORDINATOR_SUBJECT, SUCCESSORS
+        )
+
+    def _send_copies(
+        self, addresses: Sequence[str], msg: messages.CrashReports
+    ) -> dict[str, int]:
+        """Sends copies of reports; returns the ids of the VMs that replied."""
+        copy = msgspec.structs.replace(msg, to_successor=True)
+        replies = self._peers.request_all(addresses, copy, REPLY_TIMEOUT_S)
+        return {
+            address: reply.coordinator_id
+            for address, reply in replies.items()
+            if isinstance(reply, messages.QuarantineUpdate)
+        }
+
     def _record(self, sent: list[_Report]) -> bool:
         """Records own reports; returns whether any crashes are known here."""
 
@@ -299,11 +364,7 @@
         if reported:
             # Without the copies, reports that a coordinator sends to itself
             # would be lost with it.
-            successors = self._coordinators.successor_addresses(
-                COORDINATOR_SUBJECT, SUCCESSORS
-            )
-            copy = msgspec.structs.replace(msg, to_successor=True)
-            self._peers.request_all(successors, copy, REPLY_TIMEOUT_S)
+            self._send_copies(self._successors(), msg)
         reply = self._coordinators.request(
             COORDINATOR_SUBJECT,
             msg,
--- a/tests/site.py
+++ b/tests/site.py
@@ -135,6 +135,19 @@
         self.routers.append(router)
         return router
 
+    def restart(self, number: int) -> None:
+        """Ends a router at once and starts it again at its addresses."""
+        ended = self.routers[number]
+        ended.close()
+        made = router_daemon.Adapters(
+            codec=records.Codec(),
+            make_store=store.Store,
+            decode=caller_requests.decode_request,
+            workers=server_client.ServerClient(),
+        )
+        self.routers[number] = router_daemon.RouterDaemon(ended.cfg, made, 0)
+        self.routers[number].start()
+
     def start_routers(
         self, count: int, *, seeded: bool = True, retry_burst: float = 60.0
     ) -> None:
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -313,6 +313,41 @@
     sites.until(lambda: site.all_hold(7), 6.0)
 
 
+def test_reports_reach_a_vm_that_joins_after_them(site: _Site) -> None:
+    """Guards against reports whose only copies end with the first VMs."""
+    site.start_routers(2)
+    _report(site.routers[0]._quarantining, 7, 'x1', 'x2')
+    time.sleep(1.0)
+    site.start_routers(1)
+    time.sleep(_KNOWN_S)
+    for router in site.routers[:2]:
+        router.close()
+    del site.routers[:2]
+    _report(site.routers[0]._quarantining, 7, 'x3')
+
+    sites.until(lambda: site.all_hold(7), 6.0)
+
+
+def test_reports_reach_a_successor_that_started_again(site: _Site) -> None:
+    """Guards against a copy that is lost as a successor restarts."""
+    site.start_routers(3)
+    at_home = [
+        r._coordinators.is_coordinator(quarantine_manager.COORDINATOR_SUBJECT)
+        for r in site.routers
+    ]
+    home = at_home.index(True)
+    _report(site.routers[home]._quarantining, 7, 'x1', 'x2')
+    time.sleep(1.0)
+    for number in range(3):
+        if number != home:
+            site.restart(number)
+    time.sleep(_KNOWN_S)
+    site.routers.pop(home).close()
+    _report(site.routers[0]._quarantining, 7, 'x3')
+
+    sites.until(lambda: site.all_hold(7), 8.0)
+
+
 def test_who_judges_for_a_home_that_is_gone_saves_too(site: _Site) -> None:
     """Guards against a verdict that ends with the VMs, since no home saved it."""
     site.start_routers(3)
