Wake events: a close releases the descriptor once, and no set follows it

What was seen: OSError, Bad file descriptor, in Peers.close as a test was taken down; seen twice in all, never traced.

Cause: close() sets the closing flag, then the wake event. The background thread may see the flag first, when a heartbeat or a timeout is due in between, and closes the event; the late set then writes to a closed descriptor or, where the number was given out again, into another file or connection. StreamReader has the same two steps, and workers of a Responder may set its event after its close.

Ruled out: two closes of one event in Peers (its close returns early the second time).

Change: the event knows that it is closed; set and close take its lock and do nothing from then on.

--- a/packages/adapters/foxtaildale_adapters/wakes.py
+++ b/packages/adapters/foxtaildale_adapters/wakes.py
@@ -1,27 +1,33 @@
 """Wakes a thread that is blocked in a poll, from any other thread."""
 
 import os
+import threading
 
 
 class WakeEvent:
     """A file descriptor that becomes readable when `set` is called.
 
     Many calls of `set` before one `clear` cost the waiting thread a single
-    wake-up.
+    wake-up. The waiting thread may close the event while others still set it.
     """
 
-    __slots__ = ('_fd',)
+    __slots__ = ('_fd', '_lock')
 
     def __init__(self) -> None:
+        # Guards the close: after it, the kernel gives the same descriptor to
+        # another file or connection.
+        self._lock = threading.Lock()
         self._fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
 
     def fileno(self) -> int:
-        """Returns the descriptor to poll for reading."""
+        """Returns the descriptor to poll for reading; -1 after `close`."""
         return self._fd
 
     def set(self) -> None:
-        """Makes the descriptor readable, which wakes the polling thread."""
-        os.eventfd_write(self._fd, 1)
+        """Wakes the polling thread; does nothing after `close`."""
+        with self._lock:
+            if self._fd >= 0:
+                os.eventfd_write(self._fd, 1)
 
     def clear(self) -> None:
         """Resets the descriptor after any number of calls of `set`."""
@@ -31,5 +37,8 @@
             pass
 
     def close(self) -> None:
-        """Closes the descriptor."""
-        os.close(self._fd)
+        """Closes the descriptor; does nothing if it is closed."""
+        with self._lock:
+            if self._fd >= 0:
+                os.close(self._fd)
+                self._fd = -1
