Quarantine: while too few entry VMs are listed, the seeds get copies of reports

Cause: the store comes back from a copy twice, 1.0 and 1.3 s after the start, and with it the list of entry VMs from before vm-1. The two VMs that know of the first crashes have vm-1 in no list when both end, 0.5 and 1.6 s later; vm-1's entry is written again after that. They have its address all the same, among the seeds.

Change: with fewer than two successors listed, copies also go to the seeds. That is the case at the start of the system and after a list was lost, not otherwise.

Before: test_reports_reach_a_seed_that_is_not_listed failed. Not shown: a VM that is neither listed nor a seed gets its copy when it is listed, 3 s later at most.

--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -329,9 +329,18 @@
             )
 
     def _successors(self) -> list[str]:
-        return self._coordinators.successor_addresses(
+        """Returns the addresses of the VMs that get a copy of each report.
+
+        These are also the seeds while too few VMs are listed: the list is short
+        at the start of the system, and if the store was restored from a copy.
+        """
+        listed = self._coordinators.successor_addresses(
             COORDINATOR_SUBJECT, SUCCESSORS
         )
+        if len(listed) >= SUCCESSORS:
+            return listed
+        seeds = self._owner.run(lambda state, _: state.seeds())
+        return [*listed, *(seed for seed in seeds if seed not in listed)]
 
     def _send_copies(
         self, addresses: Sequence[str], msg: messages.CrashReports
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -298,6 +298,10 @@
             name
         )
 
+    def seeds(self) -> list[str]:
+        """Returns the peer addresses of the settings, without this VM's."""
+        return [seed for seed in self._seeds if seed != self._peer_address]
+
     def peers(self) -> list[str]:
         """Returns the peer addresses of the other entry VMs."""
         listed = (vm.peer_address for vm in self.entry_vms.values())
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -14,6 +14,8 @@
 
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
+from foxtaildale import messages
+from foxtaildale_adapters import zmq_responder
 from foxtaildaled import quarantine_manager
 from tests import site as sites
 from tests.standins import crasher
@@ -348,6 +350,27 @@
     sites.until(lambda: site.all_hold(7), 8.0)
 
 
+def test_reports_reach_a_seed_that_is_not_listed(site: _Site) -> None:
+    """Guards against reports without a copy while the list of VMs is short."""
+    received: list[messages.Message] = []
+
+    def take(msg: messages.Message) -> messages.Message:
+        received.append(msg)
+        return messages.QuarantineUpdate(coordinator_id=1)
+
+    seed = zmq_responder.Responder('127.0.0.1:0', take)
+    router = site.router(seeds=(seed.start(),))
+    sites.until(lambda: 'vm-1' in router.entry_vms())
+    _report(router._quarantining, 7, 'x1', 'x2')
+    sites.until(
+        lambda: any(
+            isinstance(msg, messages.CrashReports) and len(msg.crashes) == 2
+            for msg in received
+        )
+    )
+    seed.close()
+
+
 def test_who_judges_for_a_home_that_is_gone_saves_too(site: _Site) -> None:
     """Guards against a verdict that ends with the VMs, since no home saved it."""
     site.start_routers(3)
