Test: a stop that reports sound servers as failed, failing

When VMs stop in turn and requests outlast their grace time, the requests of all other VMs lose servers that work.

Cause: at the end of the grace time the stop cancels its requests at their servers. Each cancelled send is recorded as the server's failure and, for model engines, reported to the coordinator. Two VMs that stop within 3 s exclude a server from the plan for 3 s.

--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,94 @@
+"""Work that reaches or leaves a process while it stops."""
+
+from collections.abc import Iterator
+from concurrent import futures
+import http.client
+import time
+from typing import Final
+
+import msgspec
+import pytest
+
+from foxtaildale import failure_reports
+from foxtaildaled import router_state
+from tests import site as sites
+
+# Grace time of a stop that ends before the requests do, seconds.
+_SHORT_GRACE_S: Final = 4.0
+_LONG_WORK_S: Final = 6.0
+
+
+@pytest.fixture(name='site')
+def _site() -> Iterator[sites.Site]:
+    made = sites.Site()
+    sites.make_calm(made)
+    config = sites.config(2)
+    for route in config['routes']:
+        route['timeout_ms'] = 14_000
+    made.store.put('keyed.op', 'config', config)
+    sites.until(lambda: made.routers[0].config_version() == 2)
+    yield made
+    made.close()
+
+
+@pytest.fixture(name='failed')
+def _failed(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Returns the servers that were recorded as failed, in order."""
+    found: list[str] = []
+    record = failure_reports.FailureReports.record
+    record_plain = router_state.RouterState.record_plain_failure
+
+    def on_report(
+        reports: failure_reports.FailureReports,
+        now: float,
+        server: str,
+        holder: str,
+        *,
+        replaced: bool = False,
+    ) -> None:
+        found.append(server)
+        record(reports, now, server, holder, replaced=replaced)
+
+    def on_plain_failure(
+        state: router_state.RouterState, server: str, now: float
+    ) -> None:
+        found.append(server)
+        record_plain(state, server, now)
+
+    monkeypatch.setattr(failure_reports.FailureReports, 'record', on_report)
+    monkeypatch.setattr(
+        router_state.RouterState, 'record_plain_failure', on_plain_failure
+    )
+    return found
+
+
+@pytest.mark.parametrize(
+    ('path', 'sent_s'), [('/once/x', 0.2), ('/single/x', 0.2), ('/chat/x', 2.5)]
+)
+def test_a_stop_reports_no_server_whose_request_it_cancels(
+    site: sites.Site, failed: list[str], path: str, sent_s: float
+) -> None:
+    """Guards against sound servers excluded by all VMs when some VMs stop."""
+    for worker in site.workers.values():
+        worker.work_s = _LONG_WORK_S
+        worker.events, worker.pace_s = 100, 0.1
+    if path == '/single/x':
+        site.workers['p1'].work_s = 0
+    site.start_routers(1)
+    router = site.routers[0]
+    router.cfg = msgspec.structs.replace(router.cfg, grace_s=_SHORT_GRACE_S)
+    conn = http.client.HTTPConnection(router.addresses['caller'], timeout=9)
+    with futures.ThreadPoolExecutor(1) as pool:
+        stopped = pool.submit(router.stop)
+        time.sleep(sent_s)
+        headers = {
+            'Host': 'h.example',
+            'Foxtaildale-Attempt-Id': 'a1',
+            'Foxtaildale-Deadline-Ms': '14000',
+            'Foxtaildale-Token-Count': '500,640',
+        }
+        conn.request('POST', path, headers=headers)
+        sites.until(lambda: any(w.ids() for w in site.workers.values()))
+        stopped.result(9)
+    conn.close()
+    assert not failed
