Stop: requests that the end of the process cuts count against no server

What others saw: when VMs stop in turn and requests outlast their grace time, the plan of all VMs excludes servers that work, for 3 s. Two VMs that stop within that time are enough.

Cause: a send that the stop cancels, or whose time the end of the process bounds, was recorded as the server's failure and reported to the coordinator.

Change: 'is_abandoned' says that this side ends the request, because the caller left or the process is about to end; such a send blames no server, and is no sign of a crash.

Before: test_a_stop_reports_no_server_whose_request_it_cancels failed in its three cases. After: they pass, with test_routed_request and test_open_connections (12 tests).

--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -140,6 +140,17 @@
             self.caller_disconnected.set()
         return self.caller_disconnected.is_set()
 
+    def is_abandoned(self) -> bool:
+        """Whether this side ends the request, so no server is to blame.
+
+        The caller has disconnected, or this process is about to end.
+        """
+        process_left_s = self._process_ends_at() - self._clock()
+        return (
+            self.caller_disconnected.is_set()
+            or process_left_s < MIN_SEND_TIME_S
+        )
+
     def set_flight(self, flight: ports.ServerExchange | None) -> None:
         """Sets the flight to cancel when the caller disconnects, if any."""
         with self._lock:
