Test: a request that begins after its server began to close, failing

What callers saw: not observed on a site. A request that waits for a thread (all are busy) begins to run after close() began, up to 1 s before its connection is shut down; a caller of a stream gets it cut.

Cause: close() refuses what the selector passes on, not what it has passed on to the queue of the threads. The drain counts these requests, so this needs a stop whose drain timed out.

Seen: the test fails; the second request begins 0.5 s after close().

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,12 +10,29 @@
 import pytest
 
 from foxtaildale import failure_reports
+from foxtaildale_adapters import caller_server
 from foxtaildaled import router_state
 from tests import site as sites
 
 # Grace time of a stop that ends before the requests do, seconds.
 _SHORT_GRACE_S: Final = 4.0
 _LONG_WORK_S: Final = 6.0
+# Time of a request that a close waits for, seconds.
+_WORK_S: Final = 0.5
+_ENDS_S: Final = 10.0
+
+
+class _Slow:
+    """A handler that takes a while."""
+
+    def __init__(self) -> None:
+        # Paths of the requests that reached it, in order.
+        self.begun: list[str] = []
+
+    def handle(self, exchange: caller_server.Exchange) -> None:
+        self.begun.append(exchange.path)
+        time.sleep(_WORK_S)
+        exchange.respond(200, {}, b'whole')
 
 
 @pytest.fixture(name='site')
@@ -92,3 +109,19 @@
         stopped.result(9)
     conn.close()
     assert not failed
+
+
+def test_a_closing_server_begins_no_request_that_waits_for_a_thread() -> None:
+    """Guards against a request begun after the close, and cut by it."""
+    handler = _Slow()
+    server = caller_server.Server('127.0.0.1:0', handler, 1, 5.0, 1000)
+    host, _, port = server.start().rpartition(':')
+    conns = [http.client.HTTPConnection(host, int(port)) for _ in range(2)]
+    conns[0].request('GET', '/first')
+    sites.until(lambda: handler.begun == ['/first'])
+    conns[1].request('GET', '/second')
+    sites.until(lambda: server.busy() == len(conns))
+    server.close()
+    for conn in conns:
+        conn.close()
+    assert handler.begun == ['/first']
