Stop: a request that waits for a thread does not begin after the close

Change: a thread that takes a connection from the queue after close() has begun closes it unread, as the selector does; the caller may send the request again.

Before: the test in test_handover failed. After: it passes, with test_caller_server (46 tests in all).

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -163,8 +163,11 @@
         return not self.requests_begun and age_s < FIRST_REQUEST_S
 
     def communicate(self) -> bool:
-        self.requests_begun += 1
         try:
+            if self.server.closing:
+                # The request has waited for a thread; no time is left for it.
+                return False
+            self.requests_begun += 1
             self.rfile.set_deadline(
                 self.server.request_timeout_s or self.server.timeout
             )
