Test: a stop that fails for lack of descriptors, failing

What callers saw: not observed on a site. Every request in progress is cut, and the process ends with a traceback.

With all of them in use (a burst of connections as the port is closed), creating it raises OSError, which leaves drain() and stop().

Seen: the test fails with OSError 24, 'Too many open files'.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import errno
 import http.client
+import os
+import socket
 import time
 from typing import Final
 
@@ -35,6 +38,10 @@
         exchange.respond(200, {}, b'whole')
 
 
+def _fail(*_: int) -> int:
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
 @pytest.fixture(name='site')
 def _site() -> Iterator[sites.Site]:
     made = sites.Site()
@@ -125,3 +132,21 @@
     for conn in conns:
         conn.close()
     assert handler.begun == ['/first']
+
+
+def test_a_drain_without_a_free_descriptor_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stop that fails, and cuts all, for lack of descriptors."""
+    server = caller_server.Server('127.0.0.1:0', _Slow(), 1, 5.0, 1000)
+    host, _, port = server.start().rpartition(':')
+    conn = socket.create_connection((host, int(port)))
+    sites.until(lambda: server.open_connections() == 1)
+    server.stop_accepting()
+    with monkeypatch.context() as patch:
+        patch.setattr(os, 'eventfd', _fail)
+        server.close_idle()
+        assert not server.drain(0.1)
+    assert server.drain(_ENDS_S)
+    conn.close()
+    server.close()
