Stop: the drain goes on when no descriptor is free

Requests in progress are served as usual.

Before: the test in test_handover failed (OSError 24). After: it passes, with test_caller_server and test_logevents.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -484,8 +484,15 @@
                 self.became_idle.notify_all()
 
     def request_idle_sweep(self) -> None:
-        """Has the selector's thread close the idle connections soon."""
-        sweep = _IdleSweep(self)
+        """Has the selector's thread close the idle connections soon.
+
+        Without a free descriptor it does nothing.
+        """
+        try:
+            sweep = _IdleSweep(self)
+        except OSError as exc:
+            logs.event(logging.WARNING, 'idle sweep failed', error=str(exc))
+            return
         try:
             self._connections._selector.register(
                 sweep.fileno(), selectors.EVENT_READ, data=sweep
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -152,6 +152,11 @@
             'no thread could be started, a request waits for another: {exc}',
             ('exc',),
         ),
+        (
+            'idle sweep failed',
+            'idle connections stay open for now: {error}',
+            ('error',),
+        ),
         ('watch failed', 'a connection is no longer watched: {exc}', ('exc',)),
         ('http server', 'the HTTP library reports: {message}', ('message',)),
         ('reloaded', 'the settings were reloaded', ('store', 'seeds')),
