Test: messages that a closing process never replies to, failing

What other VMs saw: a message that reaches a process while its responder closes gets no reply, and times out (witness of a ticket: 1 s, twice; slots, claims). A keeper closes for as long as a claim or a forwarded ticket takes, up to 5 s; a router only for some milliseconds.

Cause: close() ends the workers first and still reads; what it queues then, no worker takes any more. The other VM can't tell this from a message that ran.

Seen: the test fails with NoReplyError.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,14 +6,19 @@
 import http.client
 import os
 import socket
+import threading
 import time
 from typing import Final
 
 import msgspec
 import pytest
 
+from foxtaildale import errors
 from foxtaildale import failure_reports
+from foxtaildale import messages
 from foxtaildale_adapters import caller_server
+from foxtaildale_adapters import peers
+from foxtaildale_adapters import zmq_responder
 from foxtaildaled import router_state
 from tests import site as sites
 
@@ -150,3 +155,33 @@
     assert server.drain(_ENDS_S)
     conn.close()
     server.close()
+
+
+def test_a_closing_responder_refuses_what_arrives_meanwhile() -> None:
+    """Guards against a timeout of each message that reaches a closing process."""
+    begun = threading.Event()
+
+    def handle(msg: messages.Message) -> messages.Message:
+        if isinstance(msg, messages.InventoryRequest):
+            begun.set()
+            time.sleep(_WORK_S)
+        return messages.Pong()
+
+    responder = zmq_responder.Responder('127.0.0.1:0', handle, 2)
+    address = responder.start()
+    requester = peers.Peers(1.0, 3.0)
+    slow = messages.InventoryRequest(service='model')
+    with futures.ThreadPoolExecutor(2) as pool:
+        first = pool.submit(requester.request, address, slow, _ENDS_S)
+        assert begun.wait(_ENDS_S)
+        closed = pool.submit(responder.close)
+        time.sleep(_WORK_S / 5)
+        try:
+            with pytest.raises(errors.RejectedError):
+                requester.request(
+                    address, messages.EligibilityRequest(), _WORK_S / 2
+                )
+        finally:
+            closed.result(_ENDS_S)
+        assert isinstance(first.result(_ENDS_S), messages.Pong)
+    requester.close()
