Responder: what arrives during a close is refused, not left without a reply

Change: from the start of close(), each message is refused with 'stopping' at once; requests that were queued just as the workers ended are refused by the reading thread before it closes the socket. Heartbeats are still replied to.

Why that is true: a refused message never reached the handler.

Before: the test in test_handover failed (NoReplyError). After: it passes, with test_wire and test_wakes.

--- a/packages/adapters/foxtaildale_adapters/zmq_responder.py
+++ b/packages/adapters/foxtaildale_adapters/zmq_responder.py
@@ -11,6 +11,7 @@
 
 import collections
 from collections.abc import Callable
+import contextlib
 import queue
 import threading
 from typing import Final
@@ -39,6 +40,7 @@
 _MAX_FRAME_BYTES: Final = messages.MAX_BYTES + 1024
 _PONG_REPLY: Final = messages.encode(messages.Pong())
 _BUSY_REPLY: Final = messages.encode(messages.ErrorReply(code='busy'))
+_CLOSING_REPLY: Final = messages.encode(messages.ErrorReply(code='stopping'))
 _POLL_MS: Final = 500
 
 _HANDSHAKE_FAILURES: Final = (
@@ -60,6 +62,7 @@
         '_address',
         '_closing',
         '_context',
+        '_draining',
         '_handler',
         '_monitor',
         '_outbox',
@@ -78,7 +81,10 @@
         self.counts = connections.Counts()
         self._address = address
         self._handler = handler
+        # Whether the socket is closing.
         self._closing = False
+        # Whether the workers are ending, so that they take no more requests.
+        self._draining = False
         # Identity, sequence number and message of each waiting request.
         self._requests: queue.SimpleQueue[
             tuple[bytes, bytes, messages.Message] | None
@@ -123,9 +129,10 @@
         return bound.rstrip(b'\x00').decode().removeprefix('tcp://')
 
     def close(self) -> None:
-        """Stops reading, waits for handlers, sends replies and unbinds."""
+        """Refuses further requests, waits for handlers and unbinds."""
         started = self._thread.ident is not None
         if started:
+            self._draining = True
             for _ in self._workers:
                 self._requests.put(None)
             for worker in self._workers:
@@ -156,8 +163,18 @@
                 # parser of events would import asyncio at each startup.
                 self._monitor.recv_multipart()
                 self.counts.dropped += 1
+        self._refuse_queued()
         self._flush()
 
+    def _refuse_queued(self) -> None:
+        """Refuses requests that were queued just as the workers ended."""
+        with contextlib.suppress(queue.Empty):
+            while True:
+                request = self._requests.get_nowait()
+                if request is not None:
+                    identity, sequence, _ = request
+                    self._outbox.append((identity, sequence, _CLOSING_REPLY))
+
     def _read_all(self) -> None:
         """Reads all messages that wait at the socket."""
         while True:
@@ -186,6 +203,8 @@
         self.counts.received_bytes += len(payload)
         if isinstance(msg, messages.Ping):
             self._send(identity, sequence, _PONG_REPLY)
+        elif self._draining:
+            self._send(identity, sequence, _CLOSING_REPLY)
         elif self._requests.qsize() >= MAX_QUEUED_MESSAGES:
             self._send(identity, sequence, _BUSY_REPLY)
         else:
