Test: the last log lines of a process that ends by itself are lost, failing

What operators saw: nothing, and that is the fault: a router that a violated invariant ends leaves no line that says so.

Cause: the router's logs are written by a thread of their own (setup_bounded). os._exit, and the end of the main thread, do not wait for it.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,6 +6,8 @@
 import http.client
 import os
 import socket
+import subprocess
+import sys
 import threading
 import time
 from typing import Final
@@ -19,6 +21,7 @@
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import zmq_responder
+from foxtaildaled import process
 from foxtaildaled import router_state
 from tests import site as sites
 
@@ -185,3 +188,31 @@
             closed.result(_ENDS_S)
         assert isinstance(first.result(_ENDS_S), messages.Pong)
     requester.close()
+
+
+_VIOLATION: Final = """
+from foxtaildale import errors
+from foxtaildale_adapters import logs
+from foxtaildaled import process
+
+def violate():
+    raise errors.InvariantError('two outcomes')
+
+logs.setup_bounded('router', 'vm-1', 'info')
+loop = process.Loop('any', 1.0, violate)
+loop.start()
+loop._thread.join()
+"""
+
+
+def test_a_violated_invariant_is_logged_before_the_process_ends() -> None:
+    """Guards against a process that ends by itself and leaves no trace."""
+    found = subprocess.run(
+        [sys.executable, '-c', _VIOLATION],
+        capture_output=True,
+        text=True,
+        check=False,
+        env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
+    )
+    assert found.returncode == process.INVARIANT_STATUS, found.stderr
+    assert 'two outcomes' in found.stdout
