--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -216,3 +216,23 @@
     )
     assert found.returncode == process.INVARIANT_STATUS, found.stderr
     assert 'two outcomes' in found.stdout
+
+
+@pytest.mark.parametrize(
+    'exc', [KeyError('x'), errors.PortError('x')], ids=['bug', 'port']
+)
+def test_a_failed_step_of_a_loop_is_logged(
+    caplog: pytest.LogCaptureFixture, exc: Exception
+) -> None:
+    """Guards against a background loop that fails for hours and says nothing."""
+    begun = threading.Event()
+
+    def fail() -> None:
+        begun.set()
+        raise exc
+
+    loop = process.Loop('any', _ENDS_S, fail)
+    loop.start()
+    assert begun.wait(_ENDS_S)
+    loop.stop()
+    assert [record.message for record in caplog.records] == ['loop']
