Logs: six events are written that never were

Change: process, wiring and outcome_records pass the levels of the standard library, as everything else does and as the docstring of `logs.event` asks.

Before: both cases of the test failed. After: they pass, with test_logevents, test_boundedlogs, test_signals, test_stops and test_story.

--- a/packages/daemon/foxtaildaled/outcome_records.py
+++ b/packages/daemon/foxtaildaled/outcome_records.py
@@ -8,10 +8,10 @@
 """
 
 import collections
+import logging
 import threading
 from typing import Final
 
-from absl import logging as absl_logging
 import msgspec
 
 from foxtaildale import errors
@@ -60,7 +60,7 @@
     def add(self, outcome: values.Outcome) -> None:
         """Records the final outcome of a request."""
         logs.event(
-            absl_logging.INFO,
+            logging.INFO,
             'outcome',
             request=outcome.request,
             service=outcome.service,
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import logging
 import os
 import queue
 import signal
@@ -14,8 +15,6 @@
 import types
 from typing import Final
 
-from absl import logging as absl_logging
-
 from foxtaildale import errors
 from foxtaildale_adapters import logs
 
@@ -99,12 +98,10 @@
         try:
             self._step()
         except errors.InvariantError as exc:
-            logs.event(absl_logging.ERROR, 'invariant', error=str(exc))
+            logs.event(logging.ERROR, 'invariant', error=str(exc))
             os._exit(INVARIANT_STATUS)
         except Exception as exc:
-            logs.event(
-                absl_logging.ERROR, 'loop', loop=self.name, error=repr(exc)
-            )
+            logs.event(logging.ERROR, 'loop', loop=self.name, error=repr(exc))
 
 
 def stop_on_broken_invariants() -> None:
@@ -115,7 +112,7 @@
     """
 
     def on_exception(args: threading.ExceptHookArgs) -> None:
-        logs.event(absl_logging.ERROR, 'thread died', exc=args.exc_value)
+        logs.event(logging.ERROR, 'thread died', exc=args.exc_value)
         if isinstance(args.exc_value, errors.InvariantError):
             os._exit(INVARIANT_STATUS)
 
--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -6,12 +6,11 @@
 """
 
 import json
+import logging
 import os
 import time
 from typing import Protocol
 
-from absl import logging as absl_logging
-
 from foxtaildale import abandoned_holdings
 from foxtaildale import incarnations
 from foxtaildale import messages
@@ -288,7 +287,7 @@
         self._gate.stopping = True
         self._server.stop_accepting()
         drained = self._server.drain(self._cfg.drain_s)
-        logs.event(absl_logging.INFO, 'drained', whole=drained)
+        logs.event(logging.INFO, 'drained', whole=drained)
         self._cancels.send_due()
         self._records.flush()
         for loop in self._loops:
@@ -483,7 +482,7 @@
 
     The settings may leave the choice of a port to the kernel.
     """
-    logs.event(absl_logging.INFO, 'started', **addresses)
+    logs.event(logging.INFO, 'started', **addresses)
     if not cfg.address_file:
         return
     # The file is written under another name and renamed, so that a reader never
