Logs: queued lines are written before the process ends

Change: `logs.flush` waits, for 0.1 s at most, until the writer has written what is queued.

Before: the test in test_handover failed (empty standard output); with the level alone mended it failed still. After: it passes, with test_logevents, test_boundedlogs, test_signals and test_start.

--- a/packages/adapters/foxtaildale_adapters/logs.py
+++ b/packages/adapters/foxtaildale_adapters/logs.py
@@ -37,6 +37,11 @@
 MAX_QUEUED_LINES: Final = 2000
 MAX_LINE_CHARS: Final = 4000
 _WINDOW_S: Final = 1.0
+# Timeout of `flush`, seconds. A reader of standard output that stopped reading
+# must not keep the process from ending.
+_FLUSH_TIMEOUT_S: Final = 0.1
+# Lines of `setup_bounded` that wait for the writer.
+_pending: Final[queue.Queue[Any]] = queue.Queue(MAX_QUEUED_LINES)
 
 
 class _BoundedHandler(logging.handlers.QueueHandler):
@@ -147,14 +152,21 @@
         level: Lowest severity that is logged.
     """
     setup(role, entry_vm, level)
-    pending: queue.Queue[Any] = queue.Queue(MAX_QUEUED_LINES)
     handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(_JsonFormatter(role, entry_vm))
-    logging.getLogger().handlers[:] = [_BoundedHandler(pending)]
-    listener = logging.handlers.QueueListener(pending, handler)
+    logging.getLogger().handlers[:] = [_BoundedHandler(_pending)]
+    listener = logging.handlers.QueueListener(_pending, handler)
     listener.start()
 
 
+def flush() -> None:
+    """Waits until queued lines are written; called before the process ends."""
+    with _pending.all_tasks_done:
+        _pending.all_tasks_done.wait_for(
+            lambda: not _pending.unfinished_tasks, _FLUSH_TIMEOUT_S
+        )
+
+
 def event(level: int, name: str, **fields: object) -> None:
     """Logs one event.
 
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -99,6 +99,7 @@
             self._step()
         except errors.InvariantError as exc:
             logs.event(logging.ERROR, 'invariant', error=str(exc))
+            logs.flush()
             os._exit(INVARIANT_STATUS)
         except Exception as exc:
             logs.event(logging.ERROR, 'loop', loop=self.name, error=repr(exc))
@@ -114,6 +115,7 @@
     def on_exception(args: threading.ExceptHookArgs) -> None:
         logs.event(logging.ERROR, 'thread died', exc=args.exc_value)
         if isinstance(args.exc_value, errors.InvariantError):
+            logs.flush()
             os._exit(INVARIANT_STATUS)
 
     threading.excepthook = on_exception
