Test: a reload that ends the process without a stop, failing

What callers saw: not observed on a site. Every request in progress is cut, the port is closed, status 1.

Cause: settings are read again on SIGHUP and every 5 s. Text that is not UTF-8, such as a file read while it is rewritten, raises UnicodeDecodeError, which is neither OSError nor SettingsError, and leaves the main thread.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import errno
 import http.client
 import os
+import pathlib
 import socket
 import subprocess
 import sys
@@ -21,8 +22,10 @@
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import zmq_responder
+from foxtaildale_platform import settings_file
 from foxtaildaled import process
 from foxtaildaled import router_state
+from foxtaildaled import start
 from tests import site as sites
 
 # Grace time of a stop that ends before the requests do, seconds.
@@ -236,3 +239,13 @@
     assert begun.wait(_ENDS_S)
     loop.stop()
     assert [record.message for record in caplog.records] == ['loop']
+
+
+def test_settings_that_are_no_text_are_refused(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a router that ends at once as its settings are rewritten."""
+    path = tmp_path / 'boot.toml'
+    path.write_bytes(b'node_name = "\xff"')
+    monkeypatch.setenv(settings_file.SETTINGS_PATH_VARIABLE, str(path))
+    assert start.run(check=True) == start.CONFIG_STATUS
