Reload: settings that are not text are refused like other invalid ones

Change: UnicodeDecodeError becomes a SettingsError, so a reload logs 'reload failed' and keeps the settings, and a start ends with status 78.

Before: the test in test_handover failed.

--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -83,6 +83,8 @@
                 f'neither a settings file nor {settings_file.SETTINGS_PATH_VARIABLE} is given',
             )
         )
-    return settings_file.decode_settings(
-        pathlib.Path(name).read_text(encoding='utf-8'), name
-    )
+    try:
+        text = pathlib.Path(name).read_text(encoding='utf-8')
+    except UnicodeDecodeError as exc:
+        raise errors.SettingsError((f'{name}: {exc}',)) from exc
+    return settings_file.decode_settings(text, name)
