Test: an entry that loses the outcomes of what its stop cuts, failing

What operators saw: `explain` knows nothing of a request that an entry cut as its drain timed out, and its cancels are left to the reaper.

Cause: stop() flushes outcomes and cancels once, after the drain. Those of the requests that close() cuts come after it. (Entry role only, and only after a drain that timed out; a router has neither.)

Seen: the test fails, nothing is appended.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,20 +12,27 @@
 import threading
 import time
 from typing import Final
+from unittest import mock
 
 import msgspec
 import pytest
 
+from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import failure_reports
 from foxtaildale import messages
+from foxtaildale import settings
+from foxtaildale import values
 from foxtaildale_adapters import caller_server
+from foxtaildale_adapters import metrics
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import zmq_responder
 from foxtaildale_platform import settings_file
+from foxtaildaled import outcome_records
 from foxtaildaled import process
 from foxtaildaled import router_state
 from foxtaildaled import start
+from foxtaildaled import wiring
 from tests import site as sites
 
 # Grace time of a stop that ends before the requests do, seconds.
@@ -34,6 +41,10 @@
 # Time of a request that a close waits for, seconds.
 _WORK_S: Final = 0.5
 _ENDS_S: Final = 10.0
+_ENTRY: Final = (
+    pathlib.Path(__file__).parent.parent
+    / 'examples/eisbrecher/vm-halle-nord-1-entry.json5'
+)
 
 
 class _Slow:
@@ -249,3 +260,28 @@
     path.write_bytes(b'node_name = "\xff"')
     monkeypatch.setenv(settings_file.SETTINGS_PATH_VARIABLE, str(path))
     assert start.run(check=True) == start.CONFIG_STATUS
+
+
+def test_an_entry_stores_the_outcomes_of_what_its_close_cuts() -> None:
+    """Guards against requests that a stop cut and nobody can explain."""
+    cfg = settings.parse_options(_ENTRY.read_text(), str(_ENTRY))
+    entry = wiring.EntryDaemon(cfg)
+    log = mock.MagicMock()
+    records = outcome_records.OutcomeRecords(log, metrics.Metrics())
+    cut = values.Outcome(
+        request='late',
+        code=codes.CANCELLED.name,
+        sentence='',
+        revision=0,
+        entry_vm='vm-1',
+        at=0.0,
+    )
+    entry._server = mock.MagicMock()
+    entry._server.drain.return_value = False
+    entry._server.close.side_effect = lambda: records.add(cut)
+    entry._records = records
+    entry._loops = []
+    for name in ('_gate', '_cancels', '_view', '_pump', '_admin'):
+        setattr(entry, name, mock.MagicMock())
+    entry.stop()
+    assert log.append.call_count == 1
