Stop of an entry: cancels and outcomes of cut requests are sent too

Change: cancels and outcomes are flushed once more after the close, and the keeper is told of the stop only then, so that it does not end before the last outcomes of claims have reached it.

Before: the test in test_handover failed. After: it passes, with test_stops.

--- a/packages/daemon/foxtaildaled/wiring.py
+++ b/packages/daemon/foxtaildaled/wiring.py
@@ -292,8 +292,11 @@
         self._records.flush()
         for loop in self._loops:
             loop.stop()
-        self._view.report_stop()
         self._server.close()
+        # Requests that were cut leave cancels and outcomes as well.
+        self._cancels.send_due()
+        self._records.flush()
+        self._view.report_stop()
         self._pump.close()
         self._admin.close()
         self._responder.close()
