Test: crash reports that are copied only to VMs that stop, failing

What callers saw: not observed on a site. A request that crashes its servers reaches more of them than allowed, after three VMs stopped in turn or were killed.

Cause: the two successors are chosen by the hash alone, whether they reply or not. A successor that stops refuses its copy, one that is gone does not reply, and nobody else gets it, for as long as both are listed. The VM list keeps entries of VMs that ended.

Seen: the test fails.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,6 +20,7 @@
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import failure_reports
+from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import settings
 from foxtaildale import values
@@ -30,6 +31,8 @@
 from foxtaildale_platform import settings_file
 from foxtaildaled import outcome_records
 from foxtaildaled import process
+from foxtaildaled import quarantine_manager
+from foxtaildaled import router_daemon
 from foxtaildaled import router_state
 from foxtaildaled import start
 from foxtaildaled import wiring
@@ -285,3 +288,40 @@
         setattr(entry, name, mock.MagicMock())
     entry.stop()
     assert log.append.call_count == 1
+
+
+def test_crash_reports_reach_another_vm_when_both_successors_stop() -> None:
+    """Guards against reports copied only to VMs that stop in turn."""
+    made = sites.Site()
+    sites.make_calm(made)
+    made.start_routers(3)
+    subject = quarantine_manager.COORDINATOR_SUBJECT
+    count = quarantine_manager.SUCCESSORS
+    first = next(
+        router
+        for router in made.routers
+        if router._coordinators.is_coordinator(subject)
+    )
+    addresses = first._coordinators.successor_addresses(subject, count)
+    second = [r for r in made.routers if r.cfg.peer_address in addresses]
+    (last,) = [r for r in made.routers if r is not first and r not in second]
+    with futures.ThreadPoolExecutor(count) as pool:
+        stopped = [pool.submit(router.stop) for router in second]
+        time.sleep(_WORK_S)
+        for server in ('s1', 's2'):
+            backend = forwarding.Backend(
+                id=server, service='plain', address='127.0.0.1:1'
+            )
+            first._quarantining.record_crash(backend, 7, ran_s=0.01)
+        for done in stopped:
+            done.result(_ENDS_S)
+    try:
+        sites.until(
+            lambda: bool(
+                last._state.quarantine_state.crashes.reports(
+                    router_daemon.clock()
+                )
+            )
+        )
+    finally:
+        made.close()
