Quarantine: copies go on to the next VM when a successor does not reply

Change: a successor that refuses a copy or does not reply twice in a row is excluded like a coordinator that does so, until it replies to a probe; the copies then go to the next VM by rank.

Ruled out: more successors. A stop in turn takes any fixed number. Open: usage of client accounts is copied the same way and is not mended here.

Before: the test in test_handover failed. After: it passes, with test_quarantine_path, test_coordinators, test_suspects and test_quarantine (45 tests).

--- a/packages/daemon/foxtaildaled/coordinator_client.py
+++ b/packages/daemon/foxtaildaled/coordinator_client.py
@@ -9,6 +9,8 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
+from collections.abc import Iterable
 import logging
 import queue
 import threading
@@ -167,6 +169,28 @@
         others = [vm for vm in ranked if vm != self._entry_vm]
         return [entry_vms[vm].peer_address for vm in others[:count]]
 
+    def record_replies(
+        self, addresses: Iterable[str], replied: Container[str]
+    ) -> None:
+        """Records which successors replied to a copy.
+
+        Successors that repeatedly fail to reply, or refuse, are excluded, so
+        that the next VMs by rank get the copies.
+        """
+        names = {
+            vm.peer_address: name for name, vm in self._entry_vms().items()
+        }
+        for address in addresses:
+            if address not in names:
+                continue
+            if address in replied:
+                with self._lock:
+                    self._suspects.record_success(names[address])
+            else:
+                self._suspect(
+                    (names[address], address), errors.NoReplyError('no copy')
+                )
+
     def probe_suspects(self) -> None:
         """Probes the suspects that are due."""
         with self._lock:
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -339,11 +339,13 @@
         """Sends copies of reports; returns the ids of the VMs that replied."""
         copy = msgspec.structs.replace(msg, to_successor=True)
         replies = self._peers.request_all(addresses, copy, REPLY_TIMEOUT_S)
-        return {
+        received = {
             address: reply.coordinator_id
             for address, reply in replies.items()
             if isinstance(reply, messages.QuarantineUpdate)
         }
+        self._coordinators.record_replies(addresses, received)
+        return received
 
     def _record(self, sent: list[_Report]) -> bool:
         """Records own reports; returns whether any crashes are known here."""
