--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -163,8 +163,11 @@
         return not self.requests_begun and age_s < FIRST_REQUEST_S
 
     def communicate(self) -> bool:
-        self.requests_begun += 1
         try:
+            if self.server.closing:
+                # The request has waited for a thread; no time is left for it.
+                return False
+            self.requests_begun += 1
             self.rfile.set_deadline(
                 self.server.request_timeout_s or self.server.timeout
             )
@@ -481,8 +484,15 @@
                 self.became_idle.notify_all()
 
     def request_idle_sweep(self) -> None:
-        """Has the selector's thread close the idle connections soon."""
-        sweep = _IdleSweep(self)
+        """Has the selector's thread close the idle connections soon.
+
+        Without a free descriptor it does nothing.
+        """
+        try:
+            sweep = _IdleSweep(self)
+        except OSError as exc:
+            logs.event(logging.WARNING, 'idle sweep failed', error=str(exc))
+            return
         try:
             self._connections._selector.register(
                 sweep.fileno(), selectors.EVENT_READ, data=sweep
--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -57,6 +57,7 @@
     daemon.start()
     signals.wait_for_stop(lambda: _reload(daemon))
     daemon.stop()
+    logs.flush()
     return 0
 
 
@@ -82,6 +83,8 @@
                 f'neither a settings file nor {settings_file.SETTINGS_PATH_VARIABLE} is given',
             )
         )
-    return settings_file.decode_settings(
-        pathlib.Path(name).read_text(encoding='utf-8'), name
-    )
+    try:
+        text = pathlib.Path(name).read_text(encoding='utf-8')
+    except UnicodeDecodeError as exc:
+        raise errors.SettingsError((f'{name}: {exc}',)) from exc
+    return settings_file.decode_settings(text, name)
