--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -119,16 +119,6 @@
         """Starts to watch the caller's connection."""
         self.exchange.on_disconnect(self._on_disconnected)
 
-    def is_abandoned(self) -> bool:
-        """Whether this VM gave the request up, not the server that ran it.
-
-        Its caller has disconnected, or this process ends.
-        """
-        return (
-            self.caller_disconnected.is_set()
-            or self._clock() >= self._process_ends_at()
-        )
-
     def time_left_s(self) -> float:
         """Returns the time left until the deadline, seconds."""
         return self.deadline - self._clock()
