Test: a signal that repeats until a router has ended, failing

What operators see: exit status -15, -2 or -1 in place of 0, if a second SIGTERM, a SIGINT or a SIGHUP (settings changed) comes in the last moments of a stop. No request is cut, since all connections are closed by then.

Cause: as the interpreter ends it restores the default action of each signal that has a handler. The signal then ends the process. A signal that is ignored is left alone.

The test sends one of three signals every 2 ms to 12 routers from SIGTERM until they are gone.

--- a/tests/test_stop_sweep.py
+++ b/tests/test_stop_sweep.py
@@ -37,6 +37,8 @@
 # Time from the start of the probes to the signal, seconds.
 _LEAD_S: Final = 0.8
 _START_S: Final = 30.0
+# Time between two signals that are sent until the process has ended, seconds.
+_REPEAT_S: Final = 0.002
 # Until this time after the signal a stopping router serves as before, seconds.
 _SERVES_S: Final = 2.5
 _DUCK_S: Final = router_daemon.LAME_DUCK_S
@@ -429,6 +431,8 @@
 )
 _PAGE_TIMES: Final = (0.0, 1.0, *(2.7 + step * 0.02 for step in range(90)))
 _PAGE_STOPS: Final = 16
+# Routers for each signal that repeats.
+_REPEATED: Final = 4
 # Time from the first accepted connection to SIGTERM, seconds.
 _START_DELAYS_S: Final = (
     0.0,
@@ -457,6 +461,14 @@
     return Stop((), signals=signals)
 
 
+def _repeat(number: signal.Signals, lane: Lane) -> None:
+    """Sends a signal again and again until the process has ended."""
+    process = lane.router.process
+    while process is not None and process.poll() is None:
+        lane.router.send_signal(number)
+        time.sleep(_REPEAT_S)
+
+
 def _configured(at: float) -> Stop:
     """Publishes a configuration with another idle timeout, twice."""
 
@@ -515,6 +527,23 @@
     assert not faults, _summary(faults)
 
 
+def test_signals_that_repeat_until_the_end_change_no_exit_status(
+    lanes: 'queue.SimpleQueue[Lane]',
+) -> None:
+    """Guards against a signal that kills an interpreter that is ending."""
+    stops = [
+        Stop(
+            _probes(step),
+            name=number.name,
+            actions=((0.0, functools.partial(_repeat, number)),),
+        )
+        for number in (_TERM, signal.SIGINT, signal.SIGHUP)
+        for step in range(_REPEATED)
+    ]
+    faults = _play(lanes, stops)
+    assert not faults, _summary(faults)
+
+
 def test_a_stop_as_the_process_starts_cuts_no_request(
     lanes: 'queue.SimpleQueue[Lane]',
 ) -> None:
