Test: a stop that outlasts its grace time, failing

What operators see: a router gets SIGKILL, and has no exit status of its own, if a connection is in use until the end of its grace time.

Cause: the last 0.5 s of the grace time are reserved for closing (CLOSE_MARGIN_S), 0.3 s of them for the last responses. Closing takes longer: each of the three servers waits for its selector, up to 0.5 s, one after the other, and up to 1 s for a thread that reads a request (shutdown_timeout). A stop without open connections takes 1.4 s from 'stopped' to its exit as well, but has the time.

Ruled out: callers that get no answer. The long request is answered with 504 0.5 s before SIGKILL is due.

The test stops one router with half of a head, and one with a request of twice the grace time, in progress.

--- a/tests/test_stop_sweep.py
+++ b/tests/test_stop_sweep.py
@@ -237,6 +237,28 @@
             if (fault := self.judge(item, serves_s=-math.inf))
         ]
 
+    def play_long(self, *, is_half: bool) -> tuple[int, list[str]]:
+        """Stops a router as a connection is in use for longer than its grace.
+
+        Args:
+            is_half: Whether half of a head is sent, and not a long request.
+
+        Returns:
+            The status of the response, and what was wrong with the stop.
+        """
+        self.start()
+        conn = stopprobes.Connection(self.address)
+        data = self.make('once', 0.0, work_s=2 * _GRACE_S).data
+        conn.send(data[: len(data) // 2] if is_half else data)
+        time.sleep(_LEAD_S)
+        signal_at = time.monotonic()
+        self.router.send_signal(signal.SIGTERM)
+        with futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(conn.read)
+            faults = self.await_end(signal_at)
+        conn.close()
+        return answer.result().status, faults
+
     def play_pages(
         self, probes: Sequence[tuple[tuple[str, bool], stopprobes.Probe]]
     ) -> list[str]:
@@ -562,6 +584,25 @@
     assert not faults, _summary(faults)
 
 
+def test_a_stop_ends_within_its_grace_time(
+    lanes: 'queue.SimpleQueue[Lane]',
+) -> None:
+    """Guards against SIGKILL while a connection is open for long."""
+
+    def play(is_half: bool) -> tuple[int, list[str]]:
+        lane = lanes.get()
+        try:
+            return lane.play_long(is_half=is_half)
+        finally:
+            lanes.put(lane)
+
+    with futures.ThreadPoolExecutor(2) as pool:
+        (half, half_faults), (long, long_faults) = pool.map(play, (True, False))
+    assert half in (0, 408)
+    assert long == 504
+    assert (half_faults, long_faults) == ([], [])
+
+
 def _make_page(path: str, kind: str, lasts_s: float) -> stopprobes.Request:
     del kind, lasts_s
     return stopprobes.Request(
