Signals: ignored once the role has stopped

What operators saw: exit status -15, -2 or -1 in place of 0, if a signal reached a router after its stop, while its interpreter ended.

Cause: the interpreter restores the default action of each handled signal at its end; one that is ignored is left alone.

--- a/packages/daemon/foxtaildaled/main.py
+++ b/packages/daemon/foxtaildaled/main.py
@@ -47,6 +47,7 @@
     daemon.start()
     signals.wait_for_stop()
     daemon.stop()
+    signals.ignore()
     return 0
 
 
--- a/packages/daemon/foxtaildaled/process.py
+++ b/packages/daemon/foxtaildaled/process.py
@@ -161,6 +161,15 @@
                 reload_at = time.monotonic() + RELOAD_INTERVAL_S
                 reload()
 
+    def ignore(self) -> None:
+        """Ignores all signals; called when the role has stopped.
+
+        The interpreter restores the default action of each handled signal while
+        it ends, and a signal would then set the exit status.
+        """
+        for number in (*_STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
+
     def _receive(self) -> set[int]:
         """Returns the signals received by the end of `SIGNAL_POLL_S`."""
         received: set[int] = set()
--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -57,6 +57,7 @@
     daemon.start()
     signals.wait_for_stop(lambda: _reload(daemon))
     daemon.stop()
+    signals.ignore()
     logs.flush()
     return 0
 
