Stop: the close fits into the time that is left for it

What operators saw: a router whose connection was in use until the end of its grace time got SIGKILL, 0.7 to 1.2 s before it would have ended by itself.

Cause: each of its three servers waited for its selector's next idle check, up to 0.5 s, one after the other, and 1 s for a thread in use; 0.5 s were reserved.

Change: the close wakes the selector, and a stop gives connections that are still in use no more time: they had it.

--- a/packages/adapters/foxtaildale_adapters/admin.py
+++ b/packages/adapters/foxtaildale_adapters/admin.py
@@ -56,9 +56,13 @@
         """Binds the address and starts to serve; returns the bound address."""
         return self._server.start()
 
-    def close(self) -> None:
-        """Stops the server and closes its address."""
-        self._server.close()
+    def close(self, in_use_s: float = caller_server.IN_USE_S) -> None:
+        """Stops the server and closes its address.
+
+        Args:
+            in_use_s: Time until connections in use are cut, seconds.
+        """
+        self._server.close(in_use_s)
 
     def handle(self, exchange: caller_server.Exchange) -> None:
         """Responds to one request of an operator."""
--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -11,6 +11,8 @@
 
 # Timeout of `close` for handlers that are still running, seconds.
 CLOSE_TIMEOUT_S: Final = 3.0
+# Time that `close` leaves to connections in use by default, seconds.
+IN_USE_S: Final = 1.0
 # Interval between checks for connections that exceeded the idle timeout, and
 # maximum delay of a close, seconds. Each check wakes a thread.
 IDLE_CHECK_S: Final = 0.1
@@ -176,10 +178,13 @@
         """Returns the number of connections, with or without an exchange."""
         return self._server.open_connections()
 
-    def close(self) -> None:
+    def close(self, in_use_s: float = IN_USE_S) -> None:
         """Closes every connection, also those in use.
 
         Returns after a few seconds at most, even if handlers hang.
+
+        Args:
+            in_use_s: Time until connections in use are cut, seconds.
         """
         if self._thread is None or not self._thread.is_alive():
             return
@@ -187,8 +192,13 @@
         self.stop_accepting()
         # The library waits for its threads without a timeout, so a handler
         # that hangs would keep a stopped process alive forever.
+        self._server.shutdown_timeout = in_use_s  # type: ignore[assignment]
         stop = threading.Thread(target=self._server.stop, daemon=True)
         stop.start()
-        stop.join(CLOSE_TIMEOUT_S)
+        deadline = time.monotonic() + CLOSE_TIMEOUT_S
+        while stop.is_alive() and time.monotonic() < deadline:
+            # Wakes the selector, which otherwise ends at its next idle check.
+            self._server.request_idle_sweep()
+            stop.join(_SWEEP_INTERVAL_S)
         self._thread.join(CLOSE_TIMEOUT_S)
         self._server.watcher.close()
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -415,9 +415,6 @@
 
     ConnectionClass = _Connection
     request_queue_size = 512
-    # Delay after which a closing server shuts down the connections in use,
-    # seconds.
-    shutdown_timeout = 1
     keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
     max_request_header_size = connection_files.MAX_HEAD_BYTES
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -366,7 +366,8 @@
             logs.event(logging.WARNING, 'requests cut', requests=cancelled)
             self._drain(self._ends_at + _LAST_RESPONSES_S)
         logs.event(logging.INFO, 'stopped', **self._load())
-        self.close()
+        # What is still in use has had its time.
+        self.close(in_use_s=0.0)
 
     def _drain(self, ends_at: float) -> bool:
         """Serves the requests in progress until no connection is open.
@@ -394,15 +395,19 @@
         matcher = self._state.matcher
         return matcher.table.version if matcher is not None else None
 
-    def close(self) -> None:
-        """Stops at once, also with requests in progress."""
+    def close(self, in_use_s: float = caller_server.IN_USE_S) -> None:
+        """Stops at once, also with requests in progress.
+
+        Args:
+            in_use_s: Time until connections in use are cut, seconds.
+        """
         if self._closed:
             return
         self._closed = True
         for loop in self._loops:
             loop.request_stop()
         for server in (self._server, self._readiness, self._admin):
-            server.close()
+            server.close(in_use_s)
         self._responder.close()
         self._peers.close()
         self._owner.stop()
