Close: a request that it cuts off gets no error that blames its caller

What callers would see: 400 for a request of which half had been sent as a server closed, and no caller tries again after that.

Cause: a close ends the reading side of a connection in use; the rest of the head then looks like the end of a bad line.

Change: once the server closes, the connection ends without a response: nothing of the request was read, so its caller may try another VM.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -129,6 +129,10 @@
         if self.sent_headers:
             return
         self.sent_headers = True
+        if self.server.closing:
+            # The close may have cut off the rest of the request; an error would
+            # blame the caller, who then does not retry.
+            return
         self.conn.discard_input = True
         header_lines = b''.join(b'%b:\r\n' % name for name in self.inheaders)
         sure = not caller_exchange.has_key_or_ticket(header_lines)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -552,6 +552,17 @@
     assert b'Connection: close' in answer
 
 
+def test_a_close_blames_no_caller_whose_request_it_cuts_off(
+    running: Running,
+) -> None:
+    """Guards against a 400 that keeps a caller from trying again elsewhere."""
+    with running.connect() as sock:
+        sock.sendall(b'GET / HTTP/1.1\r\nHo')
+        until(lambda: running.server.busy() == 1)
+        running.server.close(in_use_s=0.0)
+        assert read_all(sock) == b''
+
+
 def test_a_handler_that_hangs_does_not_keep_the_process() -> None:
     """The drain is over and one handler still waits for something.
 
