Stand-ins: a request that breaks off is not executed

Cause: the entry sends head and body of a call in two writes. Killed between them, or cancelled there, it leaves a head with a Content-Length and no body; the stand-in read to the end of the connection and recorded what it had as a call. A server runs no such request, so the record was wrong, not the entry.

Ruled out: a body that the entry itself lost. A body that is shorter than its length is refused with 400 before anything is sent (`_read_sized_body`).

Change: the stand-ins close such a connection. The check of the histories is as it was.

Before: the new test failed (200 for 'Content-Length: 4' and no body). After: it passes, with the other tests of the stand-ins.

--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -58,6 +58,9 @@
         }
         length = int(self.headers.get('content-length', '0'))
         self.body: bytes = raw.rfile.read(length) if length else b''
+        if len(self.body) < length:
+            # Its sender ended in the middle of it.
+            raise Cut
 
     def hung_up(self) -> bool:
         """Says whether the other side has closed the connection."""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,6 +1,7 @@
 """The engine stand-in behaves as the engines of the brief do."""
 
 from collections.abc import Iterator
+import socket
 import threading
 import time
 
@@ -474,3 +475,18 @@
     proc = procs.standin(module)
     with pytest.raises(AssertionError):
         control.faults(proc, stall_transfers=True)
+
+
+def test_a_request_that_breaks_off_is_not_executed(
+    procs: fleet.Fleet,
+) -> None:
+    """Guards against records of requests whose sender died in their middle."""
+    service = procs.standin('service')
+    host, _, port = service.address.rpartition(':')
+    head = b'POST /check-in HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n'
+    for body in (b'', b'abc'):
+        with socket.create_connection((host, int(port)), 5) as sock:
+            sock.sendall(head + body)
+            sock.shutdown(socket.SHUT_WR)
+            assert sock.recv(100) == b''
+    assert control.record(service, 'executions') == []
