Plain requests: a slow server that none can replace is waited for

What callers saw: 502 'unknown whether the request ran', 0.5 s after a request that may be repeated was sent, while its server was still at work on it.

Cause: after twice its target time, and 0.5 s at least, the router cancelled the send and only then looked for another server and for room in the retry budget. Without either the response that was on its way was lost.

Change: at that time the router looks for a server and takes from the budget first; only with both is the request cancelled and sent on. Otherwise it keeps waiting, until its deadline at most.

Before: both new tests failed with 502 (one server that takes 1 s; two without a budget). Open: a stream whose decode worker is silent for 1.2 s is given up in the same order, before another worker is found.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -21,6 +21,7 @@
 import urllib3.util
 
 from foxtaildale import errors
+from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
 from foxtaildale_adapters import idle_connections
 
@@ -157,6 +158,15 @@
             self.cancel()
             raise errors.ConnectionBrokenError(str(exc)) from exc
 
+    def await_response(self, timeout_s: float) -> bool:
+        """Waits until bytes arrive or the connection ends.
+
+        Returns:
+            False if neither came in time; the request goes on.
+        """
+        sock = self._conn.sock
+        return sock is None or disconnects.has_input(sock, timeout_s)
+
     def read_head(self, timeout_s: float) -> RawResponseHead:
         """Waits for the head of the response.
 
--- a/packages/adapters/foxtaildale_adapters/disconnects.py
+++ b/packages/adapters/foxtaildale_adapters/disconnects.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Callable
+import math
 import select
 import socket
 import threading
@@ -55,11 +56,19 @@
     return reset, bool(flags & select.POLLRDHUP)
 
 
-def has_input(sock: socket.socket) -> bool:
-    """Returns whether bytes or a FIN arrived, or the socket was reset."""
+def has_input(sock: socket.socket, timeout_s: float = 0.0) -> bool:
+    """Waits until bytes or a FIN arrive, or the socket is reset.
+
+    Args:
+        sock: The socket.
+        timeout_s: How long to wait, seconds.
+
+    Returns:
+        False if nothing came in time.
+    """
     poll = select.poll()
     poll.register(sock, select.POLLIN)
-    return bool(poll.poll(0))
+    return bool(poll.poll(max(0, math.ceil(timeout_s * 1000))))
 
 
 def is_writable(sock: socket.socket) -> bool:
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -162,6 +162,12 @@
             errors.NoReplyError: A part may have been sent.
         """
 
+    def await_response(self, timeout_s: float) -> bool:
+        """Waits until `read_head` has something to read; False if nothing came.
+
+        The exchange goes on either way.
+        """
+
     def read_head(self, timeout_s: float) -> forwarding.ResponseHead:
         """Waits for the head of the response."""
 
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -30,8 +30,8 @@
 # this does not count as an attempt.
 MAX_MISSED_SERVERS: Final = 3
 # An idempotent request without a response is sent to another server after this
-# multiple of its target time. A server that hangs would otherwise delay it
-# until its deadline.
+# multiple of its target time, if there is one that may get it. A server that
+# hangs would otherwise delay it until its deadline.
 STALL_TARGET_FACTOR: Final = 2.0
 # Minimum of that time, seconds.
 MIN_STALL_S: Final = 0.5
@@ -62,6 +62,7 @@
         'may_have_run',
         'missed',
         'rate_limited',
+        'replacement',
         'requests_sent',
         'tried_ids',
     )
@@ -79,6 +80,9 @@
         self.missed = 0
         # Response to the last request sent; None if there was none.
         self.last_response: _CompleteResponse | None = None
+        # Server that gets the next attempt, which the retry budget has counted,
+        # in place of one that did not respond; None if there is none.
+        self.replacement: forwarding.Backend | None = None
         # Whether the send limits exclude all servers that are left.
         self.rate_limited = False
         # Whether a request without a response may have run.
@@ -135,12 +139,9 @@
         if req.check_disconnected():
             req.refuse(codes.CANCELLED if history.attempts else codes.GONE)
             return False
-        server = (
-            None
-            if req.quarantine_left_s()
-            else self._choose_server(req, history)
-        )
-        if server is None or not self._may_send(req, history, server):
+        server = history.replacement or self._next_server(req, history)
+        history.replacement = None
+        if server is None:
             self._end_without_server(req, history)
             return False
         history.tried_ids.append(server.id)
@@ -150,7 +151,7 @@
             attempt=history.attempts + 1,
             fingerprint=fingerprint.to_text(req.fingerprint),
         )
-        outcome = self._send(req, server, history.attempts)
+        outcome = self._send(req, history, server)
         if isinstance(outcome, _CompleteResponse):
             return self._on_response(req, history, outcome)
         return self._on_error(req, history, outcome)
@@ -199,6 +200,17 @@
             return False
         return True
 
+    def _next_server(
+        self, req: routed_request.RoutedRequest, history: _SendHistory
+    ) -> forwarding.Backend | None:
+        """Returns the server for the next attempt, or None."""
+        if req.quarantine_left_s():
+            return None
+        server = self._choose_server(req, history)
+        if server is None or not self._may_send(req, history, server):
+            return None
+        return server
+
     def _choose_server(
         self, req: routed_request.RoutedRequest, history: _SendHistory
     ) -> forwarding.Backend | None:
@@ -236,6 +248,11 @@
             return True
         if history.attempts >= req.route.max_attempts:
             return False
+        return self._acquire_retry(req, server)
+
+    def _acquire_retry(
+        self, req: routed_request.RoutedRequest, server: forwarding.Backend
+    ) -> bool:
         allowed = self._retry_budgets.acquire(req.service.name, req.deadline)
         req.log('retry', server=server.id, allowed=allowed)
         if allowed:
@@ -245,8 +262,8 @@
     def _send(
         self,
         req: routed_request.RoutedRequest,
+        history: _SendHistory,
         server: forwarding.Backend,
-        attempts: int,
     ) -> _CompleteResponse | errors.PortError:
         """Sends the request once.
 
@@ -264,7 +281,8 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
-            head = flight.read_head(self._response_timeout_s(req, attempts))
+            self._await_response(req, history, flight)
+            head = flight.read_head(req.time_left_s())
             if not head.matches:
                 raise errors.NoReplyError('response to another request')
             return _CompleteResponse(head, _read_body(flight, req))
@@ -280,15 +298,41 @@
             flight.close()
             self._record_outcome(req, server, head, self._clock() - began_at)
 
-    def _response_timeout_s(
-        self, req: routed_request.RoutedRequest, attempts: int
-    ) -> float:
-        left_s = req.time_left_s()
-        if not req.route.repeatable or attempts + 1 >= req.route.max_attempts:
-            return left_s
-        return min(
-            left_s, max(MIN_STALL_S, STALL_TARGET_FACTOR * req.route.target_s)
-        )
+    def _await_response(
+        self,
+        req: routed_request.RoutedRequest,
+        history: _SendHistory,
+        flight: ports.ServerExchange,
+    ) -> None:
+        """Waits for a response until another server should get the request.
+
+        A server that no other may replace keeps the request: its response may
+        still come.
+
+        Raises:
+            errors.NoReplyError: No response came, and another server is set as
+                the replacement.
+        """
+        attempts_left = req.route.max_attempts - history.attempts - 1
+        if not req.route.repeatable or attempts_left <= 0:
+            return
+        stall_s = max(MIN_STALL_S, STALL_TARGET_FACTOR * req.route.target_s)
+        if req.time_left_s() <= stall_s or flight.await_response(stall_s):
+            return
+        history.replacement = self._choose_replacement(req, history)
+        if history.replacement is not None:
+            raise errors.NoReplyError('no response in time')
+
+    def _choose_replacement(
+        self, req: routed_request.RoutedRequest, history: _SendHistory
+    ) -> forwarding.Backend | None:
+        """Returns a server to retry at, counted as a retry, or None."""
+        if req.quarantine_left_s() or req.caller_disconnected.is_set():
+            return None
+        server = self._choose_server(req, history)
+        if server is None or not self._acquire_retry(req, server):
+            return None
+        return server
 
     def _record_outcome(
         self,
--- a/packages/daemon/foxtaildaled/tracked_flights.py
+++ b/packages/daemon/foxtaildaled/tracked_flights.py
@@ -96,6 +96,9 @@
     def send(self, timeout_s: float) -> None:
         self._flight.send(timeout_s)
 
+    def await_response(self, timeout_s: float) -> bool:
+        return self._flight.await_response(timeout_s)
+
     def read_head(self, timeout_s: float) -> forwarding.ResponseHead:
         head = self._flight.read_head(timeout_s)
         if head.matches:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -19,6 +19,11 @@
 
 Site = sites.Site
 
+# Work of a server that is slow and of one that hangs, seconds; both are longer
+# than the time after which the router prefers another server.
+_SLOW_S = 1.0
+_HANG_S = 2.5
+
 
 @pytest.fixture
 def site() -> Iterator[Site]:
@@ -126,6 +131,48 @@
         assert status == 200
 
 
+def test_a_slow_server_that_none_can_replace_is_waited_for(site: Site) -> None:
+    """Guards against a 502 in place of a response that is on its way."""
+    site.store.put('keyed.op', 'config', sites.config(1))
+    site.worker('s1', 'plain').work_s = _SLOW_S
+    site.router()
+    sites.until(lambda: sites.ready(site))
+    status, _, body = sites.send(site, 'GET', '/safe/x')
+    assert (status, body) == (200, b'a1:/safe/x')
+
+
+def test_a_slow_server_is_waited_for_without_a_retry_budget(
+    site: Site,
+) -> None:
+    """Guards against a run that is given up and may not be repeated."""
+    site.store.put('keyed.op', 'config', sites.config(1))
+    for name in ('s1', 's2'):
+        site.worker(name, 'plain').work_s = _SLOW_S
+    site.router(retry_burst=0.0)
+    sites.until(lambda: sites.ready(site))
+    status, _, body = sites.send(site, 'GET', '/safe/x')
+    assert (status, body) == (200, b'a1:/safe/x')
+    assert len([i for w in site.workers.values() for i in w.ids()]) == 1
+
+
+def test_a_server_that_hangs_is_replaced_in_time(calm: Site) -> None:
+    """Guards against a wait until the deadline as another server is free."""
+    hung = threading.Event()
+
+    def hang(_: object) -> None:
+        if not hung.is_set():
+            hung.set()
+            time.sleep(_HANG_S)
+
+    for name in ('s1', 's2'):
+        calm.workers[name].on_run = hang
+    began = time.monotonic()
+    status, _, body = sites.send(calm, 'GET', '/safe/x')
+    assert (status, body) == (200, b'a1:/safe/x')
+    assert hung.is_set()
+    assert time.monotonic() - began < _SLOW_S
+
+
 def test_what_may_have_run_is_not_run_again(calm: Site) -> None:
     """A server runs a check-in and its answer is lost on the way.
 
