Close: queued releases are sent, and no thread outlives the state it uses

What was seen: 'Exception in thread asking', ActorDeadError, once, as a test of self-reports was taken down. What operators would see: 'thread died' at the end of a stop; memory at engines and places in the plan that stay taken for requests that ended last, until they expire.

Cause: the close ended the state's actor while the threads that send releases and notifications were still at work, and what they had queued was dropped in silence.

Change: both use one BackgroundQueue, which sends what is queued for 0.1 s at most and then ends its thread; what is left is counted in a log line.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -341,6 +341,12 @@
             'resources held by {server} were not released and will expire',
             ('server', 'error'),
         ),
+        (
+            'releases dropped',
+            '{count} releases of placements and of resources at engines were not'
+            ' sent before the process ended',
+            ('count',),
+        ),
         (
             'log lines left out',
             '{count} log lines were dropped under load',
--- a/packages/daemon/foxtaildaled/coordinator_client.py
+++ b/packages/daemon/foxtaildaled/coordinator_client.py
@@ -12,7 +12,6 @@
 from collections.abc import Container
 from collections.abc import Iterable
 import logging
-import queue
 import threading
 from typing import Final
 from typing import TypeVar
@@ -25,6 +24,7 @@
 from foxtaildale import suspects
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
+from foxtaildaled import background_queue
 from foxtaildaled import router_state
 
 # Limits of one request: it fails after `MAX_LOST_REPLIES` lost replies, which
@@ -90,15 +90,23 @@
         # busy from VMs that were removed but are still listed.
         self._replied: set[str] = set()
         # Queued notifications by name, in the order in which they are sent.
-        self._notifications: queue.Queue[tuple[str, messages.Message]] = (
-            queue.Queue(MAX_NOTIFICATIONS)
+        self._notifications: background_queue.BackgroundQueue[
+            tuple[str, messages.Message]
+        ] = background_queue.BackgroundQueue(
+            'asking', MAX_NOTIFICATIONS, self._send_notification
         )
 
     def start(self) -> None:
         """Starts the thread that sends notifications."""
-        threading.Thread(
-            target=self._send_notifications, name='asking', daemon=True
-        ).start()
+        self._notifications.start()
+
+    def close(self, timeout_s: float) -> int:
+        """Sends the queued notifications; returns how many were dropped.
+
+        Args:
+            timeout_s: Time for that, seconds.
+        """
+        return self._notifications.close(timeout_s)
 
     def request(
         self,
@@ -139,9 +147,7 @@
 
     def notify(self, name: str, msg: messages.Message) -> None:
         """Notifies a coordinator asynchronously; does not retry."""
-        try:
-            self._notifications.put_nowait((name, msg))
-        except queue.Full:
+        if not self._notifications.put((name, msg)):
             tag = type(msg).__struct_config__.tag
             logs.event(logging.WARNING, 'home not told', what=str(tag))
 
@@ -244,16 +250,17 @@
         if isinstance(reply, messages.EligibilityReply) and not reply.eligible:
             self._suspect(coordinator, errors.RejectedError('unfit', 'not fit'))
 
-    def _send_notifications(self) -> None:
-        while True:
-            name, msg = self._notifications.get()
-            coordinator = self._coordinator(name)
-            if coordinator is None:
-                continue
-            try:
-                self._send(coordinator, msg, NOTIFY_TIMEOUT_S)
-            except errors.PortError as exc:
-                self._suspect(coordinator, exc)
+    def _send_notification(
+        self, notification: tuple[str, messages.Message]
+    ) -> None:
+        name, msg = notification
+        coordinator = self._coordinator(name)
+        if coordinator is None:
+            return
+        try:
+            self._send(coordinator, msg, NOTIFY_TIMEOUT_S)
+        except errors.PortError as exc:
+            self._suspect(coordinator, exc)
 
     def _entry_vms(self) -> dict[str, forwarding.EntryVm]:
         return self._owner.run(lambda state, _: state.entry_vms)
--- a/packages/daemon/foxtaildaled/engine_cleanup.py
+++ b/packages/daemon/foxtaildaled/engine_cleanup.py
@@ -5,14 +5,13 @@
 """
 
 import logging
-import queue
-import threading
 from typing import Final
 
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import ports
 from foxtaildale_adapters import logs
+from foxtaildaled import background_queue
 
 # Maximum number of queued releases. Further resources are left to expire at
 # the engine, which takes two seconds at most.
@@ -31,11 +30,21 @@
 
     def __init__(self, workers: ports.ServerClient) -> None:
         self._workers = workers
-        self._queue: queue.Queue[_Resource] = queue.Queue(MAX_QUEUED)
+        self._queue: background_queue.BackgroundQueue[_Resource] = (
+            background_queue.BackgroundQueue('tidy', MAX_QUEUED, self._release)
+        )
 
     def start(self) -> None:
         """Starts the background thread."""
-        threading.Thread(target=self._run, name='tidy', daemon=True).start()
+        self._queue.start()
+
+    def close(self, timeout_s: float) -> int:
+        """Releases what is queued; returns how many were left to expire.
+
+        Args:
+            timeout_s: Time for that, seconds.
+        """
+        return self._queue.close(timeout_s)
 
     def release_reservation(self, reserved: forwarding.Reserved) -> None:
         """Queues the release of a reservation."""
@@ -46,25 +55,21 @@
         self._put(prefilled)
 
     def _put(self, resource: _Resource) -> None:
-        try:
-            self._queue.put_nowait(resource)
-        except queue.Full:
+        if not self._queue.put(resource):
             logs.event(
                 logging.WARNING, 'left to lapse', server=resource.worker.id
             )
 
-    def _run(self) -> None:
-        while True:
-            resource = self._queue.get()
-            try:
-                if isinstance(resource, forwarding.Reserved):
-                    self._workers.release_reservation(resource)
-                else:
-                    self._workers.release_prefill(resource)
-            except errors.PortError as exc:
-                logs.event(
-                    logging.INFO,
-                    'left to lapse',
-                    server=resource.worker.id,
-                    error=str(exc),
-                )
+    def _release(self, resource: _Resource) -> None:
+        try:
+            if isinstance(resource, forwarding.Reserved):
+                self._workers.release_reservation(resource)
+            else:
+                self._workers.release_prefill(resource)
+        except errors.PortError as exc:
+            logs.event(
+                logging.INFO,
+                'left to lapse',
+                server=resource.worker.id,
+                error=str(exc),
+            )
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -58,6 +58,8 @@
 CLOSE_MARGIN_S: Final = 0.5
 # Part of it in which requests that were cut are answered, seconds.
 _LAST_RESPONSES_S: Final = 0.3
+# Time for each queue of releases to be sent at a close, seconds.
+_FLUSH_S: Final = 0.1
 # Number of threads that serve requests of other entry VMs.
 _PEER_THREADS: Final = 3
 # Interval of heartbeats on connections between entry VMs, seconds. Each entry
@@ -408,6 +410,11 @@
             loop.request_stop()
         for server in (self._server, self._readiness, self._admin):
             server.close(in_use_s)
+        # The requests that have just ended may have queued releases.
+        dropped = self._cleanup.close(_FLUSH_S)
+        dropped += self._coordinators.close(_FLUSH_S)
+        if dropped:
+            logs.event(logging.WARNING, 'releases dropped', count=dropped)
         self._responder.close()
         self._peers.close()
         self._owner.stop()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,6 +44,8 @@
 # Time of a request that a close waits for, seconds.
 _WORK_S: Final = 0.5
 _ENDS_S: Final = 10.0
+# Time that a message takes that is handled slowly, seconds.
+_SLOW_S: Final = 0.05
 _ENTRY: Final = (
     pathlib.Path(__file__).parent.parent
     / 'examples/eisbrecher/vm-halle-nord-1-entry.json5'
@@ -325,3 +327,43 @@
         )
     finally:
         made.close()
+
+
+def test_a_close_sends_the_releases_that_are_queued(site: sites.Site) -> None:
+    """Guards against memory that stays taken for requests that have ended."""
+    router = site.routers[0]
+    worker = site.workers['p1']
+    backend = forwarding.Backend(
+        id=worker.name, service='model', address=worker.address, stage='prefill'
+    )
+    names = [f'kv-{number}' for number in range(150)]
+    for name in names:
+        router._cleanup.release_prefill(
+            forwarding.Prefilled(worker=backend, handle=name)
+        )
+    with mock.patch.object(router_daemon, '_FLUSH_S', _ENDS_S):
+        router.close()
+    assert worker.freed == names
+
+
+def test_no_thread_outlives_the_state_that_it_uses(site: sites.Site) -> None:
+    """Guards against a thread that dies as its process closes."""
+    died: list[BaseException | None] = []
+    with mock.patch.object(
+        threading, 'excepthook', lambda args: died.append(args.exc_value)
+    ):
+        router = site.routers[0]
+        handle = router._coordinators._handle
+
+        def handle_slowly(msg: messages.Message) -> messages.Message:
+            time.sleep(_SLOW_S)
+            return handle(msg)
+
+        router._coordinators._handle = handle_slowly
+        for number in range(200):
+            router._coordinators.notify(
+                f'name-{number}', messages.EligibilityRequest()
+            )
+        router.close()
+        time.sleep(_WORK_S)
+    assert died == []
