Responder: connections stay open shortly after the last replies

What other VMs saw: 'connection closed' in place of the reply to a message that a closing process had just handled. A place that was granted so is nobody's until the next inventory; the outcome of a ticket is unknown.

Cause: with IMMEDIATE, libzmq drops what a requester has not read when it processes the end of the connection. The reply and the end came together, and a requester whose thread was busy at that moment lost the reply.

Change: after the last replies the responder keeps its connections for 0.1 s. A requester that is busy for longer still loses them.

--- a/packages/adapters/foxtaildale_adapters/zmq_responder.py
+++ b/packages/adapters/foxtaildale_adapters/zmq_responder.py
@@ -12,8 +12,10 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import math
 import queue
 import threading
+import time
 from typing import Final
 
 import zmq
@@ -34,6 +36,8 @@
 MAX_QUEUED_MESSAGES: Final = 10_000
 # Timeout of `close` for handlers to return and for replies to be sent, seconds.
 CLOSE_TIMEOUT_S: Final = 5.0
+# Time for which connections stay open after the last replies, seconds.
+LAST_REPLIES_S: Final = 0.1
 # Maximum frame size, bytes. It leaves room for frames just above the message
 # limit, which are counted. For a longer frame, libzmq closes the connection
 # before it stores the frame in memory.
@@ -152,19 +156,28 @@
         poller.register(self._monitor, zmq.POLLIN)
         poller.register(self._wake.fileno(), zmq.POLLIN)
         while not self._closing:
-            ready = dict(poller.poll(_POLL_MS))
-            if self._wake.fileno() in ready:
-                self._wake.clear()
-            self._flush()
-            if self._router in ready:
-                self._read_all()
-            if self._monitor in ready:
-                # The content of the event is not needed, and the library's
-                # parser of events would import asyncio at each startup.
-                self._monitor.recv_multipart()
-                self.counts.dropped += 1
+            self._poll(poller, _POLL_MS)
         self._refuse_queued()
         self._flush()
+        # A requester loses replies that it has not read when it learns that the
+        # connection has ended.
+        ends_at = time.monotonic() + LAST_REPLIES_S
+        while (left_s := ends_at - time.monotonic()) > 0:
+            self._poll(poller, math.ceil(left_s * 1000))
+
+    def _poll(self, poller: zmq.Poller, timeout_ms: int) -> None:
+        """Waits for messages and replies, and processes them."""
+        ready = dict(poller.poll(timeout_ms))
+        if self._wake.fileno() in ready:
+            self._wake.clear()
+        self._flush()
+        if self._router in ready:
+            self._read_all()
+        if self._monitor in ready:
+            # The content of the event is not needed, and the library's parser
+            # of events would import asyncio at each startup.
+            self._monitor.recv_multipart()
+            self.counts.dropped += 1
 
     def _refuse_queued(self) -> None:
         """Refuses requests that were queued just as the workers ended."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,6 +44,8 @@
 # Time of a request that a close waits for, seconds.
 _WORK_S: Final = 0.5
 _ENDS_S: Final = 10.0
+# Closes of a responder while its requester is busy.
+_ROUNDS: Final = 5
 # Time that a message takes that is handled slowly, seconds.
 _SLOW_S: Final = 0.05
 _ENTRY: Final = (
@@ -209,6 +211,35 @@
     requester.close()
 
 
+def test_a_busy_requester_gets_the_last_reply_of_a_closing_responder(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against replies that are lost as their connection ends."""
+    monkeypatch.setattr(
+        peers.Peers, '_send_heartbeats', lambda *_: time.sleep(_SLOW_S)
+    )
+
+    def handle(_: messages.Message) -> messages.Message:
+        begun.set()
+        time.sleep(_WORK_S)
+        return messages.Pong()
+
+    replies: list[messages.Message] = []
+    for _ in range(_ROUNDS):
+        begun = threading.Event()
+        responder = zmq_responder.Responder('127.0.0.1:0', handle, 1)
+        address = responder.start()
+        requester = peers.Peers(_SLOW_S / 5, _ENDS_S)
+        msg = messages.EligibilityRequest()
+        with futures.ThreadPoolExecutor(1) as pool:
+            reply = pool.submit(requester.request, address, msg, _ENDS_S)
+            assert begun.wait(_ENDS_S)
+            responder.close()
+            replies.append(reply.result(_ENDS_S))
+        requester.close()
+    assert replies == [messages.Pong()] * _ROUNDS
+
+
 _VIOLATION: Final = """
 from foxtaildale import errors
 from foxtaildale_adapters import logs
