Crashes: a delayed copy of a report does not remove the report

What callers saw: a request that crashes its servers reaches more of them than allowed (3), if the machine is busy as reports are passed on.

Cause: a request that began after a crash is no suspect and is removed. Its begin is counted back from the arrival of the report, so a copy that arrives over 0.1 s late looked like a later begin and took the report with it, at each VM that it reached. Reports are copied to successors and new coordinators, so there are many copies.

Its coordinator knew no report at all 6 s after it had made two, with nothing in the logs that clears them.

Ruled out: an expiry (300 s), a clearing (nothing completed), copies that were not sent ('ends copied' names both successors).

Change: of two reports with the same time that the request ran, the earlier begin counts.

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -66,8 +66,13 @@
         already broken.
         """
         request = crash.fingerprint
+        began_at = crashed_at - crash.ran_ms / 1000
+        known = self.requests.get(request)
+        if known is not None and known.ran_ms == crash.ran_ms:
+            # A copy that was passed on; its delay makes it look later.
+            began_at = min(began_at, self._began_at[request])
         self.requests[request] = crash
-        self._began_at[request] = crashed_at - crash.ran_ms / 1000
+        self._began_at[request] = began_at
         self.happened_at = min(self.happened_at, crashed_at)
         last = self.happened_at + _DELAY_SPREAD_S
         for late_request in [
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -49,6 +49,15 @@
     assert tracker.newly_blamed(10.0, ()) == []
 
 
+def test_delayed_copy_of_a_report_does_not_remove_it() -> None:
+    """Guards against a report that is taken for a request sent after it."""
+    tracker = _tracker(*(_crash(name, _BAD) for name in 'abc'))
+    for name in 'abc':
+        tracker.record(0.4, _crash(name, _BAD))
+    assert len(tracker.reports(0.5)) == 3
+    assert tracker.newly_blamed(crashes.SETTLE_S, ()) == [_BAD]
+
+
 def test_request_lost_beside_the_cause_is_not_blamed() -> None:
     """Guards against blaming a request that was retried beside the cause."""
     beside = [_crash(name, 2, ran_ms=20) for name in 'abc']
