Idle timeout: a connection whose request has arrived is not closed as idle

What callers saw: a connection closed without a byte for a request that arrived while the VM was suspended, 0.3 s after it was last used. It had not been read, so it did not run, but the caller of a request that may not be repeated is none the wiser.

Cause: the HTTP library closes connections by the time since their last use, after it has looked for arrived requests. A process that is suspended between the two finds the time over and closes a connection whose request waits to be read.

Evidence: in the stops in series, a router that was suspended from 2 to 6 s after SIGTERM closed one connection that had been silent for 6.5 s, with an idle timeout of 6 s in force and a request that had come at 2.3 s; seven others were served.

Ruled out: the drain of the stop (it serves what has arrived, and 'stopped' stands 0.3 s later), the end of the grace time (8 s).

Change: a connection that is due is looked at once more before it is closed.

Before: the new test, which holds up the selector's thread in that place, failed in 2 of 2 runs. After: 2 of 2 pass.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -157,8 +157,26 @@
         # Number of requests that were read from this connection.
         self.requests_begun = 0
         self._opened_at = time.monotonic()
+        # Time of day at which it was last added to the idle connections.
+        self._idle_since = time.time()
         http_server.add_connection(self)
 
+    @property
+    def last_used(self) -> float:
+        """Time of day for which the library closes idle connections.
+
+        One whose request has arrived is never idle, although a process that was
+        suspended may check the time before it reads the request.
+        """
+        is_due = time.time() - self._idle_since >= self.server.timeout
+        if is_due and disconnects.has_input(self.socket):
+            return math.inf
+        return self._idle_since
+
+    @last_used.setter
+    def last_used(self, value: float) -> None:
+        self._idle_since = value
+
     def expects_request(self) -> bool:
         """Whether a request has arrived, or a first one is likely to."""
         if disconnects.has_input(self.socket):
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import json
+import selectors
 import socket
 import threading
 import time
@@ -536,6 +537,32 @@
     running.server.close()
 
 
+def test_a_request_that_arrived_while_the_process_was_suspended_is_served(
+    running: Running,
+) -> None:
+    """Guards against a connection closed as idle before its request is read."""
+    server = running.server._server
+    suspended = threading.Event()
+
+    class Suspension(httpd._IdleSweep):
+        """Holds up the selector's thread until its connections are idle."""
+
+        def run(self) -> None:
+            self.close()
+            suspended.set()
+            time.sleep(2 * TIMEOUT_S)
+
+    with running.connect() as sock:
+        until(lambda: len(list(server._connections._selector.connections)) == 2)
+        suspension = Suspension(server)
+        server._connections._selector.register(
+            suspension.fileno(), selectors.EVENT_READ, data=suspension
+        )
+        assert suspended.wait(PATIENCE_S)
+        sock.sendall(b'POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nlate')
+        assert read_until(sock, b'late').startswith(b'HTTP/1.1 200')
+
+
 def test_a_stop_closes_no_connection_that_it_did_not_announce_to_close(
     running: Running,
 ) -> None:
