Tests of stops: times count from the signal that was sent, and fewer lanes

What was wrong with the test: its bounds counted from the time for which the signal was planned. Streams of the same process paused for more than a second.

Change: all bounds count from the signal as it was sent; 8 lanes in place of 32. The stops, the requests and the bounds are the same.

--- a/tests/stopprobes.py
+++ b/tests/stopprobes.py
@@ -203,7 +203,8 @@
         try:
             conn = Connection(address)
         except OSError:
-            return [Seen(request, self.way, self.at, Answer())]
+            sent_s = time.monotonic() - signal_at
+            return [Seen(request, self.way, sent_s, Answer())]
         with contextlib.closing(conn):
             return self._use(conn, request, make, signal_at)
 
--- a/tests/test_stop_sweep.py
+++ b/tests/test_stop_sweep.py
@@ -13,6 +13,7 @@
 import queue
 import signal
 import subprocess
+import threading
 import time
 from typing import Any
 from typing import Final
@@ -29,7 +30,7 @@
 
 # Processes that are stopped at the same time, and those that share a store and
 # backend servers.
-_LANES: Final = 32
+_LANES: Final = 8
 _SHARED: Final = 4
 # Time from the signal to SIGKILL, seconds.
 _GRACE_S: Final = 8.0
@@ -44,6 +45,7 @@
 _DUCK_S: Final = router_daemon.LAME_DUCK_S
 _KINDS: Final = ('safe', 'once', 'chat', 'single')
 _PLAIN: Final = ('safe', 'once')
+_STOPS: Final = (signal.SIGTERM, signal.SIGINT)
 
 
 class _Worker(wireworker.WireWorker):
@@ -139,6 +141,10 @@
             text.replace('grace_s = 5', f'grace_s = {_GRACE_S}')
         )
         self.address = f'127.0.0.1:{self.router.front}'
+        # When the first signal to stop was sent, seconds; the test itself may
+        # be later than planned.
+        self._stopped_at = 0.0
+        self._is_stopped = threading.Event()
 
     def make(
         self, kind: str, lasts_s: float, *, work_s: float = 0.0
@@ -169,7 +175,7 @@
 
     def start(self) -> None:
         """Starts a router and waits until it serves."""
-        self.router.start()
+        self._launch()
         sites.until(self._serves, _START_S)
 
     def play(self, stop: Stop) -> list[str]:
@@ -177,7 +183,7 @@
         self.start()
         signal_at = time.monotonic() + _LEAD_S
         steps: list[tuple[float, Callable[[], None]]] = [
-            (at, functools.partial(self.router.send_signal, number))
+            (at, functools.partial(self.send_signal, number))
             for at, number in stop.signals
         ]
         steps += [
@@ -191,16 +197,20 @@
             done = [
                 pool.submit(_at, signal_at + at, step) for at, step in steps
             ]
-            faults = self.await_end(signal_at)
+            faults = self.await_end()
+            stopped_at = self._stopped_at
             if stop.restarts:
                 self.start()
-            seen = [item for probe in probes for item in probe.result()]
+            seen = [
+                _since(item, signal_at, stopped_at)
+                for probe in probes
+                for item in probe.result()
+            ]
             for step in done:
                 step.result()
         if stop.restarts:
-            signal_at = time.monotonic()
-            self.router.send_signal(signal.SIGTERM)
-            faults += self.await_end(signal_at)
+            self.send_signal(signal.SIGTERM)
+            faults += self.await_end()
         return [f'{fault}: {stop.name}' for fault in faults] + [
             f'{fault}: {stop.name} {item.name()}'
             for item in seen
@@ -209,7 +219,7 @@
 
     def play_start(self, delay_s: float) -> list[str]:
         """Stops a router that has just begun to accept connections."""
-        self.router.start()
+        self._launch()
         conns: list[stopprobes.Connection] = []
         sites.until(lambda: self._connect(conns), _START_S)
         signal_at = time.monotonic() + delay_s
@@ -225,8 +235,8 @@
                 pool.submit(probe.run, self.address, self.make, signal_at)
                 for probe in probes
             ]
-            _at(signal_at, lambda: self.router.send_signal(signal.SIGTERM))
-            faults = self.await_end(signal_at)
+            _at(signal_at, lambda: self.send_signal(signal.SIGTERM))
+            faults = self.await_end()
             seen = [item for probe in done for item in probe.result()]
         answer = conns[0].read()
         seen.append(stopprobes.Seen(first, 'first', -delay_s, answer))
@@ -251,11 +261,10 @@
         data = self.make('once', 0.0, work_s=2 * _GRACE_S).data
         conn.send(data[: len(data) // 2] if is_half else data)
         time.sleep(_LEAD_S)
-        signal_at = time.monotonic()
-        self.router.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         with futures.ThreadPoolExecutor(1) as pool:
             answer = pool.submit(conn.read)
-            faults = self.await_end(signal_at)
+            faults = self.await_end()
         conn.close()
         return answer.result().status, faults
 
@@ -275,8 +284,8 @@
                 )
                 for (path, is_check), probe in probes
             ]
-            _at(signal_at, lambda: self.router.send_signal(signal.SIGTERM))
-            faults = self.await_end(signal_at)
+            _at(signal_at, lambda: self.send_signal(signal.SIGTERM))
+            faults = self.await_end()
             seen = [item for probe in done for item in probe.result()]
         return faults + [
             f'{item.outcome()}: {item.name()}'
@@ -315,11 +324,19 @@
         self.router.out.close()
         self._ports.close()
 
-    def await_end(self, signal_at: float) -> list[str]:
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal, and notes when the first one to stop was sent."""
+        if number in _STOPS and not self._is_stopped.is_set():
+            self._stopped_at = time.monotonic()
+            self._is_stopped.set()
+        self.router.send_signal(number)
+
+    def await_end(self) -> list[str]:
         """Waits for the end of the process; returns what was wrong."""
         process = self.router.process
         assert process is not None
-        left_s = signal_at + _GRACE_S - time.monotonic()
+        assert self._is_stopped.wait(_START_S)
+        left_s = self._stopped_at + _GRACE_S - time.monotonic()
         try:
             status = process.wait(left_s)
         except subprocess.TimeoutExpired:
@@ -330,6 +347,10 @@
             return [f'exit status {status}']
         return []
 
+    def _launch(self) -> None:
+        self._is_stopped.clear()
+        self.router.start()
+
     def _connect(self, conns: list[stopprobes.Connection]) -> bool:
         try:
             conns.append(stopprobes.Connection(self.address))
@@ -351,6 +372,14 @@
         return answer.status == 200
 
 
+def _since(
+    seen: stopprobes.Seen, planned_at: float, stopped_at: float
+) -> stopprobes.Seen:
+    """Returns a request with its time counted from the actual signal."""
+    sent_s = seen.sent_s + planned_at - stopped_at
+    return dataclasses.replace(seen, sent_s=sent_s)
+
+
 def _at(at: float, step: Callable[[], None]) -> None:
     time.sleep(max(0.0, at - time.monotonic()))
     step()
@@ -487,7 +516,7 @@
     """Sends a signal again and again until the process has ended."""
     process = lane.router.process
     while process is not None and process.poll() is None:
-        lane.router.send_signal(number)
+        lane.send_signal(number)
         time.sleep(_REPEAT_S)
 
 
