Test: 'not run' for a claimed key as its keeper closes, failing

What callers saw: not observed on a site. A request with a key that another attempt has claimed is answered 503 'Not run: this entry VM is stopping' while that attempt may be running, or may have run. The status promises that nothing ran under the key.

Cause: a closing responder refuses what arrives with an ErrorReply of code 'stopping'. An entry that asks the owner of a claim for its outcome takes the code of an ErrorReply for the outcome of the first attempt, and 'stopping' is also the code of a refusal to callers. Before the responder refused, no reply came and the outcome was unknown.

Ruled out: 'busy', 'error' and 'not-for-a-keeper', which are no codes for callers; witnesses, coordinators and slots, whose requesters take any error for no reply.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -3,16 +3,24 @@
 from collections.abc import Iterator
 from concurrent import futures
 import socket
+import threading
 import time
+import types
+from typing import Any
 from typing import Final
+from typing import cast
 
 import msgspec
 import pytest
 
+from foxtaildale import messages
+from foxtaildale_adapters import zmq_responder
+from foxtaildaled import claim_client
+from foxtaildaled import request_context
+from foxtaildaled import view
+from tests import exchanges
 from tests import site as sites
 
-# Time in which what a test waits for comes about, seconds.
-_ENDS_S: Final = 9.0
 # Grace time of the stops, how long a stream lasts, and when the request after it
 # is sent, seconds. What is sent later than three seconds after SIGTERM must not be
 # cut.
@@ -20,6 +28,8 @@
 _EVENTS: Final = 60
 _PACE_S: Final = 0.09
 _LATE_S: Final = 3.1
+# Time in which what a test waits for comes about, seconds.
+_ENDS_S: Final = 9.0
 
 
 @pytest.fixture(name='site')
@@ -80,3 +90,52 @@
     assert b'early-%d\n' % _EVENTS in data
     ran = any('late' in worker.ids() for worker in site.workers.values())
     assert b'late-%d\n' % _EVENTS in data or not ran, data[-100:]
+
+
+def test_a_keeper_that_closes_does_not_say_that_a_claimed_run_never_ran() -> (
+    None
+):
+    """Guards against "not run" for a key under which another attempt may run."""
+    held, release = threading.Event(), threading.Event()
+
+    def hold(_: messages.Message) -> messages.Message:
+        held.set()
+        release.wait(_ENDS_S)
+        return messages.Pong()
+
+    owner = zmq_responder.Responder('127.0.0.1:0', hold, 1)
+    owner_address = owner.start()
+    lost = messages.ClaimReply(
+        status='lost', owner_address=owner_address, request='first'
+    )
+    keeper = zmq_responder.Responder('127.0.0.1:0', lambda _: lost, 1)
+    cfg = types.SimpleNamespace(keeper=keeper.start())
+    peers = zmq_responder.Peers(1.0, 5.0)
+    client = claim_client.ClaimClient(
+        cast(Any, cfg), 'entry', peers, cast(Any, None)
+    )
+    context = request_context.RequestContext(
+        exchanges.make({request_context.KEY_HEADER: 'c0.k'}),
+        'second',
+        view.Snapshot(),
+    )
+    with futures.ThreadPoolExecutor(2) as pool:
+        # One handler is at work, so that the close takes a while.
+        working = pool.submit(
+            peers.request, owner_address, messages.Ping(), _ENDS_S
+        )
+        working.result(_ENDS_S)
+        working = pool.submit(
+            peers.request, owner_address, messages.DumpRequest(), _ENDS_S
+        )
+        assert held.wait(_ENDS_S)
+        closing = pool.submit(owner.close)
+        sites.until(lambda: owner._draining)
+        result = client.claim(context, 'reader', 'call')
+        release.set()
+        closing.result(_ENDS_S)
+        assert working.exception(_ENDS_S) is None
+    peers.close()
+    keeper.close()
+    assert result is not None
+    assert result.code.ran != 'no', result.code.name
