Test: a port that is closed without a free descriptor, failing

What callers saw: not observed on a site. All requests in progress are cut, and the process ends with a traceback.

Cause: stop_accepting takes the connections that wait at the port until accept has none. Without a free descriptor accept raises EMFILE instead, which is none of the errors that the library passes over, and nothing catches it up to stop.

Ruled out: that a connection has to wait at the port.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import errno
+import http.client
+import os
 import socket
 import threading
 import time
@@ -14,6 +17,7 @@
 import pytest
 
 from foxtaildale import messages
+from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import zmq_responder
 from foxtaildaled import claim_client
 from foxtaildaled import request_context
@@ -30,6 +34,8 @@
 _LATE_S: Final = 3.1
 # Time in which what a test waits for comes about, seconds.
 _ENDS_S: Final = 9.0
+# Time for which a request is in progress, seconds.
+_WORK_S: Final = 1.0
 
 
 @pytest.fixture(name='site')
@@ -139,3 +145,39 @@
     keeper.close()
     assert result is not None
     assert result.code.ran != 'no', result.code.name
+
+
+class _Slow:
+    """Takes a while for each request."""
+
+    def __init__(self) -> None:
+        self.begun = threading.Event()
+
+    def handle(self, exchange: caller_server.Exchange) -> None:
+        self.begun.set()
+        time.sleep(_WORK_S)
+        exchange.respond(200, {}, b'whole')
+
+
+def _fail(*_: object) -> None:
+    raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+
+def test_a_port_is_closed_without_a_free_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stop that ends the process for lack of descriptors.
+
+    Without a free descriptor `accept` fails also if no connection waits.
+    """
+    handler = _Slow()
+    server = caller_server.Server('127.0.0.1:0', handler, 1, 5.0, 1000)
+    conn = http.client.HTTPConnection(server.start(), timeout=_ENDS_S)
+    conn.request('GET', '/x')
+    assert handler.begun.wait(_ENDS_S)
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, 'accept', _fail)
+        server.stop_accepting()
+    assert server.drain(_ENDS_S)
+    assert conn.getresponse().read() == b'whole'
+    server.close()
