Test: a slow server given up without time for another, failing

What callers saw: not observed on a site. A request is broken off at a server that responds in time, uses the retry budget, and ends with 504.

Cause: the replacement of a slow server is chosen without the check of the time left that each other send has (MIN_SEND_TIME_S), and is sent to without it. The time is compared before the wait, so between 0 and the whole time of the caller may be left after it.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -5,6 +5,7 @@
 import errno
 import http.client
 import os
+import random
 import socket
 import threading
 import time
@@ -16,11 +17,17 @@
 import msgspec
 import pytest
 
+from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale import messages
+from foxtaildale import routes
 from foxtaildale_adapters import caller_server
+from foxtaildale_adapters import metrics
 from foxtaildale_adapters import zmq_responder
 from foxtaildaled import claim_client
+from foxtaildaled import plain_forwarder
 from foxtaildaled import request_context
+from foxtaildaled import routed_request
 from foxtaildaled import view
 from tests import exchanges
 from tests import site as sites
@@ -36,6 +43,10 @@
 _ENDS_S: Final = 9.0
 # Time for which a request is in progress, seconds.
 _WORK_S: Final = 1.0
+# Time of a caller, and when the first server responds, seconds. Another server is
+# looked for 0.6 s after the send.
+_PATIENCE_S: Final = 0.62
+_RESPONDS_S: Final = 0.61
 
 
 @pytest.fixture(name='site')
@@ -181,3 +192,137 @@
     assert server.drain(_ENDS_S)
     assert conn.getresponse().read() == b'whole'
     server.close()
+
+
+class _Flight:
+    """A send to a server that responds at a time of the test's clock."""
+
+    def __init__(self, now: list[float], responds_at: float) -> None:
+        self._now = now
+        self._responds_at = responds_at
+        self._body = [b'', b'body']
+
+    def send(self, timeout_s: float) -> None:
+        del timeout_s
+
+    def await_response(self, timeout_s: float) -> bool:
+        end = self._now[0] + timeout_s
+        self._now[0] = min(end, max(self._now[0], self._responds_at))
+        return self._responds_at <= end
+
+    def read_head(self, timeout_s: float) -> forwarding.ResponseHead:
+        if not self.await_response(timeout_s):
+            raise errors.NoReplyError('no response in time')
+        return forwarding.ResponseHead(status=200, headers=())
+
+    def read_chunk(self, timeout_s: float) -> bytes:
+        del timeout_s
+        return self._body.pop()
+
+    def cancel(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+def test_a_request_is_not_sent_on_without_time_for_it() -> None:
+    """Guards against a response that is given up for a send without time."""
+    now = [0.0]
+    # Servers that got the request, and the time left then, seconds.
+    sends: list[tuple[str, float]] = []
+    statuses: list[int] = []
+    servers = [
+        forwarding.Backend(id=name, service='plain', address='127.0.0.1:1')
+        for name in ('s1', 's2')
+    ]
+
+    def forward(
+        _call: object,
+        server: forwarding.Backend,
+        left_s: float,
+        *,
+        repeatable: bool,
+    ) -> _Flight:
+        del repeatable
+        sends.append((server.id, left_s))
+        return _Flight(now, now[0] + _RESPONDS_S)
+
+    def candidates(*_: object, avoid: list[str], **__: object) -> list[object]:
+        return [
+            types.SimpleNamespace(backend=server)
+            for server in servers
+            if server.id not in avoid
+        ]
+
+    def respond(status: int, *_: object) -> bool:
+        statuses.append(status)
+        return True
+
+    def do_nothing(*_: object) -> None:
+        pass
+
+    state = types.SimpleNamespace(
+        fleet=types.SimpleNamespace(
+            candidates=candidates,
+            record_sent=do_nothing,
+            record_finished=do_nothing,
+            record_success=do_nothing,
+        ),
+        failure_rates=types.SimpleNamespace(record=lambda *_, **__: None),
+        record_plain_failure=do_nothing,
+    )
+    owner = types.SimpleNamespace(run=lambda turn: turn(state, now[0]))
+    budgets = types.SimpleNamespace(
+        record_first_attempt=do_nothing, acquire=lambda *_: True
+    )
+    forwarder = plain_forwarder.PlainForwarder(
+        owner=cast(Any, owner),
+        workers=cast(Any, types.SimpleNamespace(forward=forward)),
+        budgets=cast(Any, budgets),
+        send_limits=cast(Any, types.SimpleNamespace(acquire=lambda _: True)),
+        crash_probe=cast(
+            Any, types.SimpleNamespace(handle_send_error=lambda *_, **__: None)
+        ),
+        on_completed=do_nothing,
+        clock=lambda: now[0],
+        rng=random.Random(1),
+    )
+    exchange = types.SimpleNamespace(
+        is_disconnected=lambda: False, respond=respond, abort=do_nothing
+    )
+    call = forwarding.CallerRequest(
+        id='a1',
+        method='GET',
+        target='/safe/x',
+        path='/safe/x',
+        host='h',
+        headers=(),
+        body=b'',
+        patience_s=_PATIENCE_S,
+    )
+    route = routes.Route(
+        name='safe',
+        host='h',
+        path_prefix='/safe/',
+        kind='idempotent',
+        targets=(),
+        timeout_s=3.0,
+        target_s=0.3,
+        max_attempts=2,
+    )
+    req = routed_request.RoutedRequest(
+        cast(Any, exchange),
+        caller_request=call,
+        route=route,
+        service=routes.Service(name='plain'),
+        config_version=1,
+        entry_vm='vm-1',
+        request_metrics=metrics.Metrics(),
+        clock=lambda: now[0],
+    )
+    forwarder.serve(req)
+    assert [
+        send for send in sends if send[1] < routed_request.MIN_SEND_TIME_S
+    ] == []
+    assert statuses == [200]
