Test: a server that hangs is replaced by one that comes later, failing

What callers saw: not observed on a site. A request that may be repeated waits at a server that hangs until its deadline, and ends with 504, though another server is free from shortly after the first look on.

Cause: after twice the target time the router looks for a server and for room in the retry budget once. If either is missing at that moment, or the send limits have no token just then, it waits to the deadline without another look.

Ruled out: the code before, which gave up with 502 at that moment.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -47,6 +47,10 @@
 # looked for 0.6 s after the send.
 _PATIENCE_S: Final = 0.62
 _RESPONDS_S: Final = 0.61
+# For how long a server hangs, longer than the time of a request, and when another
+# one is listed, after the router has looked for one; seconds.
+_HANG_S: Final = 4.0
+_LISTED_S: Final = 1.2
 
 
 @pytest.fixture(name='site')
@@ -326,3 +330,20 @@
         send for send in sends if send[1] < routed_request.MIN_SEND_TIME_S
     ] == []
     assert statuses == [200]
+
+
+def test_a_server_that_hangs_is_replaced_by_one_that_comes_later(
+    site: sites.Site,
+) -> None:
+    """Guards against one look for a replacement, and a wait to the deadline."""
+    site.store.put('keyed.op', 'config', sites.config(1))
+    site.worker('s1', 'plain').on_run = lambda _: time.sleep(_HANG_S)
+    site.router()
+    sites.until(lambda: sites.ready(site))
+    with futures.ThreadPoolExecutor(1) as pool:
+        sent = pool.submit(sites.send, site, 'GET', '/safe/x')
+        sites.until(lambda: site.workers['s1'].ids() == ['a1'])
+        time.sleep(_LISTED_S)
+        site.worker('s2', 'plain')
+        status, _, body = sent.result(_ENDS_S)
+    assert (status, body) == (200, b'a1:/safe/x')
