Test: a copy of a crash report that is lost once, failing

What callers saw: not observed on a site. After the coordinator ends, a request that crashes servers is allowed more of them than the limit, if a successor was busy for 0.25 s as a report was copied.

Cause: a successor is taken for informed once it has had all reports, for as long as it names the same id. A report that comes later is copied to it once, and whether it replied is not remembered: the next check finds the same id.

Ruled out: successors that stop, restart or are gone, which other tests cover.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -1,6 +1,7 @@
 """Faults that a review of the stop and its neighbours found."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 from concurrent import futures
 import errno
 import http.client
@@ -26,6 +27,8 @@
 from foxtaildale_adapters import zmq_responder
 from foxtaildaled import claim_client
 from foxtaildaled import plain_forwarder
+from foxtaildaled import quarantine_manager
+from foxtaildaled import quarantine_state
 from foxtaildaled import request_context
 from foxtaildaled import routed_request
 from foxtaildaled import view
@@ -347,3 +350,74 @@
         site.worker('s2', 'plain')
         status, _, body = sent.result(_ENDS_S)
     assert (status, body) == (200, b'a1:/safe/x')
+
+
+class _LossyPeers:
+    """Successors whose replies are lost at times."""
+
+    def __init__(self) -> None:
+        self.loses = False
+        # Names of the servers whose crashes were received.
+        self.received: set[str] = set()
+
+    def request_all(
+        self, addresses: Sequence[str], msg: messages.Message, timeout_s: float
+    ) -> dict[str, messages.Message]:
+        del timeout_s
+        if (
+            self.loses
+            or not addresses
+            or not isinstance(msg, messages.CrashReports)
+        ):
+            return {}
+        self.received.update(crash.server for crash in msg.crashes)
+        reply = messages.QuarantineUpdate(
+            coordinator_id=7, quarantined={}, cleared={}
+        )
+        return dict.fromkeys(addresses, reply)
+
+
+def test_a_copy_that_a_successor_missed_is_sent_again() -> None:
+    """Guards against a successor that never gets a crash report."""
+    now = [0.0]
+    peers = _LossyPeers()
+    state = types.SimpleNamespace(
+        quarantine_state=quarantine_state.QuarantineState(
+            cast(Any, None), lambda: now[0]
+        ),
+        peers=list,
+        seeds=list,
+    )
+    coordinators = types.SimpleNamespace(
+        successor_addresses=lambda *_: ['heir-1', 'heir-2'],
+        record_replies=lambda *_: None,
+        is_coordinator=lambda _: True,
+    )
+    manager = quarantine_manager.QuarantineManager(
+        owner=cast(
+            Any, types.SimpleNamespace(run=lambda turn: turn(state, now[0]))
+        ),
+        coordinators=cast(Any, coordinators),
+        peers=cast(Any, peers),
+        codec=cast(Any, None),
+        store=cast(Any, None),
+        clock=lambda: now[0],
+    )
+    coordinators.request = lambda _name, msg, *_: manager.apply_reports(msg)
+
+    def report(server: str) -> None:
+        ended = forwarding.Backend(
+            id=server, service='plain', address='127.0.0.1:1'
+        )
+        manager.record_crash(ended, 1, ran_s=0.01)
+        manager.exchange_reports()
+
+    report('s1')
+    assert peers.received == {'s1'}
+    peers.loses = True
+    report('s2')
+    peers.loses = False
+    for _ in range(20):
+        now[0] += quarantine_manager.BUSY_INTERVAL_S
+        manager.exchange_reports()
+    assert peers.received == {'s1', 's2'}
