Test: a close that waits for a caller that does not read, failing

What operators see: a router gets SIGKILL if a caller has stopped reading a stream. What comes after the close of its server is left out: queued releases, replies to other VMs, the last log lines.

Cause: a connection that is cut is shut down on its receiving side only, which does not end a send that waits for the caller.

Ruled out: half of a head and a long request at the end, which test_stop_sweep covers.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 import errno
 import http.client
+import math
 import os
 import random
 import socket
@@ -54,6 +55,9 @@
 # one is listed, after the router has looked for one; seconds.
 _HANG_S: Final = 4.0
 _LISTED_S: Final = 1.2
+_CHUNK_BYTES: Final = 65_536
+# Time for a close, seconds: four times what a stopping router reserves for it.
+_CLOSE_S: Final = 2.0
 
 
 @pytest.fixture(name='site')
@@ -421,3 +425,32 @@
         now[0] += quarantine_manager.BUSY_INTERVAL_S
         manager.exchange_reports()
     assert peers.received == {'s1', 's2'}
+
+
+class _Endless:
+    """Sends until its caller has disconnected."""
+
+    def __init__(self) -> None:
+        self.sent_at = math.inf
+
+    def handle(self, exchange: caller_server.Exchange) -> None:
+        exchange.start(200, {})
+        while exchange.send(bytes(_CHUNK_BYTES)):
+            self.sent_at = time.monotonic()
+
+
+def test_a_caller_that_does_not_read_delays_no_close() -> None:
+    """Guards against SIGKILL before a stop has sent what is left to send."""
+    handler = _Endless()
+    server = caller_server.Server(
+        '127.0.0.1:0', handler, 1, 2 * _ENDS_S, 1000, half_close=False
+    )
+    host, _, port = server.start().rpartition(':')
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        # The buffers of both sides are full.
+        sites.until(lambda: time.monotonic() - handler.sent_at > 1.0, _ENDS_S)
+        began = time.monotonic()
+        server.close(in_use_s=0.0)
+        took_s = time.monotonic() - began
+    assert took_s < _CLOSE_S
