Test: a stop with slow releases outlasts its grace time, failing

What operators see: SIGKILL at the end of a stop, without the last replies and log lines.

Cause: 0.5 s are reserved for the close (CLOSE_MARGIN_S). 0.3 s of them are for the last responses, then each of two queues of releases has 0.1 s, and the responder keeps its connections for 0.1 s: 0.6 s, besides the servers.

Ruled out: time of the servers alone; the same stop without slow releases is covered by test_stop_sweep.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -32,6 +32,7 @@
 from foxtaildaled import quarantine_state
 from foxtaildaled import request_context
 from foxtaildaled import routed_request
+from foxtaildaled import router_daemon
 from foxtaildaled import view
 from tests import exchanges
 from tests import site as sites
@@ -58,6 +59,9 @@
 _CHUNK_BYTES: Final = 65_536
 # Time for a close, seconds: four times what a stopping router reserves for it.
 _CLOSE_S: Final = 2.0
+# A short grace time, and for how long each queued release takes, seconds.
+_SHORT_GRACE_S: Final = 4.0
+_RELEASE_S: Final = 3.0
 
 
 @pytest.fixture(name='site')
@@ -454,3 +458,31 @@
         server.close(in_use_s=0.0)
         took_s = time.monotonic() - began
     assert took_s < _CLOSE_S
+
+
+def test_a_stop_with_slow_releases_ends_within_its_grace_time(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against parts of a close that together outlast its margin."""
+    sites.make_calm(site)
+    router = site.routers[0]
+    router.cfg = msgspec.structs.replace(router.cfg, grace_s=_SHORT_GRACE_S)
+    for queue in (router._cleanup._queue, router._coordinators._notifications):
+        monkeypatch.setattr(queue, '_handle', lambda _: time.sleep(_RELEASE_S))
+    held = forwarding.Backend(id='p1', service='model', address='127.0.0.1:1')
+    host, _, port = router.addresses['caller'].rpartition(':')
+    with (
+        socket.create_connection((host, int(port))) as sock,
+        futures.ThreadPoolExecutor(1) as pool,
+    ):
+        began = time.monotonic()
+        stopped = pool.submit(router.stop)
+        # Half of a head, which keeps the connection open to the end.
+        time.sleep(router_daemon.LAME_DUCK_S - 0.05)
+        sock.sendall(b'GET /safe/x HTTP/1.1\r\nHost: h')
+        for _ in range(2):
+            router._cleanup.release_prefill(forwarding.Prefilled(held, 'h1'))
+            router._coordinators.notify('model', messages.Ping())
+        stopped.result(2 * _ENDS_S)
+        took_s = time.monotonic() - began
+    assert took_s <= _SHORT_GRACE_S
