Test: an item that is queued as its queue closes, failing

What operators would see: memory at an engine, or a place in the plan, that stays taken until it expires, and no 'releases dropped' for it.

Cause: put reads whether the queue is closing, then queues the item. A close in between puts its end mark first; the thread ends at that mark, and the item behind it is neither handled nor counted, though put has returned True.

Ruled out: a full queue and a thread that is still at work, which are counted.

--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -7,6 +7,7 @@
 import http.client
 import math
 import os
+import queue
 import random
 import socket
 import threading
@@ -26,6 +27,7 @@
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import metrics
 from foxtaildale_adapters import zmq_responder
+from foxtaildaled import background_queue
 from foxtaildaled import claim_client
 from foxtaildaled import plain_forwarder
 from foxtaildaled import quarantine_manager
@@ -467,8 +469,8 @@
     sites.make_calm(site)
     router = site.routers[0]
     router.cfg = msgspec.structs.replace(router.cfg, grace_s=_SHORT_GRACE_S)
-    for queue in (router._cleanup._queue, router._coordinators._notifications):
-        monkeypatch.setattr(queue, '_handle', lambda _: time.sleep(_RELEASE_S))
+    for items in (router._cleanup._queue, router._coordinators._notifications):
+        monkeypatch.setattr(items, '_handle', lambda _: time.sleep(_RELEASE_S))
     held = forwarding.Backend(id='p1', service='model', address='127.0.0.1:1')
     host, _, port = router.addresses['caller'].rpartition(':')
     with (
@@ -486,3 +488,38 @@
         stopped.result(2 * _ENDS_S)
         took_s = time.monotonic() - began
     assert took_s <= _SHORT_GRACE_S
+
+
+class _SlowItems(queue.Queue[str | None]):
+    """Holds up an item until the queue has been closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.began, self.closed = threading.Event(), threading.Event()
+
+    def put_nowait(self, item: str | None) -> None:
+        if item is not None:
+            self.began.set()
+            assert self.closed.wait(_ENDS_S)
+        super().put_nowait(item)
+
+
+def test_an_item_that_is_queued_as_the_queue_closes_is_not_lost() -> None:
+    """Guards against a release that is taken and neither sent nor counted."""
+    handled: list[str] = []
+    items = _SlowItems()
+    releases = background_queue.BackgroundQueue('test', 9, handled.append)
+    releases._items = items
+    releases.start()
+    with futures.ThreadPoolExecutor(1) as pool:
+        put = pool.submit(releases.put, 'late')
+        assert items.began.wait(_ENDS_S)
+        closing = threading.Thread(target=releases.close, args=(_ENDS_S,))
+        closing.start()
+        closing.join(1.0)
+        items.closed.set()
+        is_taken = put.result(_ENDS_S)
+        closing.join(_ENDS_S)
+    # The thread that handles items has ended.
+    sites.until(lambda: not releases._thread.is_alive())
+    assert handled == (['late'] if is_taken else [])
