Stop: a request that comes after the port is closed is refused

What callers saw: not observed on a site. A stream whose request came on an open connection five seconds after SIGTERM ran, and was cut as the process ended.

Cause: since a connection whose last response announced no close stays open after it. What its caller sends next was served, whatever time was left.

Change: once the router accepts no new connections it refuses each request that it reads with 503 `stopping` and a close of the connection. It has not run, and another VM has the time for it.

Ruled out: to serve what is short. How long a stream lasts is not known.

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -170,6 +170,10 @@
                 condition, max(0.0, deadline - time.monotonic())
             )
 
+    def is_accepting(self) -> bool:
+        """Whether new connections are accepted."""
+        return self._server.accepting
+
     def busy(self) -> int:
         """Returns the number of exchanges in progress."""
         return self._server.active_requests
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -59,6 +59,7 @@
         '_entry_vm',
         '_forward',
         '_generate',
+        '_is_accepting',
         '_limiter',
         '_matcher',
         '_quarantine_left_s',
@@ -77,12 +78,15 @@
         request_metrics: metrics.Metrics,
         clock: ports.Clock,
         ends_at: Callable[[], float],
+        is_accepting: Callable[[], bool],
         quarantine_left_s: Callable[[int], float],
     ) -> None:
         self._entry_vm = entry_vm
         # Returns the time at which this process ends at the latest; infinity
         # while the process is not being stopped.
         self._ends_at = ends_at
+        # Returns whether new connections are accepted, and so new requests.
+        self._is_accepting = is_accepting
         # Returns how long a request stays in quarantine, seconds, by its
         # fingerprint; a quarantined request must not be sent to any server.
         self._quarantine_left_s = quarantine_left_s
@@ -112,6 +116,11 @@
             self._refuse(exchange, codes.NO_ROUTE, version=version)
             return
         req = self._make_passage(exchange, call, matcher, route)
+        if not self._is_accepting():
+            # It came on a connection that is still open, and would be cut if it
+            # outlasted the process; another VM has the time for it.
+            req.refuse(codes.STOPPING)
+            return
         if self._is_admitted(req, matcher):
             self._serve(req)
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -282,6 +282,7 @@
             request_metrics=self._metrics,
             clock=clock,
             ends_at=lambda: self._ends_at,
+            is_accepting=self._is_accepting,
             quarantine_left_s=lambda request: (
                 self._state.quarantine_state.quarantine.left_s(clock(), request)
             ),
@@ -569,6 +570,9 @@
             return handler(msg)
         return self._owner.run(lambda state, now: state.handle(msg, now))
 
+    def _is_accepting(self) -> bool:
+        return self._server.is_accepting()
+
     def _unready_reason(self) -> str:
         if self._stopping.is_set():
             return 'being stopped'
