Stop: a second is reserved for the close

What operators saw: SIGKILL in place of an exit, if a stop lasts to the end of its grace time and releases are slow.

Cause: last responses 0.3 s, two queues of releases 0.1 s each, last replies 0.1 s, and the close of three servers do not fit into 0.5 s.

--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -54,8 +54,9 @@
 # seconds. The load balancer checks readiness once a second and removes a VM
 # after two failed checks.
 LAME_DUCK_S: Final = 2.8
-# Time before SIGKILL that is reserved for closing connections, seconds.
-CLOSE_MARGIN_S: Final = 0.5
+# Time before SIGKILL that is reserved for the last responses and releases, and
+# for closing connections, seconds.
+CLOSE_MARGIN_S: Final = 1.0
 # Part of it in which requests that were cut are answered, seconds.
 _LAST_RESPONSES_S: Final = 0.3
 # Time for each queue of releases to be sent at a close, seconds.
