Responder: its own refusals are no codes of callers

What callers would see: 503 'not run' for a key under which another attempt may be running, if the keeper that owns the claim closes just then.

Cause: a closing responder refuses with `stopping`, and an entry that asks for the outcome of a claim takes the code of a refusal as that outcome; `stopping` promises that nothing ran.

--- a/packages/adapters/foxtaildale_adapters/zmq_responder.py
+++ b/packages/adapters/foxtaildale_adapters/zmq_responder.py
@@ -43,8 +43,10 @@
 # before it stores the frame in memory.
 _MAX_FRAME_BYTES: Final = messages.MAX_BYTES + 1024
 _PONG_REPLY: Final = messages.encode(messages.Pong())
+# These codes say nothing of a request of a caller; none of them is one of
+# `codes`, where a refusal promises that the request did not run.
 _BUSY_REPLY: Final = messages.encode(messages.ErrorReply(code='busy'))
-_CLOSING_REPLY: Final = messages.encode(messages.ErrorReply(code='stopping'))
+_CLOSING_REPLY: Final = messages.encode(messages.ErrorReply(code='closing'))
 _POLL_MS: Final = 500
 
 _HANDSHAKE_FAILURES: Final = (
@@ -264,7 +266,7 @@
         if len(data) > messages.MAX_BYTES:
             return messages.encode(
                 messages.ErrorReply(
-                    code='too-large', message=f'{len(data)} bytes'
+                    code='reply-too-large', message=f'{len(data)} bytes'
                 )
             )
         return data
