Stop: the port is closed also when no descriptor is free

What callers saw: not observed on a site. Every request in progress is cut, and the process ends with a traceback.

Cause: without a free descriptor accept raises EMFILE, also when nothing waits, and nothing caught it up to the stop.

Change: it is logged, and the port is closed.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -577,8 +577,12 @@
         sock = self.socket
         self._connections._selector.unregister(sock.fileno())
         sock.setblocking(False)
-        while (conn := self._connections._from_server_socket(sock)) is not None:
-            self.process_conn(conn)
+        try:
+            while conn := self._connections._from_server_socket(sock):
+                self.process_conn(conn)
+        except OSError as exc:
+            # Without a free descriptor nothing can be accepted any more.
+            logs.event(logging.WARNING, 'accept failed', error=str(exc))
         sock.close()
 
     def error_log(
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -341,6 +341,12 @@
             'resources held by {server} were not released and will expire',
             ('server', 'error'),
         ),
+        (
+            'accept failed',
+            'connections that were waiting as the port closed were not accepted:'
+            ' {error}',
+            ('error',),
+        ),
         (
             'releases dropped',
             '{count} releases of placements and of resources at engines were not'
