Close: a caller that does not read delays it no longer

What operators saw: a close of 3 s, where 0.2 s are left, so SIGKILL came before the last releases, replies and log lines.

Cause: a connection that is cut was shut down on its receiving side alone, and a thread that sends to a caller which does not read went on until its timeout.

Change: it is shut down on both sides.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -398,6 +398,11 @@
             requests=conn.requests_begun,
         )
         threadpool.ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+        try:
+            # Ends a send to a caller that does not read.
+            conn.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # The caller closed it first.
 
 
 class _IdleSweep:
