Plain requests: a slow server is not given up without time for another

What callers would see: 504 in place of a response that comes 10 ms later.

Cause: the server that replaces a slow one was not held to the least time for a send; it got the request with 20 ms left.

--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -327,7 +327,11 @@
         self, req: routed_request.RoutedRequest, history: _SendHistory
     ) -> forwarding.Backend | None:
         """Returns a server to retry at, counted as a retry, or None."""
-        if req.quarantine_left_s() or req.caller_disconnected.is_set():
+        if (
+            req.quarantine_left_s()
+            or req.caller_disconnected.is_set()
+            or req.time_left_s() < routed_request.MIN_SEND_TIME_S
+        ):
             return None
         server = self._choose_server(req, history)
         if server is None or not self._acquire_retry(req, server):
