Plain requests: a replacement for a server that hangs is looked for again

What callers would see: 504 at the deadline, although another server was free 0.6 s after the router had looked for one.

Cause: it looked once.

Change: it looks again each time that the server has been silent for as long.

--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -317,11 +317,12 @@
         if not req.route.repeatable or attempts_left <= 0:
             return
         stall_s = max(MIN_STALL_S, STALL_TARGET_FACTOR * req.route.target_s)
-        if req.time_left_s() <= stall_s or flight.await_response(stall_s):
-            return
-        history.replacement = self._choose_replacement(req, history)
-        if history.replacement is not None:
-            raise errors.NoReplyError('no response in time')
+        while req.time_left_s() > stall_s and not flight.await_response(
+            stall_s
+        ):
+            history.replacement = self._choose_replacement(req, history)
+            if history.replacement is not None:
+                raise errors.NoReplyError('no response in time')
 
     def _choose_replacement(
         self, req: routed_request.RoutedRequest, history: _SendHistory
