Quarantine: a successor that missed a copy gets all reports again

What callers would see: a request that crashes its servers reaches more of them than allowed, if the VM that missed a copy is the one that is left.

Cause: of each successor only the id of its process was remembered. One that had all earlier reports and missed one copy still counted as informed.

--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -375,7 +375,12 @@
         if reported:
             # Without the copies, reports that a coordinator sends to itself
             # would be lost with it.
-            self._send_copies(self._successors(), msg)
+            successors = self._successors()
+            received = self._send_copies(successors, msg)
+            for address in successors:
+                if address not in received:
+                    # It gets all reports in a later round.
+                    self._informed_successors.pop(address, None)
         reply = self._coordinators.request(
             COORDINATOR_SUBJECT,
             msg,
