BackgroundQueue: nothing is queued behind the item that ends its thread

Cause: `put` looked at the closing flag and then queued. Between the two, a close could queue the end; the item behind it was neither handled nor counted, and `put` returned True. Brought about with the item held up between the two steps, not seen otherwise.

--- a/packages/daemon/foxtaildaled/background_queue.py
+++ b/packages/daemon/foxtaildaled/background_queue.py
@@ -12,7 +12,7 @@
 class BackgroundQueue(Generic[_Item]):
     """A bounded queue with its thread; safe for concurrent use."""
 
-    __slots__ = ('_closing', '_handle', '_items', '_thread')
+    __slots__ = ('_closing', '_handle', '_items', '_lock', '_thread')
 
     def __init__(
         self, name: str, max_items: int, handle: Callable[[_Item], None]
@@ -27,6 +27,9 @@
         self._handle = handle
         # None ends the thread.
         self._items: queue.Queue[_Item | None] = queue.Queue(max_items)
+        # Guards `_closing`: nothing may be queued behind the item that ends the
+        # thread.
+        self._lock = threading.Lock()
         self._closing = False
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
@@ -38,12 +41,13 @@
 
     def put(self, item: _Item) -> bool:
         """Queues an item; False if the queue is full or closed."""
-        if self._closing:
-            return False
-        try:
-            self._items.put_nowait(item)
-        except queue.Full:
-            return False
+        with self._lock:
+            if self._closing:
+                return False
+            try:
+                self._items.put_nowait(item)
+            except queue.Full:
+                return False
         return True
 
     def close(self, timeout_s: float) -> int:
@@ -56,7 +60,8 @@
         Returns:
             The number of dropped items.
         """
-        self._closing = True
+        with self._lock:
+            self._closing = True
         if not self._thread.is_alive():
             return 0
         try:
