--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -28,6 +28,9 @@
 # Delay after which callers retry while the entry VM has no configuration yet,
 # seconds.
 NOT_READY_RETRY_S: Final = 0.3
+# Least time that a process must have left for a request that it begins after it
+# closed its port, seconds. Few streams last longer.
+MIN_REQUEST_TIME_S: Final = 2.0
 
 
 class Decode(Protocol):
@@ -85,7 +88,7 @@
         # Returns the time at which this process ends at the latest; infinity
         # while the process is not being stopped.
         self._ends_at = ends_at
-        # Returns whether new connections are accepted, and so new requests.
+        # Returns whether new connections are accepted.
         self._is_accepting = is_accepting
         # Returns how long a request stays in quarantine, seconds, by its
         # fingerprint; a quarantined request must not be sent to any server.
@@ -116,14 +119,21 @@
             self._refuse(exchange, codes.NO_ROUTE, version=version)
             return
         req = self._make_passage(exchange, call, matcher, route)
-        if not self._is_accepting():
-            # It came on a connection that is still open, and would be cut if it
-            # outlasted the process; another VM has the time for it.
+        if self._ends_too_soon():
             req.refuse(codes.STOPPING)
             return
         if self._is_admitted(req, matcher):
             self._serve(req)
 
+    def _ends_too_soon(self) -> bool:
+        """Whether a new request would probably be cut by the end of the process.
+
+        It came on a connection that is still open after the port was closed;
+        another VM has the time for it.
+        """
+        left_s = self._ends_at() - self._clock()
+        return not self._is_accepting() and left_s < MIN_REQUEST_TIME_S
+
     def _make_passage(
         self,
         exchange: caller_server.Exchange,
