Soak: all routers stop at overlapping times, under callers on open connections

The soak's callers opened a new connection when theirs was closed, and none of its checks looked at a request that a stop cut; so it never saw the fault of the open connections. A phase at its end now stops the three routers of a run, each by SIGTERM or SIGINT, with more of these and SIGHUP in series and half of them frozen for a while by SIGSTOP and SIGCONT. Half of the stops have a single late request, a long one if it is a stream, since one in progress keeps the process up for others.

Each request must end whole, refused or closed without a byte, and may have run only if whole; on a connection whose close was not announced, one sent while the router still has to serve must not be closed. A refusal is allowed at any time here, since the routers that one would ask are stopping as well. The process ends with status 0 within its grace time, counted from when the first signal that stops it was sent, not from when it was planned. All start again and must serve.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,8 +16,9 @@
 Callers see and check, while it goes on: whole answers that are their own, in
 order; "not run" that is true; nothing run twice that must not be; no refusal of a
 healthy request for a bad one. When all faults have ended every router must serve
-again, and the bad request must reach no worker any more. Only processes that the soak
-started are ended, by their ids.
+again, and the bad request must reach no worker any more. At the end all routers are
+stopped at times that overlap, under callers on open connections. Only processes that
+the soak started are ended, by their ids.
 """
 
 from collections.abc import Callable
@@ -38,10 +39,10 @@
 from tests import soakreports
 from tests import soakrouter
 from tests import soakschedule
+from tests import soakstops
 from tests.standins import crasher
 from tests.standins import keyedstore
 from tests.standins import relay
-from tests.standins import wireworker
 
 ROUTERS: Final = 3
 CALLERS: Final = 6
@@ -108,7 +109,7 @@
         self.bad_sent = 0
         self.store = keyedstore.KeyedStore()
         self.workers = [
-            wireworker.WireWorker(name, service, stage)
+            soakstops.Worker(name, service, stage)
             for name, service, stage in (
                 ('s1', 'plain', ''),
                 ('s2', 'plain', ''),
@@ -122,6 +123,8 @@
         ]
         self.crashers = []
         self.version = 1
+        # Of every route.
+        self.timeout_ms = 4000
         for worker in self.workers:
             worker.events = _EVENTS
             worker.pace_s = worker.work_s = 0.01
@@ -139,6 +142,7 @@
             )
             for number in range(ROUTERS)
         ]
+        self.stops = soakstops.Stops(self.routers, self._runs)
         self.seen: list[Seen] = []
         self.faults: list[str] = []
         self.checks = soakreports.Checks()
@@ -160,6 +164,7 @@
                 self._check_limits()
                 self._check_reports()
                 self._check_copies()
+                self._check_stops()
                 self.faults += self.checks.judge(self.workers)
             return [*self.faults, *self._judge()]
         finally:
@@ -179,7 +184,7 @@
     def _configure(self) -> None:
         route = {
             'host': 'h.example',
-            'timeout_ms': 4000,
+            'timeout_ms': self.timeout_ms,
             'target_latency_ms': 300,
             'target_gap_ms': 100,
             'max_attempts': 2,
@@ -518,6 +523,39 @@
         if not self._wait(self._all_in_force, RECOVER_S):
             self.faults.append('a version is not in force after power was lost')
 
+    def _check_stops(self) -> None:
+        """Stops all routers under callers on open connections, then starts them."""
+        self.timeout_ms = soakstops.DEADLINE_MS
+        self._publish()
+        for router in self.routers:
+            router.end(signal.SIGKILL)
+            soakstops.set_grace(router)
+        if not self._start_all():
+            self.faults.append('not every router serves before the stops')
+            return
+        stops = soakstops.draw(self.seed, ROUTERS)
+        self.faults += self.stops.play(stops)
+        if not self._start_all():
+            self.faults.append('not every router serves after the stops')
+
+    def _start_all(self) -> bool:
+        """Starts all routers; returns whether they serve in time."""
+        for router in self.routers:
+            router.start()
+
+        def works() -> bool:
+            return all(self._serves(router) for router in self.routers)
+
+        return self._wait(works, RECOVER_S)
+
+    def _runs(self, request: str) -> int:
+        """Returns how often a request ran, prefills not counted."""
+        return sum(
+            worker.ids().count(request)
+            for worker in self.workers
+            if worker.stage != 'prefill'
+        )
+
     def _all_in_force(self) -> bool:
         return all(self._has_version(router) for router in self.routers)
 
@@ -639,7 +677,14 @@
     found = soak.run()
     whole = sum(seen.status == 200 and seen.whole for seen in soak.seen)
     names = ', '.join(f.name for f in soakschedule.schedule(seed, ends=ends))
-    print(f'seed {seed}: {len(soak.seen)} requests, {whole} whole ({names})')
+    stops = ', '.join(
+        f'{count} {outcome}'
+        for outcome, count in sorted(soak.stops.outcomes.items())
+    )
+    print(
+        f'seed {seed}: {len(soak.seen)} requests, {whole} whole; '
+        f'around stops {stops or "none"} ({names})'
+    )
     if not found:
         for file in folder.iterdir():
             file.unlink()
