--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -194,10 +194,7 @@
 def test_a_port_is_closed_without_a_free_descriptor(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a stop that ends the process for lack of descriptors.
-
-    Without a free descriptor `accept` fails also if no connection waits.
-    """
+    """Guards against a stop that ends the process for lack of descriptors."""
     handler = _Slow()
     server = caller_server.Server('127.0.0.1:0', handler, 1, 5.0, 1000)
     conn = http.client.HTTPConnection(server.start(), timeout=_ENDS_S)
