--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -398,6 +398,11 @@
             requests=conn.requests_begun,
         )
         threadpool.ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+        try:
+            # Ends a send to a caller that does not read.
+            conn.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass  # The caller closed it first.
 
 
 class _IdleSweep:
@@ -577,8 +582,12 @@
         sock = self.socket
         self._connections._selector.unregister(sock.fileno())
         sock.setblocking(False)
-        while (conn := self._connections._from_server_socket(sock)) is not None:
-            self.process_conn(conn)
+        try:
+            while conn := self._connections._from_server_socket(sock):
+                self.process_conn(conn)
+        except OSError as exc:
+            # Without a free descriptor nothing can be accepted any more.
+            logs.event(logging.WARNING, 'accept failed', error=str(exc))
         sock.close()
 
     def error_log(
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -54,8 +54,9 @@
 # seconds. The load balancer checks readiness once a second and removes a VM
 # after two failed checks.
 LAME_DUCK_S: Final = 2.8
-# Time before SIGKILL that is reserved for closing connections, seconds.
-CLOSE_MARGIN_S: Final = 0.5
+# Time before SIGKILL that is reserved for the last responses and releases, and
+# for closing connections, seconds.
+CLOSE_MARGIN_S: Final = 1.0
 # Part of it in which requests that were cut are answered, seconds.
 _LAST_RESPONSES_S: Final = 0.3
 # Time for each queue of releases to be sent at a close, seconds.
@@ -282,6 +283,7 @@
             request_metrics=self._metrics,
             clock=clock,
             ends_at=lambda: self._ends_at,
+            is_accepting=self._is_accepting,
             quarantine_left_s=lambda request: (
                 self._state.quarantine_state.quarantine.left_s(clock(), request)
             ),
@@ -569,6 +571,9 @@
             return handler(msg)
         return self._owner.run(lambda state, now: state.handle(msg, now))
 
+    def _is_accepting(self) -> bool:
+        return self._server.is_accepting()
+
     def _unready_reason(self) -> str:
         if self._stopping.is_set():
             return 'being stopped'
