--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -3,11 +3,11 @@
 Each entry VM reports the requests that ran on a crashed server to the
 coordinator of crash reports (`coordinator_client`) and to its successors. A
 coordinator or successor that is new or has restarted gets all reports that any
-VM has, since the VM that first sent a report may have stopped too. The coordinator decides
-which requests are to blame (`crashes`), sends the result to all VMs at once,
-and saves the quarantine in the store, since a loss of power on all VMs would
-lose it otherwise. A VM that missed an update gets it with its next request to
-the store reader (`router_state`).
+VM has, since the VM that first sent a report may have stopped too. The
+coordinator decides which requests are to blame (`crashes`), sends the result to
+all VMs at once, and saves the quarantine in the store, since a loss of power on
+all VMs would lose it otherwise. A VM that missed an update gets it with its
+next request to the store reader (`router_state`).
 """
 
 from collections.abc import Callable
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -29,7 +29,7 @@
 # seconds.
 NOT_READY_RETRY_S: Final = 0.3
 # Least time that a process must have left for a request that it begins after it
-# closed its port, seconds. Few streams last longer.
+# closed its port, seconds. A stream that lasts longer than what is left is cut.
 MIN_REQUEST_TIME_S: Final = 2.0
 
 
