Logs: age of the list at each send, size of a configuration, late replies, direct reads

These four tell the hypotheses apart:

- 'sent' has list_age_ms, the age that the VM takes its list for
- 'configuration in force' has the bytes of the version
- 'late reply': a reply after its timeout, with its size
- 'store read directly': the topic, the reader, the age of the list

--- a/packages/adapters/foxtaildale_adapters/peers.py
+++ b/packages/adapters/foxtaildale_adapters/peers.py
@@ -19,6 +19,7 @@
 from collections.abc import Sequence
 import contextlib
 import itertools
+import logging
 import threading
 import time
 from typing import Final
@@ -29,6 +30,7 @@
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale_adapters import connections
+from foxtaildale_adapters import logs
 from foxtaildale_adapters import wakes
 
 # Time without a request after which a connection is closed, seconds.
@@ -324,15 +326,15 @@
     ) -> None:
         """Completes the pending request that has this sequence number."""
         request = conn.pending.pop(sequence, None)
-        if request is None:
-            self.counts.late += 1
-            return
         with self._lock:
-            if request.done.is_set():
-                self.counts.late += 1
+            if request is not None and not request.done.is_set():
+                request.reply = data
+                request.done.set()
                 return
-            request.reply = data
-            request.done.set()
+        self.counts.late += 1
+        logs.event(
+            logging.INFO, 'late reply', address=conn.address, bytes=len(data)
+        )
 
     def _send_heartbeats(self, now: float) -> None:
         """Sends heartbeats; closes silent and unused connections."""
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -72,7 +72,7 @@
     ),
     'sent': Event(
         'it was sent to {server} (attempt {attempt})',
-        ('server', 'attempt', 'fingerprint'),
+        ('server', 'attempt', 'fingerprint', 'list_age_ms'),
     ),
     'server probed': Event(
         'its connection to {server} broke after {ran_ms} ms; a probe of the'
@@ -168,7 +168,7 @@
         (
             'configuration in force',
             'version {version} is in force, received from {source}',
-            ('version', 'offset', 'routes', 'accounts', 'source'),
+            ('version', 'offset', 'routes', 'accounts', 'bytes', 'source'),
         ),
         (
             'configuration not sealed',
@@ -245,6 +245,17 @@
             '{reader} has no recent records (replied: {answered})',
             ('reader', 'answered'),
         ),
+        (
+            'store read directly',
+            '{topic} is read from the store, not from {reader}: the list of'
+            ' servers is {list_age_ms} ms old',
+            ('topic', 'reader', 'list_age_ms'),
+        ),
+        (
+            'late reply',
+            'a reply of {address} with {bytes} bytes arrived after its timeout',
+            ('address', 'bytes'),
+        ),
         (
             'peer lost',
             '{address} does not reply: {error}',
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -199,6 +199,9 @@
             server=server.id,
             attempt=len(sent_ids),
             fingerprint=fingerprint.to_text(req.fingerprint),
+            list_age_ms=self._owner.run(
+                lambda state, now: state.list_age_ms(now)
+            ),
         )
         first_position = response.splitter.position or 0
         began_at = self._clock()
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -145,12 +145,6 @@
             self._end_without_server(req, history)
             return False
         history.tried_ids.append(server.id)
-        req.log(
-            'sent',
-            server=server.id,
-            attempt=history.attempts + 1,
-            fingerprint=fingerprint.to_text(req.fingerprint),
-        )
         outcome = self._send(req, history, server)
         if isinstance(outcome, _CompleteResponse):
             return self._on_response(req, history, outcome)
@@ -275,7 +269,20 @@
         flight = self._workers.forward(
             req.caller_request, server, left_s, repeatable=req.route.repeatable
         )
-        self._owner.run(lambda state, _: state.fleet.record_sent(server.id))
+
+        def record_sent(
+            state: router_state.RouterState, now: float
+        ) -> int | None:
+            state.fleet.record_sent(server.id)
+            return state.list_age_ms(now)
+
+        req.log(
+            'sent',
+            server=server.id,
+            attempt=history.attempts + 1,
+            fingerprint=fingerprint.to_text(req.fingerprint),
+            list_age_ms=self._owner.run(record_sent),
+        )
         began_at = self._clock()
         head: forwarding.ResponseHead | None = None
         try:
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -278,6 +278,12 @@
             return 0.0
         return max(0.0, self.servers_current_at + limit_s - now)
 
+    def list_age_ms(self, now: float) -> int | None:
+        """Returns the age of the list of servers, milliseconds, if known."""
+        if self.servers_current_at is None:
+            return None
+        return round((now - self.servers_current_at) * 1000)
+
     def is_store_lost(self) -> bool:
         """Whether the store failed after its last reply to this entry VM."""
         if self.store_failed_at is None:
@@ -417,6 +423,7 @@
             offset=entry.offset,
             routes=len(table.routes),
             accounts=len(table.client_accounts or ()),
+            bytes=len(entry.value),
             source=source,
         )
 
--- a/packages/daemon/foxtaildaled/store_sync.py
+++ b/packages/daemon/foxtaildaled/store_sync.py
@@ -66,8 +66,8 @@
         '_is_up',
         '_owner',
         '_store',
-        '_topic',
         '_wait_s',
+        'topic',
     )
 
     def __init__(
@@ -78,7 +78,7 @@
         counts: metrics.Metrics,
         wait_s: float,
     ) -> None:
-        self._topic = topic
+        self.topic = topic
         self._owner = owner
         self._store = store
         self._counts = counts
@@ -90,33 +90,33 @@
         """Reads once; returns whether the store responded."""
         try:
             offset = self._owner.run(
-                lambda state, _: state.applied_offset(self._topic)
+                lambda state, _: state.applied_offset(self.topic)
             )
             keyed, is_snapshot = self._read(offset)
         except (errors.PortError, errors.DecodeError) as exc:
             self._owner.run(lambda state, now: state.record_store_failure(now))
-            self._counts.store_calls.add(1, self._topic, 'failed')
+            self._counts.store_calls.add(1, self.topic, 'failed')
             self._log_change(False, error=str(exc))
             return False
         self._owner.run(
             lambda state, now: state.apply_store_reply(
-                self._topic, keyed, now, is_snapshot=is_snapshot
+                self.topic, keyed, now, is_snapshot=is_snapshot
             )
         )
-        self._counts.store_calls.add(1, self._topic, 'answered')
+        self._counts.store_calls.add(1, self.topic, 'answered')
         self._log_change(True, offset=keyed.end)
         return True
 
     def _read(self, offset: int) -> tuple[ports.KeyedRecords, bool]:
         if not offset:
-            return self._store.read_newest(self._topic), True
+            return self._store.read_newest(self.topic), True
         try:
             wait_s = self._wait_s
             return self._store.wait_for_records(
-                self._topic, offset, wait_s
+                self.topic, offset, wait_s
             ), False
         except errors.RecordsExpiredError:
-            return self._store.read_newest(self._topic), True
+            return self._store.read_newest(self.topic), True
 
     def _log_change(self, is_up: bool, **fields: object) -> None:
         if is_up == self._is_up:
@@ -126,7 +126,7 @@
         else:
             event = 'store lost'
         self._is_up = is_up
-        logs.event(logging.INFO, event, topic=self._topic, **fields)
+        logs.event(logging.INFO, event, topic=self.topic, **fields)
 
 
 class MemberListing:
@@ -244,14 +244,27 @@
 
         def read_state(
             state: router_state.RouterState, now: float
-        ) -> tuple[float, dict[str, forwarding.EntryVm], bool]:
-            fresh_s = state.fresh_for(now, self._max_age_s)
-            return fresh_s, state.entry_vms, state.matcher is None
+        ) -> tuple[float, int | None, dict[str, forwarding.EntryVm], bool]:
+            return (
+                state.fresh_for(now, self._max_age_s),
+                state.list_age_ms(now),
+                state.entry_vms,
+                state.matcher is None,
+            )
 
-        fresh_s, vms, is_unconfigured = self._owner.run(read_state)
-        is_reader = self._readers.choose_reader(vms) == self._entry_vm
+        fresh_s, age_ms, vms, is_unconfigured = self._owner.run(read_state)
+        reader = self._readers.choose_reader(vms)
+        is_reader = reader == self._entry_vm
         if fresh_s > 0 and not is_reader:
             return max(MIN_PAUSE_S, fresh_s)
+        if not is_reader:
+            logs.event(
+                logging.INFO,
+                'store read directly',
+                topic=self._topic.topic,
+                reader=reader,
+                list_age_ms=age_ms,
+            )
         if self._topic.read_once():
             self._failures = 0
             return 0.0
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -8,7 +8,7 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _DAEMON = _ROOT / 'packages' / 'daemon' / 'foxtaildaled'
 _PLATFORM = _ROOT / 'platform' / 'foxtaildale_platform'
-_HTTP_SERVER = _ROOT / 'packages/adapters/foxtaildale_adapters/httpd.py'
+_ADAPTERS = _ROOT / 'packages' / 'adapters' / 'foxtaildale_adapters'
 _MODULES = (
     'account_limits',
     'coordinator_client',
@@ -46,7 +46,8 @@
     paths = [_DAEMON / f'{module}.py' for module in _MODULES]
     adapter_names = ('records', 'store', 'server_client')
     adapter_paths = [_PLATFORM / f'{name}.py' for name in adapter_names]
-    for path in (*paths, *adapter_paths, _HTTP_SERVER):
+    server_paths = [_ADAPTERS / f'{name}.py' for name in ('httpd', 'peers')]
+    for path in (*paths, *adapter_paths, *server_paths):
         text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
         for pattern in (_LOG_CALL, _EVENT_ASSIGNMENT):
