Large records stay out of the replies between entry VMs

Callers saw: for nine seconds after a version with 1,400 routes more, half of all requests late or failed, and requests served by a version that had been replaced five seconds before (CONFIG).

Cause: one VM reads the store and sent each of the others the whole record (380 KB) in the reply to their next request. That takes a link of 5 Mbit/s 0.6 s, and 87 copies fill the reader's own; the requests have 0.3 s. A reply that was late was dropped and requested again, from this reader and the next ones, and messages for placements and limits waited behind.

Ruled out: the processor (redact, decode and index of 1,448 routes take 10 ms here).

Change: a reply leaves out values that the link of either side does not carry in time, and names the position that they lead to without moving the receiver's position past them. Whoever hears of it reads the topic from the store at once, or from another VM while the store does not reply.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -248,8 +248,9 @@
         (
             'store read directly',
             '{topic} is read from the store, not from {reader}: the list of'
-            ' servers is {list_age_ms} ms old',
-            ('topic', 'reader', 'list_age_ms'),
+            ' servers is {list_age_ms} ms old, large records were left out:'
+            ' {left_out}',
+            ('topic', 'reader', 'list_age_ms', 'left_out'),
         ),
         (
             'late reply',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -355,6 +355,8 @@
     departures: dict[str, tuple[int, int]] = {}
     # Backoff requests of servers (`backoffs.Backoff`), by server id.
     backoffs: dict[str, tuple[int, float]] = {}
+    # Largest value that the reply may contain, bytes; None for no limit.
+    max_value_bytes: int | None = None
 
 
 class RecordsReply(Wire, frozen=True):
@@ -363,7 +365,7 @@
     # Key, position and value of each newer record of a topic, and for a removal
     # the rank of the removed record.
     records: dict[str, tuple[tuple[str, int, bytes, tuple[int, int]], ...]]
-    # Position up to which the sender knows each topic.
+    # Position up to which the receiver knows each topic with these records.
     positions: dict[str, int]
     # Time since the store's last reply to the sender, seconds.
     store_age_s: float
@@ -382,6 +384,9 @@
     # server id.
     departures: dict[str, tuple[int, int]] = {}
     backoffs: dict[str, tuple[int, float]] = {}
+    # Position up to which the sender knows each topic of which it left out
+    # large records.
+    left_out: dict[str, int] = {}
 
 
 class PlacementRequest(Wire, frozen=True, tag='AskPlace'):
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -4,11 +4,14 @@
 """
 
 from typing import Annotated
+from typing import Final
 from typing import Literal
 
 import msgspec
 
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+# Rate of a link of one gigabit per second, bytes per second.
+DEFAULT_LINK_BYTES_PER_S: Final = 125_000_000.0
 _Address = Annotated[
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
 ]
@@ -82,6 +85,8 @@
     peer_address: str
     # CPU time that this process may use, cores.
     cores: float = 1.0
+    # Rate of the VM's network link, bytes per second.
+    link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     # IP address on which operators read state and metrics.
     admin_host: str
     # Address of the platform's store.
--- a/packages/daemon/foxtaildaled/initial_state.py
+++ b/packages/daemon/foxtaildaled/initial_state.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         '_clock',
+        '_config_topic',
         '_done',
         '_max_age_s',
         '_owner',
@@ -50,6 +51,7 @@
         self,
         *,
         owner: actors.StateOwner[router_state.RouterState],
+        config_topic: str,
         peers: ports.Peers,
         own_address: str,
         seeds: tuple[str, ...],
@@ -62,6 +64,8 @@
 
         Args:
             owner: Owner of the router state.
+            config_topic: Topic of the configuration. A large version of it is
+                left to the loop that follows the topic.
             peers: The other entry VMs.
             own_address: Peer address of this entry VM.
             seeds: Peer addresses that the settings name.
@@ -71,6 +75,7 @@
             rng: Chooses the order of the seeds.
         """
         self._owner = owner
+        self._config_topic = config_topic
         self._peers = peers
         # A seed must read the store itself, since all other VMs ask it.
         self._seeds = (
@@ -104,7 +109,9 @@
 
     def _ask_seed(self, seed: str, timeout_s: float) -> bool:
         """Asks a seed; returns whether the state is sufficient to start."""
-        request = self._owner.run(lambda state, now: state.build_request(now))
+        request = self._owner.run(
+            lambda state, now: state.build_request(now, timeout_s)
+        )
         try:
             reply = self._peers.request(seed, request, timeout_s)
         except errors.PortError as exc:
@@ -116,7 +123,9 @@
             return False
 
         def apply_reply(state: router_state.RouterState, now: float) -> bool:
-            state.apply_peer_reply(reply, now)
-            return state.matcher is not None and bool(state.entry_vms)
+            state.apply_peer_reply(reply, now, seed)
+            return bool(state.entry_vms) and (
+                state.matcher is not None or state.is_behind(self._config_topic)
+            )
 
         return self._owner.run(apply_reply)
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -70,6 +70,7 @@
     readers = reader_choice.ReaderChoice(cfg.entry_vm, cfg.data_centre, clock)
     introduction = initial_state.InitialState(
         owner=owner,
+        config_topic=codec.config_topic,
         peers=peers,
         own_address=cfg.peer_address,
         seeds=cfg.seeds,
@@ -79,28 +80,38 @@
         rng=rng,
     )
 
-    # Wakes the loops that rely on another reader, since it may have changed.
-    wake_events: list[threading.Event] = []
+    # Events that wake the loops that rely on another reader, by topic.
+    wake_events: dict[str, threading.Event] = {}
 
     def wake_all() -> None:
-        for wake in wake_events:
+        # The reader may have changed.
+        for wake in wake_events.values():
             wake.set()
 
+    def wake_topic(topic: str) -> None:
+        if topic in wake_events:
+            wake_events[topic].set()
+
     readers.on_reader_excluded = wake_all
+    owner.run(
+        lambda state, _: setattr(
+            state.large_records, 'on_announced', wake_topic
+        )
+    )
 
     def make_reader(name: str, wait_s: float) -> Callable[[], None]:
         reader = store_sync.FallbackReader(
             topic=make_topic(name, wait_s),
             owner=owner,
+            peers=peers,
             readers=readers,
             entry_vm=cfg.entry_vm,
             max_age_s=max_age_s,
             rng=rng,
         )
-        wake_events.append(threading.Event())
+        wake = wake_events[name] = threading.Event()
         return _after_introduction(
-            introduction,
-            _with_pause(reader.read_if_stale, on_read, wake_events[-1]),
+            introduction, _with_pause(reader.read_if_stale, on_read, wake)
         )
 
     members = store_sync.MemberListing(
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -179,7 +179,12 @@
         self._stores: list[ports.KeyedTopics] = []
         self._metrics = metrics.Metrics()
         self._state = router_state.RouterState(
-            adapters.codec, cfg.peer_address, cfg.seeds, cfg.data_centre, rng
+            adapters.codec,
+            cfg.peer_address,
+            cfg.seeds,
+            cfg.data_centre,
+            rng,
+            link_bytes_per_s=cfg.link_bytes_per_s,
         )
         self._open_flights = tracked_flights.OpenFlights()
         self._state.on_restarted = self._open_flights.cancel_earlier
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -21,10 +21,12 @@
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import mirror
+from foxtaildale import options
 from foxtaildale import ports
 from foxtaildale import positions
 from foxtaildale import routes
 from foxtaildale_adapters import logs
+from foxtaildaled import large_records
 from foxtaildaled import quarantine_state
 from foxtaildaled import server_announcements
 from foxtaildaled import service_plans
@@ -54,6 +56,7 @@
         'entry_vms',
         'failure_rates',
         'fleet',
+        'large_records',
         'matcher',
         'on_restarted',
         'plans',
@@ -71,6 +74,7 @@
         data_centre: str,
         rng: random.Random,
         *,
+        link_bytes_per_s: float = options.DEFAULT_LINK_BYTES_PER_S,
         wall: ports.Clock = time.time,
     ) -> None:
         self._codec = codec
@@ -102,6 +106,7 @@
             self.fleet
         )
         self.failure_rates = failure_rates.FailureRates()
+        self.large_records = large_records.LargeRecords(link_bytes_per_s)
         self.quarantine_state = quarantine_state.QuarantineState(codec, wall)
         # The configuration in force; None until one is received.
         self.matcher: routes.Matcher | None = None
@@ -160,10 +165,21 @@
             self.servers_current_at = now
         self._apply_changes(topic, changes, now, 'store', positions_before)
 
+    def is_behind(self, topic: str) -> bool:
+        """Whether another VM has records that it did not send."""
+        announced = self.large_records.announced_end(topic)
+        return announced > self.applied_offset(topic)
+
     def apply_peer_reply(
-        self, reply: messages.RecordsReply, now: float
+        self, reply: messages.RecordsReply, now: float, sender: str = ''
     ) -> None:
-        """Applies the records and reports of another entry VM."""
+        """Applies the records and reports of another entry VM.
+
+        Args:
+            reply: The reply.
+            now: Seconds.
+            sender: Peer address of that VM.
+        """
         for topic, records in reply.records.items():
             topic_mirror = self._mirrors.get(topic)
             if topic_mirror is None:
@@ -177,6 +193,9 @@
             if topic == self._codec.servers_topic and end:
                 self.servers_received = True
             self._apply_changes(topic, changes, now, 'peer', positions_before)
+        for topic, end in reply.left_out.items():
+            if topic in self._mirrors and end > self.applied_offset(topic):
+                self.large_records.announce(topic, end, sender)
         if self.servers_received:
             self.servers_current_at = max(
                 self.servers_current_at or 0.0, now - reply.store_age_s
@@ -191,19 +210,24 @@
         self, ask: messages.RecordsRequest, now: float
     ) -> messages.RecordsReply:
         """Returns the records that another entry VM lacks."""
-        records = {
-            topic: tuple(
+        records = {}
+        ends = {}
+        left_out = {}
+        for topic, topic_mirror in self._mirrors.items():
+            entries, large = self.large_records.select(
+                topic_mirror.entries_since(ask.positions.get(topic, 0)),
+                ask.max_value_bytes,
+                now,
+            )
+            records[topic] = tuple(
                 (entry.key, entry.offset, entry.value, entry.removed)
-                for entry in topic_mirror.entries_since(
-                    ask.positions.get(topic, 0)
-                )
+                for entry in entries
             )
-            for topic, topic_mirror in self._mirrors.items()
-        }
-        ends = {
-            topic: topic_mirror.end
-            for topic, topic_mirror in self._mirrors.items()
-        }
+            ends[topic] = min(
+                (entry.offset for entry in large), default=topic_mirror.end
+            )
+            if large:
+                left_out[topic] = topic_mirror.end
         age_s = (
             now - self.servers_current_at
             if self.servers_current_at is not None
@@ -226,20 +250,30 @@
             if any(ask.positions.values())
             else departures.all_states(),
             backoffs=self.fleet.backoffs.report(now),
+            left_out=left_out,
         )
 
-    def build_request(self, now: float) -> messages.RecordsRequest:
-        """Returns the request to another entry VM for its records."""
+    def build_request(
+        self, now: float, timeout_s: float
+    ) -> messages.RecordsRequest:
+        """Returns the request to another entry VM for its records.
+
+        Args:
+            now: Seconds.
+            timeout_s: Time limit of the reply, seconds.
+        """
         return messages.RecordsRequest(
-            positions={
-                topic: topic_mirror.end
-                for topic, topic_mirror in self._mirrors.items()
-            },
+            positions=self._positions(),
             request_counts=self.failure_rates.take_unsent(),
             departures=self.fleet.departures.recent_changes(now),
             backoffs=self.fleet.backoffs.report(now),
+            max_value_bytes=self.large_records.max_value_bytes(timeout_s),
         )
 
+    def build_large_request(self) -> messages.RecordsRequest:
+        """Returns the request for records of any size."""
+        return messages.RecordsRequest(positions=self._positions())
+
     def apply_own_failures(self, now: float) -> None:
         """Applies own observations where this VM collects those of others."""
         self.failure_rates.merge(now, self.failure_rates.take_unsent())
@@ -315,6 +349,12 @@
         addresses.discard(self._peer_address)
         return sorted(addresses)
 
+    def _positions(self) -> dict[str, int]:
+        return {
+            topic: topic_mirror.end
+            for topic, topic_mirror in self._mirrors.items()
+        }
+
     def _seal_entry(self, topic: str, entry: mirror.Entry) -> mirror.Entry:
         value = self._codec.redact(topic, entry.value)
         if value is entry.value:
--- a/packages/daemon/foxtaildaled/store_sync.py
+++ b/packages/daemon/foxtaildaled/store_sync.py
@@ -53,6 +53,9 @@
 # Interval between requests to a peer, and longest wait for its reply, seconds.
 PEER_INTERVAL_S: Final = 0.4
 PEER_TIMEOUT_S: Final = 0.3
+# Time limit of a peer's reply with records of any size, seconds. A megabyte
+# takes 1.6 s at 5 Mbit/s.
+LARGE_REPLY_TIMEOUT_S: Final = 3.0
 # Shortest pause of a loop that has nothing to read, seconds. It checks again
 # when the known state may be too old.
 MIN_PAUSE_S: Final = 0.1
@@ -204,13 +207,18 @@
 
 
 class FallbackReader:
-    """Reads a topic from the store unless the reader's data is fresh."""
+    """Reads a topic from the store unless the reader's data is fresh.
+
+    It also reads the large records that the reader's replies leave out. If the
+    store does not reply, it requests them from another entry VM.
+    """
 
     __slots__ = (
         '_entry_vm',
         '_failures',
         '_max_age_s',
         '_owner',
+        '_peers',
         '_readers',
         '_rng',
         '_topic',
@@ -221,6 +229,7 @@
         *,
         topic: TopicReader,
         owner: actors.StateOwner[router_state.RouterState],
+        peers: ports.Peers,
         readers: reader_choice.ReaderChoice,
         entry_vm: str,
         max_age_s: float,
@@ -228,6 +237,7 @@
     ) -> None:
         self._topic = topic
         self._owner = owner
+        self._peers = peers
         self._readers = readers
         self._entry_vm = entry_vm
         self._max_age_s = max_age_s
@@ -241,35 +251,70 @@
         Returns:
             The time until the next call, seconds.
         """
+        topic = self._topic.topic
 
         def read_state(
             state: router_state.RouterState, now: float
-        ) -> tuple[float, int | None, dict[str, forwarding.EntryVm], bool]:
-            return (
-                state.fresh_for(now, self._max_age_s),
-                state.list_age_ms(now),
-                state.entry_vms,
-                state.matcher is None,
-            )
+        ) -> tuple[float, bool, dict[str, forwarding.EntryVm], bool]:
+            fresh_s = state.fresh_for(now, self._max_age_s)
+            is_behind = state.is_behind(topic)
+            return fresh_s, is_behind, state.entry_vms, state.matcher is None
 
-        fresh_s, age_ms, vms, is_unconfigured = self._owner.run(read_state)
+        fresh_s, is_behind, vms, is_unconfigured = self._owner.run(read_state)
         reader = self._readers.choose_reader(vms)
         is_reader = reader == self._entry_vm
-        if fresh_s > 0 and not is_reader:
+        if fresh_s > 0 and not is_reader and not is_behind:
             return max(MIN_PAUSE_S, fresh_s)
         if not is_reader:
-            logs.event(
-                logging.INFO,
-                'store read directly',
-                topic=self._topic.topic,
-                reader=reader,
-                list_age_ms=age_ms,
-            )
+            self._log_direct_read(reader, is_behind=is_behind)
         if self._topic.read_once():
             self._failures = 0
             return 0.0
         self._failures += 1
-        return self._retry_s(is_urgent=is_reader or is_unconfigured)
+        if is_behind:
+            self._fetch_from_peer()
+        return self._retry_s(
+            is_urgent=is_reader or is_unconfigured or is_behind
+        )
+
+    def _log_direct_read(self, reader: str, *, is_behind: bool) -> None:
+        logs.event(
+            logging.INFO,
+            'store read directly',
+            topic=self._topic.topic,
+            reader=reader,
+            list_age_ms=self._owner.run(
+                lambda state, now: state.list_age_ms(now)
+            ),
+            left_out=is_behind,
+        )
+
+    def _fetch_from_peer(self) -> None:
+        """Requests records of any size from one entry VM.
+
+        Either from the VM that announced them or from a random one: if all VMs
+        requested them from the same one, its link would be the bottleneck.
+        """
+        topic = self._topic.topic
+        announced_by, addresses = self._owner.run(
+            lambda state, _: (
+                state.large_records.announced_by(topic),
+                state.peers(),
+            )
+        )
+        candidates = [announced_by] if announced_by else []
+        if addresses:
+            candidates.append(self._rng.choice(addresses))
+        if not candidates:
+            return
+        request = self._owner.run(lambda state, _: state.build_large_request())
+        _request_records(
+            self._owner,
+            self._peers,
+            self._rng.choice(candidates),
+            request,
+            LARGE_REPLY_TIMEOUT_S,
+        )
 
     def _retry_s(self, *, is_urgent: bool) -> float:
         max_wait_s = READER_MAX_RETRY_S if is_urgent else MAX_RETRY_S
@@ -336,18 +381,31 @@
 
     def _request_state(self, address: str) -> messages.RecordsReply | None:
         """Requests and applies the state of one entry VM; None on failure."""
-        request = self._owner.run(lambda state, now: state.build_request(now))
-        try:
-            reply = self._peers.request(address, request, PEER_TIMEOUT_S)
-        except errors.PortError as exc:
-            logs.event(
-                logging.INFO, 'peer lost', address=address, error=str(exc)
-            )
-            return None
-        if not isinstance(reply, messages.RecordsReply):
-            return None
-        self._owner.run(lambda state, now: state.apply_peer_reply(reply, now))
-        return reply
+        request = self._owner.run(
+            lambda state, now: state.build_request(now, PEER_TIMEOUT_S)
+        )
+        return _request_records(
+            self._owner, self._peers, address, request, PEER_TIMEOUT_S
+        )
+
+
+def _request_records(
+    owner: actors.StateOwner[router_state.RouterState],
+    peers: ports.Peers,
+    address: str,
+    request: messages.RecordsRequest,
+    timeout_s: float,
+) -> messages.RecordsReply | None:
+    """Requests and applies records of one entry VM; None on failure."""
+    try:
+        reply = peers.request(address, request, timeout_s)
+    except errors.PortError as exc:
+        logs.event(logging.INFO, 'peer lost', address=address, error=str(exc))
+        return None
+    if not isinstance(reply, messages.RecordsReply):
+        return None
+    owner.run(lambda state, now: state.apply_peer_reply(reply, now, address))
+    return reply
 
 
 def _log_excluded(reader: str, *, answered: bool) -> None:
--- a/tests/syncworld.py
+++ b/tests/syncworld.py
@@ -379,7 +379,12 @@
         self.store_down = False
         self.store_reads = 0
         self.state = router_state.RouterState(
-            CODEC, name, seeds, 'here', random.Random(name)
+            CODEC,
+            name,
+            seeds,
+            'here',
+            random.Random(name),
+            link_bytes_per_s=link_bytes_per_s,
         )
         self.owner = actors.StateOwner(self.state, lambda: world.clock.now)
         cfg = options.RouterOptions(
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -107,6 +107,7 @@
         self.lazy = store_sync.FallbackReader(
             topic=topic,
             owner=self.owner,
+            peers=self.net,
             readers=self.readers,
             entry_vm='me',
             max_age_s=_LIMIT_S,
@@ -403,6 +404,7 @@
         self, *, first: bool = False
     ) -> initial_state.InitialState:
         return initial_state.InitialState(
+            config_topic=_CODEC.config_topic,
             owner=self.world.owner,
             peers=self,
             own_address='me:1',
