--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -329,3 +329,26 @@
         else:
             with pytest.raises(errors.NoReplyError):
                 client.read_newest('t')
+
+
+@pytest.mark.parametrize(
+    ('pauses', 'arrives'),
+    [([0.3] * 5, True), ([0.0, store.RESPONSE_TIMEOUT_S + 0.5], False)],
+)
+def test_a_record_that_keeps_arriving_is_read(
+    pauses: list[float], arrives: bool
+) -> None:
+    """Guards against a record that a slow link never carries in time."""
+    record = b'\x01k' + b'x' * 1000
+    body = struct.pack('>QQI', 1, 0, len(record)) + record
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        threading.Thread(
+            target=_trickle, args=(listener, body, pauses), daemon=True
+        ).start()
+        client = store.Store(f'127.0.0.1:{listener.getsockname()[1]}')
+        if arrives:
+            found = client.wait_for_records('t', 0, 0.0)
+            assert found.entries[0].key == 'k'
+        else:
+            with pytest.raises(errors.NoReplyError):
+                client.wait_for_records('t', 0, 0.0)
