--- a/tests/syncworld.py
+++ b/tests/syncworld.py
@@ -125,11 +125,11 @@
         """Waits until an event is set."""
         task = self._local.task
         if not event.flag and timeout_s != 0:
-            event.waiting.add(task)
+            event.waiting[task] = None
             if timeout_s is not None:
                 self._push(self.now + max(0.0, timeout_s), task)
             self._yield(task)
-            event.waiting.discard(task)
+            event.waiting.pop(task, None)
         return event.flag
 
     def wake(self, event: 'Event') -> None:
@@ -155,7 +155,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.flag = False
-        self.waiting: set[_Task] = set()
+        # In order of arrival.
+        self.waiting: dict[_Task, None] = {}
 
     def set(self) -> None:
         self._clock.wake(self)
@@ -328,7 +329,8 @@
         )
         clock.sleep(arrives - began_at + LATENCY_S)
         stalled_s = max(0.0, peer.frozen_until - clock.now)
-        if clock.now + stalled_s - began_at > timeout_s:
+        is_cut = self._vm.cut_off or peer.cut_off
+        if is_cut or clock.now + stalled_s - began_at > timeout_s:
             return self._time_out(began_at, timeout_s)
         clock.sleep(stalled_s + peer.reply_delay_s)
         reply = messages.encode(
@@ -372,6 +374,8 @@
         self.up = Link(link_bytes_per_s)
         self.down = Link(link_bytes_per_s)
         self.frozen_until = 0.0
+        # Whether it is partitioned from all other VMs.
+        self.cut_off = False
         # Time that each of its replies takes, and each reply of the store to
         # it, beyond what the links need, seconds.
         self.reply_delay_s = 0.0
