The age of a list of servers counts from the request, not from the reply

What callers saw: a stream was sent to an engine 2.1 s after the store had acknowledged that it leaves (DRAIN; bound 2 s).

Cause: a VM took its list to be as old as the reply that brought it. A reply of the store says what was known when the store read the request; until it is applied up to 0.9 s pass, more at a VM that is slow. The age that a reader then reports is too low by that, and the VM that hears it adds the way of its own request, up to 0.3 s. So a list counted as fresh (1.1 s) for over 2 s, and nobody read the store meanwhile.

Ruled out by the same test: a reader that freezes, is partitioned from the VMs or from the store (1.5 s at most). A departure that is withdrawn or passed over was not seen.

Change: the list is as old as the request for it.

--- a/bench/router.py
+++ b/bench/router.py
@@ -128,6 +128,7 @@
         _CODEC.servers_topic,
         ports.KeyedRecords(servers, entries),
         1.0,
+        requested_at=1.0,
         is_snapshot=False,
     )
     ask = messages.RecordsRequest(
--- a/packages/daemon/foxtaildaled/initial_state.py
+++ b/packages/daemon/foxtaildaled/initial_state.py
@@ -109,8 +109,8 @@
 
     def _ask_seed(self, seed: str, timeout_s: float) -> bool:
         """Asks a seed; returns whether the state is sufficient to start."""
-        request = self._owner.run(
-            lambda state, now: state.build_request(now, timeout_s)
+        requested_at, request = self._owner.run(
+            lambda state, now: (now, state.build_request(now, timeout_s))
         )
         try:
             reply = self._peers.request(seed, request, timeout_s)
@@ -123,7 +123,9 @@
             return False
 
         def apply_reply(state: router_state.RouterState, now: float) -> bool:
-            state.apply_peer_reply(reply, now, seed)
+            state.apply_peer_reply(
+                reply, now, requested_at=requested_at, sender=seed
+            )
             return bool(state.entry_vms) and (
                 state.matcher is not None or state.is_behind(self._config_topic)
             )
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -64,6 +64,7 @@
         'servers_current_at',
         'servers_received',
         'store_failed_at',
+        'store_replied_at',
     )
 
     def __init__(
@@ -116,8 +117,9 @@
         # so that callers may store it and detect changes by identity.
         self.entry_vms: dict[str, forwarding.EntryVm] = {}
         # The time as of which the list of servers is current, and when the
-        # store last failed to reply.
+        # store last replied with a part of it, and last failed to reply.
         self.servers_current_at: float | None = None
+        self.store_replied_at = -math.inf
         self.store_failed_at: float | None = None
         # The plans of the services that this entry VM coordinates.
         self.plans = service_plans.ServicePlans(self, peer_address)
@@ -132,9 +134,19 @@
         keyed: ports.KeyedRecords,
         now: float,
         *,
+        requested_at: float,
         is_snapshot: bool,
     ) -> None:
-        """Applies a reply of the store."""
+        """Applies a reply of the store.
+
+        Args:
+            topic: The topic.
+            keyed: The reply.
+            now: Seconds.
+            requested_at: When the request was sent, seconds. The store may have
+                replied as soon as that, however late the reply is applied.
+            is_snapshot: Whether the reply has all keys of the topic.
+        """
         topic_mirror = self._mirrors[topic]
         before = topic_mirror.end
         if positions.epoch(keyed.end) < positions.epoch(before):
@@ -162,7 +174,10 @@
             changes += topic_mirror.remove_carried()
         if topic == self._codec.servers_topic:
             self.servers_received = True
-            self.servers_current_at = now
+            self.store_replied_at = now
+            self.servers_current_at = max(
+                self.servers_current_at or 0.0, requested_at
+            )
         self._apply_changes(topic, changes, now, 'store', positions_before)
 
     def is_behind(self, topic: str) -> bool:
@@ -171,13 +186,19 @@
         return announced > self.applied_offset(topic)
 
     def apply_peer_reply(
-        self, reply: messages.RecordsReply, now: float, sender: str = ''
+        self,
+        reply: messages.RecordsReply,
+        now: float,
+        *,
+        requested_at: float,
+        sender: str,
     ) -> None:
         """Applies the records and reports of another entry VM.
 
         Args:
             reply: The reply.
             now: Seconds.
+            requested_at: When the request was sent, seconds.
             sender: Peer address of that VM.
         """
         for topic, records in reply.records.items():
@@ -198,7 +219,8 @@
                 self.large_records.announce(topic, end, sender)
         if self.servers_received:
             self.servers_current_at = max(
-                self.servers_current_at or 0.0, now - reply.store_age_s
+                self.servers_current_at or 0.0,
+                requested_at - reply.store_age_s,
             )
         self.fleet.update_failure_rates(reply.failure_ratios, now)
         self.announcements.merge(reply, now)
@@ -322,9 +344,8 @@
         """Whether the store failed after its last reply to this entry VM."""
         if self.store_failed_at is None:
             return False
-        return (
-            self.servers_current_at is None
-            or self.store_failed_at > self.servers_current_at
+        return self.servers_current_at is None or self.store_failed_at > max(
+            self.servers_current_at, self.store_replied_at
         )
 
     def record_store_failure(self, now: float) -> None:
--- a/packages/daemon/foxtaildaled/store_sync.py
+++ b/packages/daemon/foxtaildaled/store_sync.py
@@ -9,6 +9,7 @@
 store fails, requests go to any other entry VM.
 """
 
+from collections.abc import Callable
 import logging
 import math
 import random
@@ -92,8 +93,8 @@
     def read_once(self) -> bool:
         """Reads once; returns whether the store responded."""
         try:
-            offset = self._owner.run(
-                lambda state, _: state.applied_offset(self.topic)
+            requested_at, offset = self._owner.run(
+                lambda state, now: (now, state.applied_offset(self.topic))
             )
             keyed, is_snapshot = self._read(offset)
         except (errors.PortError, errors.DecodeError) as exc:
@@ -103,7 +104,11 @@
             return False
         self._owner.run(
             lambda state, now: state.apply_store_reply(
-                self.topic, keyed, now, is_snapshot=is_snapshot
+                self.topic,
+                keyed,
+                now,
+                requested_at=requested_at,
+                is_snapshot=is_snapshot,
             )
         )
         self._counts.store_calls.add(1, self.topic, 'answered')
@@ -307,13 +312,12 @@
             candidates.append(self._rng.choice(addresses))
         if not candidates:
             return
-        request = self._owner.run(lambda state, _: state.build_large_request())
         _request_records(
             self._owner,
             self._peers,
             self._rng.choice(candidates),
-            request,
             LARGE_REPLY_TIMEOUT_S,
+            lambda state, _: state.build_large_request(),
         )
 
     def _retry_s(self, *, is_urgent: bool) -> float:
@@ -381,11 +385,12 @@
 
     def _request_state(self, address: str) -> messages.RecordsReply | None:
         """Requests and applies the state of one entry VM; None on failure."""
-        request = self._owner.run(
-            lambda state, now: state.build_request(now, PEER_TIMEOUT_S)
-        )
         return _request_records(
-            self._owner, self._peers, address, request, PEER_TIMEOUT_S
+            self._owner,
+            self._peers,
+            address,
+            PEER_TIMEOUT_S,
+            lambda state, now: state.build_request(now, PEER_TIMEOUT_S),
         )
 
 
@@ -393,10 +398,13 @@
     owner: actors.StateOwner[router_state.RouterState],
     peers: ports.Peers,
     address: str,
-    request: messages.RecordsRequest,
     timeout_s: float,
+    build: Callable[[router_state.RouterState, float], messages.RecordsRequest],
 ) -> messages.RecordsReply | None:
     """Requests and applies records of one entry VM; None on failure."""
+    requested_at, request = owner.run(
+        lambda state, now: (now, build(state, now))
+    )
     try:
         reply = peers.request(address, request, timeout_s)
     except errors.PortError as exc:
@@ -404,7 +412,11 @@
         return None
     if not isinstance(reply, messages.RecordsReply):
         return None
-    owner.run(lambda state, now: state.apply_peer_reply(reply, now, address))
+    owner.run(
+        lambda state, now: state.apply_peer_reply(
+            reply, now, requested_at=requested_at, sender=address
+        )
+    )
     return reply
 
 
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -47,7 +47,9 @@
 def _apply(state: router_state.RouterState, offset: int, value: bytes) -> None:
     entry = mirror.Entry(names.CONFIG_KEY, offset, value)
     keyed = ports.KeyedRecords(offset + 1, (entry,))
-    state.apply_store_reply(names.CONFIG_TOPIC, keyed, 1.0, is_snapshot=False)
+    state.apply_store_reply(
+        names.CONFIG_TOPIC, keyed, 1.0, requested_at=1.0, is_snapshot=False
+    )
 
 
 def test_an_account_is_decoded_with_its_limit() -> None:
@@ -138,7 +140,7 @@
     other = _state()
     reply = messages.decode(encoded)
     assert isinstance(reply, messages.RecordsReply)
-    other.apply_peer_reply(reply, 1.0)
+    other.apply_peer_reply(reply, 1.0, requested_at=1.0, sender='a:1')
     for known in (state, other):
         assert known.matcher is not None
         holder = known.matcher.client_accounts.by_key
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -92,15 +92,16 @@
         topic,
         ports.KeyedRecords(before + 1, (entry,)),
         now,
+        requested_at=now,
         is_snapshot=False,
     )
     reply = sender.build_reply(receiver.build_request(now, 0.3), now)
-    receiver.apply_peer_reply(reply, now, 'vm-3')
+    receiver.apply_peer_reply(reply, now, requested_at=now, sender='vm-3')
     assert not reply.records[topic]
     assert receiver.applied_offset(topic) == before
     assert receiver.is_behind(topic)
     complete = sender.build_reply(receiver.build_large_request(), now)
-    receiver.apply_peer_reply(complete, now, 'vm-3')
+    receiver.apply_peer_reply(complete, now, requested_at=now, sender='vm-3')
     assert not receiver.is_behind(topic)
 
 
@@ -118,6 +119,7 @@
             before + 1, (mirror.Entry('other', before, _LARGE),)
         ),
         now,
+        requested_at=now,
         is_snapshot=False,
     )
     ask = messages.RecordsRequest(positions={topic: before})
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -58,7 +58,11 @@
         keyed = store._decode_log(data + b''.join(found), self._offset)
         self._offset = keyed.end
         self.state.apply_store_reply(
-            _CODEC.servers_topic, keyed, 1.0, is_snapshot=False
+            _CODEC.servers_topic,
+            keyed,
+            1.0,
+            requested_at=1.0,
+            is_snapshot=False,
         )
 
     def put(self, key: str, **changed: object) -> None:
--- a/tests/test_router_state.py
+++ b/tests/test_router_state.py
@@ -58,7 +58,11 @@
     ):
         keyed = ports.KeyedRecords(entry.offset + 1, (entry,))
         state.apply_store_reply(
-            _CODEC.servers_topic, keyed, 1.0, is_snapshot=False
+            _CODEC.servers_topic,
+            keyed,
+            1.0,
+            requested_at=1.0,
+            is_snapshot=False,
         )
     assert seen == [
         ('backend server known', 'prefill'),
@@ -77,7 +81,9 @@
 def _read(state: router_state.RouterState, *entries: mirror.Entry) -> None:
     end = entries[-1].offset + 1
     keyed = ports.KeyedRecords(end, entries)
-    state.apply_store_reply(_CODEC.servers_topic, keyed, 1.0, is_snapshot=False)
+    state.apply_store_reply(
+        _CODEC.servers_topic, keyed, 1.0, requested_at=1.0, is_snapshot=False
+    )
 
 
 def _passed_on(state: router_state.RouterState, end: int) -> list[int]:
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -229,7 +229,11 @@
     def take(record: mirror.Entry, end: int) -> None:
         keyed = ports.KeyedRecords(end, (record,))
         world.state.apply_store_reply(
-            topic, keyed, world.now, is_snapshot=False
+            topic,
+            keyed,
+            world.now,
+            requested_at=world.now,
+            is_snapshot=False,
         )
 
     take(entry, 2)
