The fallback reads the store when the list becomes too old, not later

Cause: a VM that is not the reader sleeps until its list is too old and then reads the store. The sleep was part of the loop's step, and the loop added its own period of 0.5 s to it, so a limit of 1.1 s was 1.6 s.

Change: the step returns the whole time until the next one, the interval of the reads for a reader; the loop adds nothing. Failed reads are tried again 0.5 s sooner for the same reason (0.3 to 0.6 s at a reader).

--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -65,7 +65,6 @@
             name, owner, store(), router_metrics, wait_s
         )
 
-    read_interval_s = cfg.leaving_s / store_sync.READS_PER_LEAVING_BOUND
     max_age_s = cfg.leaving_s * store_sync.MAX_AGE_FRACTION
     readers = reader_choice.ReaderChoice(cfg.entry_vm, cfg.data_centre, clock)
     introduction = initial_state.InitialState(
@@ -99,20 +98,23 @@
         )
     )
 
-    def make_reader(name: str, wait_s: float) -> Callable[[], None]:
+    def make_reader(
+        name: str, topic: str, *, wait_s: float, interval_s: float
+    ) -> process.Loop:
         reader = store_sync.FallbackReader(
-            topic=make_topic(name, wait_s),
+            topic=make_topic(topic, wait_s),
             owner=owner,
             peers=peers,
             readers=readers,
             entry_vm=cfg.entry_vm,
+            interval_s=interval_s,
             max_age_s=max_age_s,
             rng=rng,
         )
-        wake = wake_events[name] = threading.Event()
-        return _after_introduction(
-            introduction, _with_pause(reader.read_if_stale, on_read, wake)
-        )
+        wake = wake_events[topic] = threading.Event()
+        step = _with_pause(reader.read_if_stale, on_read, wake)
+        # The pause is part of the step.
+        return process.Loop(name, 0.0, _after_introduction(introduction, step))
 
     members = store_sync.MemberListing(
         name=cfg.entry_vm,
@@ -162,14 +164,21 @@
             state.plans, 'on_inventory_needed', inventory_loop.wake
         )
     )
-    read_config = make_reader(codec.config_topic, store_sync.CONFIG_WAIT_S)
     balance_stages = _unless_stopping(
         stopping, stage_balancer.order_due_changes
     )
     return [
-        process.Loop('config', 0.0, read_config),
-        process.Loop(
-            'servers', read_interval_s, make_reader(codec.servers_topic, 0.0)
+        make_reader(
+            'config',
+            codec.config_topic,
+            wait_s=store_sync.CONFIG_WAIT_S,
+            interval_s=0.0,
+        ),
+        make_reader(
+            'servers',
+            codec.servers_topic,
+            wait_s=0.0,
+            interval_s=cfg.leaving_s / store_sync.READS_PER_LEAVING_BOUND,
         ),
         process.Loop(
             'members',
--- a/packages/daemon/foxtaildaled/store_sync.py
+++ b/packages/daemon/foxtaildaled/store_sync.py
@@ -221,6 +221,7 @@
     __slots__ = (
         '_entry_vm',
         '_failures',
+        '_interval_s',
         '_max_age_s',
         '_owner',
         '_peers',
@@ -237,14 +238,28 @@
         peers: ports.Peers,
         readers: reader_choice.ReaderChoice,
         entry_vm: str,
+        interval_s: float,
         max_age_s: float,
         rng: random.Random,
     ) -> None:
+        """Initializes the reader.
+
+        Args:
+            topic: Reads the topic from the store.
+            owner: Owner of the router state.
+            peers: The other entry VMs.
+            readers: Chooses the entry VM that reads the store for the others.
+            entry_vm: Name of this entry VM.
+            interval_s: Time between two reads of the store, seconds.
+            max_age_s: Age above which the known state is too old, seconds.
+            rng: Spreads retries and chooses among peers.
+        """
         self._topic = topic
         self._owner = owner
         self._peers = peers
         self._readers = readers
         self._entry_vm = entry_vm
+        self._interval_s = interval_s
         self._max_age_s = max_age_s
         self._rng = rng
         # Number of consecutive failed calls.
@@ -274,7 +289,7 @@
             self._log_direct_read(reader, is_behind=is_behind)
         if self._topic.read_once():
             self._failures = 0
-            return 0.0
+            return self._interval_s
         self._failures += 1
         if is_behind:
             self._fetch_from_peer()
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -110,6 +110,7 @@
             peers=self.net,
             readers=self.readers,
             entry_vm='me',
+            interval_s=0.0,
             max_age_s=_LIMIT_S,
             rng=random.Random(1),
         )
