Own reads of the list of servers do not vouch for the configuration

What callers could see: a VM that reaches the store and no other VM serves them by an older version for a second or more.

Cause: one freshness for all topics. A VM that reads the list of servers itself has a fresh list, and its loop for the configuration took that for the reader's word that there is no newer version.

Change: own reads keep the list of servers fresh; any other topic is fresh while another VM tells what it knows, else it is read from the store.

test_own_reads_of_the_list_do_not_vouch_for_the_configuration failed before.

--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -59,6 +59,7 @@
         'large_records',
         'matcher',
         'on_restarted',
+        'peer_current_at',
         'plans',
         'quarantine_state',
         'servers_current_at',
@@ -120,6 +121,9 @@
         # store last replied with a part of it, and last failed to reply.
         self.servers_current_at: float | None = None
         self.store_replied_at = -math.inf
+        # The time as of which another entry VM has told all that it knows of
+        # the store. Own reads of one topic say nothing of the others.
+        self.peer_current_at = -math.inf
         self.store_failed_at: float | None = None
         # The plans of the services that this entry VM coordinates.
         self.plans = service_plans.ServicePlans(self, peer_address)
@@ -217,10 +221,11 @@
         for topic, end in reply.left_out.items():
             if topic in self._mirrors and end > self.applied_offset(topic):
                 self.large_records.announce(topic, end, sender)
+        current_at = requested_at - reply.store_age_s
+        self.peer_current_at = max(self.peer_current_at, current_at)
         if self.servers_received:
             self.servers_current_at = max(
-                self.servers_current_at or 0.0,
-                requested_at - reply.store_age_s,
+                self.servers_current_at or 0.0, current_at
             )
         self.fleet.update_failure_rates(reply.failure_ratios, now)
         self.announcements.merge(reply, now)
@@ -326,13 +331,22 @@
 
     def is_fresh(self, now: float, limit_s: float) -> bool:
         """Whether the list of servers is younger than a limit."""
-        return self.fresh_for(now, limit_s) > 0
+        topic = self._codec.servers_topic
+        return self.fresh_for(topic, now, limit_s) > 0
 
-    def fresh_for(self, now: float, limit_s: float) -> float:
-        """Returns how long the list stays younger than a limit, seconds."""
-        if self.servers_current_at is None:
+    def fresh_for(self, topic: str, now: float, limit_s: float) -> float:
+        """Returns how long a topic stays younger than a limit, seconds.
+
+        Own reads keep the list of servers fresh. Any other topic is fresh while
+        another entry VM tells what it knows.
+        """
+        if topic != self._codec.servers_topic:
+            current_at = self.peer_current_at
+        elif self.servers_current_at is not None:
+            current_at = self.servers_current_at
+        else:
             return 0.0
-        return max(0.0, self.servers_current_at + limit_s - now)
+        return max(0.0, current_at + limit_s - now)
 
     def list_age_ms(self, now: float) -> int | None:
         """Returns the age of the list of servers, milliseconds, if known."""
--- a/packages/daemon/foxtaildaled/store_sync.py
+++ b/packages/daemon/foxtaildaled/store_sync.py
@@ -276,7 +276,7 @@
         def read_state(
             state: router_state.RouterState, now: float
         ) -> tuple[float, bool, dict[str, forwarding.EntryVm], bool]:
-            fresh_s = state.fresh_for(now, self._max_age_s)
+            fresh_s = state.fresh_for(topic, now, self._max_age_s)
             is_behind = state.is_behind(topic)
             return fresh_s, is_behind, state.entry_vms, state.matcher is None
 
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -589,3 +589,34 @@
     world.sync.sync_once()
     world.sync.sync_once()
     assert net.asked == [f'{name}:1']
+
+
+def test_own_reads_of_the_list_do_not_vouch_for_the_configuration(
+    world: _World,
+) -> None:
+    """Guards against a new version that nobody reads while the list is."""
+    reader = _other_reader(world)
+    config = store_sync.FallbackReader(
+        topic=store_sync.TopicReader(
+            _CODEC.config_topic,
+            world.owner,
+            world.store,
+            metrics.Metrics(),
+            0.0,
+        ),
+        owner=world.owner,
+        peers=world.net,
+        readers=world.readers,
+        entry_vm='me',
+        interval_s=0.0,
+        max_age_s=_LIMIT_S,
+        rng=random.Random(1),
+    )
+    world.lazy.read_if_stale()
+    assert world.store.reads == 1
+    config.read_if_stale()
+    assert world.store.reads == 2
+    world.net.age_s[f'{reader}:1'] = 0.1
+    world.sync.sync_once()
+    assert config.read_if_stale() > 0
+    assert world.store.reads == 2
