Logs: when an entry VM reaches no backend server, and since when

'servers unreachable' is logged when connections to two servers have failed since the last one that was opened, 'servers reached' at the next one that is.

New connections to backend servers are opened by a connector that the composition root passes in; a test can play a partition of one VM with it. Nothing is decided by it yet: requests are sent as before.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -21,6 +21,7 @@
 import urllib3.util
 
 from foxtaildale import errors
+from foxtaildale_adapters import connectors
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
 from foxtaildale_adapters import idle_connections
@@ -29,16 +30,9 @@
 # a lost SYN after one second, by when another server could have replied. No
 # request was sent at that point, so trying another server is always safe.
 CONNECT_TIMEOUT_S: Final = 0.2
-# TCP closes the connection if sent bytes stay unacknowledged for this long,
-# milliseconds. A machine behind a network partition sends no reset.
-TCP_USER_TIMEOUT_MS: Final = 4000
 _READ_BYTES: Final = 65536
 # Value with which the library reports version HTTP/1.1 of a response.
 _HTTP_1_1: Final = 11
-_SOCKET_OPTIONS: Final[list[tuple[int, int, int | bytes]]] = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-]
 # Errors of the library, of the protocol parser, and of a socket that another
 # thread closed.
 _CONNECTION_ERRORS: Final = (
@@ -71,6 +65,7 @@
         '_cancelled',
         '_complete',
         '_conn',
+        '_connector',
         '_headers',
         '_idle',
         '_lock',
@@ -87,6 +82,7 @@
         headers: Mapping[str, str],
         body: bytes,
         *,
+        connector: connectors.Connector,
         idle_conns: idle_connections.IdleConnections | None = None,
     ) -> None:
         """Prepares a request; sends nothing yet.
@@ -97,14 +93,16 @@
             target: Path and query as they are sent.
             headers: Headers as they are sent.
             body: Bytes to send.
+            connector: Opens a new connection.
             idle_conns: Pool from which an idle connection is taken, if there is
                 one, and to which it is returned. None for a request that must
                 not be sent twice.
         """
         self._address = address
+        self._connector = connector
         self._idle = idle_conns
         idle_conn = idle_conns.pop(address) if idle_conns is not None else None
-        self._conn = idle_conn or _connection(address)
+        self._conn = idle_conn or _ServerConnection(address, connector)
         self._method = method
         self._target = target
         self._headers = dict(headers)
@@ -241,7 +239,8 @@
             if self._cancelled or self._conn.sock is None:
                 return False
             # A late cancellation must not affect the next request.
-            conn, self._conn = self._conn, _connection(self._address)
+            conn = self._conn
+            self._conn = _ServerConnection(self._address, self._connector)
             resp, self._resp = self._resp, None
         self._idle.add(self._address, conn, _keep_alive_s(resp))
         return True
@@ -252,14 +251,20 @@
             sock.settimeout(max(0.001, timeout_s))
 
 
-def _connection(address: str) -> urllib3.connection.HTTPConnection:
-    host, _, port = address.rpartition(':')
-    return urllib3.connection.HTTPConnection(
-        host,
-        int(port),
-        timeout=CONNECT_TIMEOUT_S,
-        socket_options=_SOCKET_OPTIONS,
-    )
+class _ServerConnection(urllib3.connection.HTTPConnection):
+    """A connection whose socket a `connectors.Connector` opens."""
+
+    def __init__(self, address: str, connector: connectors.Connector) -> None:
+        host, _, port = address.rpartition(':')
+        super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        self._address = address
+        self._connector = connector
+
+    def _new_conn(self) -> socket.socket:
+        timeout_s = self.timeout
+        if not isinstance(timeout_s, float):
+            timeout_s = CONNECT_TIMEOUT_S
+        return self._connector.connect(self._address, timeout_s)
 
 
 def _is_reusable(resp: urllib3.BaseHTTPResponse) -> bool:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -245,6 +245,17 @@
             '{reader} has no recent records (replied: {answered})',
             ('reader', 'answered'),
         ),
+        (
+            'servers unreachable',
+            'this VM reaches no backend server: connections to {addresses}'
+            ' failed: {error}',
+            ('addresses', 'error'),
+        ),
+        (
+            'servers reached',
+            'this VM reaches backend servers again after {after_ms} ms',
+            ('after_ms',),
+        ),
         (
             'store read directly',
             '{topic} is read from the store, not from {reader}: the list of'
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -24,6 +24,7 @@
 from foxtaildale import ports
 from foxtaildale_adapters import admin
 from foxtaildale_adapters import caller_server
+from foxtaildale_adapters import connectors
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import metrics
 from foxtaildale_adapters import peers
@@ -47,6 +48,7 @@
 from foxtaildaled import router_state
 from foxtaildaled import self_reports
 from foxtaildaled import sendlimits
+from foxtaildaled import server_paths
 from foxtaildaled import tracked_flights
 from foxtaildaled import vm_eligibility
 
@@ -97,7 +99,7 @@
 class Adapters:
     """Implementations of the ports that the platform provides to the router."""
 
-    __slots__ = ('codec', 'decode', 'make_store', 'workers')
+    __slots__ = ('codec', 'connector', 'decode', 'make_store', 'make_workers')
 
     def __init__(
         self,
@@ -105,13 +107,17 @@
         codec: ports.RecordCodec,
         make_store: Callable[[str], ports.KeyedTopics],
         decode: router.Decode,
-        workers: ports.ServerClient,
+        make_workers: Callable[[connectors.Connector], ports.ServerClient],
+        connector: connectors.Connector,
     ) -> None:
         self.codec = codec
         # Creates a client of the store at an address.
         self.make_store = make_store
         self.decode = decode
-        self.workers = workers
+        # Creates the client of the backend servers, which opens connections by
+        # a connector, and the one that connects to the servers themselves.
+        self.make_workers = make_workers
+        self.connector = connector
 
 
 class _Readiness:
@@ -157,6 +163,7 @@
         '_state',
         '_stopping',
         '_stores',
+        '_workers',
         'addresses',
         'cfg',
     )
@@ -218,17 +225,13 @@
         self._self_reports = self_reports.SelfReportHandler(
             owner, self._send_limits
         )
-        adapters = Adapters(
-            codec=adapters.codec,
-            make_store=adapters.make_store,
-            decode=adapters.decode,
-            workers=tracked_flights.TrackingWorkers(
-                adapters.workers,
-                self._open_flights,
-                self._self_reports,
-            ),
+        server_connections = server_paths.ServerPaths(adapters.connector, clock)
+        self._workers = tracked_flights.TrackingWorkers(
+            adapters.make_workers(server_connections),
+            self._open_flights,
+            self._self_reports,
         )
-        self._cleanup = engine_cleanup.EngineCleanup(adapters.workers)
+        self._cleanup = engine_cleanup.EngineCleanup(self._workers)
         self._placement_plan = placement_client.PlacementClient(
             entry_vm=cfg.entry_vm,
             owner=owner,
@@ -275,7 +278,7 @@
             decode=adapters.decode,
             forwarder=plain_forwarder.PlainForwarder(
                 owner=owner,
-                workers=adapters.workers,
+                workers=self._workers,
                 budgets=budgets,
                 send_limits=self._send_limits,
                 crash_probe=crash_probe,
@@ -466,7 +469,7 @@
     ) -> generation.Generation:
         placements = placement_finder.PlacementFinder(
             owner=self._owner,
-            workers=adapters.workers,
+            workers=self._workers,
             client=self._placement_plan,
             send_limits=self._send_limits,
             entry_vm=self.cfg.entry_vm,
@@ -474,12 +477,12 @@
         )
         return generation.Generation(
             owner=self._owner,
-            workers=adapters.workers,
+            workers=self._workers,
             budgets=budgets,
             placements=placements,
             prefill_client=prefill_clients.PrefillClient(
                 owner=self._owner,
-                workers=adapters.workers,
+                workers=self._workers,
                 budgets=budgets,
                 send_limits=self._send_limits,
                 crash_probe=crash_probe,
@@ -522,7 +525,7 @@
                 self.cfg,
                 codec=adapters.codec,
                 store=lambda: self._make_store(adapters),
-                workers=adapters.workers,
+                workers=self._workers,
                 owner=self._owner,
                 peers=self._peers,
                 client=self._placement_plan,
--- a/packages/daemon/foxtaildaled/start.py
+++ b/packages/daemon/foxtaildaled/start.py
@@ -12,6 +12,7 @@
 
 from foxtaildale import errors
 from foxtaildale import options
+from foxtaildale_adapters import connectors
 from foxtaildale_adapters import logs
 from foxtaildale_platform import caller_requests
 from foxtaildale_platform import records
@@ -51,7 +52,8 @@
         codec=records.Codec(),
         make_store=store.Store,
         decode=caller_requests.decode_request,
-        workers=server_client.ServerClient(),
+        make_workers=server_client.ServerClient,
+        connector=connectors.DirectConnector(),
     )
     daemon = router_daemon.RouterDaemon(cfg, adapters, metrics_port)
     daemon.start()
--- a/tests/site.py
+++ b/tests/site.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from foxtaildale import options
+from foxtaildale_adapters import connectors
 from foxtaildale_platform import caller_requests
 from foxtaildale_platform import records
 from foxtaildale_platform import server_client
@@ -106,6 +107,7 @@
         seeds: tuple[str, ...] = (),
         retry_burst: float = 20.0,
         first_start: bool = True,
+        connector: connectors.Connector | None = None,
     ) -> router_daemon.RouterDaemon:
         """Starts a router."""
         self._number += 1
@@ -128,7 +130,8 @@
             codec=records.Codec(),
             make_store=store.Store,
             decode=caller_requests.decode_request,
-            workers=server_client.ServerClient(),
+            make_workers=server_client.ServerClient,
+            connector=connector or connectors.DirectConnector(),
         )
         router = router_daemon.RouterDaemon(cfg, made, 0)
         router.start()
@@ -143,7 +146,8 @@
             codec=records.Codec(),
             make_store=store.Store,
             decode=caller_requests.decode_request,
-            workers=server_client.ServerClient(),
+            make_workers=server_client.ServerClient,
+            connector=connectors.DirectConnector(),
         )
         self.routers[number] = router_daemon.RouterDaemon(ended.cfg, made, 0)
         self.routers[number].start()
--- a/tests/test_backend_request.py
+++ b/tests/test_backend_request.py
@@ -11,6 +11,7 @@
 
 from foxtaildale import errors
 from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connectors
 
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 Act = Callable[[socket.socket], None]
@@ -39,7 +40,14 @@
 
 
 def _request(address: str, body: bytes = b'') -> backend_request.Request:
-    return backend_request.Request(address, 'POST', '/x', {'host': 'h'}, body)
+    return backend_request.Request(
+        address,
+        'POST',
+        '/x',
+        {'host': 'h'},
+        body,
+        connector=connectors.DirectConnector(),
+    )
 
 
 def _say(data: bytes) -> Act:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -9,6 +9,7 @@
 import pytest
 
 from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connectors
 from foxtaildale_adapters import idle_connections
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n'
@@ -67,7 +68,13 @@
 
 def _ask(address: str, kept: idle_connections.IdleConnections | None) -> bytes:
     req = backend_request.Request(
-        address, 'GET', '/x', {'host': 'h'}, b'', idle_conns=kept
+        address,
+        'GET',
+        '/x',
+        {'host': 'h'},
+        b'',
+        connector=connectors.DirectConnector(),
+        idle_conns=kept,
     )
     req.send(1.0)
     req.read_head(1.0)
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -31,6 +31,7 @@
     'self_reports',
     'sendlimits',
     'server_announcements',
+    'server_paths',
     'stage_orders',
     'store_sync',
 )
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -15,6 +15,7 @@
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import routes
+from foxtaildale_adapters import connectors
 from foxtaildale_platform import caller_requests
 from foxtaildale_platform import names
 from foxtaildale_platform import records
@@ -143,7 +144,7 @@
         lambda value: records.decode_member('k', value),
         lambda value: store._decode_log(value, 0),
         store._decode_page,
-        server_client.ServerClient().decode_handle,
+        server_client.ServerClient(connectors.DirectConnector()).decode_handle,
     ):
         try:
             decode(data)
