--- /dev/null
+++ b/tests/test_unreachable_servers.py
@@ -0,0 +1,149 @@
+"""Entry VMs that are partitioned from all backend servers, and others not."""
+
+import collections
+from collections.abc import Iterator
+from concurrent import futures
+import time
+
+import pytest
+
+from tests import site as sites
+from tests.standins import partition
+
+_VMS = 3
+# Time after which a partitioned VM has to serve as well as others, seconds.
+_SETTLED_S = 2.0
+# Time of a response that needs no failed connection, seconds.
+_PROMPT_S = 0.5
+_PATHS = ('/safe/x', '/once/x', '/chat/x', '/single/x')
+
+
+class _Site(sites.Site):
+    """Routers whose connections to servers can be cut."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.partitions: list[partition.Partition] = []
+        self._sent = 0
+
+    def fill(self) -> None:
+        self.store.put('keyed.op', 'config', sites.config(1))
+        for name in ('s1', 's2', 's3'):
+            self.worker(name, 'plain')
+        for name in ('p1', 'p2'):
+            self.worker(name, 'model', 'prefill')
+        for name in ('d1', 'd2'):
+            self.worker(name, 'model', 'decode')
+        for _ in range(_VMS):
+            self.partitions.append(partition.Partition())
+            self.router(
+                seeds=tuple(self.peers[:1]), connector=self.partitions[-1]
+            )
+        names = {f'vm-{number + 1}' for number in range(_VMS)}
+        for number, router in enumerate(self.routers):
+            sites.until(lambda n=number: sites.ready(self, n))  # type: ignore[misc]
+            sites.until(lambda r=router: names <= r.entry_vms())  # type: ignore[misc]
+
+    def ask(self, number: int, path: str) -> tuple[int, float]:
+        """Sends a request; returns its status and how long it took."""
+        self._sent += 1
+        began_at = time.monotonic()
+        status, _, _ = sites.send(
+            self, 'POST', path, number=number, attempt=f'a{self._sent}'
+        )
+        return status, time.monotonic() - began_at
+
+    def ask_all(
+        self, numbers: tuple[int, ...], count: int
+    ) -> list[tuple[int, float]]:
+        """Sends requests of all kinds at some routers, four at a time."""
+        jobs = [
+            (number, path)
+            for _ in range(count)
+            for number in numbers
+            for path in _PATHS
+        ]
+        with futures.ThreadPoolExecutor(4) as pool:
+            return list(pool.map(lambda job: self.ask(*job), jobs))
+
+    def runs(self) -> collections.Counter[str]:
+        """Returns how often each request ran, prefills aside."""
+        return collections.Counter(
+            attempt
+            for worker in self.workers.values()
+            if worker.stage != 'prefill'
+            for attempt in worker.ids()
+        )
+
+    def close(self) -> None:
+        super().close()
+        for each in self.partitions:
+            each.close()
+
+
+@pytest.fixture
+def site() -> Iterator[_Site]:
+    made = _Site()
+    made.fill()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize(
+    ('new', 'existing'),
+    [
+        ('hang', 'hang'),
+        ('hang', 'reset'),
+        ('refuse', 'reset'),
+        ('refuse', 'live'),
+    ],
+)
+def test_a_partitioned_vm_serves_by_way_of_others(
+    site: _Site, new: str, existing: str
+) -> None:
+    """Guards against VMs that refuse what others could have served."""
+    assert {status for status, _ in site.ask_all((0, 1, 2), 2)} == {200}
+    for each in site.partitions[:2]:
+        each.begin(new, existing)
+    settled_at = time.monotonic() + _SETTLED_S
+    while time.monotonic() < settled_at:
+        site.ask_all((0, 1), 1)
+    found = site.ask_all((0, 1), 5)
+    assert collections.Counter(status for status, _ in found) == {
+        200: len(found)
+    }
+    times = sorted(took_s for _, took_s in found)
+    assert times[len(times) * 9 // 10] < _PROMPT_S, times
+    assert max(site.runs().values()) == 1
+    for each in site.partitions[:2]:
+        each.end()
+    before = [each.opened for each in site.partitions[:2]]
+
+    def is_direct() -> bool:
+        site.ask_all((0, 1), 1)
+        return all(
+            each.opened >= opened + len(_PATHS)
+            for each, opened in zip(site.partitions, before, strict=False)
+        )
+
+    sites.until(is_direct)
+    found = site.ask_all((0, 1), 2)
+    assert {status for status, _ in found} == {200}
+
+
+def test_vms_that_are_all_partitioned_refuse_at_once(site: _Site) -> None:
+    """Guards against callers that wait for servers that no VM reaches."""
+    for each in site.partitions:
+        each.begin('hang', 'hang')
+    settled_at = time.monotonic() + _SETTLED_S
+    while time.monotonic() < settled_at:
+        site.ask_all((0, 1, 2), 1)
+    found = site.ask_all((0, 1, 2), 2)
+    assert {status for status, _ in found} == {503}
+    times = sorted(took_s for _, took_s in found)
+    assert times[len(times) // 2] < _PROMPT_S, times
+    for each in site.partitions:
+        each.end()
+    sites.until(
+        lambda: {status for status, _ in site.ask_all((0, 1, 2), 1)} == {200}
+    )
