Entry VMs that reach no backend server connect through others that do

Callers saw: for as long as some entry VMs were partitioned from all servers, 503 for everything at these VMs (0 of 42 first attempts served, others 109 of 111), each after 0.6 s, although the other VMs reached the servers.

Cause: a VM only had its own paths. What it found out about them was forgotten with each request: three connections of 0.2 s, then refused.

Ruled out: readiness alone (the balancer uses all VMs of a data centre that has less than half in rotation), and a loss of the others by wrong reports.

Change: connections to servers are opened by server_paths. A server that is not reached is tried through another VM; if that one reaches it, the connection is used and the server probed until it is reached directly, and if two servers failed since one was reached, all go that way at once. The other VM passes bytes on and decides nothing (connection_relay), so all that the request keeps to stays where it was taken. A VM that does not reach the server is believed only if it reaches another one at that moment. Where no VM reaches the servers, requests are refused at once. Such failures count against no server.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -131,6 +131,9 @@
         try:
             if self._conn.sock is None:
                 self._conn.connect()
+        except connectors.NoPathError as exc:
+            self.cancel()
+            raise errors.NoPathError(str(exc)) from exc
         except _CONNECTION_ERRORS as exc:
             self.cancel()
             raise errors.UnreachableError(str(exc)) from exc
@@ -156,6 +159,12 @@
             self.cancel()
             raise errors.ConnectionBrokenError(str(exc)) from exc
 
+    @property
+    def via(self) -> str:
+        """Name of the entry VM that relays the connection, or ''."""
+        conn = self._conn
+        return conn.via if isinstance(conn, _ServerConnection) else ''
+
     def await_response(self, timeout_s: float) -> bool:
         """Waits until bytes arrive or the connection ends.
 
@@ -259,12 +268,16 @@
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self._address = address
         self._connector = connector
+        # Name of the entry VM that relays the connection, if one does.
+        self.via = ''
 
     def _new_conn(self) -> socket.socket:
         timeout_s = self.timeout
         if not isinstance(timeout_s, float):
             timeout_s = CONNECT_TIMEOUT_S
-        return self._connector.connect(self._address, timeout_s)
+        opened = self._connector.connect(self._address, timeout_s)
+        self.via = opened.via
+        return opened.sock
 
 
 def _is_reusable(resp: urllib3.BaseHTTPResponse) -> bool:
--- a/packages/adapters/foxtaildale_adapters/connectors.py
+++ b/packages/adapters/foxtaildale_adapters/connectors.py
@@ -4,21 +4,30 @@
 from typing import Final
 from typing import Protocol
 
-import urllib3.util.connection
-
 # TCP closes the connection if sent bytes stay unacknowledged for this long,
 # milliseconds. A machine behind a network partition sends no reset.
 TCP_USER_TIMEOUT_MS: Final = 4000
-_SOCKET_OPTIONS: Final[list[tuple[int, int, int | bytes]]] = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-]
+
+
+class NoPathError(OSError):
+    """No entry VM reaches the server, or this one reaches no other."""
+
+
+class Opened:
+    """An open connection to a backend server."""
+
+    __slots__ = ('sock', 'via')
+
+    def __init__(self, sock: socket.socket, via: str = '') -> None:
+        self.sock = sock
+        # Name of the entry VM that relays it; empty if none does.
+        self.via = via
 
 
 class Connector(Protocol):
     """Opens connections to backend servers; safe for concurrent use."""
 
-    def connect(self, address: str, timeout_s: float) -> socket.socket:
+    def connect(self, address: str, timeout_s: float) -> Opened:
         """Opens a connection.
 
         Args:
@@ -26,7 +35,9 @@
             timeout_s: Time limit, seconds.
 
         Raises:
-            OSError: No connection was opened, and nothing was sent.
+            NoPathError: This VM does not reach the servers, and found no other
+                one that does. Nothing was sent.
+            OSError: The server can't be connected to. Nothing was sent.
         """
 
 
@@ -35,9 +46,26 @@
 
     __slots__ = ()
 
-    def connect(self, address: str, timeout_s: float) -> socket.socket:
+    def connect(self, address: str, timeout_s: float) -> Opened:
         """Opens a connection; see `Connector`."""
-        host, _, port = address.rpartition(':')
-        return urllib3.util.connection.create_connection(
-            (host, int(port)), timeout_s, socket_options=_SOCKET_OPTIONS
-        )
+        return Opened(open_socket(address, timeout_s))
+
+
+def open_socket(address: str, timeout_s: float) -> socket.socket:
+    """Opens a connection to 'IP:PORT' with the usual options.
+
+    Raises:
+        OSError: The connection was not opened in time.
+    """
+    host, _, port = address.rpartition(':')
+    sock = socket.create_connection((host, int(port)), timeout_s)
+    set_options(sock)
+    return sock
+
+
+def set_options(sock: socket.socket) -> None:
+    """Sets the options of connections to servers."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
--- a/packages/core/foxtaildale/errors.py
+++ b/packages/core/foxtaildale/errors.py
@@ -38,6 +38,10 @@
     """Nothing was sent, so the other side can't have acted on it."""
 
 
+class NoPathError(UnreachableError):
+    """Nothing was sent, as this VM does not reach the backend servers."""
+
+
 class NoReplyError(PortError):
     """Something was sent and no reply came, so the effect is unknown."""
 
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -231,6 +231,10 @@
         """Returns the state of one backend server; None if it is not known."""
         return self._states.get(server)
 
+    def addresses(self) -> list[str]:
+        """Returns the addresses of all backend servers."""
+        return [state.backend.address for state in self._states.values()]
+
     def server_states(self) -> list[ServerState]:
         """Returns the states of all backend servers."""
         return list(self._states.values())
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -45,6 +45,9 @@
     data_centre: str = ''
     # Processor capacity that it may use, cores.
     cores: float = 1.0
+    # Address at which it relays connections to backend servers; empty if it
+    # does not.
+    relay_address: str = ''
 
 
 class QuarantinedRequest(msgspec.Struct, frozen=True):
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -74,6 +74,10 @@
         'it was sent to {server} (attempt {attempt})',
         ('server', 'attempt', 'fingerprint', 'list_age_ms'),
     ),
+    'relayed': Event(
+        '{via} relays it to {server}, which this VM does not reach',
+        ('server', 'via'),
+    ),
     'server probed': Event(
         'its connection to {server} broke after {ran_ms} ms; a probe of the'
         ' server returned: {reach}',
@@ -245,6 +249,27 @@
             '{reader} has no recent records (replied: {answered})',
             ('reader', 'answered'),
         ),
+        (
+            'server reached by relay',
+            '{address} is reached through {via}, not directly: {error}',
+            ('address', 'via', 'error'),
+        ),
+        (
+            'relay failed',
+            '{via} opened no connection to {address} ({result}): {error}',
+            ('address', 'via', 'result', 'error'),
+        ),
+        (
+            'relayed connection broken',
+            'a connection to {address} that was relayed for another VM broke:'
+            ' {error}',
+            ('address', 'error'),
+        ),
+        (
+            'relay accept failed',
+            'a connection of another VM was not accepted: {error}',
+            ('error',),
+        ),
         (
             'servers unreachable',
             'this VM reaches no backend server: connections to {addresses}'
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -5,6 +5,7 @@
 """
 
 from typing import Final
+from typing import Literal
 
 import msgspec
 
@@ -389,6 +390,27 @@
     left_out: dict[str, int] = {}
 
 
+# Outcome of a request for a relayed connection. 'refused' and 'silent' tell of
+# the server; 'isolated' means that the relay can't tell, since it reached no
+# server lately.
+RelayResult = Literal[
+    'open', 'refused', 'silent', 'isolated', 'unknown', 'closing', 'busy'
+]
+
+
+class RelayRequest(Wire, frozen=True):
+    """Requests a connection to a backend server through another entry VM."""
+
+    # 'IP:PORT' of the backend server.
+    address: str
+
+
+class RelayReply(Wire, frozen=True):
+    """Reply to `RelayRequest`."""
+
+    result: RelayResult
+
+
 class PlacementRequest(Wire, frozen=True, tag='AskPlace'):
     """Request of an entry VM for a placement on the engines of a service.
 
@@ -683,6 +705,8 @@
     | EligibilityReply
     | InventoryRequest
     | PlacementRenewal
+    | RelayRequest
+    | RelayReply
 )
 
 # Longest message between processes, bytes; a longer one is not decoded.
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -83,6 +83,8 @@
     ready_address: str
     # Address for the other entry VMs.
     peer_address: str
+    # Address at which connections to backend servers are relayed for them.
+    relay_address: str = '127.0.0.1:0'
     # CPU time that this process may use, cores.
     cores: float = 1.0
     # Rate of the VM's network link, bytes per second.
--- a/packages/core/foxtaildale/ports.py
+++ b/packages/core/foxtaildale/ports.py
@@ -154,10 +154,16 @@
 class ServerExchange(Protocol):
     """One exchange of a request and its response with a backend server."""
 
+    @property
+    def via(self) -> str:
+        """Name of the entry VM that relays it, or ''; known after `send`."""
+
     def send(self, timeout_s: float) -> None:
         """Connects and sends the request.
 
         Raises:
+            errors.NoPathError: Nothing was sent, as this VM does not reach the
+                servers; the server is not to blame.
             errors.UnreachableError: Nothing was sent.
             errors.NoReplyError: A part may have been sent.
         """
@@ -184,6 +190,9 @@
 class ServerClient(Protocol):
     """Backend servers, which get requests in the form the caller sent."""
 
+    def close_idle(self) -> None:
+        """Closes the connections that are kept for reuse."""
+
     def forward(
         self,
         call: forwarding.CallerRequest,
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -209,6 +209,7 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            req.log_relayed(server.id, flight.via)
             head = flight.read_head(self._max_silence_s(req, sent_ids))
             head_at = self._clock()
             if head.ran == 'no':
@@ -349,7 +350,7 @@
             response.may_have_run = True
         if req.caller_disconnected.is_set():
             raise attempt_state.RequestRefused(codes.CANCELLED) from exc
-        if not req.is_abandoned():
+        if not isinstance(exc, errors.NoPathError) and not req.is_abandoned():
             self._placements.record_failure(req, server)
         if isinstance(exc, errors.UnreachableError):
             # Nothing was sent, so this does not count as an attempt.
--- a/packages/daemon/foxtaildaled/loops.py
+++ b/packages/daemon/foxtaildaled/loops.py
@@ -29,6 +29,7 @@
 def make_loops(
     cfg: options.RouterOptions,
     *,
+    relay_address: str,
     codec: ports.RecordCodec,
     store: Callable[[], ports.KeyedTopics],
     workers: ports.ServerClient,
@@ -46,6 +47,8 @@
 
     Args:
         cfg: Settings of the router.
+        relay_address: Address at which connections are relayed to backend
+            servers for other entry VMs.
         codec: Encodes and decodes the records of the store.
         store: Makes a client of the store.
         workers: The backend servers.
@@ -118,7 +121,9 @@
 
     members = store_sync.MemberListing(
         name=cfg.entry_vm,
-        member=forwarding.EntryVm(cfg.peer_address, cfg.data_centre, cfg.cores),
+        member=forwarding.EntryVm(
+            cfg.peer_address, cfg.data_centre, cfg.cores, relay_address
+        ),
         codec=codec,
         owner=owner,
         store=store(),
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -285,9 +285,11 @@
         )
         began_at = self._clock()
         head: forwarding.ResponseHead | None = None
+        is_to_blame = True
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            req.log_relayed(server.id, flight.via)
             self._await_response(req, history, flight)
             head = flight.read_head(req.time_left_s())
             if not head.matches:
@@ -299,11 +301,18 @@
                 req, server, exc, began_at=began_at
             )
             head = None
+            is_to_blame = not isinstance(exc, errors.NoPathError)
             return exc
         finally:
             req.set_flight(None)
             flight.close()
-            self._record_outcome(req, server, head, self._clock() - began_at)
+            self._record_outcome(
+                req,
+                server,
+                head,
+                self._clock() - began_at,
+                is_to_blame=is_to_blame,
+            )
 
     def _await_response(
         self,
@@ -352,6 +361,8 @@
         server: forwarding.Backend,
         head: forwarding.ResponseHead | None,
         duration_s: float,
+        *,
+        is_to_blame: bool,
     ) -> None:
         """Records the outcome of a send.
 
@@ -360,12 +371,14 @@
             server: The server that it was sent to.
             head: Head of the response; None if there was no complete one.
             duration_s: Time of the send, seconds.
+            is_to_blame: Whether the lack of a response counts as a failure of
+                the server.
         """
 
         def update(state: router_state.RouterState, now: float) -> None:
             state.fleet.record_finished(server.id)
             if head is None:
-                if not req.is_abandoned():
+                if is_to_blame and not req.is_abandoned():
                     state.record_plain_failure(server.id, now)
             elif head.ran == 'no':
                 return
--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -189,6 +189,7 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            req.log_relayed(server.id, flight.via)
             head = flight.read_head(left_s)
             body = read_body(flight, left_s)
             if head.ran == 'no':
@@ -205,7 +206,10 @@
                 self._crash_probe.handle_send_error(
                     req, server, exc, began_at=began_at
                 )
-            if not req.is_abandoned():
+            if (
+                not isinstance(exc, errors.NoPathError)
+                and not req.is_abandoned()
+            ):
                 self._on_failed(req, server)
             return None
         finally:
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -215,6 +215,16 @@
             **fields,
         )
 
+    def log_relayed(self, server: str, via: str) -> None:
+        """Logs that another entry VM relays the request to a server.
+
+        Args:
+            server: Id of the server.
+            via: Name of the entry VM; empty if the connection is direct.
+        """
+        if via:
+            self.log('relayed', server=server, via=via)
+
     def _on_disconnected(self) -> None:
         with self._lock:
             self.caller_disconnected.set()
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -24,11 +24,11 @@
 from foxtaildale import ports
 from foxtaildale_adapters import admin
 from foxtaildale_adapters import caller_server
+from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import metrics
 from foxtaildale_adapters import peers
-from foxtaildale_adapters import probe
 from foxtaildale_adapters import zmq_responder
 from foxtaildaled import account_limits
 from foxtaildaled import actors
@@ -156,10 +156,12 @@
         '_placement_plan',
         '_quarantining',
         '_readiness',
+        '_relay',
         '_responder',
         '_self_reports',
         '_send_limits',
         '_server',
+        '_server_paths',
         '_state',
         '_stopping',
         '_stores',
@@ -225,12 +227,24 @@
         self._self_reports = self_reports.SelfReportHandler(
             owner, self._send_limits
         )
-        server_connections = server_paths.ServerPaths(adapters.connector, clock)
+        self._server_paths = server_paths.ServerPaths(
+            direct=adapters.connector,
+            entry_vm=cfg.entry_vm,
+            data_centre=cfg.data_centre,
+            entry_vms=lambda: owner.run(lambda state, _: state.entry_vms),
+            servers=lambda: owner.run(lambda state, _: state.fleet.addresses()),
+            clock=clock,
+            rng=rng,
+        )
+        self._relay = connection_relay.Relay(
+            cfg.relay_address, adapters.connector, self._server_paths, clock
+        )
         self._workers = tracked_flights.TrackingWorkers(
-            adapters.make_workers(server_connections),
+            adapters.make_workers(self._server_paths),
             self._open_flights,
             self._self_reports,
         )
+        self._server_paths.on_changed = self._workers.close_idle
         self._cleanup = engine_cleanup.EngineCleanup(self._workers)
         self._placement_plan = placement_client.PlacementClient(
             entry_vm=cfg.entry_vm,
@@ -270,7 +284,7 @@
             first_start=cfg.first_start,
         )
         crash_probe = crash_detection.CrashDetector(
-            probe.Probe(), clock, self._quarantining.record_crash
+            self._server_paths, clock, self._quarantining.record_crash
         )
         handler = router.Router(
             entry_vm=cfg.entry_vm,
@@ -343,6 +357,7 @@
     def start(self) -> None:
         """Starts the loops, then the servers."""
         self._responder.start()
+        self._relay.start()
         self._cleanup.start()
         self._coordinators.start()
         for loop in self._loops:
@@ -371,6 +386,7 @@
         logs.event(logging.INFO, 'stopping', **self._load())
         time.sleep(LAME_DUCK_S)
         self._server.stop_accepting()
+        self._relay.stop_accepting()
         if not self._drain(self._ends_at):
             # Without their backend servers the requests end with an error that
             # still reaches their callers.
@@ -391,13 +407,19 @@
             # A later request on an idle connection would have less time left.
             self._server.close_idle()
             if self._server.drain(_STOP_POLL_S):
-                return True
+                if not self._relay.open_connections():
+                    return True
+                time.sleep(_STOP_POLL_S)
         return False
 
     def requests_in_progress(self) -> int:
         """Returns the number of requests in progress."""
         return self._server.busy()
 
+    def relayed_connections(self) -> int:
+        """Returns the number of connections relayed for other entry VMs."""
+        return self._relay.open_connections()
+
     def entry_vms(self) -> frozenset[str]:
         """Returns the names of the known entry VMs."""
         return self._owner.run(lambda state, _: frozenset(state.entry_vms))
@@ -425,6 +447,7 @@
         dropped += self._coordinators.close(_FLUSH_S)
         if dropped:
             logs.event(logging.WARNING, 'releases dropped', count=dropped)
+        self._relay.close()
         self._responder.close()
         self._peers.close()
         self._owner.stop()
@@ -517,12 +540,20 @@
             self._send_limits.exchange_tokens,
         )
         self._send_limits.on_limit_changed = send_limits_loop.wake
+        paths_loop = process.Loop(
+            'server paths',
+            self._server_paths.interval_s,
+            self._server_paths.probe_lost,
+        )
+        self._server_paths.on_probe_needed = paths_loop.wake
         return [
+            paths_loop,
             limits_loop,
             quarantine_loop,
             send_limits_loop,
             *loops.make_loops(
                 self.cfg,
+                relay_address=self._relay.address,
                 codec=adapters.codec,
                 store=lambda: self._make_store(adapters),
                 workers=self._workers,
--- a/packages/daemon/foxtaildaled/tracked_flights.py
+++ b/packages/daemon/foxtaildaled/tracked_flights.py
@@ -96,6 +96,10 @@
     def send(self, timeout_s: float) -> None:
         self._flight.send(timeout_s)
 
+    @property
+    def via(self) -> str:
+        return self._flight.via
+
     def await_response(self, timeout_s: float) -> bool:
         return self._flight.await_response(timeout_s)
 
@@ -147,6 +151,10 @@
 
         return _TrackedFlight(flight, server, self._open_flights, record_head)
 
+    def close_idle(self) -> None:
+        """Closes the connections that are kept for reuse."""
+        self._workers.close_idle()
+
     def forward(
         self,
         call: forwarding.CallerRequest,
--- a/tests/standins/partition.py
+++ b/tests/standins/partition.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from foxtaildale_adapters import connectors
 from tests.standins import relay
 
 
@@ -23,7 +24,7 @@
         self.opened = 0
         self.failed = 0
 
-    def connect(self, address: str, timeout_s: float) -> socket.socket:
+    def connect(self, address: str, timeout_s: float) -> connectors.Opened:
         """Opens a connection unless there is a partition."""
         with self._lock:
             new = self._new
@@ -38,7 +39,8 @@
         if new == 'refuse':
             raise ConnectionRefusedError('refused')
         host, _, port = near.rpartition(':')
-        return socket.create_connection((host, int(port)), timeout_s)
+        sock = socket.create_connection((host, int(port)), timeout_s)
+        return connectors.Opened(sock)
 
     def begin(self, new: str, existing: str) -> None:
         """Begins a partition.
--- a/tests/syncworld.py
+++ b/tests/syncworld.py
@@ -406,6 +406,7 @@
         )
         self._loops = loops.make_loops(
             cfg,
+            relay_address='',
             codec=CODEC,
             store=lambda: _Store(world, self),
             workers=cast(Any, None),
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -47,7 +47,10 @@
     paths = [_DAEMON / f'{module}.py' for module in _MODULES]
     adapter_names = ('records', 'store', 'server_client')
     adapter_paths = [_PLATFORM / f'{name}.py' for name in adapter_names]
-    server_paths = [_ADAPTERS / f'{name}.py' for name in ('httpd', 'peers')]
+    server_paths = [
+        _ADAPTERS / f'{name}.py'
+        for name in ('httpd', 'peers', 'connection_relay')
+    ]
     for path in (*paths, *adapter_paths, *server_paths):
         text = path.read_text()
         text = re.sub(r"== '[^']*'", '', text)
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 from concurrent import futures
+import socket
 import time
 
 import pytest
@@ -147,3 +148,66 @@
     sites.until(
         lambda: {status for status, _ in site.ask_all((0, 1, 2), 1)} == {200}
     )
+
+
+def _cut_off(site: _Site) -> None:
+    """Partitions the first two routers, and waits until they know."""
+    for each in site.partitions[:2]:
+        each.begin('refuse', 'reset')
+    for _ in range(3):
+        site.ask_all((0, 1), 1)
+
+
+def test_a_caller_that_leaves_a_relayed_stream_ends_it(site: _Site) -> None:
+    """Guards against a server that works on for a caller of another VM."""
+    _cut_off(site)
+    for name in ('d1', 'd2'):
+        site.workers[name].pace_s = 0.1
+        site.workers[name].events = 30
+    host, _, port = site.routers[0].addresses['caller'].rpartition(':')
+    with socket.create_connection((host, int(port)), 5.0) as sock:
+        sock.sendall(
+            b'POST /single/x HTTP/1.1\r\nHost: h.example\r\n'
+            b'Foxtaildale-Attempt-Id: left\r\n'
+            b'Foxtaildale-Deadline-Ms: 9000\r\n'
+            b'Foxtaildale-Token-Count: 500,640\r\n\r\n'
+        )
+        while b'id: 2' not in sock.recv(4096):
+            pass
+        # The connection of the prefill is kept for reuse.
+        relayed = site.routers[2].relayed_connections()
+    sites.until(
+        lambda: site.routers[2].relayed_connections() == relayed - 1, 0.5
+    )
+    assert not any('left' in worker.ended for worker in site.workers.values())
+
+
+def test_a_stop_of_the_relaying_vm_lets_streams_end(site: _Site) -> None:
+    """Guards against a planned stop that cuts what it relays for others."""
+    table = sites.config(2)
+    for route in table['routes']:
+        route['timeout_ms'] = 9000
+    site.store.put('keyed.op', 'config', table)
+    sites.until(
+        lambda: all(router.config_version() == 2 for router in site.routers)
+    )
+    _cut_off(site)
+    for name in ('d1', 'd2'):
+        site.workers[name].pace_s = 0.1
+        site.workers[name].events = 35
+    with futures.ThreadPoolExecutor(2) as pool:
+        answer = pool.submit(
+            sites.send,
+            site,
+            'POST',
+            '/single/x',
+            attempt='long',
+            headers={'Foxtaildale-Deadline-Ms': '9000'},
+        )
+        sites.until(lambda: site.routers[2].relayed_connections() > 0)
+        time.sleep(0.3)
+        stop = pool.submit(site.routers[2].stop)
+        status, _, body = answer.result()
+        assert status == 200
+        assert body == sites.events('long', 35)
+        stop.result()
