A partition that refuses connections is taken for no crash

What callers could see: a VM behind a partition that resets its connections and refuses new ones takes each break for a server that crashed under the request, and reports it to all VMs; after three such reports the request is quarantined everywhere, though it is sound.

Cause: a refused connection counted as proof of a crash, as if only the server could refuse it.

Change: a server that is not reached from here is probed through another VM as well. If that one reaches it, it is up; if none can tell and this VM has lost its paths, it is silent.

test_a_partition_is_taken_for_no_crash[reset] failed before: four breaks counted as refused. The tests of crashes and quarantine hold.

--- a/packages/daemon/foxtaildaled/server_paths.py
+++ b/packages/daemon/foxtaildaled/server_paths.py
@@ -126,8 +126,25 @@
         return self._connect_through_peer(address, error)
 
     def check(self, address: str) -> ports.ProbeResult:
-        """Returns whether a server is up; see `ports.Probe`."""
-        return probe.Probe(self._direct).check(address)
+        """Returns whether a server is up; see `ports.Probe`.
+
+        A server that is not reached from here is probed by another VM as well:
+        a partition may refuse connections in the place of the server.
+        """
+        result = probe.Probe(self._direct).check(address)
+        if result == 'open':
+            self._record_success(address)
+            return result
+        self._record_failure(address, OSError(f'{address} is {result}'))
+        try:
+            self._connect_through_peer(address, None).sock.close()
+        except connectors.NoPathError:
+            return 'silent' if self.is_lost() else result
+        except ConnectionRefusedError:
+            return 'refused'
+        except OSError:
+            return 'silent'
+        return 'open'
 
     def refusal(self, address: str) -> messages.RelayResult | None:
         """Returns why no connection is relayed; None if it is."""
@@ -231,7 +248,11 @@
                 )
                 if exc.result in ('refused', 'silent'):
                     self._record_down(name, address)
-                    raise error or ConnectionRefusedError(str(exc)) from exc
+                    is_refused = exc.result == 'refused'
+                    kind = (
+                        ConnectionRefusedError if is_refused else TimeoutError
+                    )
+                    raise error or kind(str(exc)) from exc
                 with self._lock:
                     self._relays.record(name, self._clock(), relayed=False)
                 continue
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -211,3 +211,35 @@
         assert status == 200
         assert body == sites.events('long', 35)
         stop.result()
+
+
+@pytest.mark.parametrize('existing', ['reset', 'hang'])
+def test_a_partition_is_taken_for_no_crash(site: _Site, existing: str) -> None:
+    """Guards against sound requests that are quarantined after a partition."""
+    for worker in site.workers.values():
+        worker.work_s = 0.4
+    with futures.ThreadPoolExecutor(8) as pool:
+        jobs = [
+            pool.submit(site.ask, number, path)
+            for number in (0, 1)
+            for path in ('/safe/x', '/once/x', '/once/y', '/chat/x')
+        ]
+        time.sleep(0.2)
+        for each in site.partitions[:2]:
+            each.begin('refuse', existing)
+        for job in jobs:
+            job.result()
+    for worker in site.workers.values():
+        worker.work_s = 0.0
+    for number in range(_VMS):
+        _, _, page = sites.send(
+            site, 'GET', '/metrics', use='admin', number=number
+        )
+        broken = [
+            line
+            for line in page.decode().splitlines()
+            if line.startswith('foxtaildale_broken_total{')
+        ]
+        assert not any('refused' in line for line in broken), broken
+    found = site.ask_all((0, 1, 2), 2)
+    assert {status for status, _ in found} == {200}
