A prefill that was not sent draws on no retry budget

What callers saw: streams at a VM that reaches no prefill worker were refused after the first connection that did not open ('no further attempt is allowed'), once the shared budget of repeats was used; so it was with prefill workers that had crashed and were still listed.

Cause: each failed prefill spent a repeat, also one of which nothing was sent. The bound is on what arrives at servers. Decode workers and plain servers were handled so already.

test_a_prefill_that_is_not_sent_draws_on_no_budget failed before (503 with two of three prefill workers down and no budget) and passes now.

--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -131,13 +131,15 @@
             attempt_state.check_quarantined(req.quarantine_left_s())
             tried.append(server.id)
             began_at = self._clock()
-            prefilled = self._prefill_at(req, server)
+            prefilled, was_sent = self._prefill_at(req, server)
             placement.prefill_s = self._clock() - began_at if prefilled else 0.0
             if prefilled is not None or req.caller_disconnected.is_set():
                 return prefilled
             # The next send, another prefill or a local prefill of the decode
             # worker, is a retry of this request.
-            if not self._retry_budgets.acquire(req.service.name, req.deadline):
+            if was_sent and not self._retry_budgets.acquire(
+                req.service.name, req.deadline
+            ):
                 raise attempt_state.RequestRefused(*response.unfinished_code())
         return None
 
@@ -181,7 +183,8 @@
 
     def _prefill_at(
         self, req: routed_request.RoutedRequest, server: forwarding.Backend
-    ) -> forwarding.Prefilled | None:
+    ) -> tuple[forwarding.Prefilled | None, bool]:
+        """Returns the prefilled prompt, if any, and whether it was sent."""
         left_s = min(req.time_left_s(), MAX_PREFILL_S)
         flight = self._workers.prefill(req.caller_request, server, left_s)
         self._owner.run(lambda state, _: state.fleet.record_sent(server.id))
@@ -196,7 +199,7 @@
                 if head.replaces(server.id):
                     self._on_replaced(req, server)
                 req.log('prefill refused', server=server.id, status=head.status)
-                return None
+                return None, True
             if not (head.ok and head.matches):
                 raise errors.NoReplyError(f'status {head.status}')
             handle = self._workers.decode_handle(body)
@@ -211,7 +214,7 @@
                 and not req.is_abandoned()
             ):
                 self._on_failed(req, server)
-            return None
+            return None, not isinstance(exc, errors.UnreachableError)
         finally:
             req.set_flight(None)
             flight.close()
@@ -230,7 +233,7 @@
         req.request_metrics.prefill_tokens.add(
             req.caller_request.prompt_tokens, name
         )
-        return forwarding.Prefilled(server, handle)
+        return forwarding.Prefilled(server, handle), True
 
 
 def read_body(flight: ports.ServerExchange, timeout_s: float) -> bytes:
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -431,6 +431,22 @@
         assert (status, body) == (200, sites.events(attempt, 5))
 
 
+def test_a_prefill_that_is_not_sent_draws_on_no_budget(site: Site) -> None:
+    """Guards against streams refused for prefill workers that are down."""
+    site.store.put('keyed.op', 'config', sites.config(1))
+    for name in ('p1', 'p2', 'p3'):
+        site.worker(name, 'model', 'prefill')
+    site.worker('d1', 'model', 'decode')
+    site.router(retry_burst=0.0)
+    sites.until(lambda: sites.ready(site))
+    sites.until(lambda: 'vm-1' in site.routers[0].entry_vms())
+    for name in ('p1', 'p2'):
+        site.workers[name].close()
+    for number in range(6):
+        status, _, _ = sites.send(site, 'POST', '/chat/x', attempt=f'a{number}')
+        assert status == 200
+
+
 def _site_of_idle_prefill_workers(site: Site) -> None:
     site.store.put('keyed.op', 'config', sites.config(1))
     for name in ('p1', 'p2', 'p3', 'p4', 'p5'):
