Stop: a stream that may outlast the process is refused late in the stop

Cause: a request that is read after the port was closed is taken if 2 s are left. That is enough for a plain request; a stream of a few thousand tokens needs longer. The plan's own check refuses only what will hardly finish (0.6 of the estimate), which suits a caller that leaves: here the response is cut.

Change: such a request is marked, and the plan refuses it if its response may take longer than what is left, by 2.5 times the estimate or the maximum output, whichever is less. Without a plan, nothing can be estimated and it is refused. The refusal says 'stopping' and names no delay, as another VM has the time. Requests from before the port's close are taken as before: the balancer sends them here, and a refusal costs each caller a retry.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -442,6 +442,8 @@
     # How long the caller still waits for the complete response; 0 if it is not
     # known.
     remaining_ms: int = 0
+    # Whether the response is cut after that time, since the holder stops.
+    must_finish: bool = False
 
 
 class PlacementGrant(Wire, frozen=True, tag='Place'):
--- a/packages/core/foxtaildale/placement_plan.py
+++ b/packages/core/foxtaildale/placement_plan.py
@@ -17,6 +17,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
 from typing import Final
 
 from foxtaildale import engine_speeds
@@ -154,10 +155,17 @@
             msg.hinted_tokens, msg.max_output_tokens
         )
         token_s = self._decode_speeds.median_s() or self._token_s
-        needs_s = (
-            self._prefills.unqueued_s(msg.prompt_tokens) + tokens * token_s
-        )
-        if not wait_limits.cannot_finish(needs_s, msg.remaining_ms / 1000):
+        prefill_s = self._prefills.unqueued_s(msg.prompt_tokens)
+        needs_s = prefill_s + tokens * token_s
+        left_s = msg.remaining_ms / 1000
+        if msg.must_finish:
+            longest_s = prefill_s + (
+                (msg.max_output_tokens or math.inf) * token_s
+            )
+            is_late = wait_limits.may_outlast(needs_s, longest_s, left_s)
+        else:
+            is_late = wait_limits.cannot_finish(needs_s, left_s)
+        if not is_late:
             return None
         return messages.DeadlineUnreachable(required_ms=int(needs_s * 1000))
 
--- a/packages/core/foxtaildale/wait_limits.py
+++ b/packages/core/foxtaildale/wait_limits.py
@@ -42,6 +42,10 @@
 # estimates are within a factor of 1.5 to either side, so one response in ten
 # needs less than this part.
 MIN_DURATION_FRACTION: Final = 0.6
+# A response may take this multiple of its estimated time. Two of three length
+# estimates are within a factor of 1.5 to either side, so few responses need
+# more.
+MAX_DURATION_FACTOR: Final = 2.5
 # Maximum lifetime of a reservation, seconds; a prefill that takes longer has
 # failed.
 MAX_RESERVATION_S: Final = 2.0
@@ -96,6 +100,19 @@
     return MIN_DURATION_FRACTION * estimated_s > left_s
 
 
+def may_outlast(estimated_s: float, longest_s: float, left_s: float) -> bool:
+    """Whether a response may last longer than the process that relays it.
+
+    Another VM has the time for it.
+
+    Args:
+        estimated_s: Estimated time of prefill and decode, seconds.
+        longest_s: The same for the maximum output, seconds.
+        left_s: Time until the process ends, seconds.
+    """
+    return min(longest_s, MAX_DURATION_FACTOR * estimated_s) > left_s
+
+
 def misses_target(
     age_s: float, target_s: float, mean_prefill_s: float = 0.0
 ) -> bool:
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -407,7 +407,7 @@
             retry_s = retry_delays.retry_after_end_s(
                 exc.retry_after_s, self._rng
             )
-        elif exc.code.ran == 'no':
+        elif exc.code.ran == 'no' and exc.code is not codes.STOPPING:
             wait_ms = exc.figures.get('wait_ms', 0)
             wait_s = max(FULL_SERVICE_S, float(wait_ms) / 1000)
             retry_s = retry_delays.retry_after_s(
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -221,7 +221,7 @@
                     continue
                 if isinstance(reply, messages.DeadlineUnreachable):
                     raise attempt_state.RequestRefused(
-                        codes.NO_TIME,
+                        codes.STOPPING if req.must_finish else codes.NO_TIME,
                         needs_ms=reply.required_ms,
                         left_ms=msg.remaining_ms,
                     )
@@ -310,6 +310,7 @@
             response_started=started,
             max_gap_ms=int(req.route.gap_s * 1000),
             remaining_ms=max(1, int(req.time_left_s() * 1000)),
+            must_finish=req.must_finish,
         )
 
     def _accept_placement(
@@ -361,7 +362,14 @@
     def _reserve(
         self, req: routed_request.RoutedRequest, sent: list[str]
     ) -> forwarding.Reserved:
-        """Waits for a reservation at a worker, without the coordinator."""
+        """Waits for a reservation at a worker, without the coordinator.
+
+        Raises:
+            attempt_state.RequestRefused: No worker is found in time, or the
+                response must be finished by a time and none can estimate that.
+        """
+        if req.must_finish:
+            raise attempt_state.RequestRefused(codes.STOPPING)
         tokens = wait_limits.reserved_tokens(req.caller_request)
         patience_s = wait_limits.patience_s(req.route)
         started_at = self._clock()
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -45,6 +45,7 @@
         'entry_vm',
         'exchange',
         'fingerprint',
+        'must_finish',
         'on_not_run',
         'request_metrics',
         'route',
@@ -91,6 +92,9 @@
         self._own_deadline = self.started_at + timeout_s
         # Returns the time at which this process ends at the latest.
         self._process_ends_at = process_ends_at
+        # Whether the response has to be complete before this process ends; a
+        # request that came before the stop may be cut by it.
+        self.must_finish = False
         # Stages of the servers that crashed while they ran this request.
         self.crashed_stages: set[forwarding.Stage] = set()
         # Set when the caller has disconnected.
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -119,7 +119,8 @@
             self._refuse(exchange, codes.NO_ROUTE, version=version)
             return
         req = self._make_passage(exchange, call, matcher, route)
-        if self._ends_too_soon():
+        req.must_finish = not self._is_accepting()
+        if req.must_finish and self._ends_too_soon():
             req.refuse(codes.STOPPING)
             return
         if self._is_admitted(req, matcher):
@@ -131,8 +132,7 @@
         It came on a connection that is still open after the port was closed;
         another VM has the time for it.
         """
-        left_s = self._ends_at() - self._clock()
-        return not self._is_accepting() and left_s < MIN_REQUEST_TIME_S
+        return self._ends_at() - self._clock() < MIN_REQUEST_TIME_S
 
     def _make_passage(
         self,
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -143,3 +143,35 @@
         assert resp.status == 504
         assert resp.read()
         stopped.result(_ENDS_S)
+
+
+@pytest.mark.parametrize('hint', ['', '1000'])
+def test_a_stream_that_would_outlast_the_stop_is_refused(
+    site: sites.Site, hint: str
+) -> None:
+    """Guards against a stream that a stop takes late and cuts in its middle."""
+    _allow_long_requests(site)
+    for name in ('d1', 'd2'):
+        site.workers[name].events = 40
+        site.workers[name].pace_s = 0.1
+    # A hint may be several times too low.
+    headers = _headers('first', 14.0) | {'Foxtaildale-Token-Count': '500,2560'}
+    if hint:
+        headers['Foxtaildale-Length-Hint'] = hint
+    conn = http.client.HTTPConnection(
+        site.routers[0].addresses['caller'], timeout=_ENDS_S
+    )
+    conn.request('POST', '/chat/x', headers=headers)
+    with futures.ThreadPoolExecutor(1) as pool:
+        resp = conn.getresponse()
+        # The head of this response can't announce the stop, so the connection
+        # stays open after it, 3.9 s after the stop began.
+        stopped = pool.submit(site.routers[0].stop)
+        assert resp.read() == sites.events('first', 40)
+        late = {'Foxtaildale-Attempt-Id': 'late'}
+        conn.request('POST', '/chat/x', headers=headers | late)
+        resp = conn.getresponse()
+        assert resp.status == 503
+        assert resp.read()
+        stopped.result(_ENDS_S)
+    assert all('late' not in worker.ids() for worker in site.workers.values())
