Streams: a silent decode worker keeps its stream until another is found

What callers could see: a stream whose decode worker was silent for 1.2 s (1.5 s with pauses of 300 ms) was cancelled, and cut or answered with 502 if no other worker or no repeat was to be had; else its prompt was prefilled again. Servers that are sound may be silent for a second or so.

Cause: the silence ended the attempt, and only then was another worker looked for.

Change: after a silence another placement and a repeat are looked for while the stream goes on; it is given up only when both are there, else the look is repeated. The silence is 0.55 of the one after which callers leave, 1.5 s at least (2.0 s with targets of 900 ms).

test_a_worker_that_is_silent_for_a_second_keeps_its_stream (two runs of one request) and test_a_silent_worker_that_none_can_replace_keeps_its_stream (502) failed before.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -172,7 +172,9 @@
             False if neither came in time; the request goes on.
         """
         sock = self._conn.sock
-        return sock is None or disconnects.has_input(sock, timeout_s)
+        if sock is None or self._has_buffered(sock):
+            return True
+        return disconnects.has_input(sock, timeout_s)
 
     def read_head(self, timeout_s: float) -> RawResponseHead:
         """Waits for the head of the response.
@@ -254,6 +256,21 @@
         self._idle.add(self._address, conn, _keep_alive_s(resp))
         return True
 
+    def _has_buffered(self, sock: socket.socket) -> bool:
+        """Returns whether a part of the body was received, but not read."""
+        if self._resp is None:
+            return False
+        buffered = getattr(self._resp, '_fp', None)
+        reader = getattr(buffered, 'fp', None)
+        if reader is None:
+            return True
+        try:
+            sock.settimeout(0.0)
+            return bool(reader.peek(1))
+        except _CONNECTION_ERRORS:
+            # The next read raises it again.
+            return True
+
     def _set_timeout(self, timeout_s: float) -> None:
         sock = self._conn.sock
         if sock is not None:
--- a/packages/daemon/foxtaildaled/attempt_state.py
+++ b/packages/daemon/foxtaildaled/attempt_state.py
@@ -56,6 +56,7 @@
         'prefill_count',
         'prefilled',
         'prefilled_at',
+        'replacement',
         'splitter',
         'started',
         'unopened_connections',
@@ -73,6 +74,9 @@
         self.prefilled_at = 0.0
         # Number of prefills of the prompt.
         self.prefill_count = 0
+        # Placement of the next attempt, which the retry budget has counted, in
+        # place of a decode worker that is silent; None if there is none.
+        self.replacement: AttemptPlacement | None = None
         # Whether the last attempt ended before anything was sent to a decode
         # worker, and the number of connections that could not be opened.
         self.unsent = False
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -17,6 +17,7 @@
 from foxtaildale import forwarding
 from foxtaildale import ports
 from foxtaildale import retry_delays
+from foxtaildale import routes
 from foxtaildaled import actors
 from foxtaildaled import attempt_state
 from foxtaildaled import crash_detection
@@ -26,11 +27,18 @@
 from foxtaildaled import router_retry_budgets
 from foxtaildaled import router_state
 
-# Maximum silence of a stream that may be resumed at another worker, as a
-# multiple of the longest pause between events that still meets the target.
-STALL_GAP_FACTOR: Final = 5.0
-# Minimum of that silence, seconds.
-MIN_STALL_S: Final = 1.2
+# Silence after which the caller of a stream disconnects: the longest of this
+# time, seconds, and these multiples of the target of the first event and of the
+# longest pause between events that still meets the target.
+CALLER_SILENCE_S: Final = 2.0
+CALLER_SILENCE_TARGETS: Final = 4.0
+CALLER_SILENCE_GAPS: Final = 8.0
+# Part of that silence after which another worker is looked for; the rest is for
+# the placement, the prefill and the first event there.
+STALL_FRACTION: Final = 0.55
+# Minimum time until then, seconds. A sound worker may be silent for a second
+# or so.
+MIN_STALL_S: Final = 1.5
 # Maximum number of connections to decode workers that may fail to open before a
 # request is refused. Nothing was sent over them, so they don't spend the retry
 # budget. All VMs know of a crashed engine a few milliseconds after two VMs have
@@ -94,6 +102,8 @@
         except attempt_state.RequestRefused as exc:
             self._send_failure(req, response, exc)
         finally:
+            if response.replacement is not None:
+                self._placements.release(req, response.replacement)
             if response.prefilled is not None:
                 self._cleanup.release_prefill(response.prefilled)
                 req.request_metrics.wasted_prefill_tokens.add(
@@ -110,6 +120,9 @@
         Raises:
             attempt_state.RequestRefused: No further attempt is allowed.
         """
+        if response.replacement is not None:
+            # It was counted when it was found.
+            return
         if response.unsent:
             response.unsent = False
             if response.unopened_connections < MAX_UNOPENED_CONNECTIONS:
@@ -137,9 +150,11 @@
         """
         req.caller_request.after_event = response.splitter.position
         began_at = self._clock()
-        placement = self._placements.wait_for_placement(
-            req, sent_ids, response_started=response.started
-        )
+        placement, response.replacement = response.replacement, None
+        if placement is None:
+            placement = self._placements.wait_for_placement(
+                req, sent_ids, response_started=response.started
+            )
         waited_s = self._clock() - began_at
         req.request_metrics.wait_seconds.observe((waited_s,), req.service.name)
         reservation = placement.reserved
@@ -210,7 +225,8 @@
             req.set_flight(flight)
             flight.send(left_s)
             req.log_relayed(server.id, flight.via)
-            head = flight.read_head(self._max_silence_s(req, sent_ids))
+            self._await_data(req, response, flight, sent_ids)
+            head = flight.read_head(req.time_left_s())
             head_at = self._clock()
             if head.ran == 'no':
                 placement.prefill_refused = not head.misdirected
@@ -272,7 +288,11 @@
         splitter = response.splitter
         splitter.discard_incomplete_event()
         event_count = 0
-        while chunk := flight.read_chunk(self._max_silence_s(req, sent_ids)):
+        while True:
+            self._await_data(req, response, flight, sent_ids)
+            chunk = flight.read_chunk(req.time_left_s())
+            if not chunk:
+                break
             complete_events = splitter.feed(chunk)
             if not complete_events:
                 continue
@@ -376,14 +396,50 @@
             and req.time_left_s() > routed_request.MIN_SEND_TIME_S
         )
 
-    def _max_silence_s(
-        self, req: routed_request.RoutedRequest, sent_ids: list[str]
-    ) -> float:
-        """Returns the maximum silence of a worker, seconds."""
-        left_s = req.time_left_s()
-        if not self._may_resume(req, sent_ids):
-            return left_s
-        return min(left_s, max(MIN_STALL_S, STALL_GAP_FACTOR * req.route.gap_s))
+    def _await_data(
+        self,
+        req: routed_request.RoutedRequest,
+        response: attempt_state.ResponseState,
+        flight: ports.ServerExchange,
+        sent_ids: list[str],
+    ) -> None:
+        """Waits for data until another worker should resume the stream.
+
+        A silent worker that no other may replace keeps the stream: its data may
+        still come.
+
+        Raises:
+            errors.NoReplyError: No data came, and another placement is set as
+                the replacement.
+        """
+        stall_s = _stall_s(req.route)
+        while self._may_resume(req, sent_ids) and req.time_left_s() > stall_s:
+            if flight.await_response(stall_s):
+                return
+            if self._find_replacement(req, response, sent_ids):
+                raise errors.NoReplyError('no data in time')
+
+    def _find_replacement(
+        self,
+        req: routed_request.RoutedRequest,
+        response: attempt_state.ResponseState,
+        sent_ids: list[str],
+    ) -> bool:
+        """Looks for another placement; returns whether one is set."""
+        if req.caller_disconnected.is_set() or req.quarantine_left_s():
+            return False
+        req.caller_request.after_event = response.splitter.position
+        placement = self._placements.try_placement(req, sent_ids)
+        if placement is None:
+            return False
+        allowed = self._retry_budgets.acquire(req.service.name, req.deadline)
+        req.log('retry', allowed=allowed)
+        if not allowed:
+            self._placements.release(req, placement)
+            return False
+        req.request_metrics.retries.add(1, req.service.name)
+        response.replacement = placement
+        return True
 
     def _send_failure(
         self,
@@ -414,3 +470,13 @@
                 wait_s, req.time_left_s(), self._rng
             )
         req.refuse(exc.code, exc.figures, retry_s)
+
+
+def _stall_s(route: routes.Route) -> float:
+    """Returns the silence after which another worker is looked for, seconds."""
+    caller_silence_s = max(
+        CALLER_SILENCE_S,
+        CALLER_SILENCE_TARGETS * route.target_s,
+        CALLER_SILENCE_GAPS * route.gap_s,
+    )
+    return max(MIN_STALL_S, STALL_FRACTION * caller_silence_s)
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -88,6 +88,38 @@
                 return spot
         return attempt_state.AttemptPlacement(self._reserve(req, sent))
 
+    def try_placement(
+        self, req: routed_request.RoutedRequest, sent: list[str]
+    ) -> attempt_state.AttemptPlacement | None:
+        """Returns a placement for a response that has started, without waiting.
+
+        Args:
+            req: The request.
+            sent: Ids of the servers that it was sent to, which are excluded.
+
+        Returns:
+            None if the coordinator grants none at once.
+        """
+        name = f'{req.caller_request.id}/{next(self._request_numbers)}'
+        faulty = self._owner.run(
+            lambda state, now: state.fleet.faulty(req.service.name, now)
+        )
+        avoided = (*sent, *faulty, *self._send_limits.exhausted_servers())
+        started_at = self._clock()
+        msg = self._placement_request(req, name, avoided, started=True)
+        reply = self._client.request(msg)
+        spot = None
+        if isinstance(reply, messages.PlacementGrant):
+            waited_s = self._clock() - started_at
+            spot = self._accept_placement(req, msg, reply, waited_s)
+        if spot is None and reply is not None:
+            self._client.release(
+                messages.PlacementRelease(
+                    service=req.service.name, request=name
+                )
+            )
+        return spot
+
     def release(
         self,
         req: routed_request.RoutedRequest,
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -16,6 +16,8 @@
 from foxtaildaled import placement_client
 from foxtaildaled import stage_orders
 from tests import site as sites
+from tests.standins import serving
+from tests.standins import wireworker
 
 Site = sites.Site
 
@@ -255,6 +257,51 @@
     assert second.response_started
 
 
+def _pause_once(worker: wireworker.WireWorker, pause_s: float) -> list[str]:
+    """Has a worker fall silent once; returns the requests that noticed."""
+    paused: list[str] = []
+
+    def on_run(req: serving.Request) -> None:
+        if not paused:
+            paused.append(req.headers['foxtaildale-attempt-id'])
+            time.sleep(pause_s)
+
+    worker.on_run = on_run
+    return paused
+
+
+def test_a_worker_that_is_silent_for_a_second_keeps_its_stream(
+    calm: Site,
+) -> None:
+    """Guards against a sound worker that is given up, and a second prefill."""
+    paused = {
+        name: _pause_once(calm.workers[name], 1.35) for name in ('d1', 'd2')
+    }
+    for number in range(4):
+        attempt = f'a{number}'
+        status, _, body = sites.send(calm, 'POST', '/chat/x', attempt=attempt)
+        assert (status, body) == (200, sites.events(attempt, 5))
+    assert any(paused.values())
+    ran = [i for w in ('d1', 'd2') for i in calm.workers[w].ids()]
+    assert sorted(ran) == [f'a{number}' for number in range(4)]
+
+
+def test_a_silent_worker_that_none_can_replace_keeps_its_stream(
+    site: Site,
+) -> None:
+    """Guards against a stream that is cut before another worker is found."""
+    site.store.put('keyed.op', 'config', sites.config(1))
+    site.worker('p1', 'model', 'prefill')
+    worker = site.worker('d1', 'model', 'decode')
+    site.router()
+    sites.until(lambda: sites.ready(site))
+    sites.until(lambda: 'vm-1' in site.routers[0].entry_vms())
+    _pause_once(worker, 2.3)
+    status, _, body = sites.send(site, 'POST', '/chat/x')
+    assert (status, body) == (200, sites.events('a1', 5))
+    assert worker.ids() == ['a1']
+
+
 def test_a_stream_that_may_not_go_on_is_cut(calm: Site) -> None:
     """Its answer must not look complete, and it must not run twice."""
     calm.workers['d1'].break_after = calm.workers['d2'].break_after = 3
