--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -211,6 +211,8 @@
 class _Flight:
     """A send to a server that responds at a time of the test's clock."""
 
+    via = ''
+
     def __init__(self, now: list[float], responds_at: float) -> None:
         self._now = now
         self._responds_at = responds_at
@@ -285,6 +287,7 @@
         ),
         failure_rates=types.SimpleNamespace(record=lambda *_, **__: None),
         record_plain_failure=do_nothing,
+        list_age_ms=lambda _: 0,
     )
     owner = types.SimpleNamespace(run=lambda turn: turn(state, now[0]))
     budgets = types.SimpleNamespace(
