Tests: routers in one process get ports that no connection can take

The port was drawn among those that the kernel gives to connections, was released, and bound again later; a connection of the test's other parts took it between.

Ports of the soak are below that range and held at another address; the routers of these tests use the same ones now. The start of two routers in a row on one process was not made to collide on purpose; the range was read from the kernel.

--- a/tests/site.py
+++ b/tests/site.py
@@ -19,6 +19,7 @@
 from foxtaildale_platform import server_client
 from foxtaildale_platform import store
 from foxtaildaled import router_daemon
+from tests import soakrouter
 from tests.standins import keyedstore
 from tests.standins import wireworker
 
@@ -90,6 +91,7 @@
         self.workers: dict[str, wireworker.WireWorker] = {}
         self.routers: list[router_daemon.RouterDaemon] = []
         self.peers: list[str] = []
+        self._ports: list[soakrouter.Ports] = []
         self._number = 0
 
     def worker(
@@ -111,7 +113,8 @@
     ) -> router_daemon.RouterDaemon:
         """Starts a router."""
         self._number += 1
-        peer = f'127.0.0.1:{free_port()}'
+        self._ports.append(soakrouter.Ports(1))
+        peer = f'127.0.0.1:{self._ports[-1].numbers[0]}'
         self.peers.append(peer)
         cfg = options.RouterOptions(
             entry_vm=f'vm-{self._number}',
@@ -186,6 +189,8 @@
         with futures.ThreadPoolExecutor(len(ends)) as pool:
             for done in [pool.submit(end) for end in ends]:
                 done.result()
+        for ports in self._ports:
+            ports.close()
 
 
 def ready(site: Site, number: int = 0) -> bool:
