Tests: a setup that fails ends what it started

The setup of one fixture had failed after two routers were started, so nothing closed them, and their threads kept the process alive; its last lines in the output are log lines of these routers, 24 s after the summary.

A script that starts a router and ends without closing it was still up after 20 s (ended by its limit). The product is not concerned: a router process of which one of its four ports is taken exits with status 1 each time (trial, one start for each port).

Fixtures that start routers before they yield close them in any case now. No assertion changed.

--- a/tests/test_account_path.py
+++ b/tests/test_account_path.py
@@ -1,6 +1,7 @@
 """Client accounts at a router, over real sockets: keys, limits, secrets."""
 
 from collections.abc import Iterator
+import contextlib
 import logging
 import threading
 import time
@@ -44,18 +45,17 @@
 @pytest.fixture
 def keyed() -> Iterator[sites.Site]:
     """Two accounts, of which one has a limit."""
-    made = sites.Site()
-    sites.make_calm(made)
-    _publish(
-        made,
-        _config(
-            2,
-            _account('big', _KEY),
-            _account('small', _OTHER, rate=500, burst=2000),
-        ),
-    )
-    yield made
-    made.close()
+    with contextlib.closing(sites.Site()) as made:
+        sites.make_calm(made)
+        _publish(
+            made,
+            _config(
+                2,
+                _account('big', _KEY),
+                _account('small', _OTHER, rate=500, burst=2000),
+            ),
+        )
+        yield made
 
 
 def _publish(site: sites.Site, config: dict[str, Any]) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import errno
 import http.client
 import os
@@ -73,15 +74,14 @@
 
 @pytest.fixture(name='site')
 def _site() -> Iterator[sites.Site]:
-    made = sites.Site()
-    sites.make_calm(made)
-    config = sites.config(2)
-    for route in config['routes']:
-        route['timeout_ms'] = 14_000
-    made.store.put('keyed.op', 'config', config)
-    sites.until(lambda: made.routers[0].config_version() == 2)
-    yield made
-    made.close()
+    with contextlib.closing(sites.Site()) as made:
+        sites.make_calm(made)
+        config = sites.config(2)
+        for route in config['routes']:
+            route['timeout_ms'] = 14_000
+        made.store.put('keyed.op', 'config', config)
+        sites.until(lambda: made.routers[0].config_version() == 2)
+        yield made
 
 
 @pytest.fixture(name='failed')
@@ -325,30 +325,31 @@
 
 def test_crash_reports_reach_another_vm_when_both_successors_stop() -> None:
     """Guards against reports copied only to VMs that stop in turn."""
-    made = sites.Site()
-    sites.make_calm(made)
-    made.start_routers(3)
-    subject = quarantine_manager.COORDINATOR_SUBJECT
-    count = quarantine_manager.SUCCESSORS
-    first = next(
-        router
-        for router in made.routers
-        if router._coordinators.is_coordinator(subject)
-    )
-    addresses = first._coordinators.successor_addresses(subject, count)
-    second = [r for r in made.routers if r.cfg.peer_address in addresses]
-    (last,) = [r for r in made.routers if r is not first and r not in second]
-    with futures.ThreadPoolExecutor(count) as pool:
-        stopped = [pool.submit(router.stop) for router in second]
-        time.sleep(_WORK_S)
-        for server in ('s1', 's2'):
-            backend = forwarding.Backend(
-                id=server, service='plain', address='127.0.0.1:1'
-            )
-            first._quarantining.record_crash(backend, 7, ran_s=0.01)
-        for done in stopped:
-            done.result(_ENDS_S)
-    try:
+    with contextlib.closing(sites.Site()) as made:
+        sites.make_calm(made)
+        made.start_routers(3)
+        subject = quarantine_manager.COORDINATOR_SUBJECT
+        count = quarantine_manager.SUCCESSORS
+        first = next(
+            router
+            for router in made.routers
+            if router._coordinators.is_coordinator(subject)
+        )
+        addresses = first._coordinators.successor_addresses(subject, count)
+        second = [r for r in made.routers if r.cfg.peer_address in addresses]
+        (last,) = [
+            r for r in made.routers if r is not first and r not in second
+        ]
+        with futures.ThreadPoolExecutor(count) as pool:
+            stopped = [pool.submit(router.stop) for router in second]
+            time.sleep(_WORK_S)
+            for server in ('s1', 's2'):
+                backend = forwarding.Backend(
+                    id=server, service='plain', address='127.0.0.1:1'
+                )
+                first._quarantining.record_crash(backend, 7, ran_s=0.01)
+            for done in stopped:
+                done.result(_ENDS_S)
         sites.until(
             lambda: bool(
                 last._state.quarantine_state.crashes.reports(
@@ -356,8 +357,6 @@
                 )
             )
         )
-    finally:
-        made.close()
 
 
 def test_a_close_sends_the_releases_that_are_queued(site: sites.Site) -> None:
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import http.client
 import time
 from typing import Final
@@ -28,13 +29,12 @@
 
 @pytest.fixture(name='site')
 def _site() -> Iterator[sites.Site]:
-    made = sites.Site()
-    sites.make_calm(made)
-    for name in ('d1', 'd2'):
-        made.workers[name].events = _EVENTS
-        made.workers[name].pace_s = _PACE_S
-    yield made
-    made.close()
+    with contextlib.closing(sites.Site()) as made:
+        sites.make_calm(made)
+        for name in ('d1', 'd2'):
+            made.workers[name].events = _EVENTS
+            made.workers[name].pace_s = _PACE_S
+        yield made
 
 
 def _open(site: sites.Site, number: int) -> http.client.HTTPConnection:
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -1,6 +1,7 @@
 """Servers that leave, or ask for rest, in their answers, before routers."""
 
 from collections.abc import Iterator
+import contextlib
 import time
 
 import pytest
@@ -37,17 +38,16 @@
 
 @pytest.fixture
 def site() -> Iterator[sites.Site]:
-    made = sites.Site()
-    made.store.put('keyed.op', 'config', sites.config(1))
-    for name in ('s1', 's2'):
-        made.worker(name, 'plain').work_s = 0.05
-    for name in ('p1', 'p2'):
-        made.worker(name, 'model', 'prefill').work_s = 0.02
-    for name in ('d1', 'd2'):
-        made.worker(name, 'model', 'decode')
-    made.start_routers(_VMS, seeded=False)
-    yield made
-    made.close()
+    with contextlib.closing(sites.Site()) as made:
+        made.store.put('keyed.op', 'config', sites.config(1))
+        for name in ('s1', 's2'):
+            made.worker(name, 'plain').work_s = 0.05
+        for name in ('p1', 'p2'):
+            made.worker(name, 'model', 'prefill').work_s = 0.02
+        for name in ('d1', 'd2'):
+            made.worker(name, 'model', 'decode')
+        made.start_routers(_VMS, seeded=False)
+        yield made
 
 
 def _first(site: sites.Site, name: str, number: int, since: float) -> float:
--- a/tests/test_sendlimits_path.py
+++ b/tests/test_sendlimits_path.py
@@ -1,6 +1,7 @@
 """Servers that name a limit for all entry VMs together, before routers."""
 
 from collections.abc import Iterator
+import contextlib
 import time
 
 import pytest
@@ -22,17 +23,16 @@
 
 @pytest.fixture
 def site() -> Iterator[sites.Site]:
-    made = sites.Site()
-    made.store.put('keyed.op', 'config', sites.config(1))
-    for name in ('s1', 's2', 's3'):
-        made.worker(name, 'plain')
-    for name in ('p1', 'p2'):
-        made.worker(name, 'model', 'prefill')
-    for name in ('d1', 'd2'):
-        made.worker(name, 'model', 'decode')
-    made.start_routers(_VMS, seeded=False)
-    yield made
-    made.close()
+    with contextlib.closing(sites.Site()) as made:
+        made.store.put('keyed.op', 'config', sites.config(1))
+        for name in ('s1', 's2', 's3'):
+            made.worker(name, 'plain')
+        for name in ('p1', 'p2'):
+            made.worker(name, 'model', 'prefill')
+        for name in ('d1', 'd2'):
+            made.worker(name, 'model', 'decode')
+        made.start_routers(_VMS, seeded=False)
+        yield made
 
 
 def _most(site: sites.Site, name: str, since: float) -> int:
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -1,6 +1,7 @@
 """A store that comes back from a copy, and gives out offsets again."""
 
 from collections.abc import Iterator
+import contextlib
 import time
 from typing import Any
 
@@ -54,13 +55,12 @@
 
 @pytest.fixture
 def site() -> Iterator[_Site]:
-    made = _Site()
-    made.publish(1)
-    for name in ('s1', 's2'):
-        made.worker(name, 'plain')
-    made.start_routers(_VMS, retry_burst=20.0)
-    yield made
-    made.close()
+    with contextlib.closing(_Site()) as made:
+        made.publish(1)
+        for name in ('s1', 's2'):
+            made.worker(name, 'plain')
+        made.start_routers(_VMS, retry_burst=20.0)
+        yield made
 
 
 def _later(site: _Site) -> dict[str, int]:
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import socket
 import time
 
@@ -84,10 +85,9 @@
 
 @pytest.fixture
 def site() -> Iterator[_Site]:
-    made = _Site()
-    made.fill()
-    yield made
-    made.close()
+    with contextlib.closing(_Site()) as made:
+        made.fill()
+        yield made
 
 
 @pytest.mark.parametrize(
