Streams: a decode worker that hangs in the middle of a stream is noticed

What callers would have seen since: a stream whose decode worker hung after some events was cut at the caller's deadline, though another worker could have resumed it.

The parser reads the line end of a chunk only together with the next chunk, so after each chunk two bytes are buffered, and the wait ended at once; the read that followed had the whole time of the request.

Beside it, in the same wait: the socket of a response with 'Connection: close' was out of reach, so no limit was applied to it either.

Change: the line end of a chunk that was read counts as nothing; a body that was read completely, by its length, needs no wait; the socket is kept. If something has begun to arrive, the rest of it has the time of a silence, not of the request.

That the rest of a part that hangs is limited has no test of its own.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -13,6 +13,7 @@
 import http.client
 import socket
 import threading
+import time
 from typing import Final
 
 import urllib3
@@ -71,6 +72,7 @@
         '_lock',
         '_method',
         '_resp',
+        '_sock',
         '_target',
     )
 
@@ -115,6 +117,9 @@
         # Whether the response body was read to its regular end.
         self._complete = False
         self._resp: urllib3.BaseHTTPResponse | None = None
+        # The connected socket; the connection drops its reference to it if it
+        # is to be closed after the response.
+        self._sock: socket.socket | None = None
         # Guards `_cancelled`: a cancellation before the socket exists must
         # prevent any use of the socket.
         self._lock = threading.Lock()
@@ -141,6 +146,7 @@
             if self._cancelled:
                 self._conn.close()
                 raise errors.UnreachableError('cancelled')
+        self._sock = self._conn.sock
         try:
             self._conn.timeout = timeout_s
             self._conn.request(
@@ -166,15 +172,24 @@
         return conn.via if isinstance(conn, _ServerConnection) else ''
 
     def await_response(self, timeout_s: float) -> bool:
-        """Waits until bytes arrive or the connection ends.
+        """Waits until a read makes progress or the connection ends.
 
         Returns:
             False if neither came in time; the request goes on.
         """
-        sock = self._conn.sock
-        if sock is None or self._has_buffered(sock):
+        sock = self._sock
+        if sock is None or self._is_body_read():
             return True
-        return disconnects.has_input(sock, timeout_s)
+        deadline = time.monotonic() + timeout_s
+        while True:
+            unread = self._peek(sock)
+            if unread and not self._is_chunk_end(unread):
+                return True
+            if not disconnects.has_input(sock, deadline - time.monotonic()):
+                return False
+            # The library does not look beyond what it has buffered.
+            if unread or not self._peek(sock):
+                return True
 
     def read_head(self, timeout_s: float) -> RawResponseHead:
         """Waits for the head of the response.
@@ -256,25 +271,43 @@
         self._idle.add(self._address, conn, _keep_alive_s(resp))
         return True
 
-    def _has_buffered(self, sock: socket.socket) -> bool:
-        """Returns whether a part of the body was received, but not read."""
-        if self._resp is None:
-            return False
-        buffered = getattr(self._resp, '_fp', None)
-        reader = getattr(buffered, 'fp', None)
+    def _peek(self, sock: socket.socket) -> bytes:
+        """Returns received bytes of the body that the library has buffered.
+
+        If there are none, it looks at the socket once, without waiting.
+        """
+        reader = getattr(self._library_response(), 'fp', None)
         if reader is None:
-            return True
+            return b''
         try:
             sock.settimeout(0.0)
-            return bool(reader.peek(1))
+            data: bytes = reader.peek(1)
         except _CONNECTION_ERRORS:
             # The next read raises it again.
-            return True
+            return b''
+        return data
+
+    def _is_chunk_end(self, unread: bytes) -> bool:
+        """Whether these bytes only end a chunk whose data were read.
+
+        The library reads them together with the next chunk.
+        """
+        left = getattr(self._library_response(), 'chunk_left', None)
+        return left == 0 and unread in (b'\r', b'\r\n')
+
+    def _is_body_read(self) -> bool:
+        """Whether the whole body was read."""
+        resp = self._library_response()
+        return resp is not None and (resp.fp is None or resp.length == 0)
+
+    def _library_response(self) -> http.client.HTTPResponse | None:
+        """Returns the response of the protocol parser; None before its head."""
+        resp = getattr(self._resp, '_fp', None)
+        return resp if isinstance(resp, http.client.HTTPResponse) else None
 
     def _set_timeout(self, timeout_s: float) -> None:
-        sock = self._conn.sock
-        if sock is not None:
-            sock.settimeout(max(0.001, timeout_s))
+        if self._sock is not None:
+            self._sock.settimeout(max(0.001, timeout_s))
 
 
 class _ServerConnection(urllib3.connection.HTTPConnection):
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -225,8 +225,8 @@
             req.set_flight(flight)
             flight.send(left_s)
             req.log_relayed(server.id, flight.via)
-            self._await_data(req, response, flight, sent_ids)
-            head = flight.read_head(req.time_left_s())
+            limit_s = self._await_data(req, response, flight, sent_ids)
+            head = flight.read_head(limit_s)
             head_at = self._clock()
             if head.ran == 'no':
                 placement.prefill_refused = not head.misdirected
@@ -289,8 +289,8 @@
         splitter.discard_incomplete_event()
         event_count = 0
         while True:
-            self._await_data(req, response, flight, sent_ids)
-            chunk = flight.read_chunk(req.time_left_s())
+            limit_s = self._await_data(req, response, flight, sent_ids)
+            chunk = flight.read_chunk(limit_s)
             if not chunk:
                 break
             complete_events = splitter.feed(chunk)
@@ -402,12 +402,15 @@
         response: attempt_state.ResponseState,
         flight: ports.ServerExchange,
         sent_ids: list[str],
-    ) -> None:
+    ) -> float:
         """Waits for data until another worker should resume the stream.
 
         A silent worker that no other may replace keeps the stream: its data may
         still come.
 
+        Returns:
+            The time limit for the rest of what has begun to arrive, seconds.
+
         Raises:
             errors.NoReplyError: No data came, and another placement is set as
                 the replacement.
@@ -415,9 +418,10 @@
         stall_s = _stall_s(req.route)
         while self._may_resume(req, sent_ids) and req.time_left_s() > stall_s:
             if flight.await_response(stall_s):
-                return
+                return stall_s
             if self._find_replacement(req, response, sent_ids):
                 raise errors.NoReplyError('no data in time')
+        return req.time_left_s()
 
     def _find_replacement(
         self,
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -49,6 +49,8 @@
         self.work_s = 0.0
         self.events = 5
         self.on_run: Callable[[serving.Request], None] = lambda _: None
+        # Called before each event of a stream with its number and the request.
+        self.on_event: Callable[[int, str], None] = lambda *_: None
         self.on_prefill: Callable[[serving.Request], None] = lambda _: None
         # Requests a second that it says it takes from all routers together.
         self.limit: float | None = None
@@ -203,6 +205,7 @@
                 yield b'id: %d\nda' % number
                 raise serving.Cut
             time.sleep(self.pace_s)
+            self.on_event(number, attempt)
             yield b'id: %d\ndata: %s-%d\n\n' % (
                 number,
                 attempt.encode(),
--- a/tests/test_backend_request.py
+++ b/tests/test_backend_request.py
@@ -156,3 +156,71 @@
         with pytest.raises(errors.UnreachableError):
             req.send(1.0)
         assert not came.wait(0.1)
+
+
+_CHUNKED = _HEAD + b'Transfer-Encoding: chunked\r\n'
+
+
+@pytest.mark.parametrize(
+    'parts',
+    [
+        (_CHUNKED + b'\r\n3\r\nabc\r\n', b'3\r\nabc\r\n'),
+        (_CHUNKED + b'\r\n3\r\nabc', b'\r\n3\r\nabc\r\n'),
+        (_CHUNKED + b'Connection: close\r\n\r\n3\r\nabc\r\n', b'3\r\nabc\r\n'),
+        (_HEAD + b'Content-Length: 6\r\n\r\nabc', b'abc'),
+        (_HEAD + b'\r\nabc', b'abc'),
+    ],
+)
+@pytest.mark.parametrize('is_split', [False, True])
+def test_a_silence_in_the_body_is_noticed(
+    parts: tuple[bytes, bytes], is_split: bool
+) -> None:
+    """Guards against a read that waits for a server that hangs."""
+    is_over = threading.Event()
+
+    def act(sock: socket.socket) -> None:
+        first, second = parts
+        if is_split and first.endswith(b'\r\n'):
+            # The end of a chunk arrives after its data.
+            sock.sendall(first[:-2])
+            time.sleep(0.05)
+            first = b'\r\n'
+        sock.sendall(first)
+        is_over.wait(5.0)
+        sock.sendall(second)
+
+    with _server(act) as address:
+        req = _request(address)
+        req.send(1.0)
+        assert req.await_response(1.0)
+        req.read_head(1.0)
+        assert req.await_response(1.0)
+        assert req.read(1.0) == b'abc'
+        began_at = time.monotonic()
+        assert not req.await_response(0.3)
+        assert 0.3 <= time.monotonic() - began_at < 0.6
+        is_over.set()
+        assert req.await_response(1.0)
+        assert req.read(1.0) == b'abc'
+        req.close()
+
+
+def test_no_more_is_awaited_after_the_whole_body() -> None:
+    """Guards against a wait for bytes that are not to come."""
+    is_over = threading.Event()
+
+    def act(sock: socket.socket) -> None:
+        sock.sendall(_HEAD + b'Content-Length: 3\r\n\r\nabc')
+        is_over.wait(5.0)
+
+    with _server(act) as address:
+        req = _request(address)
+        req.send(1.0)
+        req.read_head(1.0)
+        assert req.read(1.0) == b'abc'
+        began_at = time.monotonic()
+        assert req.await_response(2.0)
+        assert time.monotonic() - began_at < 1.0
+        assert not req.read(1.0)
+        req.close()
+        is_over.set()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -25,6 +25,8 @@
 # than the time after which the router prefers another server.
 _SLOW_S = 1.0
 _HANG_S = 2.5
+# Deadline of the callers of `sites.send`, seconds.
+_DEADLINE_S = 3.0
 
 
 @pytest.fixture
@@ -302,6 +304,28 @@
     assert worker.ids() == ['a1']
 
 
+def test_a_worker_that_stays_silent_in_a_stream_is_replaced(
+    calm: Site,
+) -> None:
+    """Guards against a wait until the deadline for a worker that hangs."""
+    is_over = threading.Event()
+    hung: list[str] = []
+
+    def on_event(number: int, attempt: str) -> None:
+        if number == 3 and not hung:
+            hung.append(attempt)
+            is_over.wait(_DEADLINE_S)
+
+    for name in ('d1', 'd2'):
+        calm.workers[name].on_event = on_event
+    try:
+        status, _, body = sites.send(calm, 'POST', '/chat/x')
+    finally:
+        is_over.set()
+    assert hung == ['a1']
+    assert (status, body) == (200, sites.events('a1', 5))
+
+
 def test_a_stream_that_may_not_go_on_is_cut(calm: Site) -> None:
     """Its answer must not look complete, and it must not run twice."""
     calm.workers['d1'].break_after = calm.workers['d2'].break_after = 3
