Relayed connections are not kept idle, so a relaying VM stops in time

Cause: the drain waits for all relayed connections, and the VM that uses them keeps them idle for its next request. The relay passes bytes on and can't tell an idle connection from a server that works.

Change: a relayed connection is closed after its response. It costs one more connection to the server for each request during a partition.

test_a_stop_of_the_relaying_vm_waits_for_no_idle_connection failed before (over 4.8 s) and passes now; test_unreachable_servers: 10 passed.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -259,7 +259,8 @@
         """Returns the connection to the pool if it can be reused."""
         if self._idle is None or self._resp is None or not self._complete:
             return False
-        if not _is_reusable(self._resp):
+        if self.via or not _is_reusable(self._resp):
+            # An idle connection would hold up a stop of the VM that relays it.
             return False
         with self._lock:
             if self._cancelled or self._conn.sock is None:
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from foxtaildaled import router_daemon
 from tests import site as sites
 from tests.standins import partition
 
@@ -17,6 +18,8 @@
 _SETTLED_S = 2.0
 # Time of a response that needs no failed connection, seconds.
 _PROMPT_S = 0.5
+# Time that a stop without requests takes beside its wait, seconds.
+_STOP_MARGIN_S = 2.0
 _PATHS = ('/safe/x', '/once/x', '/chat/x', '/single/x')
 
 
@@ -174,7 +177,6 @@
         )
         while b'id: 2' not in sock.recv(4096):
             pass
-        # The connection of the prefill is kept for reuse.
         relayed = site.routers[2].relayed_connections()
     sites.until(
         lambda: site.routers[2].relayed_connections() == relayed - 1, 0.5
@@ -213,6 +215,18 @@
         stop.result()
 
 
+def test_a_stop_of_the_relaying_vm_waits_for_no_idle_connection(
+    site: _Site,
+) -> None:
+    """Guards against a planned stop that takes its whole grace time."""
+    _cut_off(site)
+    assert {status for status, _ in site.ask_all((0, 1), 2)} == {200}
+    began_at = time.monotonic()
+    site.routers[2].stop()
+    stop_s = time.monotonic() - began_at
+    assert stop_s < router_daemon.LAME_DUCK_S + _STOP_MARGIN_S
+
+
 @pytest.mark.parametrize('existing', ['reset', 'hang'])
 def test_a_partition_is_taken_for_no_crash(site: _Site, existing: str) -> None:
     """Guards against sound requests that are quarantined after a partition."""
