A stream that has started goes on late in a stop, also without a coordinator

What callers would have seen since: a stream that came after the port was closed and whose worker broke off was cut, if no coordinator replied, although a reservation at another worker was to be had.

Cause: the check whether a response may be cut by the end of the process was made for every reservation. It is meant for requests that another VM can serve; a stream that has started has no other VM. The plan makes this difference already.

--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -82,12 +82,15 @@
                 response.
 
         Raises:
-            attempt_state.RequestRefused: No placement became available in time.
+            attempt_state.RequestRefused: No placement became available in time,
+                or the response may be cut by the end of this process.
         """
         if len(sent) < req.route.max_attempts and req.service.kv_tokens:
             spot = self._coordinated_spot(req, sent, started=response_started)
             if spot is not None:
                 return spot
+        if req.must_finish and not response_started and _may_be_cut(req):
+            raise attempt_state.RequestRefused(codes.STOPPING)
         return attempt_state.AttemptPlacement(self._reserve(req, sent))
 
     def try_placement(
@@ -396,14 +399,7 @@
     def _reserve(
         self, req: routed_request.RoutedRequest, sent: list[str]
     ) -> forwarding.Reserved:
-        """Waits for a reservation at a worker, without the coordinator.
-
-        Raises:
-            attempt_state.RequestRefused: No worker is found in time, or the
-                response may be cut by the end of this process.
-        """
-        if req.must_finish and _may_be_cut(req):
-            raise attempt_state.RequestRefused(codes.STOPPING)
+        """Waits for a reservation at a worker, without the coordinator."""
         tokens = wait_limits.reserved_tokens(req.caller_request)
         patience_s = wait_limits.patience_s(req.route)
         started_at = self._clock()
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -10,9 +10,11 @@
 import msgspec
 import pytest
 
+from foxtaildale import placement_plan
 from foxtaildaled import placement_client
 from foxtaildaled import router_daemon
 from tests import site as sites
+from tests.standins import serving
 
 # Times at which a caller sends its request, seconds after the stop began.
 _SEND_TIMES_S: Final = tuple(
@@ -214,3 +216,44 @@
         body = resp.read()
         assert expected != 200 or body == sites.events('late', 5)
         stopped.result(_ENDS_S)
+
+
+def test_a_late_stream_goes_on_without_a_coordinator(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stream that is cut as it may outlast the process."""
+    _allow_long_requests(site)
+    for name in ('d1', 'd2'):
+        site.workers[name].events = 40
+        site.workers[name].pace_s = 0.1
+    headers = _headers('first', 14.0)
+    conn = http.client.HTTPConnection(
+        site.routers[0].addresses['caller'], timeout=_ENDS_S
+    )
+    broken: list[str] = []
+
+    def break_once(number: int, attempt: str) -> None:
+        if attempt == 'late' and number == 3 and not broken:
+            broken.append(attempt)
+            monkeypatch.setattr(
+                placement_client.PlacementClient, 'request', lambda *_: None
+            )
+            # No stream seems to end in time now.
+            monkeypatch.setattr(placement_plan, 'INITIAL_TOKEN_S', 1.0)
+            raise serving.Cut
+
+    conn.request('POST', '/chat/x', headers=headers)
+    with futures.ThreadPoolExecutor(1) as pool:
+        resp = conn.getresponse()
+        stopped = pool.submit(site.routers[0].stop)
+        assert resp.read() == sites.events('first', 40)
+        for name in ('d1', 'd2'):
+            site.workers[name].events = 5
+            site.workers[name].on_event = break_once
+        late = {'Foxtaildale-Attempt-Id': 'late'}
+        conn.request('POST', '/chat/x', headers=headers | late)
+        resp = conn.getresponse()
+        assert resp.status == 200
+        assert resp.read() == sites.events('late', 5)
+        stopped.result(_ENDS_S)
+    assert broken
