Responses with 'Connection: close' are read to their end again

What callers would have seen since: every response with a length, of a server that closes its connections, ended in an error after its last byte.

The library closes it with the end of the response, and the next read set a time limit on a closed socket.

Change: no limit is set on a closed socket. The case stands in test_no_more_is_awaited_after_the_whole_body as well, which failed before. test_backend_request, test_idle_connections and test_review pass.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -307,7 +307,8 @@
         return resp if isinstance(resp, http.client.HTTPResponse) else None
 
     def _set_timeout(self, timeout_s: float) -> None:
-        if self._sock is not None:
+        # A connection that is not reused is closed with the end of the response.
+        if self._sock is not None and self._sock.fileno() >= 0:
             self._sock.settimeout(max(0.001, timeout_s))
 
 
--- a/tests/test_backend_request.py
+++ b/tests/test_backend_request.py
@@ -205,12 +205,13 @@
         req.close()
 
 
-def test_no_more_is_awaited_after_the_whole_body() -> None:
+@pytest.mark.parametrize('header', [b'', b'Connection: close\r\n'])
+def test_no_more_is_awaited_after_the_whole_body(header: bytes) -> None:
     """Guards against a wait for bytes that are not to come."""
     is_over = threading.Event()
 
     def act(sock: socket.socket) -> None:
-        sock.sendall(_HEAD + b'Content-Length: 3\r\n\r\nabc')
+        sock.sendall(_HEAD + header + b'Content-Length: 3\r\n\r\nabc')
         is_over.wait(5.0)
 
     with _server(act) as address:
