Tests: a stand-in that is told to stop can't wait for its own lock

Cause: the handler of SIGTERM sets an event. It runs between two instructions of the main thread, which may hold the lock of that event just then, on its way into or out of a wait; then it waits for itself.

Change: a queue without such a lock. Only the stand-ins are concerned.

--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -9,6 +9,7 @@
 import errno
 import json
 import os
+import queue
 import select
 import signal
 import socket
@@ -221,13 +222,18 @@
 
 def run(handler: Handler, address: str, threads: int) -> None:
     """Serves until SIGTERM, then ends the process with exit code 0."""
-    stop = threading.Event()
-    signal.signal(signal.SIGTERM, lambda _num, _frame: stop.set())
+    # An event has a lock, which this thread may hold as the handler runs in it.
+    stops: queue.SimpleQueue[int] = queue.SimpleQueue()
+    signal.signal(signal.SIGTERM, lambda number, _frame: stops.put(number))
     _server, bound = start(handler, address, threads)
     print(json.dumps({'address': bound}), flush=True)
     # A stand-in whose test was killed must not outlive it.
     parent = os.getppid()
-    while not stop.wait(1.0) and os.getppid() == parent:
-        pass
+    while os.getppid() == parent:
+        try:
+            stops.get(timeout=1.0)
+        except queue.Empty:
+            continue
+        break
     # Handlers that stall on purpose must not hold up the end.
     os._exit(0)
