The only relay is not given up for one late reply

Cause: a late reply and the reply 'isolated' excluded a VM alike, for 1 s. The first says little of a VM that relayed connections a moment ago.

Change: a silent VM that relayed a connection in the last 5 s is tried after all others, if no proven one is left. One that replies that it is isolated is left out as before.

test_one_late_reply_of_the_only_relay_refuses_no_request failed before (a 503) and passes now. test_server_reach: 14 passed; test_unreachable_servers and test_connection_relay: 24 passed.

--- a/packages/core/foxtaildale/relay_choice.py
+++ b/packages/core/foxtaildale/relay_choice.py
@@ -72,6 +72,7 @@
             *proven[:MAX_PER_GROUP],
             *near[:MAX_PER_GROUP],
             *far[:MAX_PER_GROUP],
+            *([] if proven else self._last_resort(now)),
         ]
 
     def record(self, name: str, now: float, *, relayed: bool) -> None:
@@ -83,5 +84,21 @@
             self._failed_at[name] = now
             self._succeeded_at.pop(name, None)
 
+    def record_silence(self, name: str, now: float) -> None:
+        """Records that a VM did not reply in time.
+
+        One that relayed connections lately may only be slow.
+        """
+        self._failed_at[name] = now
+
+    def _last_resort(self, now: float) -> list[str]:
+        """Returns a silent VM that relayed connections lately, if any."""
+        names = [
+            name
+            for name, at in self._succeeded_at.items()
+            if now - at <= SUCCESS_TTL_S
+        ]
+        return sorted(names, key=lambda name: -self._succeeded_at[name])[:1]
+
     def _is_elsewhere(self, vm: forwarding.EntryVm) -> bool:
         return vm.data_centre != self._data_centre
--- a/packages/daemon/foxtaildaled/server_paths.py
+++ b/packages/daemon/foxtaildaled/server_paths.py
@@ -254,7 +254,10 @@
                     )
                     raise error or kind(str(exc)) from exc
                 with self._lock:
-                    self._relays.record(name, self._clock(), relayed=False)
+                    if exc.result:
+                        self._relays.record(name, self._clock(), relayed=False)
+                    else:
+                        self._relays.record_silence(name, self._clock())
                 continue
             self._record_relayed(name, address, error)
             return connectors.Opened(sock, name)
--- a/tests/test_server_reach.py
+++ b/tests/test_server_reach.py
@@ -130,6 +130,30 @@
     assert 'a' in choice.candidates(vms, later)
 
 
+def test_the_only_relay_is_not_given_up_for_one_late_reply() -> None:
+    """Guards against a VM that refuses all requests as its relay was slow."""
+    choice = relay_choice.RelayChoice('me', 'here', random.Random(1))
+    vms = _vms(me='here', a='here', b='far', c='far')
+    choice.record('b', 1.0, relayed=True)
+    choice.record('c', 1.0, relayed=False)
+    choice.record_silence('b', 1.1)
+    assert choice.candidates(vms, 1.2) == ['a', 'b']
+    choice.record('a', 1.2, relayed=False)
+    assert choice.candidates(vms, 1.3) == ['b']
+    choice.record('b', 1.3, relayed=False)
+    assert choice.candidates(vms, 1.4) == []
+
+
+def test_a_relay_that_stays_silent_is_given_up() -> None:
+    """Guards against requests that wait for a VM that is gone."""
+    choice = relay_choice.RelayChoice('me', 'here', random.Random(1))
+    vms = _vms(me='here', b='far')
+    choice.record('b', 1.0, relayed=True)
+    later = 1.1 + relay_choice.SUCCESS_TTL_S
+    choice.record_silence('b', later)
+    assert choice.candidates(vms, later) == []
+
+
 def test_vms_that_do_not_relay_are_not_asked() -> None:
     """Guards against VMs of an earlier release that have no relay."""
     choice = relay_choice.RelayChoice('me', 'here', random.Random(1))
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from foxtaildale_adapters import connection_relay
 from foxtaildaled import router_daemon
 from tests import site as sites
 from tests.standins import partition
@@ -215,6 +216,27 @@
         stop.result()
 
 
+def test_one_late_reply_of_the_only_relay_refuses_no_request(
+    site: _Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a VM that refuses all requests as its relay was slow."""
+    _cut_off(site)
+    late: list[str] = []
+    connect = connection_relay.connect_through
+
+    def be_late_once(
+        relay: str, address: str, timeout_s: float
+    ) -> socket.socket:
+        if relay == site.routers[2]._relay.address and not late:
+            late.append(address)
+            raise connection_relay.RelayError('', 'timed out')
+        return connect(relay, address, timeout_s)
+
+    monkeypatch.setattr(connection_relay, 'connect_through', be_late_once)
+    assert {status for status, _ in site.ask_all((0,), 3)} == {200}
+    assert late
+
+
 def test_a_stop_of_the_relaying_vm_waits_for_no_idle_connection(
     site: _Site,
 ) -> None:
