--- a/packages/core/foxtaildale/relay_choice.py
+++ b/packages/core/foxtaildale/relay_choice.py
@@ -10,8 +10,8 @@
 
 from foxtaildale import forwarding
 
-# Time for which a VM that relayed no connection is left out, and for which one
-# that did is preferred, seconds.
+# Time for which a VM that relayed no connection is left out, or tried last if it
+# was only silent, and for which one that relayed one is preferred, seconds.
 FAILURE_TTL_S: Final = 1.0
 SUCCESS_TTL_S: Final = 5.0
 # Number of VMs of each group that are tried: those that relayed a connection
