Logs name the software version of servers, and the attempt that a stream resumes

Nothing in the logs told at which version a stream began and went on, so the hypotheses of the incident could not be told apart. The entry of a server keeps its version; lines 'sent', 'first event' and 'backend server known' name it, and 'resuming' names the attempt of the header Resumes. No decision changes.

--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -29,6 +29,8 @@
     born: int = 0
     service: str
     address: str
+    # Version of its software; what two versions stream can't be combined.
+    version: str = ''
     data_centre: str = ''
     slots: int = 1
     # Whether it announced that it leaves; it accepts no new requests.
@@ -82,6 +84,9 @@
     hinted_tokens: int = 0
     # Position after which a stream is resumed; None for a new stream.
     after_event: int | None = None
+    # Id of the attempt that brought the first event of the resumed stream; empty
+    # if it is not stated.
+    resumes: str = ''
     # Digest of the content of the request; the same for all its attempts.
     digest: int = 0
     # Digest of the caller's key; None if it sent no valid key.
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -22,6 +22,11 @@
 
 
 REQUEST_EVENTS: Final[dict[str, Event]] = {
+    'resuming': Event(
+        'its caller takes up the stream that attempt {resumes} began, behind'
+        ' event {after}',
+        ('resumes', 'after'),
+    ),
     'let in': Event(
         'client account {account} was within its limit by its {by}:'
         ' the request costs {cost}, {remaining} remain',
@@ -72,7 +77,7 @@
     ),
     'sent': Event(
         'it was sent to {server} (attempt {attempt})',
-        ('server', 'attempt', 'fingerprint', 'list_age_ms'),
+        ('server', 'software', 'attempt', 'fingerprint', 'list_age_ms'),
     ),
     'relayed': Event(
         '{via} relays it to {server}, which this VM does not reach',
@@ -99,7 +104,9 @@
         'another attempt was allowed: {allowed}',
         ('server', 'allowed'),
     ),
-    'first event': Event('the first event was sent to its caller'),
+    'first event': Event(
+        'the first event was sent to its caller', ('software',)
+    ),
     'stream broken': Event(
         'the stream of {server} broke: {error}', ('server', 'error')
     ),
@@ -203,12 +210,28 @@
         (
             'backend server known',
             '{server} may get work of {service}, told by {source}',
-            ('server', 'service', 'address', 'stage', 'offset', 'source'),
+            (
+                'server',
+                'service',
+                'software',
+                'address',
+                'stage',
+                'offset',
+                'source',
+            ),
         ),
         (
             'backend server leaving',
             '{server} is leaving and gets no new work, reported by {source}',
-            ('server', 'service', 'address', 'stage', 'offset', 'source'),
+            (
+                'server',
+                'service',
+                'software',
+                'address',
+                'stage',
+                'offset',
+                'source',
+            ),
         ),
         (
             'backend server gone',
--- a/packages/daemon/foxtaildaled/attempt_state.py
+++ b/packages/daemon/foxtaildaled/attempt_state.py
@@ -57,6 +57,7 @@
         'prefilled',
         'prefilled_at',
         'replacement',
+        'server_version',
         'splitter',
         'started',
         'unopened_connections',
@@ -66,6 +67,8 @@
     def __init__(self, position: int | None) -> None:
         self.splitter = sse.Splitter(position)
         self.started = False
+        # Software version of the decode worker that streams the response.
+        self.server_version = ''
         # Whether a decode worker may have begun to run the request.
         self.may_have_run = False
         # A prefilled prompt that no decode worker has fetched yet, and the time
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -212,6 +212,7 @@
         req.log(
             'sent',
             server=server.id,
+            software=server.version,
             attempt=len(sent_ids),
             fingerprint=fingerprint.to_text(req.fingerprint),
             list_age_ms=self._owner.run(
@@ -246,6 +247,7 @@
                 raise errors.NoReplyError('response to another request')
             if not head.ok:
                 return self._relay_error(req, response, flight, head, sent_ids)
+            response.server_version = server.version
             self._relay(req, response, flight, head, sent_ids)
             placement.complete = True
             if not req.crashed_stages - {server.stage}:
@@ -321,7 +323,7 @@
         head: forwarding.ResponseHead,
     ) -> None:
         response.started = True
-        req.log('first event')
+        req.log('first event', software=response.server_version)
         req.request_metrics.first_answer_seconds.observe(
             (req.age_s(),), req.service.name
         )
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -123,6 +123,10 @@
         if req.must_finish and self._ends_too_soon():
             req.refuse(codes.STOPPING)
             return
+        if call.resumes or call.after_event:
+            req.log(
+                'resuming', resumes=call.resumes, after=call.after_event or 0
+            )
         if self._is_admitted(req, matcher):
             self._serve(req)
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -641,6 +641,7 @@
                         'id': server_state.backend.id,
                         'service': server_state.backend.service,
                         'stage': server_state.backend.stage,
+                        'software': server_state.backend.version,
                         'leaving': server_state.backend.leaving,
                         'in_flight': server_state.in_flight,
                         'held_tokens': server_state.in_flight_tokens,
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -551,6 +551,7 @@
                 else 'backend server known',
                 server=entry.key,
                 service=backend.service,
+                software=backend.version,
                 address=backend.address,
                 stage=backend.stage,
                 offset=entry.offset,
@@ -586,4 +587,8 @@
 
 def _differs(before: forwarding.Backend, after: forwarding.Backend) -> bool:
     """Whether a server's entry changed in a way that affects requests."""
-    return (before.leaving, before.stage) != (after.leaving, after.stage)
+    return (before.leaving, before.stage, before.version) != (
+        after.leaving,
+        after.stage,
+        after.version,
+    )
