--- a/tests/site.py
+++ b/tests/site.py
@@ -95,10 +95,10 @@
         self._number = 0
 
     def worker(
-        self, name: str, service: str, stage: str = ''
+        self, name: str, service: str, stage: str = '', version: str = 'v1'
     ) -> wireworker.WireWorker:
         """Starts a worker and lists it."""
-        made = wireworker.WireWorker(name, service, stage)
+        made = wireworker.WireWorker(name, service, stage, version)
         self.workers[name] = made
         self.store.put('keyed.servers', name, made.entry())
         return made
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -37,8 +37,12 @@
 class WireWorker:
     """One start of one server."""
 
-    def __init__(self, name: str, service: str, stage: str = '') -> None:
+    def __init__(
+        self, name: str, service: str, stage: str = '', version: str = 'v1'
+    ) -> None:
         self.name = name
+        # Version of its software.
+        self.version = version
         self.service = service
         self.stage = stage
         self.refuse = False
@@ -84,7 +88,7 @@
             'service': self.service,
             'address': self.address,
             'zone': 'here',
-            'version': 'v1',
+            'version': self.version,
             'cold_left_ms': 0,
             'slots': 8,
             'state': state,
--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -129,7 +129,7 @@
         id='i-1',
         service='s1',
         address='10.0.0.9:8080',
-            version='v1',
+        version='v1',
         data_centre='z',
         slots=6,
         leaving=True,
