Streams go on only at the software version that began them

Callers held events of two software versions of one service in one stream (ORDER): within a response, and over their attempts.

Ruled out: a race of lists.

Change: placements and reservations are bound to the version whose first event went out. A resumed stream is bound by what this VM, its peers or the store know. If nothing is known and several versions were listed within the time in which a stream may be resumed, it is refused at once, as it is if no server of its version is listed. A waiter for one version holds up no other.

--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -177,6 +177,20 @@
     'no',
     'Not run: the backend servers did not take it ({reason}).',
 )
+VERSION_GONE: Final = Code(
+    'version-gone',
+    503,
+    'no',
+    'Not run: the stream began at software version {software}, of which no live'
+    ' backend server is listed.',
+)
+ORIGIN_UNKNOWN: Final = Code(
+    'origin-unknown',
+    503,
+    'no',
+    'Not run: it is not known which of {versions} software versions began the'
+    ' stream.',
+)
 QUARANTINED: Final = Code(
     'quarantined',
     503,
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -22,6 +22,7 @@
 from foxtaildale import backoffs
 from foxtaildale import departures
 from foxtaildale import forwarding
+from foxtaildale import stream_origins
 
 # How long a load report counts, seconds. Requests of plain services take about
 # 60 ms, so an older report does not describe the current load.
@@ -150,6 +151,7 @@
         '_random',
         '_started_at',
         '_states',
+        '_version_seen_at',
         'backoffs',
         'departures',
     )
@@ -165,18 +167,25 @@
         # also of some removed servers. The most recently updated are at the
         # end.
         self._started_at: dict[str, int] = {}
+        # When a server that was removed or replaced last had a software version,
+        # seconds, by service and version.
+        self._version_seen_at: dict[tuple[str, str], float] = {}
         # Servers that announced that they leave, including some that are not
         # listed.
         self.departures = departures.Departures()
         # Servers that requested backoff.
         self.backoffs = backoffs.Backoffs()
 
-    def put(self, backend: forwarding.Backend) -> bool:
+    def put(self, backend: forwarding.Backend, now: float = 0.0) -> bool:
         """Applies a new or changed entry of the list.
 
         A later incarnation of a server begins with an empty state: neither the
         load, the failures nor the departure of the previous one apply to it.
 
+        Args:
+            backend: The entry.
+            now: Seconds.
+
         Returns:
             Whether the entry is applied. An entry of an earlier incarnation is
             not: it would direct requests to an incarnation that left, or mark a
@@ -186,6 +195,8 @@
             return False
         self._record_incarnation(backend)
         state = self._states.get(backend.id)
+        if state is not None and state.listed.version != backend.version:
+            self._record_version(state, now)
         if state is None or state.backend.born < backend.born:
             state = self._states[backend.id] = ServerState(backend)
         elif state.listed != backend:
@@ -223,6 +234,7 @@
         if state is None:
             return
         if store_healthy or state.backend.leaving:
+            self._record_version(state, now)
             del self._states[server]
         elif state.vanished_at is None:
             state.vanished_at = now
@@ -239,6 +251,36 @@
         """Returns the states of all backend servers."""
         return list(self._states.values())
 
+    def versions(self, service: str, now: float) -> frozenset[str]:
+        """Returns the software versions that may have begun recent streams."""
+        listed = {
+            state.listed.version
+            for state in self._states.values()
+            if state.listed.service == service
+        }
+        removed = {
+            version
+            for (name, version), seen_at in self._version_seen_at.items()
+            if name == service and now - seen_at < stream_origins.ORIGIN_TTL_S
+        }
+        return frozenset(listed | removed)
+
+    def has_version(
+        self, service: str, now: float, stage: forwarding.Stage, version: str
+    ) -> bool:
+        """Whether a server of a software version may get new requests.
+
+        Servers that are full, failing or in backoff count.
+        """
+        return any(
+            state.backend.service == service
+            and state.backend.stage == stage
+            and state.backend.version == version
+            and not state.backend.leaving
+            and not _is_lost(state, now)
+            for state in self._states.values()
+        )
+
     def candidates(
         self,
         service: str,
@@ -246,6 +288,7 @@
         stage: forwarding.Stage = '',
         avoid: Iterable[str] = (),
         *,
+        version: str = '',
         repeatable: bool = True,
         in_backoff: bool = False,
     ) -> list[ServerState]:
@@ -256,6 +299,7 @@
             now: Seconds.
             stage: Stage of its engines; empty for a plain service.
             avoid: Ids of servers to exclude.
+            version: Software version of the servers; empty for any.
             repeatable: Whether the request may run again if its response is
                 lost.
             in_backoff: Whether to include servers that requested backoff from
@@ -269,6 +313,7 @@
             for state in self._states.values()
             if state.backend.service == service
             and state.backend.stage == stage
+            and version in ('', state.backend.version)
             and not state.backend.leaving
             and state.misdirected_until <= now
             and state.backend.id not in avoided
@@ -306,10 +351,20 @@
         )
 
     def backoff_s(
-        self, service: str, now: float, stage: forwarding.Stage = ''
+        self,
+        service: str,
+        now: float,
+        stage: forwarding.Stage = '',
+        version: str = '',
     ) -> float:
         """Returns when the first backoff ends, if all servers are in backoff.
 
+        Args:
+            service: The service.
+            now: Seconds.
+            stage: Stage of its engines; empty for a plain service.
+            version: Software version of the servers; empty for any.
+
         Returns:
             Seconds from now; 0 if a server is not in backoff, or there is none.
         """
@@ -319,21 +374,37 @@
                 for state in self._states.values()
                 if state.backend.service == service
                 and state.backend.stage == stage
+                and version in ('', state.backend.version)
                 and not state.backend.leaving
                 and state.misdirected_until <= now
             ),
             default=0.0,
         )
 
-    def faulty(self, service: str, now: float) -> tuple[str, ...]:
+    def faulty(
+        self, service: str, now: float, version: str = ''
+    ) -> tuple[str, ...]:
         """Returns servers that failed or are in backoff elsewhere.
 
         Each stage is evaluated separately. If all servers of a stage failed, a
         shared cause is more likely; they are left out and tried again.
+
+        Args:
+            service: The service.
+            now: Seconds.
+            version: Software version to which the decode workers are limited;
+                empty for all.
         """
         stages: dict[forwarding.Stage, list[ServerState]] = {}
         for state in self._states.values():
-            if state.backend.service == service and not state.backend.leaving:
+            if (
+                state.backend.service == service
+                and not state.backend.leaving
+                and (
+                    state.backend.stage == 'prefill'
+                    or version in ('', state.backend.version)
+                )
+            ):
                 stages.setdefault(state.backend.stage, []).append(state)
         faulty: list[str] = []
         for states in stages.values():
@@ -451,6 +522,14 @@
         else:
             self.record_full(server, now)
 
+    def _record_version(self, state: ServerState, now: float) -> None:
+        """Records the version of a server that is removed or replaced."""
+        for key, seen_at in list(self._version_seen_at.items()):
+            if now - seen_at >= stream_origins.ORIGIN_TTL_S:
+                del self._version_seen_at[key]
+        key = (state.listed.service, state.listed.version)
+        self._version_seen_at[key] = now
+
     def _record_incarnation(self, backend: forwarding.Backend) -> None:
         if not backend.born:
             return
@@ -462,6 +541,7 @@
     def _remove_lost(self, now: float) -> None:
         for server, state in list(self._states.items()):
             if _is_lost(state, now):
+                self._record_version(state, now)
                 del self._states[server]
 
     def _backoff_s(self, state: ServerState, now: float) -> float:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -27,6 +27,11 @@
         ' event {after}',
         ('resumes', 'after'),
     ),
+    'origin known': Event(
+        'the stream of attempt {resumes} goes on at software version {software}'
+        ' of {service}, known by: {source}',
+        ('resumes', 'service', 'software', 'source', 'origin_age_ms'),
+    ),
     'let in': Event(
         'client account {account} was within its limit by its {by}:'
         ' the request costs {cost}, {remaining} remain',
@@ -397,6 +402,27 @@
             ' quarantined',
             ('fingerprint',),
         ),
+        (
+            'origins not reported',
+            'where {count} streams began was reported to {replied} of {asked}'
+            ' VMs',
+            ('count', 'asked', 'replied'),
+        ),
+        (
+            'origins not saved',
+            'where {count} streams began was not written to the store: {error}',
+            ('count', 'error'),
+        ),
+        (
+            'origins not read',
+            'where streams began could not be read from the store: {error}',
+            ('error',),
+        ),
+        (
+            'origins not readable',
+            'a record of where streams began was ignored: {error}',
+            ('error',),
+        ),
         (
             'quarantine not saved',
             'the quarantined requests were not written to the store: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -444,6 +444,8 @@
     remaining_ms: int = 0
     # Whether the response is cut after that time, since the holder stops.
     must_finish: bool = False
+    # Software version of the decode worker; empty if any may get the request.
+    version: str = ''
 
 
 class PlacementGrant(Wire, frozen=True, tag='Place'):
@@ -491,6 +493,44 @@
     replaced: bool = False
 
 
+class StreamOrigin(Wire, frozen=True):
+    """Where a stream began."""
+
+    # Key of the stream (`stream_origins.digest`).
+    stream: int
+    service: str
+    # Software version of the server that sent its first event.
+    version: str
+    # Time since the first event, milliseconds.
+    age_ms: int = 0
+
+
+class OriginReport(Wire, frozen=True):
+    """Reports the origins of streams to another entry VM."""
+
+    origins: tuple[StreamOrigin, ...]
+    # Whether the receiver saves them in the store.
+    save: bool = False
+
+
+class OriginRequest(Wire, frozen=True):
+    """Asks another entry VM for the origin of a stream."""
+
+    # 0 if only the service matters.
+    stream: int
+    service: str
+
+
+class OriginReply(Wire, frozen=True):
+    """Reply to `OriginRequest`."""
+
+    # None if it is not known.
+    origin: StreamOrigin | None = None
+    # The version of the service, if it had no other for as long as a stream
+    # may be resumed; empty if it had, or that is not known.
+    only_version: str = ''
+
+
 class Crash(Wire, frozen=True):
     """A request that was running on a server when the server crashed."""
 
@@ -694,6 +734,9 @@
     | PlacementGrant
     | DeadlineUnreachable
     | PlacementRelease
+    | OriginReport
+    | OriginRequest
+    | OriginReply
     | ServerFailureReport
     | CrashReports
     | SendTokensRequest
--- a/packages/core/foxtaildale/packing.py
+++ b/packages/core/foxtaildale/packing.py
@@ -33,6 +33,8 @@
         now: Seconds.
         service: Memory and slots of an engine.
         decoders: Decode workers that may get work.
+        spare: Further decode workers, which get work only if there is no other
+            of its software version.
         running: The planned requests, as pairs of a worker's id and a request.
         token_s: Returns the time of one token at a worker, seconds.
     """
@@ -44,7 +46,9 @@
         '_open_workers',
         '_requests',
         '_slots',
+        '_spare_workers',
         '_token_s',
+        '_versions',
         'event_tokens',
     )
 
@@ -55,6 +59,8 @@
         decoders: Iterable[fleet.ServerState],
         running: Iterable[tuple[str, memory_growth.Running]],
         token_s: Callable[[str], float],
+        *,
+        spare: Iterable[fleet.ServerState] = (),
     ) -> None:
         self._now = now
         self.event_tokens = service.event_tokens
@@ -64,18 +70,26 @@
         # Ids in order of preference.
         self._open_workers = []
         self._data_centres: dict[str, str] = {}
+        self._spare_workers: list[str] = []
+        # Software versions by worker id.
+        self._versions: dict[str, str] = {}
         for tally in decoders:
             self._open_workers.append(tally.backend.id)
             self._data_centres[tally.backend.id] = tally.backend.data_centre
+            self._versions[tally.backend.id] = tally.backend.version
+        usable_versions = set(self._versions.values())
+        for tally in spare:
+            if tally.backend.version not in usable_versions:
+                self._spare_workers.append(tally.backend.id)
+                self._data_centres[tally.backend.id] = tally.backend.data_centre
+                self._versions[tally.backend.id] = tally.backend.version
         # By worker id.
         self._requests: dict[str, list[memory_growth.Running]] = {}
         for worker, request in running:
             self.add(worker, request)
         # Computed once for each scheduling pass: it takes a median over all
         # engines, and every waiter is tried at every worker.
-        self._token_s = {
-            worker: token_s(worker) for worker in self._open_workers
-        }
+        self._token_s = {worker: token_s(worker) for worker in self._versions}
 
     @property
     def is_full(self) -> bool:
@@ -87,6 +101,7 @@
         request: memory_growth.Running,
         avoid: Collection[str],
         preferred_data_centre: str = '',
+        version: str = '',
     ) -> tuple[str, bool]:
         """Returns the worker with the most room, and whether the request fits.
 
@@ -97,10 +112,11 @@
             avoid: Workers that it must not go to.
             preferred_data_centre: Data centre of its prefill worker; empty for
                 none. A decode worker there is preferred among those with room.
+            version: Software version of the worker; empty for any.
         """
         best, min_peak = '', math.inf
         nearest, min_near_peak = '', math.inf
-        for worker in self._open_workers:
+        for worker in self._workers(version):
             requests = self._requests.get(worker, [])
             if worker in avoid or len(requests) >= self._slots:
                 continue
@@ -131,4 +147,18 @@
 
     def close(self, worker: str) -> None:
         """Closes a worker to all other requests in this scheduling pass."""
-        self._open_workers.remove(worker)
+        workers = (
+            self._open_workers
+            if worker in self._open_workers
+            else self._spare_workers
+        )
+        workers.remove(worker)
+
+    def _workers(self, version: str) -> list[str]:
+        if not version:
+            return self._open_workers
+        return [
+            worker
+            for worker in (*self._open_workers, *self._spare_workers)
+            if self._versions[worker] == version
+        ]
--- a/packages/core/foxtaildale/placement_plan.py
+++ b/packages/core/foxtaildale/placement_plan.py
@@ -134,6 +134,7 @@
             self._grant_placements(
                 now,
                 service,
+                decoders,
                 _exclude(
                     _exclude(decoders, unusable),
                     self._refusals.closed_workers(now),
@@ -305,6 +306,7 @@
         self,
         now: float,
         service: routes.Service,
+        all_decoders: Sequence[fleet.ServerState],
         decoders: Sequence[fleet.ServerState],
         prefillers: Sequence[fleet.ServerState],
     ) -> None:
@@ -318,14 +320,15 @@
                 for h in self._placed.values()
             ),
             lambda worker: self._token_s_at(now, worker),
+            spare=all_decoders,
         )
         passed_over = 0
         position = 0
         for waiter in self._queue.ranked(now, self._prefills.mean_prefill_s):
             if passed_over <= MAX_PASSED_OVER and not decode_workers.is_full:
-                passed_over += not self._place(
-                    now, waiter, decode_workers, prefillers
-                )
+                has_room = self._place(now, waiter, decode_workers, prefillers)
+                # A waiter for one software version holds up only its version.
+                passed_over += not has_room and not waiter.msg.version
             if waiter.placement is not None:
                 self._queue.record_grant(now)
                 continue
@@ -362,7 +365,7 @@
         running = self._running_request(msg, turn.ready_at)
         near = _data_centre(prefillers, turn.worker)
         worker, fits = decode_workers.find_roomiest(
-            running, msg.excluded_servers, near
+            running, msg.excluded_servers, near, msg.version
         )
         waiter.missing_resource = 'memory'
         if not worker:
@@ -397,7 +400,7 @@
         running = self._running_request(msg, now + prefill_s)
         busy = self._local_prefills.busy_workers(now)
         worker, fits = decode_workers.find_roomiest(
-            running, (*msg.excluded_servers, *busy)
+            running, (*msg.excluded_servers, *busy), version=msg.version
         )
         if not worker or not fits:
             return False
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -21,6 +21,7 @@
 from foxtaildaled import actors
 from foxtaildaled import attempt_state
 from foxtaildaled import crash_detection
+from foxtaildaled import origin_finder
 from foxtaildaled import placement_finder
 from foxtaildaled import prefill_clients
 from foxtaildaled import routed_request
@@ -57,6 +58,7 @@
         '_clock',
         '_crash_probe',
         '_on_completed',
+        '_origins',
         '_owner',
         '_placements',
         '_prefill_client',
@@ -72,6 +74,7 @@
         workers: ports.ServerClient,
         budgets: router_retry_budgets.RouterRetryBudgets,
         placements: placement_finder.PlacementFinder,
+        origins: origin_finder.OriginFinder,
         prefill_client: prefill_clients.PrefillClient,
         cleanup: ports.ResourceReleaser,
         crash_probe: crash_detection.CrashDetector,
@@ -83,6 +86,7 @@
         self._workers = workers
         self._retry_budgets = budgets
         self._placements = placements
+        self._origins = origins
         self._prefill_client = prefill_client
         self._cleanup = cleanup
         self._crash_probe = crash_probe
@@ -93,10 +97,11 @@
 
     def serve(self, req: routed_request.RoutedRequest) -> None:
         """Serves one request; returns after its final response is sent."""
-        self._retry_budgets.record_first_attempt(req.service.name)
         response = attempt_state.ResponseState(req.caller_request.after_event)
         sent_ids: list[str] = []
         try:
+            self._origins.bind(req)
+            self._retry_budgets.record_first_attempt(req.service.name)
             while not self._run_attempt(req, response, sent_ids):
                 self._check_retry(req, response)
         except attempt_state.RequestRefused as exc:
@@ -323,6 +328,7 @@
         head: forwarding.ResponseHead,
     ) -> None:
         response.started = True
+        self._origins.record_first_event(req, response.server_version)
         req.log('first event', software=response.server_version)
         req.request_metrics.first_answer_seconds.observe(
             (req.age_s(),), req.service.name
--- /dev/null
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -0,0 +1,217 @@
+"""Finds the service and software version at which a resumed stream goes on.
+
+A guess could combine what two versions wrote, so a stream whose origin is not
+known is refused as long as servers of several versions may have begun it.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import logging
+from typing import Final
+
+from foxtaildale import codes
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale import positions
+from foxtaildale import routes
+from foxtaildale import stream_origins
+from foxtaildale_adapters import logs
+from foxtaildaled import actors
+from foxtaildaled import attempt_state
+from foxtaildaled import coordinator_client
+from foxtaildaled import origin_reports
+from foxtaildaled import origin_store
+from foxtaildaled import routed_request
+from foxtaildaled import router_state
+
+# Number of VMs that are asked for an origin; one of them may have served the
+# stream and ended, and one may not have the report.
+ASKED_VMS: Final = 3
+# Longest wait for their replies, seconds.
+REPLY_TIMEOUT_S: Final = 0.25
+# Maximum time for which a first event waits until another VM has the report,
+# seconds. This VM may end right after the event.
+MAX_REPORT_WAIT_S: Final = 0.05
+
+
+class OriginFinder:
+    """Binds resumed streams to their origins; reports new streams."""
+
+    __slots__ = (
+        '_coordinators',
+        '_owner',
+        '_peers',
+        '_reports',
+        '_service',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        *,
+        owner: actors.StateOwner[router_state.RouterState],
+        coordinators: coordinator_client.CoordinatorClient,
+        peers: ports.PeerGroup,
+        reports: origin_reports.OriginReports,
+        store: origin_store.OriginStore,
+        service: Callable[[str], routes.Service],
+    ) -> None:
+        self._owner = owner
+        self._coordinators = coordinators
+        self._peers = peers
+        self._reports = reports
+        self._store = store
+        # Returns the settings of a service by its name.
+        self._service = service
+
+    def record_first_event(
+        self, req: routed_request.RoutedRequest, version: str
+    ) -> None:
+        """Records the version whose first event is sent to the caller next."""
+        req.software_version = version
+        if not req.route.resumable:
+            return
+        service = req.service.name
+        is_mixed = self._owner.run(
+            lambda state, now: len(state.fleet.versions(service, now)) > 1
+        )
+        origin = _origin(_stream(req, req.caller_request.id), service, version)
+        # With one version, a lost report does no harm.
+        self._reports.record(origin, MAX_REPORT_WAIT_S if is_mixed else 0.0)
+
+    def bind(self, req: routed_request.RoutedRequest) -> None:
+        """Binds a resumed stream to the service and version that began it.
+
+        Raises:
+            attempt_state.RequestRefused: The version is not known, and servers
+                of several versions may have begun the stream.
+        """
+        call = req.caller_request
+        if not call.resumes and not call.after_event:
+            return
+        origin, source = self._find(req)
+        if origin is None:
+            return
+        if origin.service != req.service.name:
+            req.service = self._service(origin.service)
+        req.software_version = origin.version
+        req.log(
+            'origin known',
+            resumes=call.resumes,
+            service=origin.service,
+            software=origin.version,
+            source=source,
+            origin_age_ms=origin.age_ms,
+        )
+
+    def answer(self, msg: messages.OriginRequest) -> messages.OriginReply:
+        """Handles the request of another VM for an origin."""
+        return messages.OriginReply(
+            origin=self._reports.find(msg.stream),
+            only_version=self._only_version(msg.service),
+        )
+
+    def _find(
+        self, req: routed_request.RoutedRequest
+    ) -> tuple[messages.StreamOrigin | None, str]:
+        """Returns the origin, if it matters, and where it was found.
+
+        Raises:
+            attempt_state.RequestRefused: It matters and is not known.
+        """
+        resumes = req.caller_request.resumes
+        stream = _stream(req, resumes) if resumes else 0
+        services = {target.service for target in req.route.targets}
+        for origin, source in self._known_origins(req, stream):
+            if origin.service in services:
+                return origin, source
+        service = req.service.name
+        versions = self._owner.run(
+            lambda state, now: state.fleet.versions(service, now)
+        )
+        if len(versions) > 1:
+            raise attempt_state.RequestRefused(
+                codes.ORIGIN_UNKNOWN, versions=len(versions)
+            )
+        if not versions:
+            return None, ''
+        return _origin(stream, service, *versions), 'listed version'
+
+    def _known_origins(
+        self, req: routed_request.RoutedRequest, stream: int
+    ) -> Iterator[tuple[messages.StreamOrigin, str]]:
+        """Yields what is known of a stream's origin, the cheapest first."""
+        origin = self._reports.find(stream)
+        if origin is not None:
+            yield origin, 'own'
+        service = req.service.name
+        # Another service of a split route may have begun the stream.
+        is_split = len(req.route.targets) > 1
+        version = self._only_version(service)
+        if version and not is_split:
+            yield _origin(stream, service, version), 'only version'
+        for reply in self._ask(stream, service):
+            if reply.origin is not None:
+                yield reply.origin, 'peer'
+            version = version or reply.only_version
+        if version and not is_split:
+            yield _origin(stream, service, version), 'only version'
+        if stream:
+            origin = self._find_saved(stream)
+            if origin is not None:
+                yield origin, 'store'
+
+    def _only_version(self, service: str) -> str:
+        """Returns the version of a service if it had no other for long enough.
+
+        Returns:
+            The version; empty if there were several, or this VM has not seen
+            the list of servers for as long as a stream may be resumed.
+        """
+
+        def read_state(state: router_state.RouterState, now: float) -> str:
+            versions = state.fleet.versions(service, now)
+            known_s = state.list_known_s(now)
+            if len(versions) != 1 or known_s < stream_origins.ORIGIN_TTL_S:
+                return ''
+            return next(iter(versions))
+
+        return self._owner.run(read_state)
+
+    def _ask(self, stream: int, service: str) -> list[messages.OriginReply]:
+        """Asks the VMs that may know a stream."""
+        addresses = self._coordinators.successor_addresses(
+            origin_reports.subject(stream), ASKED_VMS
+        )
+        replies = self._peers.request_all(
+            addresses,
+            messages.OriginRequest(stream=stream, service=service),
+            REPLY_TIMEOUT_S,
+        )
+        self._coordinators.record_replies(addresses, replies)
+        return [
+            reply
+            for reply in replies.values()
+            if isinstance(reply, messages.OriginReply)
+        ]
+
+    def _find_saved(self, stream: int) -> messages.StreamOrigin | None:
+        epoch = self._owner.run(
+            lambda state, _: positions.epoch(state.servers_position())
+        )
+        try:
+            return self._store.find(stream, epoch)
+        except errors.PortError as exc:
+            logs.event(logging.WARNING, 'origins not read', error=str(exc))
+            return None
+
+
+def _stream(req: routed_request.RoutedRequest, attempt: str) -> int:
+    return stream_origins.digest(req.caller_request.account, attempt)
+
+
+def _origin(stream: int, service: str, version: str) -> messages.StreamOrigin:
+    return messages.StreamOrigin(
+        stream=stream, service=service, version=version
+    )
--- /dev/null
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -0,0 +1,141 @@
+"""Origins of streams in the platform's store.
+
+They outlive the entry VMs: after a loss of power on all VMs, callers resume
+streams whose versions no VM remembers. Origins are written in batches, and only
+while a service has servers of several software versions.
+"""
+
+import logging
+import threading
+from typing import Final
+
+import msgspec
+
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale import ports
+from foxtaildale import positions
+from foxtaildale import stream_origins
+from foxtaildale_adapters import logs
+
+# Topic of the store. It is a plain log, so that old batches expire.
+TOPIC: Final = 'streamorigins'
+# Time for which a read is not repeated, seconds.
+REREAD_INTERVAL_S: Final = 0.2
+# Maximum number of reads of one look-up, each of up to a megabyte.
+_MAX_READS: Final = 20
+
+
+class Batch(msgspec.Struct, array_like=True, frozen=True):
+    """Origins that an entry VM saved together."""
+
+    # Seconds since the Unix epoch, as of which the ages of the origins are.
+    saved_at: float
+    origins: tuple[messages.StreamOrigin, ...]
+
+
+_batch: Final = msgspec.msgpack.Decoder(Batch)
+
+
+class OriginStore:
+    """Saves and looks up origins in the store; safe for concurrent use."""
+
+    __slots__ = (
+        '_clock',
+        '_lock',
+        '_next',
+        '_origins',
+        '_read_at',
+        '_reader',
+        '_wall',
+        '_writer',
+    )
+
+    def __init__(
+        self,
+        *,
+        reader: ports.KeyedTopics,
+        writer: ports.KeyedTopics,
+        clock: ports.Clock,
+        wall: ports.Clock,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._clock = clock
+        # Returns seconds since the Unix epoch.
+        self._wall = wall
+        # Guards the fields below.
+        self._lock = threading.Lock()
+        self._origins = stream_origins.StreamOrigins()
+        # Position of the next record to read.
+        self._next = 0
+        self._read_at: float | None = None
+
+    def save(
+        self, entry_vm: str, origins: tuple[messages.StreamOrigin, ...]
+    ) -> bool:
+        """Saves origins, with their present ages; returns whether it worked."""
+        batch = msgspec.msgpack.encode(Batch(self._wall(), origins))
+        try:
+            self._writer.put(TOPIC, entry_vm, batch)
+        except errors.PortError as exc:
+            logs.event(
+                logging.WARNING,
+                'origins not saved',
+                count=len(origins),
+                error=str(exc),
+            )
+            return False
+        return True
+
+    def find(self, stream: int, epoch: int) -> messages.StreamOrigin | None:
+        """Looks up the origin of a stream; None if it is not saved.
+
+        Args:
+            stream: Key of the stream.
+            epoch: The present epoch of the store.
+
+        Raises:
+            errors.PortError: The store could not be read.
+        """
+        with self._lock:
+            now = self._clock()
+            if (
+                self._read_at is None
+                or now - self._read_at >= REREAD_INTERVAL_S
+            ):
+                self._read(epoch)
+                self._read_at = self._clock()
+            return self._origins.find(self._clock(), stream)
+
+    def _read(self, epoch: int) -> None:
+        if positions.epoch(self._next) != epoch:
+            self._next = positions.make(epoch, 0)
+        for _ in range(_MAX_READS):
+            try:
+                found = self._reader.wait_for_records(TOPIC, self._next, 0.0)
+            except errors.RecordsExpiredError as exc:
+                first = positions.make(epoch, exc.first)
+                if first <= self._next:
+                    raise
+                self._next = first
+                continue
+            self._next = found.end
+            for entry in found.entries:
+                self._apply(entry.value)
+            if not found.entries:
+                return
+
+    def _apply(self, value: bytes) -> None:
+        try:
+            batch = _batch.decode(value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            logs.event(logging.WARNING, 'origins not readable', error=str(exc))
+            return
+        now = self._clock()
+        age_s = max(0.0, self._wall() - batch.saved_at)
+        for origin in batch.origins:
+            self._origins.record(
+                now,
+                stream_origins.with_age(origin, origin.age_ms / 1000 + age_s),
+            )
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -107,7 +107,9 @@
         """
         name = f'{req.caller_request.id}/{next(self._request_numbers)}'
         faulty = self._owner.run(
-            lambda state, now: state.fleet.faulty(req.service.name, now)
+            lambda state, now: state.fleet.faulty(
+                req.service.name, now, req.software_version
+            )
         )
         avoided = (*sent, *faulty, *self._send_limits.exhausted_servers())
         started_at = self._clock()
@@ -147,10 +149,11 @@
         )
 
     def is_accepting(self, server: forwarding.Backend) -> bool:
-        """Whether a chosen server still accepts requests."""
-        return self._owner.run(
-            lambda state, now: state.fleet.usable(server.id, now) is not None
+        """Whether a chosen server still accepts requests, at its version."""
+        usable = self._owner.run(
+            lambda state, now: state.fleet.usable(server.id, now)
         )
+        return usable is not None and usable.version == server.version
 
     def record_failure(
         self, req: routed_request.RoutedRequest, server: forwarding.Backend
@@ -179,7 +182,8 @@
 
         Raises:
             attempt_state.RequestRefused: The caller disconnected, the time is
-                used up, or all servers are in backoff.
+                used up, no server of the stream's software version is left, or
+                all servers are in backoff.
         """
         if req.check_disconnected():
             raise attempt_state.RequestRefused(
@@ -192,11 +196,23 @@
                 codes.TIMED_OUT, limit_ms=limit_ms
             )
         stage = _stage(req.service)
-        backoff_s = self._owner.run(
-            lambda state, now: state.fleet.backoff_s(
-                req.service.name, now, stage
+        version = req.software_version
+
+        def read_state(
+            state: router_state.RouterState, now: float
+        ) -> tuple[bool, float]:
+            name = req.service.name
+            return (
+                not version
+                or state.fleet.has_version(name, now, stage, version),
+                state.fleet.backoff_s(name, now, stage, version),
+            )
+
+        has_version, backoff_s = self._owner.run(read_state)
+        if not has_version:
+            raise attempt_state.RequestRefused(
+                codes.VERSION_GONE, software=version
             )
-        )
         if backoff_s:
             raise attempt_state.RequestRefused(
                 codes.BACKEND_REFUSED, 'backoff', retry_after_s=backoff_s
@@ -219,7 +235,9 @@
                 self.check_servable(req, sent)
                 faulty = self._owner.run(
                     lambda state, now: (
-                        *state.fleet.faulty(req.service.name, now),
+                        *state.fleet.faulty(
+                            req.service.name, now, req.software_version
+                        ),
                         *state.fleet.in_backoff(req.service.name, now),
                     )
                 )
@@ -348,6 +366,7 @@
             max_gap_ms=int(req.route.gap_s * 1000),
             remaining_ms=max(1, int(req.time_left_s() * 1000)),
             must_finish=req.must_finish,
+            version=req.software_version,
         )
 
     def _accept_placement(
@@ -368,7 +387,9 @@
             )
 
         worker, prefiller = self._owner.run(read_state)
-        if worker is None or not self._send_limits.acquire(worker.id):
+        if worker is None or not _is_version_allowed(req, worker):
+            return None
+        if not self._send_limits.acquire(worker.id):
             return None
         self._client.record(
             req.service.name,
@@ -474,7 +495,11 @@
             state: router_state.RouterState, now: float
         ) -> list[forwarding.Backend]:
             server_states = state.fleet.candidates(
-                service.name, now, stage, () if attempts_used_up else sent
+                service.name,
+                now,
+                stage,
+                () if attempts_used_up else sent,
+                version=req.software_version,
             )
             return [
                 server_state.backend
@@ -485,6 +510,17 @@
         return self._owner.run(read_state)
 
 
+def _is_version_allowed(
+    req: routed_request.RoutedRequest, worker: forwarding.Backend
+) -> bool:
+    """Whether a stream may go on at a worker.
+
+    A coordinator may have an older list of servers, or run a build that does
+    not know versions.
+    """
+    return req.software_version in ('', worker.version)
+
+
 def _may_be_cut(req: routed_request.RoutedRequest) -> bool:
     """Whether this process may end before the response does.
 
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -50,6 +50,7 @@
         'request_metrics',
         'route',
         'service',
+        'software_version',
         'started_at',
     )
 
@@ -95,6 +96,9 @@
         # Whether the response has to be complete before this process ends; a
         # request that came before the stop may be cut by it.
         self.must_finish = False
+        # Software version of the decode workers at which the stream may go on;
+        # empty if any may.
+        self.software_version = ''
         # Stages of the servers that crashed while they ran this request.
         self.crashed_stages: set[forwarding.Stage] = set()
         # Set when the caller has disconnected.
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -147,7 +147,8 @@
     ) -> routed_request.RoutedRequest:
         account = matcher.client_accounts.by_key(call.key)
         call.account = account.name if account is not None else ''
-        name = routes.pick_service(route, call.id)
+        # A resumed stream goes to the service that began it.
+        name = routes.pick_service(route, call.resumes or call.id)
         return routed_request.RoutedRequest(
             exchange,
             caller_request=call,
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -22,6 +22,7 @@
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
+from foxtaildale import routes
 from foxtaildale_adapters import admin
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import connection_relay
@@ -37,6 +38,9 @@
 from foxtaildaled import engine_cleanup
 from foxtaildaled import generation
 from foxtaildaled import loops
+from foxtaildaled import origin_finder
+from foxtaildaled import origin_reports
+from foxtaildaled import origin_store
 from foxtaildaled import placement_client
 from foxtaildaled import placement_finder
 from foxtaildaled import plain_forwarder
@@ -151,6 +155,8 @@
         '_loops',
         '_metrics',
         '_open_flights',
+        '_origin_finder',
+        '_origin_reports',
         '_owner',
         '_peers',
         '_placement_plan',
@@ -275,6 +281,28 @@
             store=self._make_store(adapters),
             clock=clock,
         )
+        origins = origin_store.OriginStore(
+            reader=self._make_store(adapters),
+            writer=self._make_store(adapters),
+            clock=clock,
+            wall=time.time,
+        )
+        self._origin_reports = origin_reports.OriginReports(
+            entry_vm=cfg.entry_vm,
+            owner=owner,
+            coordinators=self._coordinators,
+            peers=self._peers,
+            store=origins,
+            clock=clock,
+        )
+        self._origin_finder = origin_finder.OriginFinder(
+            owner=owner,
+            coordinators=self._coordinators,
+            peers=self._peers,
+            reports=self._origin_reports,
+            store=origins,
+            service=self._service,
+        )
         budgets = router_retry_budgets.RouterRetryBudgets(
             cfg.retry_ratio,
             cfg.retry_burst,
@@ -349,6 +377,8 @@
             messages.InventoryRequest: lambda msg: (
                 self._placement_plan.current_placements(msg.service)
             ),
+            messages.OriginReport: self._origin_reports.apply_report,
+            messages.OriginRequest: self._origin_finder.answer,
             messages.DumpRequest: lambda _: messages.DumpReply(
                 state=self._dump()
             ),
@@ -483,6 +513,12 @@
         matcher = self._state.matcher
         return matcher.client_accounts if matcher is not None else None
 
+    def _service(self, name: str) -> routes.Service:
+        matcher = self._state.matcher
+        if matcher is None:
+            return routes.Service(name=name)
+        return matcher.table.service(name)
+
     def _make_generate(
         self,
         adapters: Adapters,
@@ -503,6 +539,7 @@
             workers=self._workers,
             budgets=budgets,
             placements=placements,
+            origins=self._origin_finder,
             prefill_client=prefill_clients.PrefillClient(
                 owner=self._owner,
                 workers=self._workers,
@@ -540,6 +577,18 @@
             self._send_limits.exchange_tokens,
         )
         self._send_limits.on_limit_changed = send_limits_loop.wake
+        origins_loop = process.Loop(
+            'origins',
+            origin_reports.REPORT_INTERVAL_S,
+            self._origin_reports.send,
+        )
+        self._origin_reports.on_report = origins_loop.wake
+        saved_origins_loop = process.Loop(
+            'saved origins',
+            self._origin_reports.save_interval_s,
+            self._origin_reports.save,
+        )
+        self._origin_reports.on_save = saved_origins_loop.wake
         paths_loop = process.Loop(
             'server paths',
             self._server_paths.interval_s,
@@ -548,6 +597,8 @@
         self._server_paths.on_probe_needed = paths_loop.wake
         return [
             paths_loop,
+            origins_loop,
+            saved_origins_loop,
             limits_loop,
             quarantine_loop,
             send_limits_loop,
@@ -601,7 +652,10 @@
                 code=self._fitness.ineligibility_reason()
             )
         needs_running = isinstance(
-            msg, messages.RecordsRequest | messages.CrashReports
+            msg,
+            messages.RecordsRequest
+            | messages.CrashReports
+            | messages.OriginReport,
         )
         if needs_running and self._stopping.is_set():
             return messages.ErrorReply(code='stopping')
@@ -650,6 +704,7 @@
                     for server_state in state.fleet.server_states()
                 ],
                 'busy': self._server.busy(),
+                'stream_origins': len(self._origin_reports),
                 'plans': state.plans.summary(),
                 'accounts': self._limit_accounting.levels(),
                 'server_limits': self._send_limits.limits(),
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -41,6 +41,10 @@
 # time after which an entry VM lists itself again.
 _REWRITE_S = 20.0
 
+# Longest time between two states of the list of servers within which no server
+# can come, begin streams and go unnoticed, seconds.
+_MAX_LIST_GAP_S = 10.0
+
 
 class RouterState:
     """State of a router; the current time is passed as an argument."""
@@ -57,6 +61,7 @@
         'failure_rates',
         'fleet',
         'large_records',
+        'list_known_since',
         'matcher',
         'on_restarted',
         'peer_current_at',
@@ -120,6 +125,9 @@
         # The time as of which the list of servers is current, and when the
         # store last replied with a part of it, and last failed to reply.
         self.servers_current_at: float | None = None
+        # Since when the list of servers has been followed without a long gap,
+        # seconds.
+        self.list_known_since = math.inf
         self.store_replied_at = -math.inf
         # The time as of which another entry VM has told all that it knows of
         # the store. Own reads of one topic say nothing of the others.
@@ -179,9 +187,7 @@
         if topic == self._codec.servers_topic:
             self.servers_received = True
             self.store_replied_at = now
-            self.servers_current_at = max(
-                self.servers_current_at or 0.0, requested_at
-            )
+            self._record_current_list(requested_at)
         self._apply_changes(topic, changes, now, 'store', positions_before)
 
     def is_behind(self, topic: str) -> bool:
@@ -224,9 +230,7 @@
         current_at = requested_at - reply.store_age_s
         self.peer_current_at = max(self.peer_current_at, current_at)
         if self.servers_received:
-            self.servers_current_at = max(
-                self.servers_current_at or 0.0, current_at
-            )
+            self._record_current_list(current_at)
         self.fleet.update_failure_rates(reply.failure_ratios, now)
         self.announcements.merge(reply, now)
         self.quarantine_state.merge(
@@ -354,6 +358,14 @@
             return None
         return round((now - self.servers_current_at) * 1000)
 
+    def list_known_s(self, now: float) -> float:
+        """Returns how long the list of servers has been followed, seconds."""
+        return now - self.list_known_since
+
+    def servers_position(self) -> int:
+        """Returns the position up to which the list of servers was applied."""
+        return self.applied_offset(self._codec.servers_topic)
+
     def is_store_lost(self) -> bool:
         """Whether the store failed after its last reply to this entry VM."""
         if self.store_failed_at is None:
@@ -384,6 +396,13 @@
         addresses.discard(self._peer_address)
         return sorted(addresses)
 
+    def _record_current_list(self, at: float) -> None:
+        """Records that the list of servers is current as of a time."""
+        before = self.servers_current_at
+        if before is None or at - before > _MAX_LIST_GAP_S:
+            self.list_known_since = at
+        self.servers_current_at = max(before or 0.0, at)
+
     def _positions(self) -> dict[str, int]:
         return {
             topic: topic_mirror.end
@@ -529,7 +548,7 @@
         unreadable = entry.key in self._unreadable
         self._unreadable.discard(entry.key)
         known_start = self.fleet.started_at(entry.key)
-        if not self.fleet.put(backend):
+        if not self.fleet.put(backend, now):
             logs.event(
                 logging.INFO,
                 'old entry passed over',
