A head of a response is limited as a whole, and one that breaks off is none

Cause: the timeout of a socket limits each read, so a server that drips a status line, a header, headers, interim responses, a chunk size or trailers held its reader for as long as it sent; and the library takes a head that ends with its connection for complete. All readers of servers and the store use the two clients that this changes.

Change: the response of the library reads through a reader with a deadline and a size for the head. The deadline of a part of a body is the timeout of its read.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -17,11 +17,11 @@
 from typing import Final
 
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 import urllib3.util
 
 from foxtaildale import errors
+from foxtaildale_adapters import bounded_responses
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
@@ -192,10 +192,10 @@
                 return True
 
     def read_head(self, timeout_s: float) -> RawResponseHead:
-        """Waits for the head of the response.
+        """Waits for the complete head of the response.
 
         Raises:
-            errors.NoReplyError: No response arrived, or it is malformed.
+            errors.NoReplyError: No head arrived in time, or it is malformed.
         """
         try:
             self._set_timeout(timeout_s)
@@ -223,7 +223,8 @@
             raise errors.InvariantError('body read before the response head')
         try:
             self._set_timeout(timeout_s)
-            data = self._resp.read1(_READ_BYTES)
+            with bounded_responses.limited(self._resp, timeout_s):
+                data = self._resp.read1(_READ_BYTES)
             self._complete = not data
             return data
         except urllib3.exceptions.ReadTimeoutError as exc:
@@ -312,7 +313,7 @@
             self._sock.settimeout(max(0.001, timeout_s))
 
 
-class _ServerConnection(urllib3.connection.HTTPConnection):
+class _ServerConnection(bounded_responses.Connection):
     """A connection whose socket a `connectors.Connector` opens."""
 
     def __init__(self, address: str, connector: connectors.Connector) -> None:
--- /dev/null
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -0,0 +1,116 @@
+"""HTTP responses that are limited as a whole, in time and in size of the head.
+
+The timeout of a socket limits each read, so a server that sends a byte now and
+then could hold its reader for any time, and one that sends fast could send
+headers or interim responses without end. The library also takes a head that
+ends with its connection for complete.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import http.client
+import io
+import socket
+import time
+from typing import TYPE_CHECKING
+from typing import Final
+
+import urllib3
+import urllib3.connection
+
+if TYPE_CHECKING:
+    from _typeshed import WriteableBuffer
+
+# Maximum size of a head with its interim responses, bytes.
+MAX_HEAD_BYTES: Final = 256 * 1024
+# Minimum timeout of a read, seconds; a socket with 0 would not wait.
+MIN_TIMEOUT_S: Final = 0.001
+
+
+class _LimitedReader(io.RawIOBase):
+    """Reads from a socket until a deadline."""
+
+    def __init__(self, raw: io.RawIOBase, sock: socket.socket) -> None:
+        super().__init__()
+        self._raw = raw
+        self._sock = sock
+        # Deadline of all reads, seconds of the monotonic clock; None if only the
+        # timeout of the socket applies.
+        self.deadline: float | None = None
+        # How much of the head may still be read, bytes; None behind the head.
+        self.head_left: int | None = None
+
+    def readable(self) -> bool:
+        return True
+
+    def fileno(self) -> int:
+        return self._raw.fileno()
+
+    def readinto(self, buffer: 'WriteableBuffer', /) -> int | None:
+        if self.deadline is not None:
+            left_s = self.deadline - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError('timed out')
+            self._sock.settimeout(left_s)
+        count = self._raw.readinto(buffer)
+        if self.head_left is not None and count is not None:
+            if not count:
+                raise ConnectionResetError('the head of the response broke off')
+            self.head_left -= count
+            if self.head_left < 0:
+                raise http.client.LineTooLong('head of the response')
+        return count
+
+    def close(self) -> None:
+        if not self.closed:
+            self._raw.close()
+        super().close()
+
+
+class BoundedResponse(http.client.HTTPResponse):
+    """A response whose head is limited by the timeout of the socket."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int = 0,
+        method: str | None = None,
+        url: str | None = None,
+    ) -> None:
+        super().__init__(sock, debuglevel, method, url)
+        self._timeout_s = sock.gettimeout()
+        self.reader = _LimitedReader(self.fp.detach(), sock)
+        self.fp = io.BufferedReader(self.reader)
+
+    def begin(self) -> None:
+        """Reads the head."""
+        reader = self.reader
+        if self._timeout_s is not None:
+            reader.deadline = time.monotonic() + self._timeout_s
+        reader.head_left = MAX_HEAD_BYTES
+        super().begin()
+        reader.head_left = None
+        reader.deadline = None
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """A connection with bounded responses."""
+
+    response_class = BoundedResponse
+
+
+@contextlib.contextmanager
+def limited(resp: urllib3.BaseHTTPResponse, timeout_s: float) -> Iterator[None]:
+    """Limits what is read of a body within the block, seconds.
+
+    The library reads the sizes of chunks and trailers in lines.
+    """
+    found = getattr(resp, '_fp', None)
+    reader = found.reader if isinstance(found, BoundedResponse) else None
+    if reader is not None:
+        reader.deadline = time.monotonic() + max(MIN_TIMEOUT_S, timeout_s)
+    try:
+        yield
+    finally:
+        if reader is not None:
+            reader.deadline = None
--- a/packages/adapters/foxtaildale_adapters/http_client.py
+++ b/packages/adapters/foxtaildale_adapters/http_client.py
@@ -19,11 +19,11 @@
 
 import msgspec
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 
 from foxtaildale import errors
 from foxtaildale import ports
+from foxtaildale_adapters import bounded_responses
 
 # Maximum timeout for opening a connection, seconds.
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -95,8 +95,8 @@
             address: IP address and port.
             method: HTTP method.
             path: Path and query, already quoted.
-            timeout_s: Timeout for the head of the response and for each read of
-                its body, seconds.
+            timeout_s: Timeout for the complete head of the response and for
+                each read of its body, seconds.
             body_timeout_s: Timeout for the complete body, seconds; `timeout_s`
                 if None.
             body: Bytes to send.
@@ -123,9 +123,8 @@
                 headers=headers,
             )
             try:
-                data = self._read(
-                    resp, self._clock() + (body_timeout_s or timeout_s)
-                )
+                body_s = body_timeout_s or timeout_s
+                data = self._read(resp, timeout_s, self._clock() + body_s)
             except BaseException:
                 resp.close()
                 raise
@@ -138,11 +137,17 @@
             raise
         return Response(resp.status, data, tuple(resp.headers.items()))
 
-    def _read(self, resp: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
+    def _read(
+        self,
+        resp: urllib3.BaseHTTPResponse,
+        timeout_s: float,
+        deadline: float,
+    ) -> bytes:
         chunks: list[bytes] = []
         size = 0
         while True:
-            chunk = read_chunk(resp)
+            with bounded_responses.limited(resp, timeout_s):
+                chunk = read_chunk(resp)
             if not chunk:
                 return b''.join(chunks)
             chunks.append(chunk)
@@ -246,7 +251,7 @@
         raise errors.NoReplyError(str(exc)) from exc
 
 
-class _Http10Connection(urllib3.connection.HTTPConnection):
+class _Http10Connection(bounded_responses.Connection):
     """HTTP/1.0 connection, on which a server may not send a chunked body.
 
     In a chunked stream, each token would need two additional line reads.
@@ -256,6 +261,10 @@
     _http_vsn_str = 'HTTP/1.0'
 
 
+class _Pool11(urllib3.HTTPConnectionPool):
+    ConnectionCls = bounded_responses.Connection
+
+
 class _Http10Pool(urllib3.HTTPConnectionPool):
     ConnectionCls = _Http10Connection
 
@@ -273,7 +282,7 @@
 def _connect(
     address: str,
     maxsize: int,
-    pool_class: type[urllib3.HTTPConnectionPool] = urllib3.HTTPConnectionPool,
+    pool_class: type[urllib3.HTTPConnectionPool] = _Pool11,
 ) -> urllib3.HTTPConnectionPool:
     host, _, port = address.rpartition(':')
     if not host or not port.isdecimal() or int(port) > 65535:
