Bodies of prefills, errors and plain services are limited as a whole

Cause: read_body had no size, and the time left applied to each read anew; so a prefill result or an error response without end held the thread, the placement and the caller's time. The body of a plain service had a size, and no end in time once its deadline was over.

Change: a megabyte and one deadline for small bodies; what is incomplete 0.1 s behind the deadline of its request is given up.

No test drives the plain service behind its deadline.

--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -354,7 +354,7 @@
             errors.NoReplyError: The request should be resumed at another
                 worker instead, or a part of the response was sent before.
         """
-        body = prefill_clients.read_body(flight, req.time_left_s())
+        body = prefill_clients.read_body(flight, req.time_left_s(), self._clock)
         if response.started or (
             head.status >= 500 and self._may_resume(req, sent_ids)
         ):
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -468,7 +468,7 @@
     """Reads a complete response body.
 
     Raises:
-        errors.NoReplyError: The body broke off, or is too long.
+        errors.NoReplyError: The body broke off, is too long or took too long.
     """
     chunks = []
     size = 0
@@ -479,4 +479,6 @@
             raise errors.NoReplyError(
                 f'response body exceeds {MAX_RESPONSE_BYTES} bytes'
             )
+        if req.is_overdue():
+            raise errors.NoReplyError('response body not complete in time')
     return b''.join(chunks)
--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -1,6 +1,7 @@
 """Prefills the prompt of a request at a prefill worker."""
 
 from collections.abc import Callable
+import time
 from typing import Final
 
 from foxtaildale import errors
@@ -23,6 +24,8 @@
 # Part of the lifetime of a prefilled prompt in which it is offered to a decode
 # worker again. The rest covers the network delay to the worker that holds it.
 USABLE_TTL_FRACTION: Final = 0.7
+# Maximum size of the result of a prefill and of an error response, bytes.
+MAX_SMALL_BODY_BYTES: Final = 1024 * 1024
 
 
 # Called when a server has failed a request, or when another server has its
@@ -194,7 +197,7 @@
             flight.send(left_s)
             req.log_relayed(server.id, flight.via)
             head = flight.read_head(left_s)
-            body = read_body(flight, left_s)
+            body = read_body(flight, left_s, self._clock)
             if head.ran == 'no':
                 if head.replaces(server.id):
                     self._on_replaced(req, server)
@@ -236,13 +239,31 @@
         return forwarding.Prefilled(server, handle), True
 
 
-def read_body(flight: ports.ServerExchange, timeout_s: float) -> bytes:
+def read_body(
+    flight: ports.ServerExchange,
+    timeout_s: float,
+    clock: ports.Clock = time.monotonic,
+) -> bytes:
     """Reads a complete body that is known to be small.
 
+    Args:
+        flight: The exchange, behind the head of its response.
+        timeout_s: Time for the complete body, seconds.
+        clock: Returns the time, seconds.
+
     Raises:
-        errors.NoReplyError: The body broke off.
+        errors.NoReplyError: The body broke off, is too long or took too long.
     """
+    deadline = clock() + timeout_s
     chunks = []
-    while chunk := flight.read_chunk(timeout_s):
+    size = 0
+    while chunk := flight.read_chunk(deadline - clock()):
         chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_SMALL_BODY_BYTES:
+            raise errors.NoReplyError(
+                f'response body exceeds {MAX_SMALL_BODY_BYTES} bytes'
+            )
+        if clock() > deadline:
+            raise errors.NoReplyError('response body not complete in time')
     return b''.join(chunks)
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -25,6 +25,9 @@
 # Minimum time left for a send, seconds. With less, a backend server can only
 # time out.
 MIN_SEND_TIME_S: Final = 0.03
+# Time after the deadline in which a response that has arrived is still read,
+# seconds.
+LATE_READ_S: Final = 0.1
 
 
 class RoutedRequest:
@@ -131,6 +134,10 @@
         """Returns the time left until the deadline, seconds."""
         return self.deadline - self._clock()
 
+    def is_overdue(self) -> bool:
+        """Whether a response that is still incomplete is given up."""
+        return self.time_left_s() < -LATE_READ_S
+
     def age_s(self) -> float:
         """Returns the time since the request arrived, seconds."""
         return self._clock() - self.started_at
