An event has a maximum size, and is searched once

Cause: the splitter kept the start of an event without a limit and looked through all of it at each block, so an event without end filled the memory and cost processor time with the square of its length.

--- a/packages/core/foxtaildale/sse.py
+++ b/packages/core/foxtaildale/sse.py
@@ -7,6 +7,10 @@
 
 from typing import Final
 
+from foxtaildale import errors
+
+# Maximum size of an event, bytes.
+MAX_EVENT_BYTES: Final = 1024 * 1024
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 
@@ -25,20 +29,27 @@
     position: int | None
 
     def __init__(self, position: int | None = None) -> None:
-        self._incomplete = b''
+        self._incomplete = bytearray()
         self.position = position
 
     def feed(self, block: bytes) -> bytes:
-        """Adds a block; returns the events that are now complete."""
-        data = self._incomplete + block
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._incomplete = data
+        """Adds a block; returns the events that are now complete.
+
+        Raises:
+            errors.NoReplyError: An event exceeds `MAX_EVENT_BYTES`.
+        """
+        incomplete = self._incomplete
+        # What was searched before has no end of an event but for its last byte.
+        searched = max(0, len(incomplete) - len(_EVENT_END) + 1)
+        incomplete += block
+        end = incomplete.rfind(_EVENT_END, searched)
+        complete_bytes = end + len(_EVENT_END) if end >= 0 else 0
+        if len(incomplete) - complete_bytes > MAX_EVENT_BYTES:
+            raise errors.NoReplyError(f'event above {MAX_EVENT_BYTES} bytes')
+        if not complete_bytes:
             return b''
-        events, self._incomplete = (
-            data[: end + len(_EVENT_END)],
-            data[end + len(_EVENT_END) :],
-        )
+        events = bytes(incomplete[:complete_bytes])
+        del incomplete[:complete_bytes]
         for line in events.splitlines():
             if line.startswith(_ID_FIELD):
                 self._update_position(line[len(_ID_FIELD) :].strip())
@@ -51,7 +62,7 @@
 
     def discard_incomplete_event(self) -> None:
         """Discards an incomplete event before the stream is resumed."""
-        self._incomplete = b''
+        self._incomplete.clear()
 
     def _update_position(self, text: bytes) -> None:
         if text.isdigit():
