A stream ends at its deadline, however fast its events come

Cause: the time left limits each read, and a read that finds data at once takes none of it; so a stream of events without end went on behind its deadline.

--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -306,6 +306,8 @@
             if not response.started:
                 self._start_response(req, response, head)
             event_count += 1
+            if req.is_overdue():
+                raise errors.NoReplyError('the stream outlasts its deadline')
             if not req.exchange.send(complete_events):
                 req.caller_disconnected.set()
                 raise errors.NoReplyError('the caller has disconnected')
