Versions: only servers that stream count, and what is not known costs no waiting

Change: versions are those of servers that stream, kept when a server changes its stage; the time in which a stream may be resumed follows the timeout of its route; a failed read is not repeated for 2 s; a refused report is a sign of life; a stream without another server of its version ends at once.

--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -195,7 +195,10 @@
             return False
         self._record_incarnation(backend)
         state = self._states.get(backend.id)
-        if state is not None and state.listed.version != backend.version:
+        if state is not None and (
+            state.listed.version != backend.version
+            or state.listed.stage != backend.stage
+        ):
             self._record_version(state, now)
         if state is None or state.backend.born < backend.born:
             state = self._states[backend.id] = ServerState(backend)
@@ -256,7 +259,7 @@
         listed = {
             state.listed.version
             for state in self._states.values()
-            if state.listed.service == service
+            if state.listed.service == service and _begins_streams(state)
         }
         removed = {
             version
@@ -265,20 +268,21 @@
         }
         return frozenset(listed | removed)
 
-    def has_version(
+    def servers_of_version(
         self, service: str, now: float, stage: forwarding.Stage, version: str
-    ) -> bool:
-        """Whether a server of a software version may get new requests.
+    ) -> frozenset[str]:
+        """Returns the servers of a software version that may get new requests.
 
         Servers that are full, failing or in backoff count.
         """
-        return any(
-            state.backend.service == service
+        return frozenset(
+            state.backend.id
+            for state in self._states.values()
+            if state.backend.service == service
             and state.backend.stage == stage
             and state.backend.version == version
             and not state.backend.leaving
             and not _is_lost(state, now)
-            for state in self._states.values()
         )
 
     def candidates(
@@ -523,7 +527,9 @@
             self.record_full(server, now)
 
     def _record_version(self, state: ServerState, now: float) -> None:
-        """Records the version of a server that is removed or replaced."""
+        """Records the version of a server that is removed or changed."""
+        if not _begins_streams(state):
+            return
         for key, seen_at in list(self._version_seen_at.items()):
             if now - seen_at >= stream_origins.ORIGIN_TTL_S:
                 del self._version_seen_at[key]
@@ -570,6 +576,11 @@
         return cost
 
 
+def _begins_streams(state: ServerState) -> bool:
+    """Whether a server sends events to callers."""
+    return state.listed.stage != 'prefill'
+
+
 def _is_lost(state: ServerState, now: float) -> bool:
     """Whether a server vanished from the list and did not reappear in time."""
     vanished_at = state.vanished_at
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -519,6 +519,8 @@
     # 0 if only the service matters.
     stream: int
     service: str
+    # How long ago the stream may have begun, milliseconds.
+    window_ms: int
 
 
 class OriginReply(Wire, frozen=True):
@@ -526,8 +528,8 @@
 
     # None if it is not known.
     origin: StreamOrigin | None = None
-    # The version of the service, if it had no other for as long as a stream
-    # may be resumed; empty if it had, or that is not known.
+    # The version of the service, if it had no other for that long; empty if it
+    # had, or that is not known.
     only_version: str = ''
 
 
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -25,6 +25,10 @@
 from foxtaildaled import routed_request
 from foxtaildaled import router_state
 
+# Time after its first event in which a stream may be resumed, in timeouts of its
+# route, and its minimum, seconds.
+WINDOW_TIMEOUTS: Final = 2.0
+MIN_WINDOW_S: Final = 10.0
 # Number of VMs that are asked for an origin; one of them may have served the
 # stream and ended, and one may not have the report.
 ASKED_VMS: Final = 3
@@ -109,7 +113,7 @@
         """Handles the request of another VM for an origin."""
         return messages.OriginReply(
             origin=self._reports.find(msg.stream),
-            only_version=self._only_version(msg.service),
+            only_version=self._only_version(msg.service, msg.window_ms / 1000),
         )
 
     def _find(
@@ -148,10 +152,11 @@
         service = req.service.name
         # Another service of a split route may have begun the stream.
         is_split = len(req.route.targets) > 1
-        version = self._only_version(service)
+        window_s = _resume_window_s(req.route)
+        version = self._only_version(service, window_s)
         if version and not is_split:
             yield _origin(stream, service, version), 'only version'
-        for reply in self._ask(stream, service):
+        for reply in self._ask(stream, service, window_s):
             if reply.origin is not None:
                 yield reply.origin, 'peer'
             version = version or reply.only_version
@@ -162,7 +167,7 @@
             if origin is not None:
                 yield origin, 'store'
 
-    def _only_version(self, service: str) -> str:
+    def _only_version(self, service: str, window_s: float) -> str:
         """Returns the version of a service if it had no other for long enough.
 
         Returns:
@@ -173,23 +178,28 @@
         def read_state(state: router_state.RouterState, now: float) -> str:
             versions = state.fleet.versions(service, now)
             known_s = state.list_known_s(now)
-            if len(versions) != 1 or known_s < stream_origins.ORIGIN_TTL_S:
+            if len(versions) != 1 or known_s < window_s:
                 return ''
             return next(iter(versions))
 
         return self._owner.run(read_state)
 
-    def _ask(self, stream: int, service: str) -> list[messages.OriginReply]:
+    def _ask(
+        self, stream: int, service: str, window_s: float
+    ) -> list[messages.OriginReply]:
         """Asks the VMs that may know a stream."""
         addresses = self._coordinators.successor_addresses(
             origin_reports.subject(stream), ASKED_VMS
         )
         replies = self._peers.request_all(
             addresses,
-            messages.OriginRequest(stream=stream, service=service),
+            messages.OriginRequest(
+                stream=stream,
+                service=service,
+                window_ms=int(window_s * 1000),
+            ),
             REPLY_TIMEOUT_S,
         )
-        self._coordinators.record_replies(addresses, replies)
         return [
             reply
             for reply in replies.values()
@@ -207,6 +217,12 @@
             return None
 
 
+def _resume_window_s(route: routes.Route) -> float:
+    """Returns how long after its first event a stream may be resumed."""
+    window_s = max(MIN_WINDOW_S, WINDOW_TIMEOUTS * route.timeout_s)
+    return min(window_s, stream_origins.ORIGIN_TTL_S)
+
+
 def _stream(req: routed_request.RoutedRequest, attempt: str) -> int:
     return stream_origins.digest(req.caller_request.account, attempt)
 
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -12,6 +12,7 @@
 import threading
 from typing import Final
 
+from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import stream_origins
@@ -119,12 +120,15 @@
         reported = threading.Event()
         with self._lock:
             self._origins.record(now, origin)
-            if len(self._pending) >= _MAX_PENDING:
-                return
+            is_full = len(self._pending) >= _MAX_PENDING
             wakes = not self._pending
-            self._pending.append((now, origin))
-            if wait_s:
-                self._awaited[origin.stream] = reported
+            if not is_full:
+                self._pending.append((now, origin))
+                if wait_s:
+                    self._awaited[origin.stream] = reported
+        if is_full:
+            _log_unreported(1, 0, 0)
+            return
         if wakes:
             self.on_report()
         if wait_s:
@@ -195,28 +199,30 @@
         )
         origins = _with_ages(group, self._clock())
         replied: set[str] = set()
+        alive: set[str] = set()
         for number, address in enumerate(addresses):
             msg = messages.OriginReport(
                 origins=origins, save=is_mixed and not number
             )
-            replies = self._peers.request_all([address], msg, REPLY_TIMEOUT_S)
-            replied.update(replies)
-            self._end_waits(group)
+            try:
+                self._peers.request(address, msg, REPLY_TIMEOUT_S)
+            except errors.RejectedError:
+                # It is being stopped, or of a build without origins.
+                alive.add(address)
+            except errors.PortError:
+                continue
+            else:
+                replied.add(address)
+                self._end_waits(group)
         self._end_waits(group)
-        self._coordinators.record_replies(addresses, replied)
+        self._coordinators.record_replies(addresses, replied | alive)
         if not is_mixed:
             with self._lock:
                 self._unshared.extend(group)
         elif not addresses or addresses[0] not in replied:
             self._save_later(group)
         if len(replied) < len(addresses):
-            logs.event(
-                logging.INFO,
-                'origins not reported',
-                count=len(group),
-                asked=len(addresses),
-                replied=len(replied),
-            )
+            _log_unreported(len(group), len(addresses), len(replied))
 
     def _end_waits(self, group: list[_Began]) -> None:
         with self._lock:
@@ -256,5 +262,15 @@
     )
 
 
+def _log_unreported(count: int, asked: int, replied: int) -> None:
+    logs.event(
+        logging.INFO,
+        'origins not reported',
+        count=count,
+        asked=asked,
+        replied=replied,
+    )
+
+
 def _no_op() -> None:
     """Default callback that does nothing."""
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import threading
 from typing import Final
 
@@ -22,6 +23,10 @@
 TOPIC: Final = 'streamorigins'
 # Time for which a read is not repeated, seconds.
 REREAD_INTERVAL_S: Final = 0.2
+# Time after a failed read in which the store is not read again, and maximum wait
+# for the read of another request, seconds.
+FAILURE_INTERVAL_S: Final = 2.0
+MAX_WAIT_S: Final = 0.3
 # Maximum number of reads of one look-up, each of up to a megabyte.
 _MAX_READS: Final = 20
 
@@ -42,6 +47,7 @@
 
     __slots__ = (
         '_clock',
+        '_failed_until',
         '_lock',
         '_next',
         '_origins',
@@ -69,7 +75,9 @@
         self._origins = stream_origins.StreamOrigins()
         # Position of the next record to read.
         self._next = 0
-        self._read_at: float | None = None
+        self._read_at = -math.inf
+        # Until when the store is not read after a failure, seconds.
+        self._failed_until = -math.inf
 
     def save(
         self, entry_vm: str, origins: tuple[messages.StreamOrigin, ...]
@@ -98,15 +106,20 @@
         Raises:
             errors.PortError: The store could not be read.
         """
-        with self._lock:
+        if not self._lock.acquire(timeout=MAX_WAIT_S):
+            raise errors.NoReplyError('another read takes too long')
+        try:
             now = self._clock()
-            if (
-                self._read_at is None
-                or now - self._read_at >= REREAD_INTERVAL_S
-            ):
+            if now < self._failed_until:
+                raise errors.NoReplyError('a recent read failed')
+            if now - self._read_at >= REREAD_INTERVAL_S:
+                self._failed_until = now + FAILURE_INTERVAL_S
                 self._read(epoch)
+                self._failed_until = -math.inf
                 self._read_at = self._clock()
             return self._origins.find(self._clock(), stream)
+        finally:
+            self._lock.release()
 
     def _read(self, epoch: int) -> None:
         if positions.epoch(self._next) != epoch:
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -200,19 +200,23 @@
 
         def read_state(
             state: router_state.RouterState, now: float
-        ) -> tuple[bool, float]:
+        ) -> tuple[frozenset[str], float]:
             name = req.service.name
             return (
-                not version
-                or state.fleet.has_version(name, now, stage, version),
+                state.fleet.servers_of_version(name, now, stage, version),
                 state.fleet.backoff_s(name, now, stage, version),
             )
 
-        has_version, backoff_s = self._owner.run(read_state)
-        if not has_version:
+        servers, backoff_s = self._owner.run(read_state)
+        if version and not servers:
             raise attempt_state.RequestRefused(
                 codes.VERSION_GONE, software=version
             )
+        has_attempts_left = len(sent) < req.route.max_attempts
+        if version and has_attempts_left and servers.issubset(sent):
+            raise attempt_state.RequestRefused(
+                codes.BACKEND_REFUSED, 'no other server of its software version'
+            )
         if backoff_s:
             raise attempt_state.RequestRefused(
                 codes.BACKEND_REFUSED, 'backoff', retry_after_s=backoff_s
