--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 soak: $(VENV)/.ready
 	$(BIN)/python -m tests.soak $(SEEDS)
+	$(BIN)/python -m tests.soakversions $(or $(SEEDS),1 2 3)
 
 bench: $(VENV)/.ready
 	PYTHONPATH=.:packages/core $(BIN)/python -m bench
--- /dev/null
+++ b/tests/soakversions.py
@@ -0,0 +1,252 @@
+"""Soak of software versions: python -m tests.soakversions SEED...
+
+Router processes are stopped, killed and suspended, the store fails, and servers
+of several versions come, go and change, while callers break off their streams
+and resume them anywhere. No stream may have events of two versions, and resumed
+streams must go on at least half as often as new ones begin.
+"""
+
+import collections
+from collections.abc import Iterator
+import http.client
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from typing import Final
+
+from tests import versionsite
+from tests.standins import serving
+from tests.standins import wireworker
+
+_ROUTERS: Final = 3
+_CALLERS: Final = 8
+_LASTS_S: Final = 12.0
+_PACE_S: Final = 0.04
+_EVENTS: Final = 12
+# Time after a change of the servers of a version in which its streams are not
+# counted, seconds: the routers may not have the list yet.
+_SETTLES_S: Final = 3.0
+# Resumed streams from which their share is judged.
+_JUDGED: Final = 12
+
+
+class _Worker(wireworker.WireWorker):
+    """A decode worker whose events name the version that wrote them."""
+
+    def _stream(
+        self, req: serving.Request, attempt: str, start: int
+    ) -> Iterator[bytes]:
+        version = self.version
+        for number in range(start + 1, _EVENTS + 1):
+            time.sleep(_PACE_S)
+            yield b'id: %d\ndata: %s\n\n' % (number, version.encode())
+
+
+class _Soak:
+    """One run."""
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self._rng = random.Random(seed)
+        self._names = iter(range(1_000_000))
+        self._attempts = iter(range(1_000_000))
+        self._lock = threading.Lock()
+        self._ends = threading.Event()
+        self._changed_at: dict[str, float] = {}
+        # Routers that a signal ended or suspended.
+        self._troubled: set[int] = set()
+        # Streams with several versions, and counts of what came of requests.
+        self.mixed: list[str] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.site = versionsite.ProcessSite(folder, _ROUTERS, versions=())
+        for version in ('v1', 'v1', 'v1', 'v2', 'v2', 'v2'):
+            self._add(version)
+
+    def run(self) -> list[str]:
+        """Plays; returns what was broken."""
+        callers = [
+            threading.Thread(target=self._call, args=(self._rng.random(),))
+            for _ in range(_CALLERS)
+        ]
+        time.sleep(_SETTLES_S)
+        for caller in callers:
+            caller.start()
+        end = time.monotonic() + _LASTS_S
+        try:
+            while time.monotonic() < end:
+                time.sleep(self._rng.uniform(0.2, 1.2))
+                self._rng.choice(
+                    (self._trouble, self._trouble, self._replace, self._store)
+                )()
+        finally:
+            self._ends.set()
+            for caller in callers:
+                caller.join()
+            self.site.close()
+        found = [f'versions mixed: {text}' for text in self.mixed]
+        counts = self.counts
+        begun = counts['begun'] / max(1, counts['begun'] + counts['not begun'])
+        resumed = counts['resumed'] + counts['not resumed']
+        if resumed >= _JUDGED and counts['resumed'] / resumed < begun / 2:
+            found.append(f'resumed too seldom: {dict(counts)}')
+        return found
+
+    def _add(self, version: str) -> None:
+        name = f'd{next(self._names)}'
+        worker = _Worker(name, 'model', 'decode', version)
+        self._changed_at[version] = time.monotonic()
+        self.site.workers.append(worker)
+        self.site.store.put('keyed.servers', name, worker.entry())
+
+    def _replace(self) -> None:
+        """A server comes, goes, or starts again with another version."""
+        version = self._rng.choice(('v1', 'v2', 'v3'))
+        decoders = [w for w in self.site.workers if w.stage == 'decode']
+        worker = self._rng.choice(decoders)
+        if self._rng.random() < 0.5:
+            self._add(version)
+        if len(decoders) <= 3:
+            return
+        self._changed_at[worker.version] = time.monotonic()
+        if self._rng.random() < 0.5:
+            self.site.workers.remove(worker)
+            self.site.store.put('keyed.servers', worker.name, None)
+            worker.close()
+            return
+        # Its streams end with its incarnation.
+        self._changed_at[version] = time.monotonic()
+        self.site.workers.remove(worker)
+        worker.close()
+        again = _Worker(worker.name, 'model', 'decode', version)
+        again.born = worker.born + 1
+        self.site.workers.append(again)
+        self.site.store.put('keyed.servers', again.name, again.entry())
+
+    def _trouble(self) -> None:
+        """Routers are stopped, killed or suspended, and come back."""
+        sent = self._rng.choice(
+            (signal.SIGTERM, signal.SIGKILL, signal.SIGKILL, signal.SIGSTOP)
+        )
+        numbers = range(_ROUTERS)
+        if sent != signal.SIGKILL or self._rng.random() < 0.7:
+            numbers = range(1)
+        start = self._rng.randrange(_ROUTERS)
+        chosen = [(start + number) % _ROUTERS for number in numbers]
+        self._troubled.update(chosen)
+        routers = [self.site.routers[number] for number in chosen]
+        for router in routers:
+            router.send_signal(sent)
+        time.sleep(self._rng.uniform(0.1, 1.5))
+        for router in routers:
+            if sent == signal.SIGSTOP:
+                router.send_signal(signal.SIGCONT)
+                continue
+            if router.process is not None:
+                router.process.wait(10)
+            router.start()
+        for router in routers:
+            end = time.monotonic() + 20.0
+            while not router.is_ready() and time.monotonic() < end:
+                time.sleep(0.05)
+        self._troubled.difference_update(chosen)
+
+    def _store(self) -> None:
+        """The store is away for a while."""
+        self.site.store.down = True
+        time.sleep(self._rng.uniform(0.2, 1.5))
+        self.site.store.down = False
+
+    def _call(self, seed: float) -> None:
+        rng = random.Random(seed)
+        while not self._ends.is_set():
+            self._run_stream(rng)
+
+    def _run_stream(self, rng: random.Random) -> None:
+        """Runs one stream over several attempts of its caller."""
+        received: list[str] = []
+        first = ''
+        for _ in range(4):
+            number = rng.randrange(_ROUTERS)
+            attempt = f'a{next(self._attempts)}'
+            wanted = rng.choice((1, 2, 5, _EVENTS, _EVENTS))
+            healthy = number not in self._troubled
+            events = self._attempt(
+                number, attempt, first, len(received), wanted
+            )
+            if events is None:
+                return
+            healthy = healthy and number not in self._troubled
+            if healthy and not self._ends.is_set():
+                self._count(received, went_on=bool(events))
+            if events and not received:
+                first = attempt
+            received += events
+            if len(set(received)) > 1:
+                self.mixed.append(f'{first}: {received}')
+                return
+            if len(received) >= _EVENTS:
+                return
+
+    def _count(self, received: list[str], *, went_on: bool) -> None:
+        if not received:
+            self.counts['begun' if went_on else 'not begun'] += 1
+            return
+        version = received[0]
+        servers = [
+            worker
+            for worker in list(self.site.workers)
+            if worker.stage == 'decode' and worker.version == version
+        ]
+        settled_s = time.monotonic() - self._changed_at.get(version, 0.0)
+        if len(servers) > 1 and settled_s > _SETTLES_S:
+            self.counts['resumed' if went_on else 'not resumed'] += 1
+
+    def _attempt(
+        self, number: int, attempt: str, resumes: str, after: int, wanted: int
+    ) -> list[str] | None:
+        """Returns the versions of the events received; None if not reached."""
+        headers = {
+            'Host': 'h.example',
+            'Foxtaildale-Attempt-Id': attempt,
+            'Foxtaildale-Deadline-Ms': '3000',
+            'Foxtaildale-Token-Count': '500,640',
+        }
+        if resumes:
+            headers |= {'Resumes': resumes, 'Last-Event-Id': str(after)}
+        conn = http.client.HTTPConnection(
+            '127.0.0.1', self.site.routers[number].front, timeout=5
+        )
+        found: list[str] = []
+        try:
+            conn.request('POST', '/chat/x', headers=headers)
+            resp = conn.getresponse()
+            if resp.status != 200:
+                return []
+            while len(found) + after < _EVENTS and len(found) < wanted:
+                line = resp.readline()
+                if not line:
+                    return found
+                if line.startswith(b'data: '):
+                    found.append(line[6:].strip().decode())
+        except (OSError, http.client.HTTPException):
+            return found or None
+        finally:
+            conn.close()
+        return found
+
+
+def play(seed: int) -> list[str]:
+    """Plays one seed; returns what was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = _Soak(seed, pathlib.Path(folder))
+        found = soak.run()
+    print(seed, dict(soak.counts), found or 'held', flush=True)
+    return found
+
+
+if __name__ == '__main__':
+    broken = [seed for seed in sys.argv[1:] if play(int(seed))]
+    sys.exit(bool(broken))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from tests import soak
 from tests import soakschedule
+from tests import soakversions
 
 
 def test_a_schedule_is_fixed_by_its_seed() -> None:
@@ -46,3 +47,11 @@
 def test_a_bad_request_is_stopped_beside_other_faults(seed: int) -> None:
     """Guards against workers ended on and on while routers and store fail."""
     assert soak.play(seed, ends=True) == []
+
+
+@pytest.mark.parametrize('seed', [1])
+def test_streams_keep_their_versions_under_overlapping_faults(
+    seed: int,
+) -> None:
+    """Guards against streams of two versions, and those that can't go on."""
+    assert soakversions.play(seed) == []
--- a/tests/versionsite.py
+++ b/tests/versionsite.py
@@ -126,7 +126,12 @@
 class ProcessSite:
     """Router processes, and decode workers of two versions."""
 
-    def __init__(self, folder: pathlib.Path, count: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        count: int,
+        versions: tuple[str, ...] = ('v1', 'v1', 'v2', 'v2'),
+    ) -> None:
         self._numbers = itertools.count()
         self.store = keyedstore.KeyedStore()
         self.store.put('keyed.op', 'config', sites.config(1))
@@ -134,7 +139,7 @@
             wireworker.WireWorker('p1', 'model', 'prefill'),
             *(
                 wireworker.WireWorker(f'd{number}', 'model', 'decode', version)
-                for number, version in enumerate(('v1', 'v1', 'v2', 'v2'))
+                for number, version in enumerate(versions)
             ),
         ]
         for worker in self.workers:
