--- a/packages/daemon/foxtaildaled/coordinator_client.py
+++ b/packages/daemon/foxtaildaled/coordinator_client.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Container
 from collections.abc import Iterable
+import heapq
 import logging
 import threading
 from typing import Final
@@ -33,6 +34,8 @@
 # milliseconds.
 MAX_LOST_REPLIES: Final = 3
 MAX_REFUSALS: Final = 8
+# Maximum number of VMs by rank that are known for a name.
+MAX_RANKED: Final = 4
 # Timeout for the reply to a probe, seconds. A round trip takes two
 # milliseconds.
 PROBE_TIMEOUT_S: Final = 0.25
@@ -63,6 +66,7 @@
         '_notifications',
         '_owner',
         '_peers',
+        '_ranked',
         '_replied',
         '_suspects',
     )
@@ -86,6 +90,9 @@
         self._suspects = suspects.Suspects()
         self._eligible_vms = coordinator_choice.EligibleVms(lambda vm: vm.cores)
         self._cache = coordinator_choice.CoordinatorCache()
+        # Other eligible VMs by rank, with all that they were chosen among, by
+        # name. The names are few and fixed.
+        self._ranked: dict[str, tuple[tuple[str, ...], list[str]]] = {}
         # Entry VMs that replied at least once. This distinguishes VMs that are
         # busy from VMs that were removed but are still listed.
         self._replied: set[str] = set()
@@ -161,19 +168,25 @@
 
         These are the current coordinator and its successors, in the order in
         which they would take over. This entry VM is never among them.
+
+        Args:
+            name: The name whose coordinators are returned.
+            count: How many, at most `MAX_RANKED`.
         """
         entry_vms = self._entry_vms()
         with self._lock:
             eligible = self._eligible_vms.eligible(
                 entry_vms, self._suspects.excluded()
             )
-        ranked = sorted(
-            eligible,
-            key=lambda vm: (coordinator_choice.score(name, vm), vm),
-            reverse=True,
-        )
-        others = [vm for vm in ranked if vm != self._entry_vm]
-        return [entry_vms[vm].peer_address for vm in others[:count]]
+            ranked_of, ranked = self._ranked.get(name, ((), []))
+            if ranked_of is not eligible:
+                ranked = heapq.nlargest(
+                    MAX_RANKED,
+                    (vm for vm in eligible if vm != self._entry_vm),
+                    key=lambda vm: (coordinator_choice.score(name, vm), vm),
+                )
+                self._ranked[name] = (eligible, ranked)
+        return [entry_vms[vm].peer_address for vm in ranked[:count]]
 
     def record_replies(
         self, addresses: Iterable[str], replied: Container[str]
