A resumed stream is bound by the newest list that any asked VM has

A read of the change found: a VM whose list had one version bound a resumed stream to it without asking, though a second version may be listed elsewhere already, and one that is cut off did so with any list; each report searched all streams of two minutes; and the first origin to be saved woke its loop at once, so batches came as often as reports, and again and again from a store that refuses them.

Change: the VMs that may know the stream are asked first and say which versions they list, since when, and how old their list is; a list of over 10 s proves nothing. What is reported to one VM is kept by service. Batches are saved each 0.5 s.

The new tests of the finder were not run on the code before, whose messages differ.

--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -188,8 +188,8 @@
     'origin-unknown',
     503,
     'no',
-    'Not run: it is not known which of {versions} software versions began the'
-    ' stream.',
+    'Not run: it is not known at which software version the stream began'
+    ' (versions: {versions}, age of the list of servers: {list_age_ms} ms).',
 )
 QUARANTINED: Final = Code(
     'quarantined',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -519,18 +519,19 @@
     # 0 if only the service matters.
     stream: int
     service: str
-    # How long ago the stream may have begun, milliseconds.
-    window_ms: int
 
 
 class OriginReply(Wire, frozen=True):
     """Reply to `OriginRequest`."""
 
+    # Age of the sender's list of servers, and how long it has been followed,
+    # milliseconds.
+    list_age_ms: int
+    known_ms: int
+    # The versions of the service that may have begun recent streams.
+    versions: tuple[str, ...] = ()
     # None if it is not known.
     origin: StreamOrigin | None = None
-    # The version of the service, if it had no other for that long; empty if it
-    # had, or that is not known.
-    only_version: str = ''
 
 
 class Crash(Wire, frozen=True):
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterator
 import logging
 from typing import Final
 
@@ -33,7 +32,12 @@
 # stream and ended, and one may not have the report.
 ASKED_VMS: Final = 3
 # Longest wait for their replies, seconds.
-REPLY_TIMEOUT_S: Final = 0.25
+REPLY_TIMEOUT_S: Final = 0.15
+# Maximum age of the newest list of servers known here and at the asked VMs,
+# seconds. With an older one, streams may have begun at unknown versions.
+MAX_LIST_AGE_S: Final = 10.0
+# Age of a list of servers that was never received, milliseconds.
+_NO_LIST_AGE_MS: Final = 10**9
 # Maximum time for which a first event waits until another VM has the report,
 # seconds. This VM may end right after the event.
 MAX_REPORT_WAIT_S: Final = 0.05
@@ -111,10 +115,7 @@
 
     def answer(self, msg: messages.OriginRequest) -> messages.OriginReply:
         """Handles the request of another VM for an origin."""
-        return messages.OriginReply(
-            origin=self._reports.find(msg.stream),
-            only_version=self._only_version(msg.service, msg.window_ms / 1000),
-        )
+        return self._look_up(msg.stream, msg.service)
 
     def _find(
         self, req: routed_request.RoutedRequest
@@ -126,78 +127,62 @@
         """
         resumes = req.caller_request.resumes
         stream = _stream(req, resumes) if resumes else 0
-        services = {target.service for target in req.route.targets}
-        for origin, source in self._known_origins(req, stream):
-            if origin.service in services:
-                return origin, source
         service = req.service.name
-        versions = self._owner.run(
-            lambda state, now: state.fleet.versions(service, now)
-        )
-        if len(versions) > 1:
-            raise attempt_state.RequestRefused(
-                codes.ORIGIN_UNKNOWN, versions=len(versions)
-            )
+        services = {target.service for target in req.route.targets}
+        own = self._look_up(stream, service)
+        if own.origin is not None and own.origin.service in services:
+            return own.origin, 'own'
+        replies = self._ask(stream, service)
+        for reply in replies:
+            if reply.origin is not None and reply.origin.service in services:
+                return reply.origin, 'peer'
+        # Another VM may know of a version that this one does not list yet.
+        known = (own, *replies)
+        versions = {version for reply in known for version in reply.versions}
+        list_age_ms = min(reply.list_age_ms for reply in known)
+        known_s = max(reply.known_ms for reply in known) / 1000
+        is_current = list_age_ms < MAX_LIST_AGE_S * 1000
+        # Another service of a split route may have begun the stream.
+        is_single = len(versions) == 1 and is_current and len(services) == 1
+        if is_single and known_s >= _resume_window_s(req.route):
+            return _origin(stream, service, *versions), 'only version'
+        origin = self._find_saved(stream) if stream else None
+        if origin is not None and origin.service in services:
+            return origin, 'store'
         if not versions:
             return None, ''
-        return _origin(stream, service, *versions), 'listed version'
-
-    def _known_origins(
-        self, req: routed_request.RoutedRequest, stream: int
-    ) -> Iterator[tuple[messages.StreamOrigin, str]]:
-        """Yields what is known of a stream's origin, the cheapest first."""
-        origin = self._reports.find(stream)
-        if origin is not None:
-            yield origin, 'own'
-        service = req.service.name
-        # Another service of a split route may have begun the stream.
-        is_split = len(req.route.targets) > 1
-        window_s = _resume_window_s(req.route)
-        version = self._only_version(service, window_s)
-        if version and not is_split:
-            yield _origin(stream, service, version), 'only version'
-        for reply in self._ask(stream, service, window_s):
-            if reply.origin is not None:
-                yield reply.origin, 'peer'
-            version = version or reply.only_version
-        if version and not is_split:
-            yield _origin(stream, service, version), 'only version'
-        if stream:
-            origin = self._find_saved(stream)
-            if origin is not None:
-                yield origin, 'store'
-
-    def _only_version(self, service: str, window_s: float) -> str:
-        """Returns the version of a service if it had no other for long enough.
-
-        Returns:
-            The version; empty if there were several, or this VM has not seen
-            the list of servers for as long as a stream may be resumed.
-        """
+        if len(versions) == 1 and is_current:
+            return _origin(stream, service, *versions), 'listed version'
+        raise attempt_state.RequestRefused(
+            codes.ORIGIN_UNKNOWN,
+            versions=len(versions),
+            list_age_ms=list_age_ms,
+        )
 
-        def read_state(state: router_state.RouterState, now: float) -> str:
-            versions = state.fleet.versions(service, now)
-            known_s = state.list_known_s(now)
-            if len(versions) != 1 or known_s < window_s:
-                return ''
-            return next(iter(versions))
+    def _look_up(self, stream: int, service: str) -> messages.OriginReply:
+        """Returns what this VM knows of a stream and its service."""
+
+        def read_state(
+            state: router_state.RouterState, now: float
+        ) -> messages.OriginReply:
+            age_ms = state.list_age_ms(now)
+            return messages.OriginReply(
+                origin=self._reports.find(stream),
+                versions=tuple(state.fleet.versions(service, now)),
+                list_age_ms=_NO_LIST_AGE_MS if age_ms is None else age_ms,
+                known_ms=int(state.list_known_s(now) * 1000),
+            )
 
         return self._owner.run(read_state)
 
-    def _ask(
-        self, stream: int, service: str, window_s: float
-    ) -> list[messages.OriginReply]:
+    def _ask(self, stream: int, service: str) -> list[messages.OriginReply]:
         """Asks the VMs that may know a stream."""
         addresses = self._coordinators.successor_addresses(
             origin_reports.subject(stream), ASKED_VMS
         )
         replies = self._peers.request_all(
             addresses,
-            messages.OriginRequest(
-                stream=stream,
-                service=service,
-                window_ms=int(window_s * 1000),
-            ),
+            messages.OriginRequest(stream=stream, service=service),
             REPLY_TIMEOUT_S,
         )
         return [
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -32,10 +32,8 @@
 REPLY_TIMEOUT_S: Final = 0.25
 # Interval of the reports while no stream begins, seconds.
 REPORT_INTERVAL_S: Final = 1.0
-# Interval of the batches in the store while streams begin, and otherwise,
-# seconds.
+# Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
-IDLE_SAVE_INTERVAL_S: Final = 2.0
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
 _MAX_BATCH: Final = 2048
@@ -66,7 +64,6 @@
         '_unsaved',
         '_unshared',
         'on_report',
-        'on_save',
     )
 
     def __init__(
@@ -92,15 +89,13 @@
         self._pending: list[_Began] = []
         # Set as soon as an own origin is reported, by stream.
         self._awaited: dict[int, threading.Event] = {}
-        # Own origins of services that had one version, reported to one VM.
-        self._unshared: collections.deque[_Began] = collections.deque(
-            maxlen=stream_origins.MAX_ORIGINS
-        )
+        # Own origins of services that had one version, reported to one VM; by
+        # service, the oldest first.
+        self._unshared: dict[str, collections.deque[_Began]] = {}
         # Origins that this VM has to save.
         self._unsaved: list[_Began] = []
-        # Wake the loops.
+        # Wakes the loop that sends reports.
         self.on_report: Callable[[], None] = _no_op
-        self.on_save: Callable[[], None] = _no_op
 
     def __len__(self) -> int:
         with self._lock:
@@ -155,7 +150,7 @@
         """Reports the origins that are not reported yet; run by a loop."""
         with self._lock:
             pending, self._pending = self._pending, []
-            unshared = {origin.service for _, origin in self._unshared}
+            unshared = set(self._unshared)
         services = {origin.service for _, origin in pending} | unshared
         if not services:
             return
@@ -187,11 +182,6 @@
         ):
             self._save_later(batch)
 
-    def save_interval_s(self) -> float:
-        """Returns the time until the next batch, seconds."""
-        with self._lock:
-            return SAVE_INTERVAL_S if self._unsaved else IDLE_SAVE_INTERVAL_S
-
     def _report(self, group: list[_Began], *, is_mixed: bool) -> None:
         """Reports the origins of one group of streams."""
         addresses = self._coordinators.successor_addresses(
@@ -217,8 +207,7 @@
         self._end_waits(group)
         self._coordinators.record_replies(addresses, replied | alive)
         if not is_mixed:
-            with self._lock:
-                self._unshared.extend(group)
+            self._keep_unshared(group)
         elif not addresses or addresses[0] not in replied:
             self._save_later(group)
         if len(replied) < len(addresses):
@@ -231,26 +220,32 @@
                 if reported is not None:
                     reported.set()
 
+    def _keep_unshared(self, group: list[_Began]) -> None:
+        oldest = self._clock() - stream_origins.ORIGIN_TTL_S
+        with self._lock:
+            for began_at, origin in group:
+                kept = self._unshared.setdefault(
+                    origin.service,
+                    collections.deque(maxlen=stream_origins.MAX_ORIGINS),
+                )
+                kept.append((began_at, origin))
+                while kept[0][0] < oldest:
+                    kept.popleft()
+
     def _take_unshared(self, services: set[str]) -> list[_Began]:
         oldest = self._clock() - stream_origins.ORIGIN_TTL_S
         with self._lock:
-            items = list(self._unshared)
-            self._unshared.clear()
-            taken = []
-            for began_at, origin in items:
-                if origin.service not in services:
-                    self._unshared.append((began_at, origin))
-                elif began_at > oldest:
-                    taken.append((began_at, origin))
-        return taken
+            taken = [
+                item
+                for service in services
+                for item in self._unshared.pop(service, ())
+            ]
+        return [item for item in taken if item[0] >= oldest]
 
     def _save_later(self, group: list[_Began]) -> None:
         with self._lock:
-            wakes = not self._unsaved
             self._unsaved.extend(group)
             del self._unsaved[: -stream_origins.MAX_ORIGINS]
-        if wakes:
-            self.on_save()
 
 
 def _with_ages(
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -585,10 +585,9 @@
         self._origin_reports.on_report = origins_loop.wake
         saved_origins_loop = process.Loop(
             'saved origins',
-            self._origin_reports.save_interval_s,
+            origin_reports.SAVE_INTERVAL_S,
             self._origin_reports.save,
         )
-        self._origin_reports.on_save = saved_origins_loop.wake
         paths_loop = process.Loop(
             'server paths',
             self._server_paths.interval_s,
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -360,7 +360,7 @@
 
     def list_known_s(self, now: float) -> float:
         """Returns how long the list of servers has been followed, seconds."""
-        return now - self.list_known_since
+        return max(0.0, now - self.list_known_since)
 
     def servers_position(self) -> int:
         """Returns the position up to which the list of servers was applied."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -3,7 +3,9 @@
 from collections.abc import Sequence
 import random
 import time
+from typing import Any
 from typing import Final
+from typing import cast
 
 import pytest
 
@@ -17,7 +19,16 @@
 from foxtaildale import positions
 from foxtaildale import routes
 from foxtaildale import stream_origins
+from foxtaildale_adapters import metrics
+from foxtaildale_platform import records
+from foxtaildaled import actors
+from foxtaildaled import attempt_state
+from foxtaildaled import coordinator_client
+from foxtaildaled import origin_finder
+from foxtaildaled import origin_reports
 from foxtaildaled import origin_store
+from foxtaildaled import routed_request
+from foxtaildaled import router_state
 from tests import site as sites
 from tests import versionsite
 
@@ -269,3 +280,158 @@
             assert site.resume(resumes, number=1) == (200, '', 'v1')
     finally:
         site.close()
+
+
+class _Peers:
+    """Another VM that replies with what a test sets."""
+
+    def __init__(self) -> None:
+        self.reply: messages.OriginReply | None = None
+
+    def request(
+        self, address: str, msg: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        raise errors.NoReplyError('not asked')
+
+    def request_all(
+        self, addresses: Sequence[str], msg: messages.Message, timeout_s: float
+    ) -> dict[str, messages.Message]:
+        return {'vm-2:1': self.reply} if self.reply else {}
+
+
+class _Finder:
+    """A VM whose list of servers has one version, 1 s old."""
+
+    def __init__(self, list_age_s: float = 1.0) -> None:
+        self.peers = _Peers()
+        self._clock = _Clock()
+        state = router_state.RouterState(
+            records.Codec(), 'vm-1:1', (), '', random.Random(1)
+        )
+        state.fleet.put(_backend('d1', 'v1'), self._clock.now)
+        state.list_known_since = 0.0
+        state.servers_current_at = self._clock.now - list_age_s
+        state.entry_vms = {'vm-2': forwarding.EntryVm('vm-2:1')}
+        self.owner = actors.StateOwner(state, self._clock)
+        coordinators = coordinator_client.CoordinatorClient(
+            entry_vm='vm-1',
+            handle=lambda _: messages.Pong(),
+            owner=self.owner,
+            peers=self.peers,
+            clock=self._clock,
+        )
+        store = _store(_Log(), self._clock)
+        self.reports = origin_reports.OriginReports(
+            entry_vm='vm-1',
+            owner=self.owner,
+            coordinators=coordinators,
+            peers=self.peers,
+            store=store,
+            clock=self._clock,
+        )
+        self._finder = origin_finder.OriginFinder(
+            owner=self.owner,
+            coordinators=coordinators,
+            peers=self.peers,
+            reports=self.reports,
+            store=store,
+            service=lambda name: routes.Service(name=name),
+        )
+
+    def bind(self) -> str:
+        """Resumes a stream; returns its version or the code of a refusal."""
+        req = _request()
+        try:
+            self._finder.bind(req)
+        except attempt_state.RequestRefused as exc:
+            return exc.code.name
+        finally:
+            self.owner.stop()
+        return req.software_version
+
+
+def _request() -> routed_request.RoutedRequest:
+    call = forwarding.CallerRequest(
+        id='b',
+        method='POST',
+        target='/',
+        path='/',
+        host='h',
+        headers=(),
+        body=b'',
+        after_event=2,
+        resumes='a',
+    )
+    route = routes.Route(
+        name='chat',
+        host='h',
+        path_prefix='/',
+        kind='stream',
+        targets=(routes.Target('s', 1),),
+        timeout_s=3.0,
+        target_s=0.3,
+        resumable=True,
+    )
+    return routed_request.RoutedRequest(
+        cast(Any, None),
+        caller_request=call,
+        route=route,
+        service=_SERVICE,
+        config_version=1,
+        entry_vm='vm-1',
+        request_metrics=metrics.Metrics(),
+        clock=_Clock(),
+    )
+
+
+def _reply(*versions: str, list_age_ms: int = 100) -> messages.OriginReply:
+    return messages.OriginReply(
+        list_age_ms=list_age_ms, known_ms=60_000, versions=versions
+    )
+
+
+def test_another_vm_may_list_a_version_that_this_one_lacks() -> None:
+    """Guards against a stream that goes on at the only version one VM lists."""
+    finder = _Finder()
+    finder.peers.reply = _reply('v1', 'v2')
+    assert finder.bind() == 'origin-unknown'
+
+
+def test_a_list_without_other_versions_is_enough() -> None:
+    finder = _Finder()
+    finder.peers.reply = _reply('v1')
+    assert finder.bind() == 'v1'
+
+
+def test_an_old_list_is_no_proof_of_one_version() -> None:
+    """Guards against a guess by a VM that is cut off from all others."""
+    assert _Finder(origin_finder.MAX_LIST_AGE_S + 1.0).bind() == (
+        'origin-unknown'
+    )
+
+
+def test_what_waits_for_a_second_version_is_told_as_it_comes() -> None:
+    """Guards against a search through all recent streams at each report."""
+    finder = _Finder()
+    sent: list[messages.Message] = []
+
+    def record(
+        address: str, msg: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        sent.append(msg)
+        return messages.Pong()
+
+    finder.peers.request = record  # type: ignore[method-assign]
+    finder.reports.record(_origin(1))
+    finder.reports.send()
+    finder.reports.send()
+    finder.owner.run(
+        lambda state, now: state.fleet.put(_backend('d2', 'v2'), now)
+    )
+    finder.reports.send()
+    finder.reports.send()
+    finder.owner.stop()
+    assert sent == [
+        messages.OriginReport(origins=(_origin(1),)),
+        messages.OriginReport(origins=(_origin(1),), save=True),
+    ]
