Origins of services with one version are reported once a second

While a service has one version, nothing is mixed if a report is lost, so reports wait up to a second for a batch; as a second version comes they are sent at once, and a resumed stream whose origin is unknown is looked for again after 0.5 s.

--- a/bench/origins.py
+++ b/bench/origins.py
@@ -2,8 +2,8 @@
 
 python -m bench.origins [VMS]
 
-Prints processor time of each part of a report and memory of an entry. It does
-not send: a message between VMs is measured by `bench slopes`.
+Prints processor time of each part of a report, of a message with its reply over
+the loopback (both ends), and memory of an entry.
 """
 
 from collections.abc import Callable
@@ -14,6 +14,8 @@
 from foxtaildale import coordinator_choice
 from foxtaildale import messages
 from foxtaildale import stream_origins
+from foxtaildale_adapters import peers
+from foxtaildale_adapters import zmq_responder
 
 _REPEATS = 20_000
 
@@ -31,6 +33,20 @@
     )
 
 
+def _time_message_us(report: messages.OriginReport) -> float:
+    responder = zmq_responder.Responder(
+        '127.0.0.1:0', lambda _: messages.Pong(), 1
+    )
+    sender = peers.Peers(1.0, 2.5)
+    address = responder.start()
+    try:
+        sender.request(address, report, 1.0)
+        return _time_us(lambda _: sender.request(address, report, 1.0), 2000)
+    finally:
+        sender.close()
+        responder.close()
+
+
 def main() -> None:
     """Prints the costs."""
     vms = int(sys.argv[1]) if len(sys.argv) > 1 else 300
@@ -55,6 +71,7 @@
         ' record it'
     )
     print(f'{_time_us(rank, 200):.1f} us to rank {vms} VMs, once a list of VMs')
+    print(f'{_time_message_us(report):.0f} us a message with its reply')
     tracemalloc.start()
     full = stream_origins.StreamOrigins()
     for number in range(stream_origins.MAX_ORIGINS):
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -33,6 +33,9 @@
 ASKED_VMS: Final = 3
 # Longest wait for their replies, seconds.
 REPLY_TIMEOUT_S: Final = 0.15
+# Time until an unknown origin is looked for again, seconds. As a second version
+# comes, VMs report what they had held back.
+SECOND_LOOK_S: Final = 0.5
 # Maximum age of the newest list of servers known here and at the asked VMs,
 # seconds. With an older one, streams may have begun at unknown versions.
 MAX_LIST_AGE_S: Final = 10.0
@@ -119,6 +122,25 @@
 
     def _find(
         self, req: routed_request.RoutedRequest
+    ) -> tuple[messages.StreamOrigin | None, str]:
+        """Looks for the origin, twice as a report may still be on its way.
+
+        Returns:
+            The origin, None if it does not matter, and where it was found.
+
+        Raises:
+            attempt_state.RequestRefused: It matters and is not known.
+        """
+        try:
+            return self._find_once(req)
+        except attempt_state.RequestRefused:
+            if not req.caller_request.resumes:
+                raise
+        req.caller_disconnected.wait(SECOND_LOOK_S)
+        return self._find_once(req)
+
+    def _find_once(
+        self, req: routed_request.RoutedRequest
     ) -> tuple[messages.StreamOrigin | None, str]:
         """Returns the origin, if it matters, and where it was found.
 
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -1,9 +1,9 @@
 """Reports where streams began to other entry VMs, and saves it in the store.
 
 A caller resumes a stream when the entry VM that served it may have ended, so
-each origin is reported to another VM as soon as the first event was sent. While
-a service has servers of several software versions, two VMs get each report, and
-the first of them saves it in the store.
+each origin is reported to another VM. While a service has servers of several
+software versions, two VMs get each report at once, and the first of them saves
+it in the store.
 """
 
 import collections
@@ -30,8 +30,10 @@
 COPIES: Final = 2
 # Longest wait for the replies to a report, seconds.
 REPLY_TIMEOUT_S: Final = 0.25
-# Interval of the reports while no stream begins, seconds.
-REPORT_INTERVAL_S: Final = 1.0
+# Interval of the checks for a second version, and of the reports of services
+# with one version, seconds. A message costs more than all else of a report.
+REPORT_INTERVAL_S: Final = 0.25
+SHARE_INTERVAL_S: Final = 1.0
 # Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
 # Maximum number of origins that wait for a report, and of those in a batch.
@@ -60,6 +62,7 @@
         '_owner',
         '_peers',
         '_pending',
+        '_share_at',
         '_store',
         '_unsaved',
         '_unshared',
@@ -87,6 +90,8 @@
         self._origins = stream_origins.StreamOrigins()
         # Own origins that are not reported yet.
         self._pending: list[_Began] = []
+        # When origins of services with one version are reported next, seconds.
+        self._share_at = 0.0
         # Set as soon as an own origin is reported, by stream.
         self._awaited: dict[int, threading.Event] = {}
         # Own origins of services that had one version, reported to one VM; by
@@ -116,7 +121,7 @@
         with self._lock:
             self._origins.record(now, origin)
             is_full = len(self._pending) >= _MAX_PENDING
-            wakes = not self._pending
+            wakes = bool(wait_s) and not self._awaited
             if not is_full:
                 self._pending.append((now, origin))
                 if wait_s:
@@ -165,6 +170,7 @@
             # A second version has come: what was reported to one VM only is
             # reported to more, and saved.
             pending = self._take_unshared(mixed) + pending
+        pending = self._hold_back(pending, mixed)
         groups: dict[tuple[int, bool], list[_Began]] = {}
         for began_at, origin in pending:
             key = (origin.stream % GROUPS, origin.service in mixed)
@@ -172,6 +178,19 @@
         for (_, is_mixed), group in groups.items():
             self._report(group, is_mixed=is_mixed)
 
+    def _hold_back(
+        self, pending: list[_Began], mixed: set[str]
+    ) -> list[_Began]:
+        """Returns what is reported now; the rest waits for the next batch."""
+        now = self._clock()
+        if now >= self._share_at:
+            self._share_at = now + SHARE_INTERVAL_S
+            return pending
+        held = [item for item in pending if item[1].service not in mixed]
+        with self._lock:
+            self._pending[:0] = held
+        return [item for item in pending if item[1].service in mixed]
+
     def save(self) -> None:
         """Saves origins in the store; run by a loop."""
         with self._lock:
