--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -10,6 +10,9 @@
 
 import pytest
 
+from foxtaildale import packing
+from foxtaildale_adapters import connections
+from foxtaildale_adapters import peers
 from foxtaildaled import placement_client
 from tests import site as sites
 from tests import versionsite
@@ -140,6 +143,39 @@
     _check_resumed(site, began, 0)
 
 
+def test_a_caller_resumes_after_the_serving_vm_was_cut_off(
+    site: versionsite.VersionSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reports that are lost as no other VM is reached."""
+    site.fill(3)
+
+    cut = site.routers[0]._peers
+    nowhere = f'127.0.0.1:{sites.free_port()}'
+    enqueue = peers.Peers._enqueue
+
+    def cut_off(
+        self: peers.Peers, address: str, payload: bytes
+    ) -> connections.PendingRequest:
+        return enqueue(self, nowhere if self is cut else address, payload)
+
+    monkeypatch.setattr(peers.Peers, '_enqueue', cut_off)
+    began = site.begin_each(_STREAMS)
+    time.sleep(1.5)
+    site.routers[0].close()
+    _check_resumed(site, began, 1)
+
+
+def test_a_caller_resumes_where_the_store_is_away(
+    site: versionsite.VersionSite,
+) -> None:
+    """Guards against origins that only the store tells."""
+    site.fill(3)
+    site.store.down = True
+    began = site.begin_each(_STREAMS)
+    site.routers[0].close()
+    _check_resumed(site, began, 1)
+
+
 def test_a_caller_resumes_after_all_vms_ended(
     site: versionsite.VersionSite,
 ) -> None:
@@ -173,6 +209,32 @@
             assert time.monotonic() - began_at < _PROMPT_S
 
 
+def test_a_version_whose_server_is_full_is_not_gone(
+    site: versionsite.VersionSite,
+) -> None:
+    """Guards against callers who are told to start anew for want of room."""
+    site.fill(1, ('v1', 'v2', 'v2'))
+    began: dict[str, str] = {}
+    while 'v1' not in began.values():
+        began |= site.begin_each(1)
+    site.workers['d0'].refuse = True
+    attempt = next(key for key, version in began.items() if version == 'v1')
+    assert site.resume(attempt) == (503, 'backend-refused', '')
+
+
+def test_a_placement_at_another_version_is_not_used(
+    site: versionsite.VersionSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a coordinator of a build that does not know versions."""
+    monkeypatch.setattr(
+        packing.Packing, '_workers', lambda self, _: self._open_workers
+    )
+    site.fill(1)
+    site.break_streams()
+    began = site.begin_each(_STREAMS)
+    _check_resumed(site, began)
+
+
 def test_a_stream_of_unknown_origin_is_refused_with_two_versions(
     site: versionsite.VersionSite,
 ) -> None:
