--- a/packages/adapters/foxtaildale_adapters/http_client.py
+++ b/packages/adapters/foxtaildale_adapters/http_client.py
@@ -261,7 +261,7 @@
     _http_vsn_str = 'HTTP/1.0'
 
 
-class _Pool11(urllib3.HTTPConnectionPool):
+class _Http11Pool(urllib3.HTTPConnectionPool):
     ConnectionCls = bounded_responses.Connection
 
 
@@ -282,7 +282,7 @@
 def _connect(
     address: str,
     maxsize: int,
-    pool_class: type[urllib3.HTTPConnectionPool] = _Pool11,
+    pool_class: type[urllib3.HTTPConnectionPool] = _Http11Pool,
 ) -> urllib3.HTTPConnectionPool:
     host, _, port = address.rpartition(':')
     if not host or not port.isdecimal() or int(port) > 65535:
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -154,11 +154,11 @@
     """Guards against processor time that grows with the square of an event."""
     splitter = sse.Splitter()
     block = b'x' * 16
-    began_at = time.process_time()
+    began_at = time.thread_time()
     for _ in range(_LONG_EVENT_BYTES // len(block)):
         splitter.feed(block)
     assert splitter.feed(b'\n\n').endswith(b'x\n\n')
-    assert time.process_time() - began_at < 1.0
+    assert time.thread_time() - began_at < 1.0
 
 
 def test_a_stream_without_end_ends_at_its_deadline() -> None:
