An invalid response of the store ends no resumed stream

A read of the change found: the client of the store raises DecodeError for a response that is invalid, which the look-up of an origin did not catch, so the caller got no response. Such a read counts as failed now, with a log line.

--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -219,7 +219,7 @@
         )
         try:
             return self._store.find(stream, epoch)
-        except errors.PortError as exc:
+        except (errors.PortError, errors.DecodeError) as exc:
             logs.event(logging.WARNING, 'origins not read', error=str(exc))
             return None
 
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -105,6 +105,7 @@
 
         Raises:
             errors.PortError: The store could not be read.
+            errors.DecodeError: Its response is invalid.
         """
         if not self._lock.acquire(timeout=MAX_WAIT_S):
             raise errors.NoReplyError('another read takes too long')
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -178,6 +178,7 @@
         self.epoch = 1
         self.records: list[bytes] = []
         self.is_away = False
+        self.is_garbled = False
         self.reads = 0
 
     def put(self, topic: str, key: str, value: bytes) -> None:
@@ -200,6 +201,8 @@
         self, topic: str, offset: int, wait_s: float
     ) -> ports.KeyedRecords:
         self.reads += 1
+        if self.is_garbled:
+            raise errors.DecodeError('garbled')
         if self.is_away:
             raise errors.NoReplyError('away')
         if positions.epoch(offset) != self.epoch:
@@ -320,7 +323,8 @@
             peers=self.peers,
             clock=self._clock,
         )
-        store = _store(_Log(), self._clock)
+        self.log = _Log()
+        store = _store(self.log, self._clock)
         self.reports = origin_reports.OriginReports(
             entry_vm='vm-1',
             owner=self.owner,
@@ -438,3 +442,11 @@
         messages.OriginReport(origins=(_origin(number),), save=True)
         for number in (1, 2)
     ]
+
+
+def test_an_invalid_response_of_the_store_ends_no_request() -> None:
+    """Guards against a resumed stream without any response."""
+    finder = _Finder()
+    finder.peers.reply = _reply('v1', 'v2')
+    finder.log.is_garbled = True
+    assert finder.bind() == 'origin-unknown'
