--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -23,7 +23,7 @@
 
 REQUEST_EVENTS: Final[dict[str, Event]] = {
     'resuming': Event(
-        'its caller takes up the stream that attempt {resumes} began, behind'
+        'its caller resumes the stream that attempt {resumes} began, behind'
         ' event {after}',
         ('resumes', 'after'),
     ),
--- a/packages/daemon/foxtaildaled/coordinator_client.py
+++ b/packages/daemon/foxtaildaled/coordinator_client.py
@@ -90,7 +90,7 @@
         self._suspects = suspects.Suspects()
         self._eligible_vms = coordinator_choice.EligibleVms(lambda vm: vm.cores)
         self._cache = coordinator_choice.CoordinatorCache()
-        # Other eligible VMs by rank, with all that they were chosen among, by
+        # Eligible VMs that the ranking is for, and the first others by rank; by
         # name. The names are few and fixed.
         self._ranked: dict[str, tuple[tuple[str, ...], list[str]]] = {}
         # Entry VMs that replied at least once. This distinguishes VMs that are
--- a/tests/soakversions.py
+++ b/tests/soakversions.py
@@ -53,7 +53,6 @@
         self._rng = random.Random(seed)
         self._names = iter(range(1_000_000))
         self._attempts = iter(range(1_000_000))
-        self._lock = threading.Lock()
         self._ends = threading.Event()
         self._changed_at: dict[str, float] = {}
         # Routers that a signal ended or suspended.
--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -90,11 +90,9 @@
 
 
 def _first_sends(site: sites.Site, name: str, since: float) -> list[str]:
-    """Returns the requests that a server got, but for replacements.
-
-    A request that waits too long at the other server may go to one that asked
-    another router for rest.
-    """
+    """Returns the requests that a server got, but for replacements."""
+    # A request that waits too long at the other server may go to one that asked
+    # another router for rest.
     other = list(site.workers[_OTHER[name]].came)
     return [
         arrival.attempt
