Log lines name the parts of the prompt that a request shares

Ids of parts stay out of the logs; a fingerprint is of the service and the id. No decision depends on them.

--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -82,6 +82,9 @@
     output_tokens: int = 0
     # The caller's estimate of the output length, tokens; 0 if it gave none.
     hinted_tokens: int = 0
+    # Ids of the parts of the prompt that it may share with other requests: all
+    # but the last, each once.
+    shared_parts: tuple[str, ...] = ()
     # Position after which a stream is resumed; None for a new stream.
     after_event: int | None = None
     # Id of the attempt that brought the first event of the resumed stream; empty
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -82,7 +82,14 @@
     ),
     'sent': Event(
         'it was sent to {server} (attempt {attempt})',
-        ('server', 'software', 'attempt', 'fingerprint', 'list_age_ms'),
+        (
+            'server',
+            'software',
+            'attempt',
+            'fingerprint',
+            'parts',
+            'list_age_ms',
+        ),
     ),
     'relayed': Event(
         '{via} relays it to {server}, which this VM does not reach',
@@ -91,7 +98,7 @@
     'server probed': Event(
         'its connection to {server} broke after {ran_ms} ms; a probe of the'
         ' server returned: {reach}',
-        ('server', 'reach', 'fingerprint', 'began', 'ran_ms'),
+        ('server', 'reach', 'fingerprint', 'parts', 'began', 'ran_ms'),
     ),
     'not run': Event(
         '{server} promised that it did not run it (status {status})',
--- a/packages/daemon/foxtaildaled/crash_detection.py
+++ b/packages/daemon/foxtaildaled/crash_detection.py
@@ -71,6 +71,7 @@
             server=server.id,
             reach=reach,
             fingerprint=fingerprint.to_text(req.fingerprint),
+            parts=fingerprint.to_texts(req.prompt_parts),
             began=may_have_begun,
             ran_ms=int(ran_s * 1000),
         )
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -220,6 +220,7 @@
             software=server.version,
             attempt=len(sent_ids),
             fingerprint=fingerprint.to_text(req.fingerprint),
+            parts=fingerprint.to_texts(req.prompt_parts),
             list_age_ms=self._owner.run(
                 lambda state, now: state.list_age_ms(now)
             ),
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -50,6 +50,7 @@
         'fingerprint',
         'must_finish',
         'on_not_run',
+        'prompt_parts',
         'request_metrics',
         'route',
         'service',
@@ -76,6 +77,10 @@
         self.caller_request = caller_request
         # The same for every attempt of this request, at all entry VMs.
         self.fingerprint = fingerprint.compute(caller_request)
+        # Fingerprints of the parts of the prompt that other requests may share.
+        self.prompt_parts = fingerprint.compute_parts(
+            service.name, caller_request.shared_parts
+        )
         self._quarantine_left_s = quarantine_left_s
         # The client account of the caller; None if no accounts are configured.
         self.account = account
