Failing tests: a part of prompts that crashes servers is sent on and on

What callers saw: requests for one service kept crashing its servers, one after the other, and all requests that ran there were lost with them.

The stand-in that crashes on a request also does so on a part of its prompt.

--- a/tests/standins/crasher.py
+++ b/tests/standins/crasher.py
@@ -30,7 +30,8 @@
         Args:
             worker: What runs the requests.
             store: Holds the list of servers.
-            bad: Part of the target of a request that ends the server.
+            bad: Part of the target, or id of a part of the prompt, of a request
+                that ends the server.
             back_s: Time until it is back, seconds.
         """
         self.worker = worker
@@ -68,15 +69,19 @@
         timer.start()
 
     def arrivals(self, part: str) -> int:
-        """Returns how many requests on a target came, prefills as well."""
-        return sum(part in req.target for req in list(self.worker.ran))
+        """Returns how many requests on a target came, prefills as well.
+
+        Args:
+            part: Part of the target, or id of a part of the prompt.
+        """
+        return sum(has_part(req, part) for req in list(self.worker.ran))
 
     def close(self) -> None:
         """Ends it for good; the worker is closed by its owner."""
         self.relay.close()
 
     def _run(self, req: serving.Request) -> None:
-        if self._bad in req.target:
+        if has_part(req, self._bad):
             self.crash(bad=True)
             raise serving.Cut
 
@@ -88,3 +93,9 @@
             self._down = False
         self._store.put(_SERVERS, old, None)
         self._store.put(_SERVERS, self.worker.name, self.worker.entry())
+
+
+def has_part(req: serving.Request, part: str) -> bool:
+    """Whether a request has a part in its target or its prompt."""
+    prompt = req.headers.get('foxtaildale-prompt-prefix', '')
+    return part in req.target or part in prompt
