Quarantine parts of prompts that crash servers, not only whole requests

What callers saw: requests of one kind kept crashing servers, one after the other, and whatever ran there was lost with them.

Cause: a crash was blamed on a request as a whole, by a digest of account, host, target and body. Requests that are no two alike but for one part of their prompts never added up to three crashes, unless one alone crashed three. The class: the unit that is judged is larger than the unit at fault.

Change: reports of crashes carry fingerprints of the parts that a request may share, all but the last. The coordinator looks for the part at the most crashes, three at least and with two different requests, of which one crash is not explained otherwise. It asks all VMs which of the parts that come with it were in a request that completed in the last five minutes, and leaves these out: the first part above all is in sound requests too. What remains is held as a set, and a request is refused if its prompt has all of it, so a part that only came together with the one at fault stays free for other requests. Nothing is held while no request of the service completes anywhere: then nothing tells a part from servers that crash by themselves. Records, replies and updates carry the parts in new fields; the set has a fingerprint like a request's, so a VM of the build before passes it on. If the coordinator is of that build, each VM decides by the reports that it has.

Ruled out: blame by the count of crashes alone (holds the commonest part of a service where all servers crash by themselves; there is a test), a message for each completion (one question at a decision instead), a hold of each suspected part (holds sound requests that first come later; there is a test).

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -7,7 +7,8 @@
 from some of the crashes or had been running for long. So the smallest set of
 requests that explains the crashes is searched for. The request that explains
 the most crashes is taken first, and the crashes that it explains do not count
-against any other request.
+against any other request. Parts of prompts that different requests share are
+examined before whole requests (`part_blame`).
 
 This module does no I/O; the time is an argument.
 """
@@ -18,6 +19,7 @@
 import msgspec
 
 from foxtaildale import messages
+from foxtaildale import part_blame
 
 # Total weight of the crashes that one request must explain to be blamed.
 BLAME_WEIGHT: Final = 3.0
@@ -108,6 +110,27 @@
             return 0.0
         return 1.0 if is_likely_cause(crash) else _UNLIKELY_WEIGHT
 
+    def is_explained(
+        self,
+        blamed_requests: Collection[int],
+        blamed_sets: Collection[frozenset[int]],
+    ) -> bool:
+        """Whether what was blamed before explains this crash."""
+        return any(
+            self.weight(request) >= 1.0 for request in blamed_requests
+        ) or any(
+            parts.issubset(crash.parts)
+            for parts in blamed_sets
+            for crash in self.requests.values()
+        )
+
+    def suspects(self) -> list[part_blame.Suspect]:
+        """Returns the requests that ran there, with their weights."""
+        return [
+            part_blame.Suspect(crash, self.weight(request))
+            for request, crash in self.requests.items()
+        ]
+
 
 class Crashes:
     """Crashes of servers that entry VMs reported."""
@@ -136,24 +159,53 @@
         for server_crash in self._crashes.values():
             server_crash.drop(fingerprint)
 
+    def suspected_parts(
+        self,
+        now: float,
+        already_blamed: Collection[int],
+        blamed_sets: Collection[frozenset[int]],
+        sound: Collection[int],
+    ) -> part_blame.PartSet | None:
+        """Returns parts of prompts that explain crashes, if any do.
+
+        Args:
+            now: Seconds.
+            already_blamed: Fingerprints of requests that were blamed before.
+            blamed_sets: Sets of parts that were blamed before.
+            sound: Fingerprints of parts that are not at fault.
+        """
+        self._expire(now)
+        return part_blame.find(
+            [
+                (
+                    server_crash.suspects(),
+                    not server_crash.is_explained(already_blamed, blamed_sets),
+                )
+                for server_crash in self._crashes.values()
+                if now - server_crash.reported_at >= SETTLE_S
+            ],
+            sound,
+        )
+
     def newly_blamed(
-        self, now: float, already_blamed: Collection[int]
+        self,
+        now: float,
+        already_blamed: Collection[int],
+        blamed_sets: Collection[frozenset[int]] = (),
     ) -> list[int]:
         """Returns the fingerprints of requests that are newly blamed.
 
         Args:
             now: Seconds.
             already_blamed: Fingerprints of requests that were blamed before.
+            blamed_sets: Sets of parts that were blamed before.
         """
         self._expire(now)
         open_crashes = [
             server_crash
             for server_crash in self._crashes.values()
             if now - server_crash.reported_at >= SETTLE_S
-            and not any(
-                server_crash.weight(blamed_request) >= 1.0
-                for blamed_request in already_blamed
-            )
+            and not server_crash.is_explained(already_blamed, blamed_sets)
         ]
         blamed = []
         while (best := _likeliest(open_crashes)) is not None:
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -53,12 +53,15 @@
 
 
 class QuarantinedRequest(msgspec.Struct, frozen=True):
-    """A quarantined request, as stored in the store."""
+    """A quarantined request or set of parts, as stored in the store."""
 
-    # Digest of the request; the same for all its attempts.
+    # Digest of the request, which is the same for all its attempts, or of the
+    # set of parts.
     fingerprint: int
     # End of the quarantine, seconds since the Unix epoch.
     until: float
+    # Fingerprints of the parts of the set; empty for a request.
+    parts: tuple[int, ...] = ()
 
 
 class CallerRequest(msgspec.Struct, kw_only=True):
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -387,9 +387,22 @@
         ),
         (
             'request held',
-            'requests with this fingerprint are quarantined for {left_s} s,'
-            ' reported by {source}',
-            ('fingerprint', 'left_s', 'source'),
+            'requests with this fingerprint, or with all {parts} in their'
+            ' prompts, are quarantined for {left_s} s, reported by {source}',
+            ('fingerprint', 'parts', 'left_s', 'source'),
+        ),
+        (
+            'parts examined',
+            'crashes of {service} suggest that {parts} of prompts cause them;'
+            ' {replied} of {asked} VMs replied that {sound} completed there',
+            (
+                'service',
+                'parts',
+                'sound',
+                'completes',
+                'asked',
+                'replied',
+            ),
         ),
         (
             'ends told',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -380,6 +380,8 @@
     # be quarantined: remaining time in seconds by fingerprint.
     quarantined: dict[int, float] = {}
     cleared: dict[int, float] = {}
+    # Parts of prompts by the fingerprint of their quarantined set.
+    part_sets: dict[int, tuple[int, ...]] = {}
     # Updates on servers that announced that they leave
     # (`departures.Departure`), and backoff requests (`backoffs.Backoff`), by
     # server id.
@@ -547,6 +549,10 @@
     ran_ms: int
     # Time between the crash and the sending of this report, milliseconds.
     age_ms: int = 0
+    # Service of the server, and fingerprints of parts of the request's prompt
+    # that other requests may share.
+    service: str = ''
+    parts: tuple[int, ...] = ()
 
 
 class CrashReports(Wire, frozen=True):
@@ -572,6 +578,28 @@
     # For other requests, remaining time during which they can't be quarantined,
     # seconds by fingerprint.
     cleared: dict[int, float] = {}
+    # Parts of prompts by the fingerprint of their set, for sets in
+    # `quarantined`: all requests that have all these parts are quarantined.
+    part_sets: dict[int, tuple[int, ...]] = {}
+    # Whether the sender also decides on parts of prompts.
+    judges_parts: bool = False
+
+
+class CompletedPartsRequest(Wire, frozen=True):
+    """Question to an entry VM which requests completed there recently."""
+
+    service: str
+    # Fingerprints of parts of prompts.
+    parts: tuple[int, ...]
+
+
+class CompletedPartsReply(Wire, frozen=True):
+    """Reply to `CompletedPartsRequest`."""
+
+    # Those of the parts that were in a request that completed.
+    completed: tuple[int, ...]
+    # Whether any request of the service completed.
+    service_completes: bool
 
 
 class ServerSendRequest(Wire, frozen=True, tag='SendAsk'):
@@ -745,6 +773,8 @@
     | SendTokensRequest
     | SendTokensReply
     | QuarantineUpdate
+    | CompletedPartsRequest
+    | CompletedPartsReply
     | CreditRequest
     | CreditReply
     | CreditRefund
--- a/packages/core/foxtaildale/quarantine.py
+++ b/packages/core/foxtaildale/quarantine.py
@@ -1,6 +1,7 @@
 """Requests that are sent to no server for a limited time.
 
-Only fingerprints are stored (`fingerprint`). Every entry VM has all of them, so
+A single request is quarantined, or all requests whose prompts have all parts of
+a set. Only fingerprints are stored (`fingerprint`). Every entry VM has all of them, so
 that it can refuse a request without a request to another VM. A request that ran
 to completion at some entry VM is cleared: it crashes no server, whatever it was
 blamed for. VMs report the remaining time to each other, since their clocks
@@ -9,7 +10,9 @@
 This module does no I/O; the time is an argument.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
+import types
 from typing import Final
 
 # How long a request is quarantined, and how long a cleared one can't be,
@@ -59,23 +62,52 @@
 
 
 class Quarantine:
-    """Quarantined and cleared requests that one entry VM knows of."""
+    """Quarantined and cleared requests that one entry VM knows of.
 
-    __slots__ = ('_cleared', '_quarantined')
+    A set of parts is treated as a request with the fingerprint of the set.
+    """
+
+    __slots__ = ('_cleared', '_part_sets', '_quarantined')
 
     def __init__(self) -> None:
         self._quarantined = _ExpiringSet()
         self._cleared = _ExpiringSet()
+        # Parts of quarantined sets, by the fingerprint of the set. The dict is
+        # replaced and never modified, so that any thread may read it.
+        self._part_sets: dict[int, frozenset[int]] = {}
 
     def add(
-        self, now: float, fingerprint: int, left_s: float = QUARANTINE_S
+        self,
+        now: float,
+        fingerprint: int,
+        left_s: float = QUARANTINE_S,
+        parts: Iterable[int] = (),
     ) -> bool:
-        """Quarantines a request; returns whether that is a change."""
+        """Quarantines a request or a set of parts.
+
+        Args:
+            now: Seconds.
+            fingerprint: Fingerprint of the request or of the set.
+            left_s: Remaining time of the quarantine, seconds.
+            parts: Fingerprints of the parts of the set; none for a request.
+
+        Returns:
+            Whether that is a change.
+        """
         if self._cleared.until.get(fingerprint, now) > now:
             return False
         if not 0 < left_s <= QUARANTINE_S:
             return False
-        return self._quarantined.add(now, fingerprint, left_s)
+        is_new = self._quarantined.add(now, fingerprint, left_s)
+        part_set = frozenset(parts)
+        if part_set and self._part_sets.get(fingerprint) != part_set:
+            is_new = True
+            self._part_sets = {
+                key: known
+                for key, known in self._part_sets.items()
+                if key in self._quarantined.until
+            } | {fingerprint: part_set}
+        return is_new
 
     def clear(
         self, now: float, fingerprint: int, left_s: float = QUARANTINE_S
@@ -86,15 +118,38 @@
         self._quarantined.drop(fingerprint)
         return self._cleared.add(now, fingerprint, left_s)
 
-    def left_s(self, now: float, fingerprint: int) -> float:
+    def left_s(
+        self, now: float, fingerprint: int, parts: Iterable[int] = ()
+    ) -> float:
         """Returns how long a request is quarantined, seconds; 0 if it is not.
 
         May be called from any thread.
+
+        Args:
+            now: Seconds.
+            fingerprint: Fingerprint of the request.
+            parts: Fingerprints of the parts of its prompt.
         """
         until = self._quarantined.until
         if not until:
             return 0.0
-        return max(0.0, until.get(fingerprint, now) - now)
+        ends_at = until.get(fingerprint, now)
+        part_sets = self._part_sets
+        if part_sets:
+            known = frozenset(parts)
+            for key, part_set in part_sets.items():
+                if part_set <= known:
+                    ends_at = max(ends_at, until.get(key, now))
+        return max(0.0, ends_at - now)
+
+    def part_sets(self, now: float) -> dict[int, frozenset[int]]:
+        """Returns the quarantined sets of parts, by fingerprint."""
+        quarantined = self._quarantined.left(now)
+        return {
+            key: part_set
+            for key, part_set in self._part_sets.items()
+            if key in quarantined
+        }
 
     def quarantined(self, now: float) -> dict[int, float]:
         """Returns how long each request is quarantined, seconds."""
@@ -109,11 +164,18 @@
         now: float,
         quarantined: Mapping[int, float],
         cleared: Mapping[int, float],
+        part_sets: Mapping[int, Iterable[int]] = types.MappingProxyType({}),
     ) -> list[int]:
         """Merges the report of another VM.
 
+        Args:
+            now: Seconds.
+            quarantined: Remaining time in seconds by fingerprint.
+            cleared: The same, for requests that can't be quarantined.
+            part_sets: Parts of quarantined sets, by the set's fingerprint.
+
         Returns:
-            The fingerprints of newly quarantined requests.
+            The fingerprints of newly quarantined requests and sets.
         """
         for fingerprint, left_s in cleared.items():
             if left_s > _SLACK_S:
@@ -121,5 +183,8 @@
         return [
             fingerprint
             for fingerprint, left_s in quarantined.items()
-            if left_s > _SLACK_S and self.add(now, fingerprint, left_s)
+            if left_s > _SLACK_S
+            and self.add(
+                now, fingerprint, left_s, part_sets.get(fingerprint, ())
+            )
         ]
--- a/packages/daemon/foxtaildaled/crash_detection.py
+++ b/packages/daemon/foxtaildaled/crash_detection.py
@@ -4,6 +4,7 @@
 was closed. A crashed server refuses the next connection.
 """
 
+from collections.abc import Iterable
 from typing import Protocol
 
 from foxtaildale import errors
@@ -22,6 +23,7 @@
         request: int,
         *,
         ran_s: float,
+        parts: Iterable[int],
     ) -> None:
         """Reports a request; see `QuarantineManager.record_crash`."""
 
@@ -77,4 +79,6 @@
         )
         if reach == 'refused':
             req.crashed_stages.add(server.stage)
-            self._on_crash(server, req.fingerprint, ran_s=ran_s)
+            self._on_crash(
+                server, req.fingerprint, ran_s=ran_s, parts=req.prompt_parts
+            )
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -7,7 +7,6 @@
 is resumed at another worker if the route allows that.
 """
 
-from collections.abc import Callable
 import random
 from typing import Final
 
@@ -78,7 +77,7 @@
         prefill_client: prefill_clients.PrefillClient,
         cleanup: ports.ResourceReleaser,
         crash_probe: crash_detection.CrashDetector,
-        on_completed: Callable[[int], None],
+        on_completed: routed_request.OnCompleted,
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
@@ -90,7 +89,7 @@
         self._prefill_client = prefill_client
         self._cleanup = cleanup
         self._crash_probe = crash_probe
-        # Called with the fingerprint of a request that completed successfully.
+        # Called with a request that completed successfully.
         self._on_completed = on_completed
         self._clock = clock
         self._rng = rng
@@ -257,7 +256,9 @@
             self._relay(req, response, flight, head, sent_ids)
             placement.complete = True
             if not req.crashed_stages - {server.stage}:
-                self._on_completed(req.fingerprint)
+                self._on_completed(
+                    req.fingerprint, req.service.name, req.prompt_parts
+                )
         except errors.PortError as exc:
             self._crash_probe.handle_send_error(
                 req,
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -7,7 +7,6 @@
 off can still be retried.
 """
 
-from collections.abc import Callable
 import random
 from typing import Final
 
@@ -111,7 +110,7 @@
         budgets: router_retry_budgets.RouterRetryBudgets,
         send_limits: sendlimits.SendLimits,
         crash_probe: crash_detection.CrashDetector,
-        on_completed: Callable[[int], None],
+        on_completed: routed_request.OnCompleted,
         clock: ports.Clock,
         rng: random.Random,
     ) -> None:
@@ -120,7 +119,7 @@
         self._retry_budgets = budgets
         self._send_limits = send_limits
         self._crash_probe = crash_probe
-        # Called with the fingerprint of a request that completed successfully.
+        # Called with a request that completed successfully.
         self._on_completed = on_completed
         self._clock = clock
         self._rng = rng
@@ -455,7 +454,9 @@
         self, req: routed_request.RoutedRequest, response: _CompleteResponse
     ) -> None:
         if response.head.ok:
-            self._on_completed(req.fingerprint)
+            self._on_completed(
+                req.fingerprint, req.service.name, req.prompt_parts
+            )
         complete = req.exchange.respond(
             response.head.status, dict(response.head.headers), response.body
         )
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -4,13 +4,16 @@
 coordinator of crash reports (`coordinator_client`) and to its successors. A
 coordinator or successor that is new or has restarted gets all reports that any
 VM has, since the VM that first sent a report may have stopped too. The
-coordinator decides which requests are to blame (`crashes`), sends the result to
+coordinator decides which requests are to blame (`crashes`), and which parts of
+prompts, after it has asked all VMs which parts completed there. It sends the
+result to
 all VMs at once, and saves the quarantine in the store, since a loss of power on
 all VMs would lose it otherwise. A VM that missed an update gets it with its
 next request to the store reader (`router_state`).
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import logging
 import math
@@ -24,6 +27,8 @@
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import messages
+from foxtaildale import part_blame
+from foxtaildale import part_completions
 from foxtaildale import ports
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
@@ -51,6 +56,11 @@
 # Interval at which the quarantine is saved in the store, seconds.
 SAVE_INTERVAL_S: Final = 1.0
 
+# Maximum number of questions to all VMs about parts in one round, and the
+# interval between questions that none can answer, seconds.
+MAX_PART_QUESTIONS: Final = 4
+ASK_INTERVAL_S: Final = 1.0
+
 # When a server crashed, seconds, and the request that ran on it.
 _Report = tuple[float, messages.Crash]
 
@@ -63,16 +73,19 @@
 
     __slots__ = (
         '_acting_until',
+        '_ask_parts_at',
         '_clock',
         '_codec',
         '_completed',
         '_coordinator_id',
+        '_coordinator_judges_parts',
         '_coordinators',
         '_informed_coordinator',
         '_informed_successors',
         '_is_changed',
         '_lock',
         '_owner',
+        '_part_completions',
         '_peers',
         '_pending',
         '_pending_cleared',
@@ -101,6 +114,12 @@
         # Own reports that the coordinator has not received, with their times,
         # oldest first.
         self._pending: list[_Report] = []
+        self._part_completions = part_completions.PartCompletions()
+        # When VMs may be asked about parts again, seconds.
+        self._ask_parts_at = 0.0
+        # Whether the coordinator decides on parts of prompts; one of an earlier
+        # version does not, and each VM then decides by the reports that it has.
+        self._coordinator_judges_parts = True
         # Requests cleared here that the coordinator does not know of yet.
         self._pending_cleared: list[int] = []
         # When requests completed here, seconds, by fingerprint.
@@ -128,6 +147,7 @@
         request: int,
         *,
         ran_s: float,
+        parts: Iterable[int] = (),
     ) -> None:
         """Records a request that ran on a server when it crashed.
 
@@ -136,26 +156,47 @@
             request: The request's fingerprint.
             ran_s: How long the request had run, seconds; the time since it
                 was sent, if the start is not known.
+            parts: Fingerprints of the parts of its prompt that other requests
+                may share.
         """
-        crash = messages.Crash(
-            server=server.id,
-            started_at=server.born,
-            fingerprint=request,
-            ran_ms=int(ran_s * 1000),
-        )
         now = self._clock()
         with self._lock:
+            # The smallest ones, if there are too many: all VMs choose alike.
+            reported = sorted(
+                set(parts).difference(
+                    self._part_completions.completed(now, parts)
+                )
+            )[: part_blame.MAX_REPORTED_PARTS]
+            crash = messages.Crash(
+                server=server.id,
+                started_at=server.born,
+                fingerprint=request,
+                ran_ms=int(ran_s * 1000),
+                service=server.service,
+                parts=tuple(reported),
+            )
             if now - self._completed.get(request, -math.inf) < COMPLETED_TTL_S:
                 return
             self._pending.append((now, crash))
             del self._pending[:-MAX_PENDING_REPORTS]
         self.on_report()
 
-    def record_completed(self, request: int) -> None:
-        """Records a request that completed without an error."""
+    def record_completed(
+        self, request: int, service: str = '', parts: Iterable[int] = ()
+    ) -> None:
+        """Records a request that completed without an error.
+
+        Args:
+            request: The request's fingerprint.
+            service: The service that ran it.
+            parts: Fingerprints of the parts of its prompt that other requests
+                may share.
+        """
+        now = self._clock()
         with self._lock:
+            self._part_completions.record(now, service, parts)
             self._completed.pop(request, None)
-            self._completed[request] = self._clock()
+            self._completed[request] = now
             if len(self._completed) > MAX_COMPLETED:
                 del self._completed[next(iter(self._completed))]
 
@@ -182,11 +223,28 @@
             self.on_report()
         return reply
 
+    def completed_parts(
+        self, msg: messages.CompletedPartsRequest
+    ) -> messages.CompletedPartsReply:
+        """Returns which parts of prompts completed on this VM."""
+        now = self._clock()
+        with self._lock:
+            return messages.CompletedPartsReply(
+                completed=self._part_completions.completed(now, msg.parts),
+                service_completes=self._part_completions.has_completed(
+                    now, msg.service
+                ),
+            )
+
     def apply_update(self, msg: messages.QuarantineUpdate) -> messages.Pong:
         """Applies the quarantine that another VM sent."""
         self._owner.run(
             lambda state, now: state.quarantine_state.merge(
-                now, msg.quarantined, msg.cleared, 'home'
+                now,
+                msg.quarantined,
+                msg.cleared,
+                'home',
+                part_sets=msg.part_sets,
             )
         )
         return messages.Pong()
@@ -209,22 +267,95 @@
         # one VM alone, a request may be blamed for a crash that the reports of
         # other VMs explain.
         is_acting = is_coordinator or now < self._acting_until
-        if (is_acting or not all_delivered) and self._owner.run(
+        must_judge = is_acting or not all_delivered
+        has_judged_parts = (
+            must_judge or not self._coordinator_judges_parts
+        ) and self._quarantine_parts()
+        if must_judge and self._owner.run(
             lambda state, now: state.quarantine_state.quarantine_blamed(now)
         ):
             self._is_changed = True
-        if self._is_changed and is_acting:
+        if has_judged_parts or (self._is_changed and is_acting):
             self._is_changed = False
             self._announce()
         if is_acting and now >= self._save_at:
             self._save_at = now + SAVE_INTERVAL_S
             self._save()
 
+    def _quarantine_parts(self) -> bool:
+        """Quarantines parts of prompts that explain crashes.
+
+        Returns:
+            Whether any were added.
+        """
+        changed = False
+        for _ in range(MAX_PART_QUESTIONS):
+            found = self._owner.run(
+                lambda state, now: state.quarantine_state.suspected_parts(now)
+            )
+            if found is None or self._clock() < self._ask_parts_at:
+                break
+            sound, service_completes = self._ask_completed(found)
+            if sound:
+                self._record_sound(sound)
+            elif service_completes:
+                changed |= self._quarantine_set(found)
+            else:
+                # Nothing tells a part at fault from servers that crash by
+                # themselves.
+                self._ask_parts_at = self._clock() + ASK_INTERVAL_S
+        return changed
+
+    def _ask_completed(
+        self, found: part_blame.PartSet
+    ) -> tuple[frozenset[int], bool]:
+        """Asks all VMs which parts completed, and whether the service does."""
+        msg = messages.CompletedPartsRequest(found.service, found.parts)
+        addresses = self._owner.run(lambda state, _: state.peers())
+        replies = [
+            self.completed_parts(msg),
+            *self._peers.request_all(addresses, msg, REPLY_TIMEOUT_S).values(),
+        ]
+        known = [
+            reply
+            for reply in replies
+            if isinstance(reply, messages.CompletedPartsReply)
+        ]
+        sound = frozenset(part for reply in known for part in reply.completed)
+        service_completes = any(reply.service_completes for reply in known)
+        logs.event(
+            logging.INFO,
+            'parts examined',
+            service=found.service,
+            parts=fingerprint.to_texts(found.parts),
+            sound=fingerprint.to_texts(sorted(sound)),
+            completes=service_completes,
+            asked=len(addresses) + 1,
+            replied=len(known),
+        )
+        return sound, service_completes
+
+    def _record_sound(self, parts: frozenset[int]) -> None:
+        def change(state: router_state.RouterState, now: float) -> None:
+            state.quarantine_state.record_sound_parts(now, parts)
+
+        self._owner.run(change)
+
+    def _quarantine_set(self, found: part_blame.PartSet) -> bool:
+        def change(state: router_state.RouterState, now: float) -> bool:
+            return state.quarantine_state.quarantine_parts(now, found)
+
+        return self._owner.run(change)
+
     def _clear_completed(self) -> None:
-        """Clears quarantined requests that completed on this VM."""
-        quarantined = self._owner.run(
-            lambda state, now: state.quarantine_state.quarantine.quarantined(
-                now
+        """Clears quarantined requests that completed on this VM.
+
+        A set of parts is cleared if each of them completed here.
+        """
+        quarantined, part_sets = self._owner.run(
+            lambda state, now: (
+                state.quarantine_state.quarantine.quarantined(now),
+                state.quarantine_state.part_sets(now),
             )
         )
         now = self._clock()
@@ -235,6 +366,12 @@
                 if now - self._completed.get(request, -math.inf)
                 < COMPLETED_TTL_S
             ]
+            completed += [
+                key
+                for key, parts in part_sets.items()
+                if len(self._part_completions.completed(now, parts))
+                == len(parts)
+            ]
             self._pending_cleared.extend(completed)
         for request in completed:
             self._clear(request)
@@ -283,6 +420,7 @@
                     logging.INFO, 'ends told', reports=len(known_reports)
                 )
         self._informed_coordinator = reply.coordinator_id
+        self._coordinator_judges_parts = reply.judges_parts
         return True
 
     def _inform_successors(self, *, is_coordinator: bool) -> None:
@@ -404,6 +542,8 @@
             coordinator_id=self._coordinator_id,
             quarantined=state.quarantine_state.quarantine.quarantined(now),
             cleared=state.quarantine_state.quarantine.cleared(now),
+            part_sets=state.quarantine_state.part_sets(now),
+            judges_parts=True,
         )
 
     def _save(self) -> None:
--- a/packages/daemon/foxtaildaled/quarantine_state.py
+++ b/packages/daemon/foxtaildaled/quarantine_state.py
@@ -5,13 +5,17 @@
 are saved in the store.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import logging
+import types
 
 from foxtaildale import crashes
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import mirror
+from foxtaildale import part_blame
+from foxtaildale import part_completions
 from foxtaildale import ports
 from foxtaildale import quarantine
 from foxtaildale_adapters import logs
@@ -23,7 +27,14 @@
     The methods get the current time as an argument.
     """
 
-    __slots__ = ('_codec', '_stored_until', '_wall', 'crashes', 'quarantine')
+    __slots__ = (
+        '_codec',
+        '_sound_parts',
+        '_stored_until',
+        '_wall',
+        'crashes',
+        'quarantine',
+    )
 
     def __init__(self, codec: ports.RecordCodec, wall: ports.Clock) -> None:
         self._codec = codec
@@ -34,6 +45,9 @@
         # Until when requests are quarantined according to the store, seconds
         # since the epoch, by fingerprint.
         self._stored_until: dict[int, float] = {}
+        # Until when parts of prompts are known to be sound, seconds, by
+        # fingerprint.
+        self._sound_parts: dict[int, float] = {}
 
     def quarantine_blamed(self, now: float) -> bool:
         """Quarantines requests that the crash reports blame.
@@ -44,29 +58,84 @@
         if not self.crashes.has_crashes(now):
             return False
         quarantined = self.quarantine.quarantined(now)
-        newly_blamed = self.crashes.newly_blamed(now, quarantined)
+        newly_blamed = self.crashes.newly_blamed(
+            now, quarantined, self.quarantine.part_sets(now).values()
+        )
         held = dict.fromkeys(newly_blamed, quarantine.QUARANTINE_S)
         return self.merge(now, held, {}, 'reports')
 
+    def suspected_parts(self, now: float) -> part_blame.PartSet | None:
+        """Returns parts of prompts that the crash reports suspect, if any."""
+        if not self.crashes.has_crashes(now):
+            return None
+        self._sound_parts = {
+            part: until
+            for part, until in self._sound_parts.items()
+            if until > now
+        }
+        return self.crashes.suspected_parts(
+            now,
+            self.quarantine.quarantined(now),
+            self.quarantine.part_sets(now).values(),
+            self._sound_parts,
+        )
+
+    def record_sound_parts(self, now: float, parts: Iterable[int]) -> None:
+        """Records parts of prompts that are not at fault."""
+        until = now + part_completions.COMPLETION_TTL_S
+        self._sound_parts.update(dict.fromkeys(parts, until))
+
+    def quarantine_parts(self, now: float, found: part_blame.PartSet) -> bool:
+        """Quarantines a set of parts; returns whether that is a change."""
+        key = found.fingerprint()
+        return self.merge(
+            now,
+            {key: quarantine.QUARANTINE_S},
+            {},
+            'reports',
+            part_sets={key: found.parts},
+        )
+
     def merge(
         self,
         now: float,
         held: Mapping[int, float],
         cleared: Mapping[int, float],
         source: str,
+        *,
+        part_sets: Mapping[int, Iterable[int]] = types.MappingProxyType({}),
     ) -> bool:
-        """Adds requests to the quarantine; returns whether any is new here."""
-        added = self.quarantine.merge(now, held, cleared)
+        """Adds requests to the quarantine.
+
+        Args:
+            now: Seconds.
+            held: Remaining time in seconds by fingerprint.
+            cleared: The same, for requests that can't be quarantined.
+            source: Where the report comes from, for the log.
+            part_sets: Parts of the sets in `held`, by the set's fingerprint.
+
+        Returns:
+            Whether any is new here.
+        """
+        added = self.quarantine.merge(now, held, cleared, part_sets)
         for request in added:
             logs.event(
                 logging.WARNING,
                 'request held',
                 fingerprint=fingerprint.to_text(request),
+                parts=fingerprint.to_texts(part_sets.get(request, ())),
                 left_s=int(held[request]),
                 source=source,
             )
         return bool(added)
 
+    def part_sets(self, now: float) -> dict[int, tuple[int, ...]]:
+        """Returns the parts of quarantined sets, by the set's fingerprint."""
+        return {
+            key: tuple(sorted(parts))
+            for key, parts in self.quarantine.part_sets(now).items()
+        }
+
     def clear_request(self, now: float, request: int) -> None:
         """Clears a request that completed and so crashes no server."""
         self.crashes.remove_request(request)
@@ -89,10 +158,11 @@
         if not entry.value:
             self._stored_until.pop(request, None)
             return True
-        until = self._codec.decode_quarantined(entry.value).until
-        self._stored_until[request] = until
-        left_s = min(quarantine.QUARANTINE_S, until - self._wall())
-        self.merge(now, {request: left_s}, {}, source)
+        record = self._codec.decode_quarantined(entry.value)
+        self._stored_until[request] = record.until
+        left_s = min(quarantine.QUARANTINE_S, record.until - self._wall())
+        part_sets = {request: record.parts}
+        self.merge(now, {request: left_s}, {}, source, part_sets=part_sets)
         return True
 
     def forget_stored(self) -> None:
@@ -106,9 +176,14 @@
         """Returns the records to add to the store, and those to remove."""
         wall_now = self._wall()
         held = self.quarantine.quarantined(now)
+        part_sets = self.part_sets(now)
         records = [
             self._codec.encode_quarantined(
-                forwarding.QuarantinedRequest(request, wall_now + left_s)
+                forwarding.QuarantinedRequest(
+                    request,
+                    wall_now + left_s,
+                    part_sets.get(request, ()),
+                )
             )
             for request, left_s in held.items()
             if request not in self._stored_until
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import logging
 import math
@@ -30,6 +31,11 @@
 LATE_READ_S: Final = 0.1
 
 
+# Called with the fingerprint of a request that completed successfully, the
+# service that ran it, and the fingerprints of the parts of its prompt.
+OnCompleted = Callable[[int, str, Iterable[int]], None]
+
+
 class RoutedRequest:
     """A request with its route, deadline and connection to the caller."""
 
@@ -71,7 +77,9 @@
         clock: ports.Clock,
         process_ends_at: Callable[[], float] = lambda: math.inf,
         account: accounts.Account | None = None,
-        quarantine_left_s: Callable[[int], float] = lambda _: 0.0,
+        quarantine_left_s: Callable[[int, Iterable[int]], float] = lambda *_: (
+            0.0
+        ),
     ) -> None:
         self.exchange = exchange
         self.caller_request = caller_request
@@ -149,7 +157,7 @@
 
     def quarantine_left_s(self) -> float:
         """Returns the quarantine time left, seconds; 0 if it may be sent."""
-        return self._quarantine_left_s(self.fingerprint)
+        return self._quarantine_left_s(self.fingerprint, self.prompt_parts)
 
     def check_disconnected(self) -> bool:
         """Checks the connection; whether the caller has disconnected."""
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 from typing import Final
 from typing import Protocol
@@ -82,7 +83,7 @@
         clock: ports.Clock,
         ends_at: Callable[[], float],
         is_accepting: Callable[[], bool],
-        quarantine_left_s: Callable[[int], float],
+        quarantine_left_s: Callable[[int, Iterable[int]], float],
     ) -> None:
         self._entry_vm = entry_vm
         # Returns the time at which this process ends at the latest; infinity
@@ -91,7 +92,8 @@
         # Returns whether new connections are accepted.
         self._is_accepting = is_accepting
         # Returns how long a request stays in quarantine, seconds, by its
-        # fingerprint; a quarantined request must not be sent to any server.
+        # fingerprint and those of the parts of its prompt; a quarantined
+        # request must not be sent to any server.
         self._quarantine_left_s = quarantine_left_s
         self._matcher = matcher
         self._decode = decode
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -334,8 +334,10 @@
             clock=clock,
             ends_at=lambda: self._ends_at,
             is_accepting=self._is_accepting,
-            quarantine_left_s=lambda request: (
-                self._state.quarantine_state.quarantine.left_s(clock(), request)
+            quarantine_left_s=lambda request, parts: (
+                self._state.quarantine_state.quarantine.left_s(
+                    clock(), request, parts
+                )
             ),
         )
         self._server = caller_server.Server(
@@ -372,6 +374,7 @@
             messages.UsageReport: self._limit_accounting.count_remote,
             messages.CrashReports: self._quarantining.apply_reports,
             messages.QuarantineUpdate: self._quarantining.apply_update,
+            messages.CompletedPartsRequest: self._quarantining.completed_parts,
             messages.SendTokensRequest: self._send_limits.grant_tokens,
             messages.SendTokensReply: self._send_limits.apply_grants,
             messages.InventoryRequest: lambda msg: (
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -234,7 +234,11 @@
         self.fleet.update_failure_rates(reply.failure_ratios, now)
         self.announcements.merge(reply, now)
         self.quarantine_state.merge(
-            now, reply.quarantined, reply.cleared, 'peer'
+            now,
+            reply.quarantined,
+            reply.cleared,
+            'peer',
+            part_sets=reply.part_sets,
         )
 
     def build_reply(
@@ -275,6 +279,7 @@
             store_failed=self.is_store_lost(),
             quarantined=self.quarantine_state.quarantine.quarantined(now),
             cleared=self.quarantine_state.quarantine.cleared(now),
+            part_sets=self.quarantine_state.part_sets(now),
             # A VM that has just started has no topic yet and needs all
             # departures.
             departures=departures.recent_changes(now)
