A crash is not taken for the end of a response without length

What callers saw, on stand-ins: the first part of a response as a complete one. A response with neither a length nor chunks ends with its connection, and a crash of its server closes that as well. A stream was complete if it broke off between two events, and a request that crashes servers counted as completed, which would clear the parts of its prompt.

Cause: the end of the connection was taken for the end of the body. Ruled out as causes: a reset (is an error already) and an end within an event (found by the splitter already); both have tests that passed at once.

Change: at the end of such a body the server's address is probed, for all readers in one place; if connections are refused, the response has broken off. It costs one connection for a response without length or chunks, and none for others.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -26,6 +26,7 @@
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
 from foxtaildale_adapters import idle_connections
+from foxtaildale_adapters import probe
 
 # Connection timeout, seconds. Round trips take a few milliseconds. TCP resends
 # a lost SYN after one second, by when another server could have replied. No
@@ -225,6 +226,8 @@
             self._set_timeout(timeout_s)
             with bounded_responses.limited(self._resp, timeout_s):
                 data = self._resp.read1(_READ_BYTES)
+            if not data and not _is_framed(self._resp):
+                self._check_server_runs()
             self._complete = not data
             return data
         except urllib3.exceptions.ReadTimeoutError as exc:
@@ -234,6 +237,20 @@
             self.cancel()
             raise errors.ConnectionBrokenError(str(exc)) from exc
 
+    def _check_server_runs(self) -> None:
+        """Checks that a body without a length or chunks is complete.
+
+        Such a body ends with its connection, which a crash of the server closes
+        as well.
+
+        Raises:
+            errors.ConnectionBrokenError: The server has crashed.
+        """
+        if probe.Probe(self._connector).check(self._address) == 'refused':
+            raise errors.ConnectionBrokenError(
+                'the server crashed as its response ended'
+            )
+
     def cancel(self) -> None:
         """Shuts the connection down; may be called more than once."""
         with self._lock:
@@ -336,10 +353,16 @@
 def _is_reusable(resp: urllib3.BaseHTTPResponse) -> bool:
     """Whether the server keeps the connection open after a response."""
     names = resp.headers.get('Connection', '').lower()
-    framed = 'Content-Length' in resp.headers or resp.headers.get(
-        'Transfer-Encoding'
+    return (
+        _is_framed(resp) and resp.version == _HTTP_1_1 and 'close' not in names
+    )
+
+
+def _is_framed(resp: urllib3.BaseHTTPResponse) -> bool:
+    """Whether a length or chunks tell where the body ends."""
+    return (
+        'Content-Length' in resp.headers or 'Transfer-Encoding' in resp.headers
     )
-    return bool(framed) and resp.version == _HTTP_1_1 and 'close' not in names
 
 
 def _keep_alive_s(resp: urllib3.BaseHTTPResponse) -> float | None:
--- /dev/null
+++ b/tests/test_unframed_responses.py
@@ -0,0 +1,225 @@
+"""Responses with neither a length nor chunks, which end with their connection."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import itertools
+import socket
+import struct
+import threading
+from typing import Final
+
+import pytest
+
+from foxtaildale import errors
+from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connectors
+from tests import site as sites
+
+_HEAD: Final = (
+    b'HTTP/1.1 200 OK\r\nFoxtaildale-Attempt-Id: %b\r\n'
+    b'Foxtaildale-Response-Stamp: s.%b\r\n'
+)
+_STREAM: Final = b'Content-Type: text/event-stream\r\n\r\n'
+_EVENTS: Final = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+# Response to a reservation.
+_HOLD: Final = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\nConnection: close\r\n\r\n'
+    b'{"hold":"h1"}'
+)
+# Closes a connection with a reset.
+_ABORT: Final = struct.pack('ii', 1, 0)
+
+
+class _Server:
+    """Answers with bytes and closes; the way it closes is a field."""
+
+    def __init__(self, body: bytes, *, head: bytes = b'\r\n') -> None:
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        self.bodies: Iterator[bytes] = itertools.repeat(body)
+        self.resets = False
+        # Whether the server is gone once it has answered.
+        self.crashes = False
+        self._head = head
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        # Wakes a thread that waits for a connection.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            with sock, contextlib.suppress(OSError):
+                self._answer(sock)
+
+    def _answer(self, sock: socket.socket) -> None:
+        request = b''
+        while b'\r\n\r\n' not in request:
+            data = sock.recv(65536)
+            if not data:
+                return
+            request += data
+        if b' /api/' in request.partition(b'\r\n')[0]:
+            sock.sendall(_HOLD)
+            return
+        found = [
+            line.partition(b': ')[2]
+            for line in request.split(b'\r\n')
+            if line.lower().startswith(b'foxtaildale-attempt-id')
+        ]
+        attempt = found[0] if found else b'-'
+        sock.sendall(_HEAD % (attempt, attempt) + self._head)
+        sock.sendall(next(self.bodies))
+        if self.crashes:
+            self._listener.close()
+        if self.resets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+
+
+@pytest.fixture
+def make() -> Iterator[Callable[..., _Server]]:
+    made: list[_Server] = []
+
+    def start(body: bytes, *, head: bytes = b'\r\n') -> _Server:
+        made.append(_Server(body, head=head))
+        return made[-1]
+
+    yield start
+    for server in made:
+        server.close()
+
+
+@pytest.fixture
+def site() -> Iterator[sites.Site]:
+    made = sites.Site()
+    try:
+        made.store.put('keyed.op', 'config', sites.config(1))
+        yield made
+    finally:
+        made.close()
+
+
+def _read(server: _Server) -> bytes:
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=connectors.DirectConnector(),
+    )
+    try:
+        request.send(1.0)
+        request.read_head(1.0)
+        return b''.join(iter(lambda: request.read(1.0), b''))
+    finally:
+        request.close()
+
+
+def test_body_that_ends_with_its_connection_is_whole(
+    make: Callable[..., _Server],
+) -> None:
+    assert _read(make(b'abc')) == b'abc'
+
+
+@pytest.mark.parametrize('fault', ['resets', 'crashes'])
+def test_body_that_breaks_off_is_not_whole(
+    make: Callable[..., _Server], fault: str
+) -> None:
+    """Guards against a crash that is taken for the end of a response."""
+    server = make(b'abc')
+    setattr(server, fault, True)
+    with pytest.raises(errors.ConnectionBrokenError):
+        _read(server)
+
+
+def _list(
+    site: sites.Site,
+    server: _Server,
+    service: str,
+    stage: str,
+    name: str = 'w1',
+) -> None:
+    """Lists a server in the place of a stand-in."""
+    worker = site.worker(name, service, stage)
+    entry = worker.entry() | {'address': server.address}
+    site.store.put('keyed.servers', name, entry)
+
+
+def _start(site: sites.Site) -> None:
+    site.router()
+    sites.until(lambda: sites.ready(site))
+    sites.until(lambda: 'vm-1' in site.routers[0].entry_vms())
+
+
+def test_plain_response_without_length_reaches_the_caller(
+    site: sites.Site, make: Callable[..., _Server]
+) -> None:
+    _list(site, make(b'whole'), 'plain', '')
+    _start(site)
+    status, _, body = sites.send(site, 'POST', '/safe/a')
+    assert (status, body) == (200, b'whole')
+
+
+@pytest.mark.parametrize('fault', ['resets', 'crashes'])
+def test_plain_response_that_breaks_off_is_no_success(
+    site: sites.Site, make: Callable[..., _Server], fault: str
+) -> None:
+    """Guards against a part of a response that looks complete."""
+    server = make(b'part')
+    setattr(server, fault, True)
+    _list(site, server, 'plain', '')
+    _start(site)
+    status, _, _ = sites.send(site, 'POST', '/once/a')
+    assert status == 502
+
+
+def test_stream_without_length_reaches_the_caller(
+    site: sites.Site, make: Callable[..., _Server]
+) -> None:
+    _list(site, make(_EVENTS, head=_STREAM), 'model', 'decode')
+    _start(site)
+    status, _, body = sites.send(site, 'POST', '/single/a')
+    assert (status, body) == (200, _EVENTS)
+
+
+@pytest.mark.parametrize(
+    ('body', 'fault'),
+    [(_EVENTS + b'id: 3\nda', ''), (_EVENTS, 'resets'), (_EVENTS, 'crashes')],
+    ids=['within an event', 'reset', 'crash'],
+)
+def test_stream_that_breaks_off_does_not_look_complete(
+    site: sites.Site, make: Callable[..., _Server], body: bytes, fault: str
+) -> None:
+    """Guards against a stream that ends without its last events."""
+    server = make(body, head=_STREAM)
+    if fault:
+        setattr(server, fault, True)
+    _list(site, server, 'model', 'decode')
+    _start(site)
+    _, _, found = sites.send(site, 'POST', '/single/a')
+    assert found == b'(cut)'
+
+
+def test_stream_that_breaks_off_is_resumed(
+    site: sites.Site, make: Callable[..., _Server]
+) -> None:
+    """Guards against a resume that repeats or omits events."""
+    bodies = iter([_EVENTS + b'id: 3\nda', b'id: 3\ndata: c\n\n'])
+    for name in ('w1', 'w2'):
+        server = make(b'', head=_STREAM)
+        server.bodies = bodies
+        _list(site, server, 'model', 'decode', name)
+    _start(site)
+    status, _, body = sites.send(site, 'POST', '/chat/a')
+    assert (status, body) == (200, _EVENTS + b'id: 3\ndata: c\n\n')
