Requests that differ only in the header of their prompts are different

Cause: the fingerprint of a request was of account, host, target and body. The parts of a prompt are in a header; two requests that differ only there were one for the quarantine, so a sound one was held with the one at fault, and the part at fault was never in two different requests. Found by reading the change.

Change: the header of the prompt is a part of the digest. Requests without it keep their fingerprints.

--- a/packages/core/foxtaildale/fingerprint.py
+++ b/packages/core/foxtaildale/fingerprint.py
@@ -1,8 +1,8 @@
 """Fingerprints of requests and of the parts of their prompts.
 
 A caller retries under a new id, often at another entry VM. The fingerprint is
-the same for all attempts. It is a digest of the client account, the target and
-the body, from which none of these can be recovered. The parts of a prompt have
+the same for all attempts. It is a digest of the client account, the target, the
+prompt and the body, from which none of these can be recovered. The parts of a prompt have
 fingerprints of their own, since different requests share them.
 """
 
@@ -24,6 +24,9 @@
     for part in (call.account, call.host, call.method, call.target):
         hasher.update(b'\0')
         hasher.update(part.encode())
+    if call.prompt:
+        hasher.update(b'\0')
+        hasher.update(call.prompt.encode())
     return int.from_bytes(hasher.digest())
 
 
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -88,6 +88,9 @@
     # Ids of the parts of the prompt that it may share with other requests: all
     # but the last, each once.
     shared_parts: tuple[str, ...] = ()
+    # Description of the whole prompt as the caller sent it, which the body may
+    # not contain; empty if it sent none.
+    prompt: str = ''
     # Position after which a stream is resumed; None for a new stream.
     after_event: int | None = None
     # Id of the attempt that brought the first event of the resumed stream; empty
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -38,6 +38,8 @@
         {'account': ''},
         {'host': 'g.example'},
         {'method': 'GET'},
+        {'prompt': 'f1:100,own1:100'},
+        {'prompt': 'f1:100,own2:100'},
         {'account': 'ac', 'host': 'meh.example'},
     ]
     assert len({_fingerprint(**change) for change in changes}) == len(changes)
