A full entry VM closes connections unread while other VMs can take them

Cause: a VM without a free thread read the request and refused it for a second, whether or not others were idle. The class: a limit of one VM was treated as one of all.

Change: where other VMs are listed, a connection whose request has arrived is closed before it is read if all threads are taken, or if for 0.3 s no request waited less than 0.1 s for its thread (the processor is the limit then; 16 requests in progress at least). A VM alone refuses as before. Turning away ends by itself when nothing confirms the delay. Logged once a second with a count.

Ruled out: handing requests to another VM through the relay (bytes between VMs and a second hop for each), being not ready (takes two seconds, and then all come to the next VM).

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -38,6 +38,8 @@
             read; it is probed then. If callers never do that, a FIN alone
             means that the caller disconnected.
         idle_check_s: Interval between checks for idle connections, seconds.
+        has_peers: Returns whether other entry VMs accept the callers that this
+            one turns away; it must not block.
     """
 
     __slots__ = ('_server', '_thread')
@@ -53,6 +55,7 @@
         entry_vm: str = '',
         half_close: bool = True,
         idle_check_s: float = IDLE_CHECK_S,
+        has_peers: Callable[[], bool] = lambda: False,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._server = httpd.HttpServer(
@@ -62,6 +65,7 @@
         self._server.max_request_body_size = max_body_bytes
         self._server.entry_vm = entry_vm
         self._server.allows_half_close = half_close
+        self._server.has_peers = has_peers
         self._thread: threading.Thread | None = None
 
     def start(self) -> str:
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -5,11 +5,12 @@
 the connection to the selector. An invalid request receives a typed JSON error,
 if a response is possible, and its connection is closed.
 
-The server differs from the library in five ways. A request must arrive
+The server differs from the library in six ways. A request must arrive
 completely within one deadline, since with a timeout per read a slow sender
 could occupy a thread indefinitely. A connection occupies no thread before it
 has sent a byte. When every thread is busy, further requests are refused at
-once instead of being queued without a reply. Threads are started on demand,
+once instead of being queued without a reply; if other entry VMs can take them,
+their connections are closed before they are read. Threads are started on demand,
 since most VMs never need many. A stop can wait until no connection is open: a
 count of the requests in progress alone misses the request that arrives next.
 """
@@ -34,6 +35,7 @@
 from foxtaildale_adapters import connection_files
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import queue_delays
 from foxtaildale_adapters import wakes
 
 # Maximum number of idle connections that stay open.
@@ -44,6 +46,9 @@
 INITIAL_THREADS: Final = 8
 # Maximum number of requests that wait for a thread.
 MAX_QUEUED_REQUESTS: Final = 8
+# Number of requests in progress below which a VM is not overloaded, however long
+# a request waits for its thread.
+MIN_OVERLOAD_REQUESTS: Final = 16
 # Delay after which a caller refused for busy threads should retry, seconds.
 BUSY_RETRY_AFTER_S: Final = 1
 # Time for the first request on a new connection to arrive before a stop closes
@@ -154,6 +159,8 @@
         # Whether the connection was ever added to the idle connections.
         self.was_idle = False
         self.discard_input = False
+        # When its request was queued for a thread, seconds.
+        self.queued_at = 0.0
         # Number of requests that were read from this connection.
         self.requests_begun = 0
         self._opened_at = time.monotonic()
@@ -190,6 +197,7 @@
                 # The request has waited for a thread; no time is left for it.
                 return False
             self.requests_begun += 1
+            self.server.queue_delays.record(self.queued_at, time.monotonic())
             self.rfile.set_deadline(
                 self.server.request_timeout_s or self.server.timeout
             )
@@ -482,6 +490,12 @@
         self.sweeps = 0
         # Set when the server closes and must no longer begin any request.
         self.closing = False
+        # Whether other entry VMs accept the callers that this one turns away.
+        self.has_peers: Callable[[], bool] = lambda: False
+        # How long requests wait for a thread that runs.
+        self.queue_delays = queue_delays.QueueDelays()
+        # Only the selector's thread uses it.
+        self._closed_unread = queue_delays.LoggedCount()
 
     def add_connection(self, conn: _Connection) -> None:
         """Counts a connection as open."""
@@ -549,12 +563,44 @@
             conn.was_idle = True
             self._connections.put(conn)
             return
+        now = time.monotonic()
+        is_full = self.active_requests >= self.max_threads
+        if (is_full or self._is_overloaded(now)) and self.has_peers():
+            self._close_unread(conn, now)
+            return
         if self.active_requests >= self.max_threads + MAX_QUEUED_REQUESTS:
             self._reject_busy(conn)
             return
         self.add_active_requests(1)
+        conn.queued_at = now
         self.requests.put(conn)
 
+    def _is_overloaded(self, now: float) -> bool:
+        """Whether requests wait too long for the processor."""
+        return (
+            self.active_requests >= MIN_OVERLOAD_REQUESTS
+            and self.queue_delays.is_standing(now)
+        )
+
+    def _close_unread(self, conn: _Connection, now: float) -> None:
+        """Closes a connection whose request has arrived, and does not read it.
+
+        The caller may send any request again, since it was not read, and its
+        new connection reaches another VM. A refusal would send it away for the
+        time of Retry-After although other VMs can serve it.
+        """
+        conn.close()
+        count = self._closed_unread.record(now)
+        if count:
+            logs.event(
+                logging.WARNING,
+                'connections closed unread',
+                count=count,
+                busy=self.active_requests,
+                limit=self.max_threads,
+                delay_ms=int(self.queue_delays.last_s * 1000),
+            )
+
     def put_conn(self, conn: _Connection) -> None:
         """Returns a connection to the selector, unless the server closed."""
         try:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -170,6 +170,13 @@
             ('caller', 'requests'),
         ),
         ('handler failed', 'the handler of a request failed: {exc}', ('exc',)),
+        (
+            'connections closed unread',
+            '{count} connections were closed before their requests were read;'
+            ' {busy} requests are in progress (at most {limit}), the last one'
+            ' waited {delay_ms} ms for a thread',
+            ('count', 'busy', 'limit', 'delay_ms'),
+        ),
         (
             'thread not started',
             'no thread could be started, a request waits for another: {exc}',
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -349,6 +349,7 @@
             entry_vm=cfg.entry_vm,
             half_close=False,
             idle_check_s=_IDLE_CHECK_S,
+            has_peers=lambda: len(self._state.entry_vms) > 1,
         )
         self._readiness = caller_server.Server(
             cfg.ready_address,
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -89,10 +89,16 @@
 class Running:
     """A server with its script and ways to reach it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, has_peers: bool = False) -> None:
         self.script = Script()
         self.server = caller_server.Server(
-            '127.0.0.1:0', self.script, 4, TIMEOUT_S, BODY_LIMIT, entry_vm='vm1'
+            '127.0.0.1:0',
+            self.script,
+            4,
+            TIMEOUT_S,
+            BODY_LIMIT,
+            entry_vm='vm1',
+            has_peers=lambda: has_peers,
         )
         self.address = self.server.start()
         self.pool = urllib3.PoolManager(retries=False, timeout=PATIENCE_S)
