--- a/tests/soak.py
+++ b/tests/soak.py
@@ -59,6 +59,10 @@
 _KNOWN_S: Final = 3.0
 _BAD_LATE: Final = 3
 _BAD: Final = 'bad'
+# Id of the part that bad requests share if no two of them are alike, and the ends
+# after which it must be known.
+_BAD_PART: Final = 'bad0'
+_PART_ENDS: Final = 5
 # Requests a second that workers name as their limit; the time until it must be kept,
 # the span in which they are counted, seconds, and what may come in it beyond.
 _LIMIT: Final = 3.0
@@ -79,6 +83,7 @@
 _PORTS: Final = 4
 _START_S: Final = 20.0
 _KINDS: Final = ('safe', 'once', 'chat', 'single')
+_PROMPT_KINDS: Final = ('chat', 'single')
 # Statuses that promise that a request did not run and never will.
 _PROMISES: Final = frozenset((408, 421, 429, 503))
 
@@ -100,12 +105,22 @@
     """One seed."""
 
     def __init__(
-        self, seed: int, folder: pathlib.Path, *, ends: bool = False
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        *,
+        ends: bool = False,
+        by_part: bool = False,
     ) -> None:
         self.seed = seed
         self.ends = ends
         # The route of the bad request.
-        self.bad_kind = random.Random(f'{seed}/bad').choice(_KINDS)
+        self.bad_kind = random.Random(f'{seed}/bad').choice(
+            _PROMPT_KINDS if by_part else _KINDS
+        )
+        # What ends a worker in the target of a request or its prompt.
+        self.by_part = by_part
+        self.bad = _BAD_PART if by_part else f'/{_BAD}'
         self.bad_sent = 0
         self.store = keyedstore.KeyedStore()
         self.workers = [
@@ -128,7 +143,7 @@
         for worker in self.workers:
             worker.events = _EVENTS
             worker.pace_s = worker.work_s = 0.01
-            made = crasher.Crasher(worker, self.store, f'/{_BAD}', _BACK_S)
+            made = crasher.Crasher(worker, self.store, self.bad, _BACK_S)
             self.crashers.append(made)
         self.relays = [made.relay for made in self.crashers]
         self.ports = soakrouter.Ports(ROUTERS * _PORTS)
@@ -248,8 +263,11 @@
         request: str,
         kind: str,
         name: str = 'x',
+        part: str = '',
     ) -> Seen:
+        parts = ['f1', part, f'own-{request}'] if part else ['f1', request]
         headers = {
+            'Foxtaildale-Prompt-Prefix': ','.join(f'{one}:9' for one in parts),
             'Host': 'h.example',
             'Foxtaildale-Attempt-Id': request,
             'Foxtaildale-Deadline-Ms': '4000',
@@ -428,7 +446,10 @@
         self.bad_sent += 1
         conn = http.client.HTTPConnection('127.0.0.1', router.front, timeout=5)
         name = f'bad-{self.bad_sent}'
-        seen = self._send(conn, name, self.bad_kind, _BAD)
+        if self.by_part:
+            seen = self._send(conn, name, self.bad_kind, name[::-1], _BAD_PART)
+        else:
+            seen = self._send(conn, name, self.bad_kind, _BAD)
         self.seen.append(seen)
         conn.close()
         return seen
@@ -445,7 +466,7 @@
 
         def known() -> bool:
             ends = sum(made.bad_ends for made in self.crashers)
-            if ends >= _BAD_ENDS:
+            if ends >= (_PART_ENDS if self.by_part else _BAD_ENDS):
                 return True
             # A worker may have ended by itself as the request began there.
             seen = self._ask_bad(self.routers[ends % ROUTERS])
@@ -595,7 +616,7 @@
                 self.store.put(topic, name, None)
 
     def _bad_arrivals(self) -> int:
-        return sum(made.arrivals(f'/{_BAD}') for made in self.crashers)
+        return sum(made.arrivals(self.bad) for made in self.crashers)
 
     def _judge(self) -> list[str]:
         runs: dict[str, int] = {}
@@ -670,10 +691,10 @@
         passed.mend()
 
 
-def play(seed: int, *, ends: bool = False) -> list[str]:
+def play(seed: int, *, ends: bool = False, by_part: bool = False) -> list[str]:
     """Plays one seed; keeps the routers' logs of a seed that failed."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-    soak = Soak(seed, folder, ends=ends)
+    soak = Soak(seed, folder, ends=ends, by_part=by_part)
     found = soak.run()
     whole = sum(seen.status == 200 and seen.whole for seen in soak.seen)
     names = ', '.join(f.name for f in soakschedule.schedule(seed, ends=ends))
@@ -702,7 +723,9 @@
     if not seeds:
         first = time.time_ns() // 1_000_000_000 % 10**8
         seeds = list(range(first, first + 50))
-    failed = [seed for seed in seeds if play(seed, ends=True)]
+    failed = [
+        seed for seed in seeds if play(seed, ends=True, by_part=bool(seed % 2))
+    ]
     print(f'{len(seeds)} seeds, {len(failed)} failed: {failed}')
     sys.exit(1 if failed else 0)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -49,6 +49,14 @@
     assert soak.play(seed, ends=True) == []
 
 
+@pytest.mark.parametrize('seed', [1])
+def test_a_bad_part_of_prompts_is_stopped_beside_other_faults(
+    seed: int,
+) -> None:
+    """Guards against a part that ends workers in requests that are not alike."""
+    assert soak.play(seed, ends=True, by_part=True) == []
+
+
 @pytest.mark.parametrize('seed', [1])
 def test_streams_keep_their_versions_under_overlapping_faults(
     seed: int,
