Servers that respond after their reported crash did not crash

With parts blamed, a cut could hold a popular part for all callers, and a request that is retried behind a cut was held already.

Cause: a refused connection is taken for a crash. The VM behind the cut asks one other VM to connect, which may be behind the same cut. The class, as for unreachable servers: one explanation for what has two.

Change: before a decision on parts or on requests the VM that decides asks all VMs which of the crashed servers completed a response to them later than 0.3 s after the crash, by the server's id, so a new start at the same address does not count. Such crashes are removed. The question is the one about parts; it names 64 crashes at most, and is repeated after a second at the earliest if it led to no decision (also for what was cleared before, which would be asked on and on).

Ruled out: a connection by each VM (a new start at the address accepts it, and behind the cut it is refused), waiting for the server's entry to be renewed (longer than the time to a decision).

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -40,6 +40,8 @@
 # Maximum number of crashes remembered, and of requests for each of them.
 MAX_CRASHES: Final = 256
 MAX_REQUESTS: Final = 64
+# Maximum number of crashes that VMs are asked about at once.
+MAX_EXAMINED: Final = 64
 # Maximum number of reports that are passed on at once.
 MAX_REPORTS: Final = 256
 
@@ -159,6 +161,30 @@
         for server_crash in self._crashes.values():
             server_crash.drop(fingerprint)
 
+    def crashed_servers(self, now: float) -> tuple[messages.CrashedServer, ...]:
+        """Returns the servers whose crashes may be decided on.
+
+        The newest come last. At most `MAX_EXAMINED` are returned.
+        """
+        settled = [
+            messages.CrashedServer(
+                server=server,
+                started_at=started_at,
+                age_ms=int((now - server_crash.happened_at) * 1000),
+            )
+            for (server, started_at), server_crash in self._crashes.items()
+            if now - server_crash.reported_at >= SETTLE_S
+        ]
+        return tuple(settled[-MAX_EXAMINED:])
+
+    def remove_servers(self, servers: Collection[str]) -> None:
+        """Removes the crashes of servers that did not crash."""
+        self._crashes = {
+            incarnation: server_crash
+            for incarnation, server_crash in self._crashes.items()
+            if incarnation[0] not in servers
+        }
+
     def suspected_parts(
         self,
         now: float,
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -399,10 +399,12 @@
             ('fingerprint', 'parts', 'left_s', 'source'),
         ),
         (
-            'parts examined',
-            'crashes of {service} suggest that {parts} of prompts cause them;'
-            ' {replied} of {asked} VMs replied that {sound} completed there',
+            'crashes examined',
+            'before a decision on {crashes} crashes, {replied} of {asked} VMs'
+            ' replied; {running} are running, {sound} of {parts} completed',
             (
+                'crashes',
+                'running',
                 'service',
                 'parts',
                 'sound',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -585,21 +585,36 @@
     judges_parts: bool = False
 
 
-class CompletedPartsRequest(Wire, frozen=True):
-    """Question to an entry VM which requests completed there recently."""
+class CrashedServer(msgspec.Struct, frozen=True, array_like=True):
+    """A server that crashed by the reports of entry VMs."""
 
-    service: str
-    # Fingerprints of parts of prompts.
-    parts: tuple[int, ...]
+    # The server's id, and its start time, Unix milliseconds.
+    server: str
+    started_at: int
+    # Time since the crash, milliseconds.
+    age_ms: int
+
+
+class CrashEvidenceRequest(Wire, frozen=True):
+    """Question to an entry VM what it knows against a decision on crashes."""
+
+    # Servers that may not have crashed.
+    servers: tuple[CrashedServer, ...]
+    # Parts of prompts that may be to blame, and the service that they crash;
+    # empty if there are none.
+    service: str = ''
+    parts: tuple[int, ...] = ()
 
 
-class CompletedPartsReply(Wire, frozen=True):
-    """Reply to `CompletedPartsRequest`."""
+class CrashEvidenceReply(Wire, frozen=True):
+    """Reply to `CrashEvidenceRequest`."""
 
-    # Those of the parts that were in a request that completed.
-    completed: tuple[int, ...]
-    # Whether any request of the service completed.
-    service_completes: bool
+    # Ids of those servers that completed a response after the crash.
+    running: tuple[str, ...]
+    # Those of the parts that were in a request that completed recently.
+    completed: tuple[int, ...] = ()
+    # Whether any request of the service completed recently.
+    service_completes: bool = False
 
 
 class ServerSendRequest(Wire, frozen=True, tag='SendAsk'):
@@ -773,8 +788,8 @@
     | SendTokensRequest
     | SendTokensReply
     | QuarantineUpdate
-    | CompletedPartsRequest
-    | CompletedPartsReply
+    | CrashEvidenceRequest
+    | CrashEvidenceReply
     | CreditRequest
     | CreditReply
     | CreditRefund
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -5,8 +5,8 @@
 coordinator or successor that is new or has restarted gets all reports that any
 VM has, since the VM that first sent a report may have stopped too. The
 coordinator decides which requests are to blame (`crashes`), and which parts of
-prompts, after it has asked all VMs which parts completed there. It sends the
-result to
+prompts, after it has asked all VMs which servers are running and which parts
+completed there. It sends the result to
 all VMs at once, and saves the quarantine in the store, since a loss of power on
 all VMs would lose it otherwise. A VM that missed an update gets it with its
 next request to the store reader (`router_state`).
@@ -15,11 +15,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import itertools
 import logging
 import math
 import random
 import threading
 from typing import Final
+from typing import TypeVar
 
 import msgspec
 
@@ -57,10 +59,17 @@
 SAVE_INTERVAL_S: Final = 1.0
 
 # Maximum number of questions to all VMs about parts in one round, and the
-# interval between questions that none can answer, seconds.
+# interval between questions that lead to no decision, seconds.
 MAX_PART_QUESTIONS: Final = 4
 ASK_INTERVAL_S: Final = 1.0
 
+# How long after a crash a response must complete to show that the server did not
+# crash, seconds: a slow VM reads the end of a response late.
+RUNNING_MARGIN_S: Final = 0.3
+# Maximum number of servers in one log line.
+MAX_LOGGED_SERVERS: Final = 8
+
+_Item = TypeVar('_Item')
 # When a server crashed, seconds, and the request that ran on it.
 _Report = tuple[float, messages.Crash]
 
@@ -74,6 +83,7 @@
     __slots__ = (
         '_acting_until',
         '_ask_parts_at',
+        '_ask_requests_at',
         '_clock',
         '_codec',
         '_completed',
@@ -115,8 +125,9 @@
         # oldest first.
         self._pending: list[_Report] = []
         self._part_completions = part_completions.PartCompletions()
-        # When VMs may be asked about parts again, seconds.
+        # When VMs may be asked about parts and about requests again, seconds.
         self._ask_parts_at = 0.0
+        self._ask_requests_at = 0.0
         # Whether the coordinator decides on parts of prompts; one of an earlier
         # version does not, and each VM then decides by the reports that it has.
         self._coordinator_judges_parts = True
@@ -223,13 +234,22 @@
             self.on_report()
         return reply
 
-    def completed_parts(
-        self, msg: messages.CompletedPartsRequest
-    ) -> messages.CompletedPartsReply:
-        """Returns which parts of prompts completed on this VM."""
+    def evidence(
+        self, msg: messages.CrashEvidenceRequest
+    ) -> messages.CrashEvidenceReply:
+        """Returns what this VM knows against a decision on crashes."""
         now = self._clock()
+        running = self._owner.run(
+            lambda state, _: tuple(
+                crashed.server
+                for crashed in msg.servers
+                if state.fleet.succeeded_at(crashed.server)
+                > now - crashed.age_ms / 1000 + RUNNING_MARGIN_S
+            )
+        )
         with self._lock:
-            return messages.CompletedPartsReply(
+            return messages.CrashEvidenceReply(
+                running=running,
                 completed=self._part_completions.completed(now, msg.parts),
                 service_completes=self._part_completions.has_completed(
                     now, msg.service
@@ -271,9 +291,7 @@
         has_judged_parts = (
             must_judge or not self._coordinator_judges_parts
         ) and self._quarantine_parts()
-        if must_judge and self._owner.run(
-            lambda state, now: state.quarantine_state.quarantine_blamed(now)
-        ):
+        if must_judge and self._quarantine_requests():
             self._is_changed = True
         if has_judged_parts or (self._is_changed and is_acting):
             self._is_changed = False
@@ -295,51 +313,93 @@
             )
             if found is None or self._clock() < self._ask_parts_at:
                 break
-            sound, service_completes = self._ask_completed(found)
-            if sound:
-                self._record_sound(sound)
-            elif service_completes:
-                changed |= self._quarantine_set(found)
-            else:
+            known = self._ask_evidence(found)
+            if known.running or known.completed:
+                # The suspicion was wrong; another one may remain.
+                continue
+            if not known.service_completes:
                 # Nothing tells a part at fault from servers that crash by
                 # themselves.
                 self._ask_parts_at = self._clock() + ASK_INTERVAL_S
+                break
+            if not self._quarantine_set(found):
+                # It was cleared before.
+                self._ask_parts_at = self._clock() + ASK_INTERVAL_S
+                break
+            changed = True
+        return changed
+
+    def _quarantine_requests(self) -> bool:
+        """Quarantines whole requests that explain crashes.
+
+        Returns:
+            Whether any were added.
+        """
+        if self._clock() < self._ask_requests_at or not self._owner.run(
+            lambda state, now: state.quarantine_state.suspected_requests(now)
+        ):
+            return False
+        self._ask_evidence(part_blame.PartSet('', ()))
+        changed = self._owner.run(
+            lambda state, now: state.quarantine_state.quarantine_blamed(now)
+        )
+        if not changed:
+            # They were cleared before, or the servers did not crash.
+            self._ask_requests_at = self._clock() + ASK_INTERVAL_S
         return changed
 
-    def _ask_completed(
+    def _ask_evidence(
         self, found: part_blame.PartSet
-    ) -> tuple[frozenset[int], bool]:
-        """Asks all VMs which parts completed, and whether the service does."""
-        msg = messages.CompletedPartsRequest(found.service, found.parts)
-        addresses = self._owner.run(lambda state, _: state.peers())
+    ) -> messages.CrashEvidenceReply:
+        """Asks all VMs for evidence against a decision, and records it.
+
+        A VM reports a crash if connections are refused. Behind a partition
+        that refuses them, the server may be running.
+        """
+
+        def read_state(
+            state: router_state.RouterState, now: float
+        ) -> tuple[messages.CrashEvidenceRequest, list[str]]:
+            servers = state.quarantine_state.crashes.crashed_servers(now)
+            msg = messages.CrashEvidenceRequest(
+                servers, found.service, found.parts
+            )
+            return msg, state.peers()
+
+        msg, addresses = self._owner.run(read_state)
+        received = self._peers.request_all(addresses, msg, REPLY_TIMEOUT_S)
         replies = [
-            self.completed_parts(msg),
-            *self._peers.request_all(addresses, msg, REPLY_TIMEOUT_S).values(),
+            self.evidence(msg),
+            *(
+                reply
+                for reply in received.values()
+                if isinstance(reply, messages.CrashEvidenceReply)
+            ),
         ]
-        known = [
-            reply
-            for reply in replies
-            if isinstance(reply, messages.CompletedPartsReply)
-        ]
-        sound = frozenset(part for reply in known for part in reply.completed)
-        service_completes = any(reply.service_completes for reply in known)
+        known = messages.CrashEvidenceReply(
+            running=_union(reply.running for reply in replies),
+            completed=_union(reply.completed for reply in replies),
+            service_completes=any(reply.service_completes for reply in replies),
+        )
+
+        def record(state: router_state.RouterState, now: float) -> None:
+            state.quarantine_state.crashes.remove_servers(known.running)
+            state.quarantine_state.record_sound_parts(now, known.completed)
+
+        self._owner.run(record)
         logs.event(
             logging.INFO,
-            'parts examined',
+            'crashes examined',
+            crashes=len(msg.servers),
+            running=known.running[:MAX_LOGGED_SERVERS],
             service=found.service,
             parts=fingerprint.to_texts(found.parts),
-            sound=fingerprint.to_texts(sorted(sound)),
-            completes=service_completes,
+            sound=fingerprint.to_texts(known.completed),
+            completes=known.service_completes,
             asked=len(addresses) + 1,
-            replied=len(known),
+            replied=len(replies),
         )
-        return sound, service_completes
-
-    def _record_sound(self, parts: frozenset[int]) -> None:
-        def change(state: router_state.RouterState, now: float) -> None:
-            state.quarantine_state.record_sound_parts(now, parts)
-
-        self._owner.run(change)
+        return known
 
     def _quarantine_set(self, found: part_blame.PartSet) -> bool:
         def change(state: router_state.RouterState, now: float) -> bool:
@@ -561,6 +621,11 @@
                 return
 
 
+def _union(collections: Iterable[Iterable[_Item]]) -> tuple[_Item, ...]:
+    """Returns all items of some collections, each once."""
+    return tuple(set(itertools.chain.from_iterable(collections)))
+
+
 def _with_ages(
     reports: list[_Report], now: float
 ) -> tuple[messages.Crash, ...]:
--- a/packages/daemon/foxtaildaled/quarantine_state.py
+++ b/packages/daemon/foxtaildaled/quarantine_state.py
@@ -55,15 +55,20 @@
         Returns:
             Whether a request was added.
         """
-        if not self.crashes.has_crashes(now):
-            return False
-        quarantined = self.quarantine.quarantined(now)
-        newly_blamed = self.crashes.newly_blamed(
-            now, quarantined, self.quarantine.part_sets(now).values()
-        )
+        newly_blamed = self.suspected_requests(now)
         held = dict.fromkeys(newly_blamed, quarantine.QUARANTINE_S)
         return self.merge(now, held, {}, 'reports')
 
+    def suspected_requests(self, now: float) -> list[int]:
+        """Returns the requests that the crash reports newly blame."""
+        if not self.crashes.has_crashes(now):
+            return []
+        return self.crashes.newly_blamed(
+            now,
+            self.quarantine.quarantined(now),
+            self.quarantine.part_sets(now).values(),
+        )
+
     def suspected_parts(self, now: float) -> part_blame.PartSet | None:
         """Returns parts of prompts that the crash reports suspect, if any."""
         if not self.crashes.has_crashes(now):
@@ -137,7 +142,11 @@
         }
 
     def clear_request(self, now: float, request: int) -> None:
-        """Clears a request that completed and so crashes no server."""
+        """Clears a request that completed and so crashes no server.
+
+        A set is cleared if each of its parts completed.
+        """
+        self.record_sound_parts(now, self.part_sets(now).get(request, ()))
         self.crashes.remove_request(request)
         self.quarantine.clear(now, request)
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -375,7 +375,7 @@
             messages.UsageReport: self._limit_accounting.count_remote,
             messages.CrashReports: self._quarantining.apply_reports,
             messages.QuarantineUpdate: self._quarantining.apply_update,
-            messages.CompletedPartsRequest: self._quarantining.completed_parts,
+            messages.CrashEvidenceRequest: self._quarantining.evidence,
             messages.SendTokensRequest: self._send_limits.grant_tokens,
             messages.SendTokensReply: self._send_limits.apply_grants,
             messages.InventoryRequest: lambda msg: (
--- a/tests/test_prompt_parts_path.py
+++ b/tests/test_prompt_parts_path.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from foxtaildale import fingerprint
 from foxtaildale import messages
 from foxtaildaled import quarantine_manager
 from tests import site as sites
@@ -434,3 +435,33 @@
     assert time.monotonic() - started_at < 0.3
     found = json.loads(body)['error']
     assert (status, found['code'], found['ran']) == (503, 'quarantined', 'no')
+
+
+def test_cut_from_servers_holds_nothing(site: _Site) -> None:
+    """Guards against a refused connection that is taken for a crash."""
+    parts = (_FIRST, 'm1')
+    site.start_routers(3)
+    coordinator = site.coordinator()
+    cut, other = (n for n in range(3) if n != coordinator)
+    site.serve_sound(('g1',))
+    servers = [
+        site.routers[cut]._state.fleet.usable(name, 0.0)
+        for name in ('d1', 'd2', 'd3', 'd4')
+    ]
+    # The VM behind the cut reports what other VMs are served by.
+    for number, server in enumerate(servers * 2):
+        assert server is not None
+        site.routers[cut]._quarantining.record_crash(
+            server,
+            100 + number,
+            ran_s=0.01,
+            parts=fingerprint.compute_parts('model', ('m2',)),
+        )
+        site.routers[cut]._quarantining.record_crash(server, 7, ran_s=0.01)
+    end = time.monotonic() + 2.0
+    statuses = []
+    while time.monotonic() < end:
+        statuses.append(site.ask(parts, other)[0])
+        statuses.append(site.ask(parts, coordinator)[0])
+    assert set(statuses) == {200}
+    assert [site.held(number) for number in range(3)] == [set()] * 3
