Examining parts of prompts takes a bounded time

Found by measuring the change at its bounds.

Change: the 64 newest crashes are examined, a report has 16 parts, and nothing is examined if all crashes are explained.

--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -40,7 +40,8 @@
 # Maximum number of crashes remembered, and of requests for each of them.
 MAX_CRASHES: Final = 256
 MAX_REQUESTS: Final = 64
-# Maximum number of crashes that VMs are asked about at once.
+# Maximum number of crashes, the newest, that parts of prompts are examined by and
+# that VMs are asked about.
 MAX_EXAMINED: Final = 64
 # Maximum number of reports that are passed on at once.
 MAX_REPORTS: Final = 256
@@ -201,17 +202,21 @@
             sound: Fingerprints of parts that are not at fault.
         """
         self._expire(now)
-        return part_blame.find(
-            [
-                (
-                    server_crash.suspects(),
-                    not server_crash.is_explained(already_blamed, blamed_sets),
-                )
-                for server_crash in self._crashes.values()
-                if now - server_crash.reported_at >= SETTLE_S
-            ],
-            sound,
-        )
+        settled = [
+            server_crash
+            for server_crash in self._crashes.values()
+            if now - server_crash.reported_at >= SETTLE_S
+        ]
+        crashes = [
+            (
+                server_crash.suspects(),
+                not server_crash.is_explained(already_blamed, blamed_sets),
+            )
+            for server_crash in settled[-MAX_EXAMINED:]
+        ]
+        if not any(is_open for _, is_open in crashes):
+            return None
+        return part_blame.find(crashes, sound)
 
     def newly_blamed(
         self,
--- a/packages/core/foxtaildale/part_blame.py
+++ b/packages/core/foxtaildale/part_blame.py
@@ -25,7 +25,7 @@
 BLAME_WEIGHT: Final = 3.0
 MIN_REQUESTS: Final = 2
 # Maximum number of parts in one report of a request.
-MAX_REPORTED_PARTS: Final = 32
+MAX_REPORTED_PARTS: Final = 16
 
 
 class PartSet(msgspec.Struct, frozen=True):
