--- a/tests/test_connection_skew.py
+++ b/tests/test_connection_skew.py
@@ -20,11 +20,11 @@
 _RATE: Final = 30.0
 _LASTS_S: Final = 4.0
 _WORK_S: Final = 0.6
-# Requests of 2 s, more than the 96 threads of a process can have in progress, and
+# Requests of 2.5 s, more than the 96 threads of a process can have in progress, and
 # time until processes are ready and know each other, seconds.
-_SLOW_SERVERS: Final = 24
-_SLOW_S: Final = 2.0
-_SLOW_RATE: Final = 65.0
+_SLOW_SERVERS: Final = 36
+_SLOW_S: Final = 2.5
+_SLOW_RATE: Final = 80.0
 _START_S: Final = 20.0
 _LISTED_S: Final = 2.0
 # Part of the requests that must be served at the first attempt that is read.
