A field of the reply to store readers comes last, for VMs of other versions

What callers would have seen, while VMs of two builds serve: a VM of the build before that reads from one of this build gets no records from it, so no configuration and no list of servers, and serves by the store alone.

Cause: messages are encoded by the positions of their fields, and the parts of held sets had been added in the middle of RecordsReply by the change before. The class: a property of all messages that stood nowhere. Found by reading the diff; the test of a VM of the build before replaces its handler only and saw nothing.

Change: the field is last; the base class says so.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -10,7 +10,8 @@
 could occupy a thread indefinitely. A connection occupies no thread before it
 has sent a byte. When every thread is busy, further requests are refused at
 once instead of being queued without a reply; if other entry VMs can take them,
-their connections are closed before they are read. Threads are started on demand,
+their connections are closed before they are read. If requests wait for the
+processor, their connections are closed as well. Threads are started on demand,
 since most VMs never need many. A stop can wait until no connection is open: a
 count of the requests in progress alone misses the request that arrives next.
 """
--- a/packages/core/foxtaildale/fingerprint.py
+++ b/packages/core/foxtaildale/fingerprint.py
@@ -2,8 +2,8 @@
 
 A caller retries under a new id, often at another entry VM. The fingerprint is
 the same for all attempts. It is a digest of the client account, the target, the
-prompt and the body, from which none of these can be recovered. The parts of a prompt have
-fingerprints of their own, since different requests share them.
+prompt and the body, from which none of these can be recovered. The parts of a
+prompt have fingerprints of their own, since different requests share them.
 """
 
 from collections.abc import Iterable
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -16,7 +16,11 @@
 class Wire(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
 ):
-    """Base class of every message."""
+    """Base class of every message.
+
+    Fields are encoded by their positions: a new field comes last and has a
+    default, so that entry VMs of other versions read the message.
+    """
 
 
 class ErrorReply(Wire, frozen=True, tag='Fail'):
@@ -380,8 +384,6 @@
     # be quarantined: remaining time in seconds by fingerprint.
     quarantined: dict[int, float] = {}
     cleared: dict[int, float] = {}
-    # Parts of prompts by the fingerprint of their quarantined set.
-    part_sets: dict[int, tuple[int, ...]] = {}
     # Updates on servers that announced that they leave
     # (`departures.Departure`), and backoff requests (`backoffs.Backoff`), by
     # server id.
@@ -390,6 +392,8 @@
     # Position up to which the sender knows each topic of which it left out
     # large records.
     left_out: dict[str, int] = {}
+    # Parts of prompts by the fingerprint of their quarantined set.
+    part_sets: dict[int, tuple[int, ...]] = {}
 
 
 # Outcome of a request for a relayed connection. 'refused' and 'silent' tell of
--- a/packages/core/foxtaildale/part_blame.py
+++ b/packages/core/foxtaildale/part_blame.py
@@ -29,7 +29,7 @@
 
 
 class PartSet(msgspec.Struct, frozen=True):
-    """Parts of prompts that crash servers of a service if they come together."""
+    """Parts of prompts that crash a service's servers if they come together."""
 
     service: str
     # Fingerprints, in ascending order.
--- a/packages/core/foxtaildale/quarantine.py
+++ b/packages/core/foxtaildale/quarantine.py
@@ -1,11 +1,11 @@
 """Requests that are sent to no server for a limited time.
 
 A single request is quarantined, or all requests whose prompts have all parts of
-a set. Only fingerprints are stored (`fingerprint`). Every entry VM has all of them, so
-that it can refuse a request without a request to another VM. A request that ran
-to completion at some entry VM is cleared: it crashes no server, whatever it was
-blamed for. VMs report the remaining time to each other, since their clocks
-differ.
+a set. Only fingerprints are stored (`fingerprint`). Every entry VM has all of
+them, so that it can refuse a request without a request to another VM. A request
+that ran to completion at some entry VM is cleared: it crashes no server,
+whatever it was blamed for. VMs report the remaining time to each other, since
+their clocks differ.
 
 This module does no I/O; the time is an argument.
 """
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -6,10 +6,10 @@
 VM has, since the VM that first sent a report may have stopped too. The
 coordinator decides which requests are to blame (`crashes`), and which parts of
 prompts, after it has asked all VMs which servers are running and which parts
-completed there. It sends the result to
-all VMs at once, and saves the quarantine in the store, since a loss of power on
-all VMs would lose it otherwise. A VM that missed an update gets it with its
-next request to the store reader (`router_state`).
+completed there. It sends the result to all VMs at once, and saves the
+quarantine in the store, since a loss of power on all VMs would lose it
+otherwise. A VM that missed an update gets it with its next request to the store
+reader (`router_state`).
 """
 
 from collections.abc import Callable
