A cancelled request ends its response without length, and does not make it whole

A backend server whose caller has left went on with a response that has neither a length nor chunks until it timed out.

Cause: the library drops its reference to the socket of a response that the connection is closed after, and its own shutdown did nothing; the error was passed over. A shutdown alone would have made the part that was read a whole body, since its end is the end of the connection. Found by reading the change.

Change: the socket that the request keeps is shut down, and an end after that is a broken connection. The server is probed only where the end depends on the connection: not for HEAD, 204 and 304.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -35,6 +35,8 @@
 _READ_BYTES: Final = 65536
 # Value with which the library reports version HTTP/1.1 of a response.
 _HTTP_1_1: Final = 11
+# Statuses of responses that have no body.
+_NO_BODY: Final = frozenset((204, 304))
 # Errors of the library, of the protocol parser, and of a socket that another
 # thread closed.
 _CONNECTION_ERRORS: Final = (
@@ -226,8 +228,8 @@
             self._set_timeout(timeout_s)
             with bounded_responses.limited(self._resp, timeout_s):
                 data = self._resp.read1(_READ_BYTES)
-            if not data and not _is_framed(self._resp):
-                self._check_server_runs()
+            if not data and self._ends_with_connection(self._resp):
+                self._check_not_broken()
             self._complete = not data
             return data
         except urllib3.exceptions.ReadTimeoutError as exc:
@@ -237,15 +239,23 @@
             self.cancel()
             raise errors.ConnectionBrokenError(str(exc)) from exc
 
-    def _check_server_runs(self) -> None:
-        """Checks that a body without a length or chunks is complete.
+    def _ends_with_connection(self, resp: urllib3.BaseHTTPResponse) -> bool:
+        """Whether only the end of the connection tells where the body ends."""
+        has_body = self._method != 'HEAD' and resp.status not in _NO_BODY
+        return has_body and not _is_framed(resp)
 
-        Such a body ends with its connection, which a crash of the server closes
-        as well.
+    def _check_not_broken(self) -> None:
+        """Checks that a body that ended with its connection is complete.
+
+        A crash of the server closes the connection too, and so does `cancel`.
 
         Raises:
-            errors.ConnectionBrokenError: The server has crashed.
+            errors.ConnectionBrokenError: The body broke off.
         """
+        with self._lock:
+            is_cancelled = self._cancelled
+        if is_cancelled:
+            raise errors.ConnectionBrokenError('cancelled')
         if probe.Probe(self._connector).check(self._address) == 'refused':
             raise errors.ConnectionBrokenError(
                 'the server crashed as its response ended'
@@ -255,13 +265,13 @@
         """Shuts the connection down; may be called more than once."""
         with self._lock:
             self._cancelled = True
-            sock = self._conn.sock
+            # The connection has no reference to the socket of a response that
+            # it is closed after.
+            sock = self._conn.sock or self._sock
             try:
                 if sock is not None:
                     sock.shutdown(socket.SHUT_RDWR)
-                elif self._resp is not None:
-                    self._resp.shutdown()
-            except (OSError, RuntimeError, ValueError):
+            except OSError:
                 pass  # The backend server closed it first.
 
     def close(self) -> None:
@@ -286,6 +296,7 @@
             # A late cancellation must not affect the next request.
             conn = self._conn
             self._conn = _ServerConnection(self._address, self._connector)
+            self._sock = None
             resp, self._resp = self._resp, None
         self._idle.add(self._address, conn, _keep_alive_s(resp))
         return True
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -17,7 +17,7 @@
 from tests import site as sites
 
 _HEAD: Final = (
-    b'HTTP/1.1 200 OK\r\nFoxtaildale-Attempt-Id: %b\r\n'
+    b'HTTP/1.1 %b\r\nFoxtaildale-Attempt-Id: %b\r\n'
     b'Foxtaildale-Response-Stamp: s.%b\r\n'
 )
 _STREAM: Final = b'Content-Type: text/event-stream\r\n\r\n'
@@ -42,11 +42,16 @@
         self.resets = False
         # Whether the server is gone once it has answered.
         self.crashes = False
+        # Whether the connection stays open until the server is closed.
+        self.hangs = False
+        self._closing = threading.Event()
+        self.status = b'200 OK'
         self._head = head
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
 
     def close(self) -> None:
+        self._closing.set()
         # Wakes a thread that waits for a connection.
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
@@ -78,8 +83,10 @@
             if line.lower().startswith(b'foxtaildale-attempt-id')
         ]
         attempt = found[0] if found else b'-'
-        sock.sendall(_HEAD % (attempt, attempt) + self._head)
+        sock.sendall(_HEAD % (self.status, attempt, attempt) + self._head)
         sock.sendall(next(self.bodies))
+        if self.hangs:
+            self._closing.wait()
         if self.crashes:
             self._listener.close()
         if self.resets:
@@ -143,6 +150,55 @@
         _read(server)
 
 
+def test_body_is_not_whole_if_the_request_is_cancelled(
+    make: Callable[..., _Server],
+) -> None:
+    """Guards against a cancellation that is taken for the end of a response."""
+    server = make(b'abc')
+    server.hangs = True
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=connectors.DirectConnector(),
+    )
+    request.send(1.0)
+    request.read_head(1.0)
+    assert request.read(1.0) == b'abc'
+    canceller = threading.Timer(0.1, request.cancel)
+    canceller.start()
+    with pytest.raises(errors.ConnectionBrokenError):
+        request.read(5.0)
+    canceller.join()
+    request.close()
+
+
+@pytest.mark.parametrize(
+    ('method', 'status'), [('HEAD', b'200 OK'), ('GET', b'204 No Content')]
+)
+def test_response_without_body_is_whole(
+    make: Callable[..., _Server], method: str, status: bytes
+) -> None:
+    """Guards against a probe where the end does not depend on the connection."""
+    server = make(b'')
+    server.status = status
+    server.crashes = True
+    request = backend_request.Request(
+        server.address,
+        method=method,
+        target='/',
+        headers={},
+        body=b'',
+        connector=connectors.DirectConnector(),
+    )
+    request.send(1.0)
+    request.read_head(1.0)
+    assert request.read(1.0) == b''
+    request.close()
+
+
 def _list(
     site: sites.Site,
     server: _Server,
