Wording of the change: cleared, decides, queries, rejects; a search in three steps

Read as an engineer who joins: one word for one concept. Parts that completed are cleared, as requests are; a VM decides and queries others for evidence; a full VM rejects callers; requests that crash no server are healthy. The search for parts is three functions, and the fingerprint of a set stands with the others. No decision changes.

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -39,7 +39,7 @@
             means that the caller disconnected.
         idle_check_s: Interval between checks for idle connections, seconds.
         has_peers: Returns whether other entry VMs accept the callers that this
-            one turns away; it must not block.
+            one rejects; it must not block.
     """
 
     __slots__ = ('_server', '_thread')
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -491,7 +491,7 @@
         self.sweeps = 0
         # Set when the server closes and must no longer begin any request.
         self.closing = False
-        # Whether other entry VMs accept the callers that this one turns away.
+        # Whether other entry VMs accept the callers that this one rejects.
         self.has_peers: Callable[[], bool] = lambda: False
         # How long requests wait for a thread that runs.
         self.queue_delays = queue_delays.QueueDelays()
@@ -580,7 +580,7 @@
         """Whether requests wait too long for the processor."""
         return (
             self.active_requests >= MIN_OVERLOAD_REQUESTS
-            and self.queue_delays.is_standing(now)
+            and self.queue_delays.has_standing_queue(now)
         )
 
     def _close_unread(self, conn: _Connection, now: float) -> None:
--- a/packages/adapters/foxtaildale_adapters/queue_delays.py
+++ b/packages/adapters/foxtaildale_adapters/queue_delays.py
@@ -46,7 +46,7 @@
                 self._exceeded_at = min(self._exceeded_at, now)
             self._recorded_at = now
 
-    def is_standing(self, now: float) -> bool:
+    def has_standing_queue(self, now: float) -> bool:
         """Whether all delays of the last interval were too long."""
         with self._lock:
             return (
--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -40,8 +40,8 @@
 # Maximum number of crashes remembered, and of requests for each of them.
 MAX_CRASHES: Final = 256
 MAX_REQUESTS: Final = 64
-# Maximum number of crashes, the newest, that parts of prompts are examined by and
-# that VMs are asked about.
+# Maximum number of crashes that are searched for parts of prompts and that VMs are
+# queried about; the newest ones.
 MAX_EXAMINED: Final = 64
 # Maximum number of reports that are passed on at once.
 MAX_REPORTS: Final = 256
@@ -191,7 +191,7 @@
         now: float,
         already_blamed: Collection[int],
         blamed_sets: Collection[frozenset[int]],
-        sound: Collection[int],
+        cleared: Collection[int],
     ) -> part_blame.PartSet | None:
         """Returns parts of prompts that explain crashes, if any do.
 
@@ -199,7 +199,7 @@
             now: Seconds.
             already_blamed: Fingerprints of requests that were blamed before.
             blamed_sets: Sets of parts that were blamed before.
-            sound: Fingerprints of parts that are not at fault.
+            cleared: Fingerprints of parts that completed.
         """
         self._expire(now)
         settled = [
@@ -216,7 +216,7 @@
         ]
         if not any(is_open for _, is_open in crashes):
             return None
-        return part_blame.find(crashes, sound)
+        return part_blame.find(crashes, cleared)
 
     def newly_blamed(
         self,
--- a/packages/core/foxtaildale/fingerprint.py
+++ b/packages/core/foxtaildale/fingerprint.py
@@ -47,6 +47,18 @@
     return tuple(fingerprints)
 
 
+def compute_set(parts: Iterable[int]) -> int:
+    """Returns the fingerprint of a set of parts, 64 bits.
+
+    Args:
+        parts: Fingerprints of the parts, in ascending order.
+    """
+    hasher = hashlib.blake2b(digest_size=_BYTES)
+    for part in parts:
+        hasher.update(part.to_bytes(_BYTES))
+    return int.from_bytes(hasher.digest())
+
+
 def to_text(fingerprint: int) -> str:
     """Returns a fingerprint as text for log lines and records."""
     return f'{fingerprint:016x}'
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -401,14 +401,14 @@
         (
             'crashes examined',
             'before a decision on {crashes} crashes, {replied} of {asked} VMs'
-            ' replied; {running} are running, {sound} of {parts} completed',
+            ' replied; {running} are running, {completed} of {parts} completed',
             (
                 'crashes',
                 'running',
                 'service',
                 'parts',
-                'sound',
-                'completes',
+                'completed',
+                'service_completes',
                 'asked',
                 'replied',
             ),
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -586,7 +586,7 @@
     # `quarantined`: all requests that have all these parts are quarantined.
     part_sets: dict[int, tuple[int, ...]] = {}
     # Whether the sender also decides on parts of prompts.
-    judges_parts: bool = False
+    decides_on_parts: bool = False
 
 
 class CrashedServer(msgspec.Struct, frozen=True, array_like=True):
@@ -600,7 +600,7 @@
 
 
 class CrashEvidenceRequest(Wire, frozen=True):
-    """Question to an entry VM what it knows against a decision on crashes."""
+    """Queries an entry VM for evidence against a decision on crashes."""
 
     # Servers that may not have crashed.
     servers: tuple[CrashedServer, ...]
--- a/packages/core/foxtaildale/part_blame.py
+++ b/packages/core/foxtaildale/part_blame.py
@@ -2,8 +2,8 @@
 
 Requests that differ can share a part of their prompts that crashes each server
 that begins to run it. The part is in a request at every one of these crashes.
-So are parts that sound requests have too; these are recognised by requests that
-completed. Parts that only come together can't be told apart. They are blamed as
+So are parts of healthy requests; these are cleared by requests that completed.
+Parts that only come together can't be told apart. They are blamed as
 a set, and a request is at fault only if its prompt has all of them.
 
 This module does no I/O.
@@ -12,11 +12,11 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 import functools
-import hashlib
 from typing import Final
 
 import msgspec
 
+from foxtaildale import fingerprint
 from foxtaildale import messages
 
 # Total weight of the crashes that a part must explain to be blamed, and the
@@ -37,10 +37,7 @@
 
     def fingerprint(self) -> int:
         """Returns the fingerprint of the set, 64 bits."""
-        hasher = hashlib.blake2b(digest_size=8)
-        for part in self.parts:
-            hasher.update(part.to_bytes(8))
-        return int.from_bytes(hasher.digest())
+        return fingerprint.compute_set(self.parts)
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -73,7 +70,7 @@
 
 
 def find(
-    crashes: Iterable[tuple[list[Suspect], bool]], sound: Collection[int]
+    crashes: Iterable[tuple[list[Suspect], bool]], cleared: Collection[int]
 ) -> PartSet | None:
     """Returns the set of parts that explains the most crashes, if any does.
 
@@ -81,17 +78,39 @@
         crashes: For each crash the requests that ran on the server, and
             whether nothing that was blamed before explains it. A request that
             was blamed for other crashes is still evidence against its parts.
-        sound: Fingerprints of parts that are not at fault.
+        cleared: Fingerprints of parts that completed.
     """
+    examined = list(crashes)
+    evidence = _collect(examined, cleared)
+    sufficient = [one for one in evidence if evidence[one].is_sufficient()]
+    if not sufficient:
+        return None
+    best = max(
+        sufficient,
+        key=lambda one: (evidence[one].weight, -evidence[one].ran_ms),
+    )
+    return _common_parts(
+        [
+            suspect.request
+            for suspects, _ in examined
+            for suspect in suspects
+            if best in suspect.request.parts
+        ],
+        cleared,
+    )
+
+
+def _collect(
+    crashes: Iterable[tuple[list[Suspect], bool]], cleared: Collection[int]
+) -> dict[int, _Evidence]:
+    """Returns the evidence against each part that is not cleared."""
     evidence: dict[int, _Evidence] = {}
-    suspects: list[messages.Crash] = []
-    for crash_suspects, is_open in crashes:
+    for suspects, is_open in crashes:
         weights: dict[int, float] = {}
-        for suspect in crash_suspects:
+        for suspect in suspects:
             request = suspect.request
-            suspects.append(request)
             for part in request.parts:
-                if part in sound:
+                if part in cleared:
                     continue
                 found = evidence.setdefault(part, _Evidence())
                 found.requests.add(request.fingerprint)
@@ -100,18 +119,16 @@
                 weights[part] = max(weights.get(part, 0.0), suspect.weight)
         for part, weight in weights.items():
             evidence[part].weight += weight
-    sufficient = [one for one in evidence if evidence[one].is_sufficient()]
-    if not sufficient:
-        return None
-    best = max(
-        sufficient,
-        key=lambda one: (evidence[one].weight, -evidence[one].ran_ms),
-    )
+    return evidence
+
+
+def _common_parts(
+    requests: list[messages.Crash], cleared: Collection[int]
+) -> PartSet:
+    """Returns the parts that all of some requests have."""
     common = functools.reduce(
-        set.intersection,
-        (set(request.parts) for request in suspects if best in request.parts),
+        set.intersection, (set(request.parts) for request in requests)
     )
-    service = next(
-        request.service for request in suspects if best in request.parts
+    return PartSet(
+        requests[0].service, tuple(sorted(common.difference(cleared)))
     )
-    return PartSet(service, tuple(sorted(common.difference(sound))))
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -5,7 +5,7 @@
 coordinator or successor that is new or has restarted gets all reports that any
 VM has, since the VM that first sent a report may have stopped too. The
 coordinator decides which requests are to blame (`crashes`), and which parts of
-prompts, after it has asked all VMs which servers are running and which parts
+prompts, after it has queried all VMs which servers are running and which parts
 completed there. It sends the result to all VMs at once, and saves the
 quarantine in the store, since a loss of power on all VMs would lose it
 otherwise. A VM that missed an update gets it with its next request to the store
@@ -58,10 +58,10 @@
 # Interval at which the quarantine is saved in the store, seconds.
 SAVE_INTERVAL_S: Final = 1.0
 
-# Maximum number of questions to all VMs about parts in one round, and the
-# interval between questions that lead to no decision, seconds.
-MAX_PART_QUESTIONS: Final = 4
-ASK_INTERVAL_S: Final = 1.0
+# Maximum number of queries to all VMs about parts in one round, and the interval
+# between queries that lead to no decision, seconds.
+MAX_PART_QUERIES: Final = 4
+QUERY_INTERVAL_S: Final = 1.0
 
 # How long after a crash a response must complete to show that the server did not
 # crash, seconds: a slow VM reads the end of a response late.
@@ -82,13 +82,11 @@
 
     __slots__ = (
         '_acting_until',
-        '_ask_parts_at',
-        '_ask_requests_at',
         '_clock',
         '_codec',
         '_completed',
+        '_coordinator_decides_on_parts',
         '_coordinator_id',
-        '_coordinator_judges_parts',
         '_coordinators',
         '_informed_coordinator',
         '_informed_successors',
@@ -99,6 +97,8 @@
         '_peers',
         '_pending',
         '_pending_cleared',
+        '_query_parts_at',
+        '_query_requests_at',
         '_save_at',
         '_store',
         'on_report',
@@ -125,12 +125,12 @@
         # oldest first.
         self._pending: list[_Report] = []
         self._part_completions = part_completions.PartCompletions()
-        # When VMs may be asked about parts and about requests again, seconds.
-        self._ask_parts_at = 0.0
-        self._ask_requests_at = 0.0
+        # When VMs may be queried about parts and about requests again, seconds.
+        self._query_parts_at = 0.0
+        self._query_requests_at = 0.0
         # Whether the coordinator decides on parts of prompts; one of an earlier
         # version does not, and each VM then decides by the reports that it has.
-        self._coordinator_judges_parts = True
+        self._coordinator_decides_on_parts = True
         # Requests cleared here that the coordinator does not know of yet.
         self._pending_cleared: list[int] = []
         # When requests completed here, seconds, by fingerprint.
@@ -287,13 +287,13 @@
         # one VM alone, a request may be blamed for a crash that the reports of
         # other VMs explain.
         is_acting = is_coordinator or now < self._acting_until
-        must_judge = is_acting or not all_delivered
-        has_judged_parts = (
-            must_judge or not self._coordinator_judges_parts
+        must_decide = is_acting or not all_delivered
+        has_new_sets = (
+            must_decide or not self._coordinator_decides_on_parts
         ) and self._quarantine_parts()
-        if must_judge and self._quarantine_requests():
+        if must_decide and self._quarantine_requests():
             self._is_changed = True
-        if has_judged_parts or (self._is_changed and is_acting):
+        if has_new_sets or (self._is_changed and is_acting):
             self._is_changed = False
             self._announce()
         if is_acting and now >= self._save_at:
@@ -307,24 +307,24 @@
             Whether any were added.
         """
         changed = False
-        for _ in range(MAX_PART_QUESTIONS):
+        for _ in range(MAX_PART_QUERIES):
             found = self._owner.run(
                 lambda state, now: state.quarantine_state.suspected_parts(now)
             )
-            if found is None or self._clock() < self._ask_parts_at:
+            if found is None or self._clock() < self._query_parts_at:
                 break
-            known = self._ask_evidence(found)
+            known = self._query_evidence(found)
             if known.running or known.completed:
                 # The suspicion was wrong; another one may remain.
                 continue
             if not known.service_completes:
                 # Nothing tells a part at fault from servers that crash by
                 # themselves.
-                self._ask_parts_at = self._clock() + ASK_INTERVAL_S
+                self._query_parts_at = self._clock() + QUERY_INTERVAL_S
                 break
             if not self._quarantine_set(found):
                 # It was cleared before.
-                self._ask_parts_at = self._clock() + ASK_INTERVAL_S
+                self._query_parts_at = self._clock() + QUERY_INTERVAL_S
                 break
             changed = True
         return changed
@@ -335,23 +335,23 @@
         Returns:
             Whether any were added.
         """
-        if self._clock() < self._ask_requests_at or not self._owner.run(
+        if self._clock() < self._query_requests_at or not self._owner.run(
             lambda state, now: state.quarantine_state.suspected_requests(now)
         ):
             return False
-        self._ask_evidence(part_blame.PartSet('', ()))
+        self._query_evidence(part_blame.PartSet('', ()))
         changed = self._owner.run(
             lambda state, now: state.quarantine_state.quarantine_blamed(now)
         )
         if not changed:
             # They were cleared before, or the servers did not crash.
-            self._ask_requests_at = self._clock() + ASK_INTERVAL_S
+            self._query_requests_at = self._clock() + QUERY_INTERVAL_S
         return changed
 
-    def _ask_evidence(
+    def _query_evidence(
         self, found: part_blame.PartSet
     ) -> messages.CrashEvidenceReply:
-        """Asks all VMs for evidence against a decision, and records it.
+        """Queries all VMs for evidence against a decision, and records it.
 
         A VM reports a crash if connections are refused. Behind a partition
         that refuses them, the server may be running.
@@ -384,7 +384,7 @@
 
         def record(state: router_state.RouterState, now: float) -> None:
             state.quarantine_state.crashes.remove_servers(known.running)
-            state.quarantine_state.record_sound_parts(now, known.completed)
+            state.quarantine_state.record_cleared_parts(now, known.completed)
 
         self._owner.run(record)
         logs.event(
@@ -394,8 +394,8 @@
             running=known.running[:MAX_LOGGED_SERVERS],
             service=found.service,
             parts=fingerprint.to_texts(found.parts),
-            sound=fingerprint.to_texts(known.completed),
-            completes=known.service_completes,
+            completed=fingerprint.to_texts(known.completed),
+            service_completes=known.service_completes,
             asked=len(addresses) + 1,
             replied=len(replies),
         )
@@ -480,7 +480,7 @@
                     logging.INFO, 'ends told', reports=len(known_reports)
                 )
         self._informed_coordinator = reply.coordinator_id
-        self._coordinator_judges_parts = reply.judges_parts
+        self._coordinator_decides_on_parts = reply.decides_on_parts
         return True
 
     def _inform_successors(self, *, is_coordinator: bool) -> None:
@@ -603,7 +603,7 @@
             quarantined=state.quarantine_state.quarantine.quarantined(now),
             cleared=state.quarantine_state.quarantine.cleared(now),
             part_sets=state.quarantine_state.part_sets(now),
-            judges_parts=True,
+            decides_on_parts=True,
         )
 
     def _save(self) -> None:
--- a/packages/daemon/foxtaildaled/quarantine_state.py
+++ b/packages/daemon/foxtaildaled/quarantine_state.py
@@ -28,8 +28,8 @@
     """
 
     __slots__ = (
+        '_cleared_parts',
         '_codec',
-        '_sound_parts',
         '_stored_until',
         '_wall',
         'crashes',
@@ -45,9 +45,8 @@
         # Until when requests are quarantined according to the store, seconds
         # since the epoch, by fingerprint.
         self._stored_until: dict[int, float] = {}
-        # Until when parts of prompts are known to be sound, seconds, by
-        # fingerprint.
-        self._sound_parts: dict[int, float] = {}
+        # Until when parts of prompts stay cleared, seconds, by fingerprint.
+        self._cleared_parts: dict[int, float] = {}
 
     def quarantine_blamed(self, now: float) -> bool:
         """Quarantines requests that the crash reports blame.
@@ -73,22 +72,22 @@
         """Returns parts of prompts that the crash reports suspect, if any."""
         if not self.crashes.has_crashes(now):
             return None
-        self._sound_parts = {
+        self._cleared_parts = {
             part: until
-            for part, until in self._sound_parts.items()
+            for part, until in self._cleared_parts.items()
             if until > now
         }
         return self.crashes.suspected_parts(
             now,
             self.quarantine.quarantined(now),
             self.quarantine.part_sets(now).values(),
-            self._sound_parts,
+            self._cleared_parts,
         )
 
-    def record_sound_parts(self, now: float, parts: Iterable[int]) -> None:
-        """Records parts of prompts that are not at fault."""
+    def record_cleared_parts(self, now: float, parts: Iterable[int]) -> None:
+        """Records parts of prompts that completed and so crash no server."""
         until = now + part_completions.COMPLETION_TTL_S
-        self._sound_parts.update(dict.fromkeys(parts, until))
+        self._cleared_parts.update(dict.fromkeys(parts, until))
 
     def quarantine_parts(self, now: float, found: part_blame.PartSet) -> bool:
         """Quarantines a set of parts; returns whether that is a change."""
@@ -146,7 +145,7 @@
 
         A set is cleared if each of its parts completed.
         """
-        self.record_sound_parts(now, self.part_sets(now).get(request, ()))
+        self.record_cleared_parts(now, self.part_sets(now).get(request, ()))
         self.crashes.remove_request(request)
         self.quarantine.clear(now, request)
 
--- a/tests/test_connection_skew.py
+++ b/tests/test_connection_skew.py
@@ -186,10 +186,10 @@
     for sock in socks:
         sock.sendall(b'GET /hold HTTP/1.1\r\nHost: x\r\n\r\n')
     base.until(lambda: server.busy() == len(socks))
-    with running.connect() as turned_away:
-        turned_away.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    with running.connect() as rejected:
+        rejected.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
         try:
-            assert turned_away.recv(100) == b''
+            assert rejected.recv(100) == b''
         except ConnectionResetError:
             pass
     script.release.set()
@@ -204,25 +204,25 @@
     delays = queue_delays.QueueDelays()
     for number in range(8):
         delays.record(number / 10 - 0.2, number / 10)
-    assert delays.is_standing(0.7)
+    assert delays.has_standing_queue(0.7)
     delays.record(0.7, 0.71)
-    assert not delays.is_standing(0.71)
+    assert not delays.has_standing_queue(0.71)
 
 
 def test_one_long_delay_is_no_overload() -> None:
-    """Guards against callers turned away by a VM that was suspended."""
+    """Guards against callers rejected by a VM that was suspended."""
     delays = queue_delays.QueueDelays()
     delays.record(0.0, 3.0)
-    assert not delays.is_standing(3.0)
-    assert not delays.is_standing(3.3)
+    assert not delays.has_standing_queue(3.0)
+    assert not delays.has_standing_queue(3.3)
 
 
 def test_overload_that_nothing_confirms_ends() -> None:
-    """Guards against a VM that turns away all callers and so measures none."""
+    """Guards against a VM that rejects all callers and so measures none."""
     delays = queue_delays.QueueDelays()
     for number in range(8):
         delays.record(number / 10 - 0.2, number / 10)
-    assert not delays.is_standing(0.7 + 2 * queue_delays.INTERVAL_S)
+    assert not delays.has_standing_queue(0.7 + 2 * queue_delays.INTERVAL_S)
 
 
 def test_counts_are_reported_once_an_interval() -> None:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -106,7 +106,7 @@
                 quarantined={7: 900.0},
                 cleared={8: 900.0},
                 part_sets=_PARTS,
-                judges_parts=True,
+                decides_on_parts=True,
             ),
             _EarlierUpdate,
             {'quarantined': {7: 900.0}, 'cleared': {8: 900.0}},
--- a/tests/test_part_blame.py
+++ b/tests/test_part_blame.py
@@ -26,14 +26,14 @@
 
 def _find(
     *reports: messages.Crash,
-    sound: tuple[int, ...] = (),
+    cleared: tuple[int, ...] = (),
     blamed: tuple[int, ...] = (),
     sets: tuple[frozenset[int], ...] = (),
 ) -> tuple[int, ...]:
     tracker = crashes.Crashes()
     for crash in reports:
         tracker.record(0.0, crash)
-    found = tracker.suspected_parts(1.0, blamed, sets, sound)
+    found = tracker.suspected_parts(1.0, blamed, sets, cleared)
     return () if found is None else found.parts
 
 
@@ -53,10 +53,10 @@
 
 
 def test_parts_that_only_come_together_are_blamed_as_a_set() -> None:
-    """Guards against a hold of sound requests that have one of them."""
+    """Guards against a hold of healthy requests that have one of them."""
     reports = [_crash(f's{n}', 10 + n, _FIRST, _BAD) for n in range(3)]
     assert _find(*reports) == (_BAD, _FIRST)
-    assert _find(*reports, sound=(_FIRST,)) == (_BAD,)
+    assert _find(*reports, cleared=(_FIRST,)) == (_BAD,)
 
 
 def test_part_of_a_blamed_request_is_blamed_with_another_request() -> None:
--- a/tests/test_prompt_parts_path.py
+++ b/tests/test_prompt_parts_path.py
@@ -1,7 +1,7 @@
 """A part of prompts that crashes servers, before routers on real sockets.
 
 Each decode server that begins to run a prompt with that part crashes. No two
-requests with it are alike, and sound requests have all their other parts.
+requests with it are alike, and healthy requests have all their other parts.
 """
 
 from collections.abc import Iterator
@@ -87,8 +87,8 @@
         )
         return (0 if body == b'(cut)' else status), body
 
-    def serve_sound(self, parts: tuple[str, ...], count: int = 2) -> None:
-        """Has sound requests with these parts served at each entry VM."""
+    def serve_healthy(self, parts: tuple[str, ...], count: int = 2) -> None:
+        """Has healthy requests with these parts served at each entry VM."""
         for router in range(len(self.routers)):
             for _ in range(count):
                 assert self.ask(parts, router)[0] == 200
@@ -150,7 +150,7 @@
         made.close()
 
 
-def _sound(parts: tuple[str, ...]) -> tuple[str, ...]:
+def _healthy(parts: tuple[str, ...]) -> tuple[str, ...]:
     return tuple(part for part in parts if part != _BAD)
 
 
@@ -162,7 +162,7 @@
     """Guards against a part that is sent on since no two requests are alike."""
     parts = _PROMPTS[place]
     site.start_routers(3)
-    site.serve_sound(_sound(parts))
+    site.serve_healthy(_healthy(parts))
     site.crash_servers(parts, kind)
     time.sleep(_KNOWN_S)
     assert site.late_arrivals(parts, kind) <= _LATE
@@ -171,7 +171,7 @@
 def test_part_is_stopped_whatever_else_prompts_hold(site: _Site) -> None:
     """Guards against a hold of the other parts that the first prompts had."""
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     numbers = iter(range(100))
     for router in itertools.islice(itertools.cycle(range(3)), 30):
         if site.crashes() >= _CRASHES:
@@ -182,32 +182,32 @@
     assert site.late_arrivals((_BAD, 'z')) <= _LATE
 
 
-def test_sound_requests_with_the_other_parts_are_served(site: _Site) -> None:
-    """Guards against a hold of parts that sound requests have as well."""
+def test_healthy_requests_with_the_other_parts_are_served(site: _Site) -> None:
+    """Guards against a hold of parts that healthy requests have as well."""
     parts = (_FIRST, 'm1', _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST, 'm1'))
+    site.serve_healthy((_FIRST, 'm1'))
     site.crash_servers(parts, 'chat')
     time.sleep(_KNOWN_S)
     statuses = [
-        site.ask(sound, number % 3)[0]
+        site.ask(healthy, number % 3)[0]
         for number in range(12)
-        for sound in ((_FIRST,), (_FIRST, 'm1'), (_FIRST, 'm1', f'q{number}'))
+        for healthy in ((_FIRST,), (_FIRST, 'm1'), (_FIRST, 'm1', f'q{number}'))
     ]
     assert statuses.count(200) >= 34
     assert site.ask(parts, 0)[0] == 503
 
 
-def test_sound_requests_that_first_come_later_are_served(site: _Site) -> None:
-    """Guards against a hold of parts that no sound request had before."""
+def test_healthy_requests_that_first_come_later_are_served(site: _Site) -> None:
+    """Guards against a hold of parts that no healthy request had before."""
     site.start_routers(3)
-    site.serve_sound(('other',))
+    site.serve_healthy(('other',))
     site.crash_servers((_FIRST, 'm1', _BAD), 'chat')
     time.sleep(_KNOWN_S)
     statuses = [
-        site.ask(sound, number % 3)[0]
+        site.ask(healthy, number % 3)[0]
         for number in range(6)
-        for sound in ((_FIRST,), (_FIRST, 'm1'))
+        for healthy in ((_FIRST,), (_FIRST, 'm1'))
     ]
     assert statuses == [200] * 12
 
@@ -215,7 +215,7 @@
 def test_part_is_stopped_beside_bystanders(site: _Site) -> None:
     """Guards against blame of requests that ran beside the ones at fault."""
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     over = threading.Event()
     found: list[tuple[int, bytes]] = []
 
@@ -274,7 +274,7 @@
     """Guards against a hold that ends with the processes that know it."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.crash_servers(parts, 'chat')
     time.sleep(_KNOWN_S)
     for number in range(3):
@@ -290,7 +290,7 @@
     """Guards against a decision that needs what was completed before a restart."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.crash_servers(parts, 'chat', 2)
     for number in range(3):
         site.restart(number)
@@ -306,7 +306,7 @@
     """Guards against a decision that ends with the VM that makes it."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.crash_servers(parts, 'chat', 3)
     site.routers.pop(site.coordinator()).close()
     site.crash_servers(parts, 'chat', 2)
@@ -318,7 +318,7 @@
     """Guards against a hold that only the store passes on."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.cut_store(2)
     site.crash_servers(parts, 'chat')
     time.sleep(_KNOWN_S)
@@ -329,7 +329,7 @@
     """Guards against requests that wait for a placement as the part is held."""
     parts = (_FIRST, _BAD)
     site.start_routers(2)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     begun = site.streams()
     large = {'Foxtaildale-Token-Count': '20000,5000'}
     for worker in site.workers.values():
@@ -365,7 +365,7 @@
     """Guards against a caller that resumes what a crash broke off."""
     parts = (_FIRST, _BAD)
     site.start_routers(2)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.crash_servers(parts, 'chat')
     time.sleep(_KNOWN_S)
     before = site.arrivals()
@@ -410,7 +410,7 @@
     """Guards against reports to a coordinator that knows no parts."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     old = site.routers[site.coordinator()]._quarantining
     apply_reports = old.apply_reports
 
@@ -453,7 +453,7 @@
 def test_part_is_refused_at_once_with_its_reason(site: _Site) -> None:
     parts = (_FIRST, _BAD)
     site.start_routers(2)
-    site.serve_sound((_FIRST,))
+    site.serve_healthy((_FIRST,))
     site.crash_servers(parts, 'chat')
     time.sleep(_KNOWN_S)
     started_at = time.monotonic()
@@ -469,7 +469,7 @@
     site.start_routers(3)
     coordinator = site.coordinator()
     cut, other = (n for n in range(3) if n != coordinator)
-    site.serve_sound(('g1',))
+    site.serve_healthy(('g1',))
     servers = [
         site.routers[cut]._state.fleet.usable(name, 0.0)
         for name in ('d1', 'd2', 'd3', 'd4')
