--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -15,13 +15,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import itertools
 import logging
 import math
 import random
 import threading
 from typing import Final
-from typing import TypeVar
 
 import msgspec
 
@@ -30,11 +28,11 @@
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import part_blame
-from foxtaildale import part_completions
 from foxtaildale import ports
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import coordinator_client
+from foxtaildaled import crash_evidence
 from foxtaildaled import router_state
 
 # Subject by which the coordinator of crash reports is chosen.
@@ -63,13 +61,6 @@
 MAX_PART_QUERIES: Final = 4
 QUERY_INTERVAL_S: Final = 1.0
 
-# How long after a crash a response must complete to show that the server did not
-# crash, seconds: a slow VM reads the end of a response late.
-RUNNING_MARGIN_S: Final = 0.3
-# Maximum number of servers in one log line.
-MAX_LOGGED_SERVERS: Final = 8
-
-_Item = TypeVar('_Item')
 # When a server crashed, seconds, and the request that ran on it.
 _Report = tuple[float, messages.Crash]
 
@@ -88,12 +79,12 @@
         '_coordinator_decides_on_parts',
         '_coordinator_id',
         '_coordinators',
+        '_evidence',
         '_informed_coordinator',
         '_informed_successors',
         '_is_changed',
         '_lock',
         '_owner',
-        '_part_completions',
         '_peers',
         '_pending',
         '_pending_cleared',
@@ -109,6 +100,7 @@
         *,
         owner: actors.StateOwner[router_state.RouterState],
         coordinators: coordinator_client.CoordinatorClient,
+        evidence: crash_evidence.CrashEvidence,
         peers: ports.PeerGroup,
         codec: ports.RecordCodec,
         store: ports.KeyedTopics,
@@ -116,6 +108,7 @@
     ) -> None:
         self._owner = owner
         self._coordinators = coordinators
+        self._evidence = evidence
         self._peers = peers
         self._codec = codec
         self._store = store
@@ -124,7 +117,6 @@
         # Own reports that the coordinator has not received, with their times,
         # oldest first.
         self._pending: list[_Report] = []
-        self._part_completions = part_completions.PartCompletions()
         # When VMs may be queried about parts and about requests again, seconds.
         self._query_parts_at = 0.0
         self._query_requests_at = 0.0
@@ -170,22 +162,20 @@
             parts: Fingerprints of the parts of its prompt that other requests
                 may share.
         """
+        # The smallest ones, if there are too many: all VMs choose alike.
+        reported = sorted(
+            set(parts).difference(self._evidence.completed(parts))
+        )
+        crash = messages.Crash(
+            server=server.id,
+            started_at=server.born,
+            fingerprint=request,
+            ran_ms=int(ran_s * 1000),
+            service=server.service,
+            parts=tuple(reported[: part_blame.MAX_REPORTED_PARTS]),
+        )
         now = self._clock()
         with self._lock:
-            # The smallest ones, if there are too many: all VMs choose alike.
-            reported = sorted(
-                set(parts).difference(
-                    self._part_completions.completed(now, parts)
-                )
-            )[: part_blame.MAX_REPORTED_PARTS]
-            crash = messages.Crash(
-                server=server.id,
-                started_at=server.born,
-                fingerprint=request,
-                ran_ms=int(ran_s * 1000),
-                service=server.service,
-                parts=tuple(reported),
-            )
             if now - self._completed.get(request, -math.inf) < COMPLETED_TTL_S:
                 return
             self._pending.append((now, crash))
@@ -203,9 +193,9 @@
             parts: Fingerprints of the parts of its prompt that other requests
                 may share.
         """
+        self._evidence.record_completed(service, parts)
         now = self._clock()
         with self._lock:
-            self._part_completions.record(now, service, parts)
             self._completed.pop(request, None)
             self._completed[request] = now
             if len(self._completed) > MAX_COMPLETED:
@@ -234,28 +224,6 @@
             self.on_report()
         return reply
 
-    def evidence(
-        self, msg: messages.CrashEvidenceRequest
-    ) -> messages.CrashEvidenceReply:
-        """Returns what this VM knows against a decision on crashes."""
-        now = self._clock()
-        running = self._owner.run(
-            lambda state, _: tuple(
-                crashed.server
-                for crashed in msg.servers
-                if state.fleet.succeeded_at(crashed.server)
-                > now - crashed.age_ms / 1000 + RUNNING_MARGIN_S
-            )
-        )
-        with self._lock:
-            return messages.CrashEvidenceReply(
-                running=running,
-                completed=self._part_completions.completed(now, msg.parts),
-                service_completes=self._part_completions.has_completed(
-                    now, msg.service
-                ),
-            )
-
     def apply_update(self, msg: messages.QuarantineUpdate) -> messages.Pong:
         """Applies the quarantine that another VM sent."""
         self._owner.run(
@@ -313,7 +281,7 @@
             )
             if found is None or self._clock() < self._query_parts_at:
                 break
-            known = self._query_evidence(found)
+            known = self._evidence.query(found)
             if known.running or known.completed:
                 # The suspicion was wrong; another one may remain.
                 continue
@@ -339,7 +307,7 @@
             lambda state, now: state.quarantine_state.suspected_requests(now)
         ):
             return False
-        self._query_evidence(part_blame.PartSet('', ()))
+        self._evidence.query(part_blame.PartSet('', ()))
         changed = self._owner.run(
             lambda state, now: state.quarantine_state.quarantine_blamed(now)
         )
@@ -348,59 +316,6 @@
             self._query_requests_at = self._clock() + QUERY_INTERVAL_S
         return changed
 
-    def _query_evidence(
-        self, found: part_blame.PartSet
-    ) -> messages.CrashEvidenceReply:
-        """Queries all VMs for evidence against a decision, and records it.
-
-        A VM reports a crash if connections are refused. Behind a partition
-        that refuses them, the server may be running.
-        """
-
-        def read_state(
-            state: router_state.RouterState, now: float
-        ) -> tuple[messages.CrashEvidenceRequest, list[str]]:
-            servers = state.quarantine_state.crashes.crashed_servers(now)
-            msg = messages.CrashEvidenceRequest(
-                servers, found.service, found.parts
-            )
-            return msg, state.peers()
-
-        msg, addresses = self._owner.run(read_state)
-        received = self._peers.request_all(addresses, msg, REPLY_TIMEOUT_S)
-        replies = [
-            self.evidence(msg),
-            *(
-                reply
-                for reply in received.values()
-                if isinstance(reply, messages.CrashEvidenceReply)
-            ),
-        ]
-        known = messages.CrashEvidenceReply(
-            running=_union(reply.running for reply in replies),
-            completed=_union(reply.completed for reply in replies),
-            service_completes=any(reply.service_completes for reply in replies),
-        )
-
-        def record(state: router_state.RouterState, now: float) -> None:
-            state.quarantine_state.crashes.remove_servers(known.running)
-            state.quarantine_state.record_cleared_parts(now, known.completed)
-
-        self._owner.run(record)
-        logs.event(
-            logging.INFO,
-            'crashes examined',
-            crashes=len(msg.servers),
-            running=known.running[:MAX_LOGGED_SERVERS],
-            service=found.service,
-            parts=fingerprint.to_texts(found.parts),
-            completed=fingerprint.to_texts(known.completed),
-            service_completes=known.service_completes,
-            asked=len(addresses) + 1,
-            replied=len(replies),
-        )
-        return known
-
     def _quarantine_set(self, found: part_blame.PartSet) -> bool:
         def change(state: router_state.RouterState, now: float) -> bool:
             return state.quarantine_state.quarantine_parts(now, found)
@@ -429,8 +344,7 @@
             completed += [
                 key
                 for key, parts in part_sets.items()
-                if len(self._part_completions.completed(now, parts))
-                == len(parts)
+                if len(self._evidence.completed(parts)) == len(parts)
             ]
             self._pending_cleared.extend(completed)
         for request in completed:
@@ -621,11 +535,6 @@
                 return
 
 
-def _union(collections: Iterable[Iterable[_Item]]) -> tuple[_Item, ...]:
-    """Returns all items of some collections, each once."""
-    return tuple(set(itertools.chain.from_iterable(collections)))
-
-
 def _with_ages(
     reports: list[_Report], now: float
 ) -> tuple[messages.Crash, ...]:
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -35,6 +35,7 @@
 from foxtaildaled import actors
 from foxtaildaled import coordinator_client
 from foxtaildaled import crash_detection
+from foxtaildaled import crash_evidence
 from foxtaildaled import engine_cleanup
 from foxtaildaled import generation
 from foxtaildaled import loops
@@ -147,6 +148,7 @@
         '_closed',
         '_codec',
         '_coordinators',
+        '_crash_evidence',
         '_ends_at',
         '_fitness',
         '_handlers',
@@ -273,9 +275,13 @@
             peers=self._peers,
             clock=clock,
         )
+        evidence = self._crash_evidence = crash_evidence.CrashEvidence(
+            owner=owner, peers=self._peers, clock=clock
+        )
         self._quarantining = quarantine_manager.QuarantineManager(
             owner=owner,
             coordinators=self._coordinators,
+            evidence=evidence,
             peers=self._peers,
             codec=adapters.codec,
             store=self._make_store(adapters),
@@ -375,7 +381,7 @@
             messages.UsageReport: self._limit_accounting.count_remote,
             messages.CrashReports: self._quarantining.apply_reports,
             messages.QuarantineUpdate: self._quarantining.apply_update,
-            messages.CrashEvidenceRequest: self._quarantining.evidence,
+            messages.CrashEvidenceRequest: self._crash_evidence.reply_to,
             messages.SendTokensRequest: self._send_limits.grant_tokens,
             messages.SendTokensReply: self._send_limits.apply_grants,
             messages.InventoryRequest: lambda msg: (
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -29,6 +29,7 @@
 from foxtaildale_adapters import zmq_responder
 from foxtaildaled import background_queue
 from foxtaildaled import claim_client
+from foxtaildaled import crash_evidence
 from foxtaildaled import plain_forwarder
 from foxtaildaled import quarantine_manager
 from foxtaildaled import quarantine_state
@@ -403,11 +404,15 @@
         record_replies=lambda *_: None,
         is_coordinator=lambda _: True,
     )
+    owner = cast(
+        Any, types.SimpleNamespace(run=lambda turn: turn(state, now[0]))
+    )
     manager = quarantine_manager.QuarantineManager(
-        owner=cast(
-            Any, types.SimpleNamespace(run=lambda turn: turn(state, now[0]))
-        ),
+        owner=owner,
         coordinators=cast(Any, coordinators),
+        evidence=crash_evidence.CrashEvidence(
+            owner=owner, peers=cast(Any, peers), clock=lambda: now[0]
+        ),
         peers=cast(Any, peers),
         codec=cast(Any, None),
         store=cast(Any, None),
