A refusal names the hold that it follows

What on-call saw: a request refused as quarantined, and several holds in the log, with nothing that tells which of them applied. A request that is refused at once is never sent, so no line of it names its parts either.

Change: the figures of the refusal, in the log and for the caller, have the fingerprint of the held request or set of parts, as 'request held' has it. It is looked up once with the time that is left, so a hold that expires in between can't leave a request without an answer.

--- a/packages/core/foxtaildale/quarantine.py
+++ b/packages/core/foxtaildale/quarantine.py
@@ -12,9 +12,14 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 import types
 from typing import Final
 
+import msgspec
+
+from foxtaildale import fingerprint
+
 # How long a request is quarantined, and how long a cleared one can't be,
 # seconds.
 QUARANTINE_S: Final = 900.0
@@ -61,6 +66,22 @@
         return {key: at - now for key, at in self.until.items() if at > now}
 
 
+class Hold(msgspec.Struct, frozen=True):
+    """Why a request is quarantined."""
+
+    # Fingerprint of the quarantined request or set of parts.
+    fingerprint: int
+    # Remaining time, seconds.
+    left_s: float
+
+    def figures(self) -> dict[str, float | str]:
+        """Returns the figures of a refusal; the log line of the hold has both."""
+        return {
+            'left_s': math.ceil(self.left_s),
+            'hold': fingerprint.to_text(self.fingerprint),
+        }
+
+
 class Quarantine:
     """Quarantined and cleared requests that one entry VM knows of.
 
@@ -130,17 +151,29 @@
             fingerprint: Fingerprint of the request.
             parts: Fingerprints of the parts of its prompt.
         """
+        hold = self.find(now, fingerprint, parts)
+        return 0.0 if hold is None else hold.left_s
+
+    def find(
+        self, now: float, fingerprint: int, parts: Iterable[int] = ()
+    ) -> Hold | None:
+        """Returns why a request is quarantined; None if it is not.
+
+        May be called from any thread. If several holds apply, the longest one
+        is returned. The arguments are those of `left_s`.
+        """
         until = self._quarantined.until
         if not until:
-            return 0.0
-        ends_at = until.get(fingerprint, now)
+            return None
+        keys = [fingerprint]
         part_sets = self._part_sets
         if part_sets:
             known = frozenset(parts)
-            for key, part_set in part_sets.items():
-                if part_set <= known:
-                    ends_at = max(ends_at, until.get(key, now))
-        return max(0.0, ends_at - now)
+            keys += [
+                key for key, part_set in part_sets.items() if part_set <= known
+            ]
+        ends_at, key = max((until.get(key, now), key) for key in keys)
+        return Hold(key, ends_at - now) if ends_at > now else None
 
     def part_sets(self, now: float) -> dict[int, frozenset[int]]:
         """Returns the quarantined sets of parts, by fingerprint."""
@@ -177,14 +210,12 @@
         Returns:
             The fingerprints of newly quarantined requests and sets.
         """
-        for fingerprint, left_s in cleared.items():
+        for key, left_s in cleared.items():
             if left_s > _SLACK_S:
-                self.clear(now, fingerprint, left_s)
+                self.clear(now, key, left_s)
         return [
-            fingerprint
-            for fingerprint, left_s in quarantined.items()
+            key
+            for key, left_s in quarantined.items()
             if left_s > _SLACK_S
-            and self.add(
-                now, fingerprint, left_s, part_sets.get(fingerprint, ())
-            )
+            and self.add(now, key, left_s, part_sets.get(key, ()))
         ]
--- a/packages/daemon/foxtaildaled/attempt_state.py
+++ b/packages/daemon/foxtaildaled/attempt_state.py
@@ -5,10 +5,9 @@
 attempt.
 """
 
-import math
-
 from foxtaildale import codes
 from foxtaildale import forwarding
+from foxtaildale import quarantine
 from foxtaildale import sse
 
 
@@ -32,20 +31,19 @@
         self.figures = figures
 
 
-def check_quarantined(left_s: float) -> None:
+def check_quarantined(hold: quarantine.Hold | None) -> None:
     """Refuses a quarantined request, which must not be sent to any server.
 
     Args:
-        left_s: Remaining time of the quarantine, seconds; 0 if the request is
-            not quarantined.
+        hold: Why the request is quarantined; None if it is not.
 
     Raises:
-        Refused: The request is quarantined.
+        RequestRefused: The request is quarantined.
     """
-    if left_s:
-        raise RequestRefused(
-            codes.QUARANTINED, retry_after_s=left_s, left_s=math.ceil(left_s)
-        )
+    if hold is not None:
+        refused = RequestRefused(codes.QUARANTINED, retry_after_s=hold.left_s)
+        refused.figures |= hold.figures()
+        raise refused
 
 
 class ResponseState:
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -18,6 +18,7 @@
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import ports
+from foxtaildale import quarantine
 from foxtaildale import routes
 from foxtaildale_adapters import caller_exchange
 from foxtaildale_adapters import logs
@@ -41,11 +42,11 @@
 
     __slots__ = (
         '_clock',
+        '_find_hold',
         '_flight',
         '_lock',
         '_own_deadline',
         '_process_ends_at',
-        '_quarantine_left_s',
         'account',
         'caller_disconnected',
         'caller_request',
@@ -77,9 +78,9 @@
         clock: ports.Clock,
         process_ends_at: Callable[[], float] = lambda: math.inf,
         account: accounts.Account | None = None,
-        quarantine_left_s: Callable[[int, Iterable[int]], float] = lambda *_: (
-            0.0
-        ),
+        find_hold: Callable[
+            [int, Iterable[int]], quarantine.Hold | None
+        ] = lambda *_: None,
     ) -> None:
         self.exchange = exchange
         self.caller_request = caller_request
@@ -89,7 +90,7 @@
         self.prompt_parts = fingerprint.compute_parts(
             service.name, caller_request.shared_parts
         )
-        self._quarantine_left_s = quarantine_left_s
+        self._find_hold = find_hold
         # The client account of the caller; None if no accounts are configured.
         self.account = account
         # Called when the request is refused: it has not run and will not run.
@@ -155,9 +156,9 @@
         """Returns the time since the request arrived, seconds."""
         return self._clock() - self.started_at
 
-    def quarantine_left_s(self) -> float:
-        """Returns the quarantine time left, seconds; 0 if it may be sent."""
-        return self._quarantine_left_s(self.fingerprint, self.prompt_parts)
+    def find_hold(self) -> quarantine.Hold | None:
+        """Returns why the request is quarantined; None if it may be sent."""
+        return self._find_hold(self.fingerprint, self.prompt_parts)
 
     def check_disconnected(self) -> bool:
         """Checks the connection; whether the caller has disconnected."""
@@ -210,10 +211,9 @@
             return
         send_error(self.exchange, code, figures, self.entry_vm, retry_after_s)
 
-    def refuse_quarantined(self) -> None:
+    def refuse_quarantined(self, hold: quarantine.Hold) -> None:
         """Refuses the request because it is quarantined."""
-        left_s = self.quarantine_left_s()
-        self.refuse(codes.QUARANTINED, {'left_s': math.ceil(left_s)}, left_s)
+        self.refuse(codes.QUARANTINED, hold.figures(), hold.left_s)
 
     def record_response(
         self, status: int, *, complete: bool, **fields: object
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -17,6 +17,7 @@
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import ports
+from foxtaildale import quarantine
 from foxtaildale import routes
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import logs
@@ -61,12 +62,12 @@
         '_decode',
         '_ends_at',
         '_entry_vm',
+        '_find_hold',
         '_forward',
         '_generate',
         '_is_accepting',
         '_limiter',
         '_matcher',
-        '_quarantine_left_s',
         '_request_metrics',
     )
 
@@ -83,7 +84,7 @@
         clock: ports.Clock,
         ends_at: Callable[[], float],
         is_accepting: Callable[[], bool],
-        quarantine_left_s: Callable[[int, Iterable[int]], float],
+        find_hold: Callable[[int, Iterable[int]], quarantine.Hold | None],
     ) -> None:
         self._entry_vm = entry_vm
         # Returns the time at which this process ends at the latest; infinity
@@ -91,10 +92,10 @@
         self._ends_at = ends_at
         # Returns whether new connections are accepted.
         self._is_accepting = is_accepting
-        # Returns how long a request stays in quarantine, seconds, by its
-        # fingerprint and those of the parts of its prompt; a quarantined
-        # request must not be sent to any server.
-        self._quarantine_left_s = quarantine_left_s
+        # Returns why a request is quarantined, by its fingerprint and those of
+        # the parts of its prompt; a quarantined request must not be sent to any
+        # server.
+        self._find_hold = find_hold
         self._matcher = matcher
         self._decode = decode
         self._forward = forwarder
@@ -162,7 +163,7 @@
             clock=self._clock,
             process_ends_at=self._ends_at,
             account=account,
-            quarantine_left_s=self._quarantine_left_s,
+            find_hold=self._find_hold,
         )
 
     def _is_admitted(
@@ -224,8 +225,9 @@
         return False
 
     def _serve(self, req: routed_request.RoutedRequest) -> None:
-        if req.quarantine_left_s():
-            req.refuse_quarantined()
+        hold = req.find_hold()
+        if hold is not None:
+            req.refuse_quarantined(hold)
             return
         req.watch_caller()
         if req.route.kind == 'stream':
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -340,8 +340,8 @@
             clock=clock,
             ends_at=lambda: self._ends_at,
             is_accepting=self._is_accepting,
-            quarantine_left_s=lambda request, parts: (
-                self._state.quarantine_state.quarantine.left_s(
+            find_hold=lambda request, parts: (
+                self._state.quarantine_state.quarantine.find(
                     clock(), request, parts
                 )
             ),
--- a/tests/test_prompt_parts_path.py
+++ b/tests/test_prompt_parts_path.py
@@ -461,6 +461,8 @@
     assert time.monotonic() - started_at < 0.3
     found = json.loads(body)['error']
     assert (status, found['code'], found['ran']) == (503, 'quarantined', 'no')
+    (hold,) = site.held(0)
+    assert found['figures']['hold'] == fingerprint.to_text(hold)
 
 
 def test_cut_from_servers_holds_nothing(site: _Site) -> None:
