A held set that was saved without its parts is saved again

What callers would have seen while VMs of two builds serve: after a loss of power on all VMs, a part that was held reaches servers again.

Cause: a VM of the build before saves what it is told of by fingerprint, and a set that has a record counted as saved. A VM that decided on a set because its coordinator is of the build before did not save it at all. Found by reading.

Change: a record counts for a set only if it has its parts, and whoever decides on a set saves it. One test reads the renamed attribute, for the same key.

--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -264,7 +264,7 @@
         if has_new_sets or (self._is_changed and is_acting):
             self._is_changed = False
             self._announce()
-        if is_acting and now >= self._save_at:
+        if (is_acting or has_new_sets) and now >= self._save_at:
             self._save_at = now + SAVE_INTERVAL_S
             self._save()
 
--- a/packages/daemon/foxtaildaled/quarantine_state.py
+++ b/packages/daemon/foxtaildaled/quarantine_state.py
@@ -30,7 +30,7 @@
     __slots__ = (
         '_cleared_parts',
         '_codec',
-        '_stored_until',
+        '_stored',
         '_wall',
         'crashes',
         'quarantine',
@@ -42,9 +42,8 @@
         self._wall = wall
         self.crashes = crashes.Crashes()
         self.quarantine = quarantine.Quarantine()
-        # Until when requests are quarantined according to the store, seconds
-        # since the epoch, by fingerprint.
-        self._stored_until: dict[int, float] = {}
+        # Quarantined requests and sets according to the store, by fingerprint.
+        self._stored: dict[int, forwarding.QuarantinedRequest] = {}
         # Until when parts of prompts stay cleared, seconds, by fingerprint.
         self._cleared_parts: dict[int, float] = {}
 
@@ -164,10 +163,10 @@
         if request is None:
             return False
         if not entry.value:
-            self._stored_until.pop(request, None)
+            self._stored.pop(request, None)
             return True
         record = self._codec.decode_quarantined(entry.value)
-        self._stored_until[request] = record.until
+        self._stored[request] = record
         left_s = min(quarantine.QUARANTINE_S, record.until - self._wall())
         part_sets = {request: record.parts}
         self.merge(now, {request: left_s}, {}, source, part_sets=part_sets)
@@ -178,7 +177,7 @@
 
         The copy may lack records that the store had.
         """
-        self._stored_until.clear()
+        self._stored.clear()
 
     def unsaved_records(self, now: float) -> list[tuple[str, bytes]]:
         """Returns the records to add to the store, and those to remove."""
@@ -194,11 +193,19 @@
                 )
             )
             for request, left_s in held.items()
-            if request not in self._stored_until
+            if not self._is_stored(request, part_sets.get(request, ()))
         ]
         records += [
             (self._codec.quarantined_key(request), b'')
-            for request in self._stored_until
+            for request in self._stored
             if request not in held
         ]
         return records
+
+    def _is_stored(self, request: int, parts: tuple[int, ...]) -> bool:
+        """Whether the store has a record of a request or set.
+
+        A VM of an earlier version saves a set without its parts.
+        """
+        record = self._stored.get(request)
+        return record is not None and (not parts or record.parts == parts)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,11 @@
 """Quarantined requests and the updates that VMs exchange about them."""
 
+from foxtaildale import forwarding
+from foxtaildale import mirror
+from foxtaildale import part_blame
 from foxtaildale import quarantine
+from foxtaildale_platform import records
+from foxtaildaled import quarantine_state
 
 
 def test_quarantine_expires() -> None:
@@ -50,3 +55,35 @@
     assert quarantined.merge(0.0, {1: 1e12, 2: -5.0}, {3: 1e12}) == []
     assert quarantined.quarantined(0.0) == {}
     assert quarantined.cleared(0.0) == {}
+
+
+def test_set_that_was_saved_without_its_parts_is_saved_again() -> None:
+    """Guards against a record of an earlier version that holds no request."""
+    codec = records.Codec()
+    state = quarantine_state.QuarantineState(codec, lambda: 1000.0)
+    found = part_blame.PartSet('model', (1, 2))
+    assert state.quarantine_parts(0.0, found)
+    ((key, value),) = state.unsaved_records(0.0)
+    _, without_parts = codec.encode_quarantined(
+        forwarding.QuarantinedRequest(found.fingerprint(), 1900.0)
+    )
+    state.apply_record(_entry(key, without_parts), 0.0, 'store')
+    assert state.unsaved_records(0.0) == [(key, value)]
+    state.apply_record(_entry(key, value), 0.0, 'store')
+    assert state.unsaved_records(0.0) == []
+
+
+def test_saved_set_is_quarantined_with_its_parts() -> None:
+    """Guards against a hold that ends with the VMs that decided on it."""
+    codec = records.Codec()
+    one = quarantine_state.QuarantineState(codec, lambda: 1000.0)
+    one.quarantine_parts(0.0, part_blame.PartSet('model', (1, 2)))
+    ((key, value),) = one.unsaved_records(0.0)
+    other = quarantine_state.QuarantineState(codec, lambda: 1100.0)
+    other.apply_record(_entry(key, value), 0.0, 'store')
+    assert other.quarantine.left_s(0.0, 5, (1, 2, 3)) == 800.0
+    assert other.quarantine.left_s(0.0, 5, (1, 3)) == 0.0
+
+
+def _entry(key: str, value: bytes) -> mirror.Entry:
+    return mirror.Entry(key, 1, value)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -192,7 +192,7 @@
     sites.until(saved, 8.0)
     sites.until(
         lambda: all(
-            17 in router._state.quarantine_state._stored_until
+            17 in router._state.quarantine_state._stored
             for router in site.routers
         ),
         8.0,
