Tests: the check of registered events reads the module that was split off

The event 'crashes examined' moved with its code to crash_evidence.py, which the list of modules that the test reads did not name.

Ruled out: the event missing from the code or from the page (both have it). Reading all modules in place of a list was tried: the modules of the older roles log events that are not registered, so the check would fail on them.

Change: the list names the module.

--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -13,6 +13,7 @@
     'account_limits',
     'coordinator_client',
     'crash_detection',
+    'crash_evidence',
     'engine_cleanup',
     'generation',
     'initial_state',
