A VM that knows no other VM saves the origins of streams at once

What callers saw: a resumed stream was refused with origin-unknown although its version was served, after the VM that began it was killed.

In the logs the first router served 12 streams within 0.1 s of its start, when its list of VMs was still empty: there was nobody to report to, the batch for the store was due within 0.5 s, and the router was killed before. The class of fault: a record that must outlive a process waits for an interval while the caller has the event that makes the record matter.

Ruled out: reports lost on the way (none was sent: no line 'origins not reported', since none of none is no loss), the store (it replied within milliseconds), the asking side (the store had no batch).

Change: where no other VM is known, a batch is saved as soon as a first event waits for it, at most every 40 ms, and the event waits up to 50 ms as for a report. 'origins not reported' says so with asked 0.

--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -3,13 +3,14 @@
 A caller resumes a stream when the entry VM that served it may have ended, so
 each origin is reported to another VM. While a service has servers of several
 software versions, two VMs get each report at once, and the first of them saves
-it in the store.
+it in the store. A VM that knows no other VM saves its origins itself, at once.
 """
 
 import collections
 from collections.abc import Callable
 import logging
 import threading
+import time
 from typing import Final
 
 from foxtaildale import errors
@@ -36,6 +37,9 @@
 SHARE_INTERVAL_S: Final = 1.0
 # Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
+# Minimum interval of the batches of a VM that knows no other VM, seconds. First
+# events wait longer than this.
+ALONE_INTERVAL_S: Final = 0.04
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
 _MAX_BATCH: Final = 2048
@@ -53,6 +57,7 @@
     """The origins known to this entry VM; safe for concurrent use."""
 
     __slots__ = (
+        '_alone_at',
         '_awaited',
         '_clock',
         '_coordinators',
@@ -92,6 +97,8 @@
         self._pending: list[_Began] = []
         # When origins of services with one version are reported next, seconds.
         self._share_at = 0.0
+        # When origins that no other VM gets may be saved next, seconds.
+        self._alone_at = 0.0
         # Set as soon as an own origin is reported, by stream.
         self._awaited: dict[int, threading.Event] = {}
         # Own origins of services that had one version, reported to one VM; by
@@ -175,8 +182,13 @@
         for began_at, origin in pending:
             key = (origin.stream % GROUPS, origin.service in mixed)
             groups.setdefault(key, []).append((began_at, origin))
+        alone: list[_Began] = []
         for (_, is_mixed), group in groups.items():
-            self._report(group, is_mixed=is_mixed)
+            is_known = self._report(group, is_mixed=is_mixed)
+            if is_mixed and not is_known:
+                alone += group
+        if alone:
+            self._save_alone(alone)
 
     def _hold_back(
         self, pending: list[_Began], mixed: set[str]
@@ -201,11 +213,27 @@
         ):
             self._save_later(batch)
 
-    def _report(self, group: list[_Began], *, is_mixed: bool) -> None:
-        """Reports the origins of one group of streams."""
+    def _save_alone(self, group: list[_Began]) -> None:
+        """Saves origins that no other VM has; their first events wait."""
+        time.sleep(max(0.0, self._alone_at - self._clock()))
+        self._alone_at = self._clock() + ALONE_INTERVAL_S
+        origins = _with_ages(group, self._clock())
+        if not self._store.save(self._entry_vm, origins):
+            self._save_later(group)
+        self._end_waits(group)
+
+    def _report(self, group: list[_Began], *, is_mixed: bool) -> bool:
+        """Reports the origins of one group; returns whether VMs are known."""
         addresses = self._coordinators.successor_addresses(
             subject(group[0][1].stream), COPIES if is_mixed else 1
         )
+        if not addresses:
+            if is_mixed:
+                _log_unreported(len(group), 0, 0)
+            else:
+                self._keep_unshared(group)
+                self._end_waits(group)
+            return False
         origins = _with_ages(group, self._clock())
         replied: set[str] = set()
         alive: set[str] = set()
@@ -227,10 +255,11 @@
         self._coordinators.record_replies(addresses, replied | alive)
         if not is_mixed:
             self._keep_unshared(group)
-        elif not addresses or addresses[0] not in replied:
+        elif addresses[0] not in replied:
             self._save_later(group)
         if len(replied) < len(addresses):
             _log_unreported(len(group), len(addresses), len(replied))
+        return True
 
     def _end_waits(self, group: list[_Began]) -> None:
         with self._lock:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -444,6 +444,23 @@
     ]
 
 
+def test_a_vm_that_knows_no_other_saves_origins_at_once() -> None:
+    """Guards against origins that are lost with a VM that just started."""
+    finder = _Finder()
+
+    def be_alone(state: router_state.RouterState, now: float) -> None:
+        state.entry_vms = {}
+        state.fleet.put(_backend('d2', 'v2'), now)
+
+    finder.owner.run(be_alone)
+    finder.reports.record(_origin(1))
+    finder.reports.send()
+    finder.owner.stop()
+    assert len(finder.log.records) == 1
+    finder.reports.save()
+    assert len(finder.log.records) == 1
+
+
 def test_an_invalid_response_of_the_store_ends_no_request() -> None:
     """Guards against a resumed stream without any response."""
     finder = _Finder()
