Tests: a slow request behind a partition is told from a paused process

Tried without success: 104 runs, up to ten at a time beside ten busy processes; 12 runs whose process was suspended for 0.15 to 0.6 s again and again; 11 runs that recorded each request of the first two seconds. In those a VM knows after 0.4 to 0.8 s that it is partitioned, streams that hung then end after 1.5 s, and no later request took over 0.13 s.

Suspected, not shown: exactly four requests were late, as many as are sent at a time, as one pause of the process would bring about. So the failure is open.

Change: the message of the check names the late requests and the longest pause of the process while they were sent. The check is the same.

--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 import contextlib
 import socket
+import threading
 import time
 
 import pytest
@@ -21,6 +22,8 @@
 _PROMPT_S = 0.5
 # Time that a stop without requests takes beside its wait, seconds.
 _STOP_MARGIN_S = 2.0
+# Interval at which pauses of the whole process are measured, seconds.
+_PAUSE_CHECK_S = 0.02
 _PATHS = ('/safe/x', '/once/x', '/chat/x', '/single/x')
 
 
@@ -87,6 +90,27 @@
             each.close()
 
 
+class _Pauses:
+    """Measures how long the threads of this process did not run."""
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self._ends = threading.Event()
+        self._thread = threading.Thread(target=self._measure)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._ends.set()
+        self._thread.join()
+
+    def _measure(self) -> None:
+        last = time.monotonic()
+        while not self._ends.wait(_PAUSE_CHECK_S):
+            now = time.monotonic()
+            self.longest_s = max(self.longest_s, now - last)
+            last = now
+
+
 @pytest.fixture
 def site() -> Iterator[_Site]:
     with contextlib.closing(_Site()) as made:
@@ -113,12 +137,19 @@
     settled_at = time.monotonic() + _SETTLED_S
     while time.monotonic() < settled_at:
         site.ask_all((0, 1), 1)
-    found = site.ask_all((0, 1), 5)
+    with contextlib.closing(_Pauses()) as pauses:
+        found = site.ask_all((0, 1), 5)
     assert collections.Counter(status for status, _ in found) == {
         200: len(found)
     }
     times = sorted(took_s for _, took_s in found)
-    assert times[len(times) * 9 // 10] < _PROMPT_S, times
+    # The requests are sent to the VMs in turn, to each on all paths.
+    late = [
+        (number, took_s)
+        for number, (_, took_s) in enumerate(found)
+        if took_s >= _PROMPT_S
+    ]
+    assert times[len(times) * 9 // 10] < _PROMPT_S, (late, pauses.longest_s)
     assert max(site.runs().values()) == 1
     for each in site.partitions[:2]:
         each.end()
