A stream that begins during a report is reported next, not 0.25 s later

What callers saw: while two versions serve, first events of streams that begin side by side came 50 ms late, and their origins were reported up to 0.25 s late; a VM killed within that time leaves its callers with origin-unknown.

Cause: the loop that sends reports was woken only if no first event was waiting for one. A stream that began during the report of another one found that one waiting and woke nobody; its own wait ended after 50 ms, but its entry stayed until the next regular report, so none after it woke the loop either.

Ruled out: the peers' replies (2 ms), the store (not in the way of a first event where others are known).

The new test failed before.

--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -128,7 +128,6 @@
         with self._lock:
             self._origins.record(now, origin)
             is_full = len(self._pending) >= _MAX_PENDING
-            wakes = bool(wait_s) and not self._awaited
             if not is_full:
                 self._pending.append((now, origin))
                 if wait_s:
@@ -136,9 +135,8 @@
         if is_full:
             _log_unreported(1, 0, 0)
             return
-        if wakes:
-            self.on_report()
         if wait_s:
+            self.on_report()
             reported.wait(wait_s)
 
     def find(self, stream: int) -> messages.StreamOrigin | None:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -461,6 +461,29 @@
     assert len(finder.log.records) == 1
 
 
+def test_a_stream_that_begins_during_a_report_is_reported_next() -> None:
+    """Guards against first events that wait for a report not under way."""
+    finder = _Finder()
+    wakes: list[int] = []
+
+    def begin_another(
+        address: str, msg: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        if len(wakes) == 1:
+            finder.reports.record(_origin(2), 0.001)
+        return messages.Pong()
+
+    finder.peers.request = begin_another  # type: ignore[method-assign]
+    finder.owner.run(
+        lambda state, now: state.fleet.put(_backend('d2', 'v2'), now)
+    )
+    finder.reports.on_report = lambda: wakes.append(1)
+    finder.reports.record(_origin(1), 0.001)
+    finder.reports.send()
+    finder.owner.stop()
+    assert len(wakes) == 2
+
+
 def test_an_invalid_response_of_the_store_ends_no_request() -> None:
     """Guards against a resumed stream without any response."""
     finder = _Finder()
