Tests: the late request waits on its connection as the response before it ends

By its log the router had stopped 1.4 ms after the first response, with no connection open.

Cause: the test's timing. After the lame duck period a stopping router closes idle connections at once, and the test sent its second request after it had read the first response.

Ruled out: a request that was read and dropped (nothing of it in the log).

Change: the second request is sent while the first response is under way, so the router finds it as that response ends, 3.7 s after the stop began as before. The checks are the same.

--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -14,6 +14,7 @@
 from foxtaildaled import placement_client
 from foxtaildaled import router_daemon
 from tests import site as sites
+from tests import stopprobes
 from tests.standins import serving
 
 # Times at which a caller sends its request, seconds after the stop began.
@@ -148,35 +149,50 @@
         stopped.result(_ENDS_S)
 
 
+def _begin_stream(
+    site: sites.Site, headers: dict[str, str]
+) -> stopprobes.Connection:
+    """Begins a stream of 4 s; returns once its head was sent."""
+    numbers: list[int] = []
+    for name in ('d1', 'd2'):
+        site.workers[name].events = 40
+        site.workers[name].pace_s = 0.1
+        site.workers[name].on_event = lambda number, _: numbers.append(number)
+    conn = stopprobes.Connection(site.routers[0].addresses['caller'])
+    conn.send(_stream_request(headers))
+    sites.until(lambda: len(numbers) > 2)
+    return conn
+
+
+def _stream_request(headers: dict[str, str]) -> bytes:
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
+    return f'POST /chat/x HTTP/1.1\r\n{lines}\r\n'.encode()
+
+
 @pytest.mark.parametrize('hint', ['', '1000'])
 def test_a_stream_that_would_outlast_the_stop_is_refused(
     site: sites.Site, hint: str
 ) -> None:
     """Guards against a stream that a stop takes late and cuts in its middle."""
     _allow_long_requests(site)
-    for name in ('d1', 'd2'):
-        site.workers[name].events = 40
-        site.workers[name].pace_s = 0.1
     # A hint may be several times too low.
     headers = _headers('first', 14.0) | {'Foxtaildale-Token-Count': '500,2560'}
     if hint:
         headers['Foxtaildale-Length-Hint'] = hint
-    conn = http.client.HTTPConnection(
-        site.routers[0].addresses['caller'], timeout=_ENDS_S
-    )
-    conn.request('POST', '/chat/x', headers=headers)
+    conn = _begin_stream(site, headers)
     with futures.ThreadPoolExecutor(1) as pool:
-        resp = conn.getresponse()
-        # The head of this response can't announce the stop, so the connection
-        # stays open after it, 3.9 s after the stop began.
+        # The head of this response can't announce the stop. The next request
+        # waits on the connection as it ends, 3.7 s after the stop began; an
+        # idle connection may be closed at any time.
         stopped = pool.submit(site.routers[0].stop)
-        assert resp.read() == sites.events('first', 40)
         late = {'Foxtaildale-Attempt-Id': 'late'}
-        conn.request('POST', '/chat/x', headers=headers | late)
-        resp = conn.getresponse()
-        assert resp.status == 503
-        assert resp.read()
+        conn.send(_stream_request(headers | late))
+        assert conn.read().body == sites.events('first', 40)
+        answer = conn.read()
+        assert answer.status == 503
+        assert answer.body
         stopped.result(_ENDS_S)
+    conn.close()
     assert all('late' not in worker.ids() for worker in site.workers.values())
 
 
@@ -189,18 +205,10 @@
 ) -> None:
     """Guards against refusals of streams that end well before the process."""
     _allow_long_requests(site)
-    for name in ('d1', 'd2'):
-        site.workers[name].events = 40
-        site.workers[name].pace_s = 0.1
     headers = _headers('first', 14.0)
-    conn = http.client.HTTPConnection(
-        site.routers[0].addresses['caller'], timeout=_ENDS_S
-    )
-    conn.request('POST', '/chat/x', headers=headers)
+    conn = _begin_stream(site, headers)
     with futures.ThreadPoolExecutor(1) as pool:
-        resp = conn.getresponse()
         stopped = pool.submit(site.routers[0].stop)
-        assert resp.read() == sites.events('first', 40)
         for name in ('d1', 'd2'):
             site.workers[name].events = 5
         monkeypatch.setattr(
@@ -210,12 +218,13 @@
             'Foxtaildale-Attempt-Id': 'late',
             'Foxtaildale-Token-Count': f'500,{tokens}',
         }
-        conn.request('POST', '/chat/x', headers=headers | late)
-        resp = conn.getresponse()
-        assert resp.status == expected
-        body = resp.read()
-        assert expected != 200 or body == sites.events('late', 5)
+        conn.send(_stream_request(headers | late))
+        assert conn.read().body == sites.events('first', 40)
+        answer = conn.read()
+        assert answer.status == expected
+        assert expected != 200 or answer.body == sites.events('late', 5)
         stopped.result(_ENDS_S)
+    conn.close()
 
 
 def test_a_late_stream_goes_on_without_a_coordinator(
@@ -223,13 +232,7 @@
 ) -> None:
     """Guards against a stream that is cut as it may outlast the process."""
     _allow_long_requests(site)
-    for name in ('d1', 'd2'):
-        site.workers[name].events = 40
-        site.workers[name].pace_s = 0.1
     headers = _headers('first', 14.0)
-    conn = http.client.HTTPConnection(
-        site.routers[0].addresses['caller'], timeout=_ENDS_S
-    )
     broken: list[str] = []
 
     def break_once(number: int, attempt: str) -> None:
@@ -242,18 +245,18 @@
             monkeypatch.setattr(placement_plan, 'INITIAL_TOKEN_S', 1.0)
             raise serving.Cut
 
-    conn.request('POST', '/chat/x', headers=headers)
+    conn = _begin_stream(site, headers)
     with futures.ThreadPoolExecutor(1) as pool:
-        resp = conn.getresponse()
         stopped = pool.submit(site.routers[0].stop)
-        assert resp.read() == sites.events('first', 40)
         for name in ('d1', 'd2'):
             site.workers[name].events = 5
             site.workers[name].on_event = break_once
         late = {'Foxtaildale-Attempt-Id': 'late'}
-        conn.request('POST', '/chat/x', headers=headers | late)
-        resp = conn.getresponse()
-        assert resp.status == 200
-        assert resp.read() == sites.events('late', 5)
+        conn.send(_stream_request(headers | late))
+        assert conn.read().body == sites.events('first', 40)
+        answer = conn.read()
+        assert answer.status == 200
+        assert answer.body == sites.events('late', 5)
         stopped.result(_ENDS_S)
+    conn.close()
     assert broken
