--- a/tests/stopprobes.py
+++ b/tests/stopprobes.py
@@ -73,9 +73,9 @@
 class Connection:
     """One connection to a process."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, wait_s: float = _WAIT_S) -> None:
         host, _, port = address.rpartition(':')
-        self._sock = socket.create_connection((host, int(port)), _WAIT_S)
+        self._sock = socket.create_connection((host, int(port)), wait_s)
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._file = self._sock.makefile('rb')
 
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -158,12 +158,19 @@
         site.workers[name].events = 40
         site.workers[name].pace_s = 0.1
         site.workers[name].on_event = lambda number, _: numbers.append(number)
-    conn = stopprobes.Connection(site.routers[0].addresses['caller'])
+    conn = stopprobes.Connection(site.routers[0].addresses['caller'], _ENDS_S)
     conn.send(_stream_request(headers))
     sites.until(lambda: len(numbers) > 2)
     return conn
 
 
+def _read_whole(conn: stopprobes.Connection) -> stopprobes.Answer:
+    """Reads a response that must come to its proper end."""
+    answer = conn.read()
+    assert answer.is_complete
+    return answer
+
+
 def _stream_request(headers: dict[str, str]) -> bytes:
     lines = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
     return f'POST /chat/x HTTP/1.1\r\n{lines}\r\n'.encode()
@@ -187,8 +194,8 @@
         stopped = pool.submit(site.routers[0].stop)
         late = {'Foxtaildale-Attempt-Id': 'late'}
         conn.send(_stream_request(headers | late))
-        assert conn.read().body == sites.events('first', 40)
-        answer = conn.read()
+        assert _read_whole(conn).body == sites.events('first', 40)
+        answer = _read_whole(conn)
         assert answer.status == 503
         assert answer.body
         stopped.result(_ENDS_S)
@@ -219,8 +226,8 @@
             'Foxtaildale-Token-Count': f'500,{tokens}',
         }
         conn.send(_stream_request(headers | late))
-        assert conn.read().body == sites.events('first', 40)
-        answer = conn.read()
+        assert _read_whole(conn).body == sites.events('first', 40)
+        answer = _read_whole(conn)
         assert answer.status == expected
         assert expected != 200 or answer.body == sites.events('late', 5)
         stopped.result(_ENDS_S)
@@ -253,8 +260,8 @@
             site.workers[name].on_event = break_once
         late = {'Foxtaildale-Attempt-Id': 'late'}
         conn.send(_stream_request(headers | late))
-        assert conn.read().body == sites.events('first', 40)
-        answer = conn.read()
+        assert _read_whole(conn).body == sites.events('first', 40)
+        answer = _read_whole(conn)
         assert answer.status == 200
         assert answer.body == sites.events('late', 5)
         stopped.result(_ENDS_S)
