Wording of the change: quarantine for hold, and what a newcomer misread

- The entry of the quarantine that a request matches was called a hold, which is what engines give for reserved memory.
It is quarantine.Entry, and a refusal names it by the fingerprint of the log line 'request held', under that name.
- has_peers tells that other VMs are listed, not that they accept callers.
- Arguments no longer have the name of a module; names in origin_reports say what is saved, not that a VM is alone.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -265,8 +265,8 @@
         """Shuts the connection down; may be called more than once."""
         with self._lock:
             self._cancelled = True
-            # The connection has no reference to the socket of a response that
-            # it is closed after.
+            # The connection drops its socket once the head of a response that
+            # ends with it was read.
             sock = self._conn.sock or self._sock
             try:
                 if sock is not None:
--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -38,8 +38,8 @@
             read; it is probed then. If callers never do that, a FIN alone
             means that the caller disconnected.
         idle_check_s: Interval between checks for idle connections, seconds.
-        has_peers: Returns whether other entry VMs accept the callers that this
-            one rejects; it must not block.
+        has_peers: Returns whether other entry VMs are listed, which callers
+            that are rejected here may reach; it must not block.
     """
 
     __slots__ = ('_server', '_thread')
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -9,7 +9,7 @@
 completely within one deadline, since with a timeout per read a slow sender
 could occupy a thread indefinitely. A connection occupies no thread before it
 has sent a byte. When every thread is busy, further requests are refused at
-once instead of being queued without a reply; if other entry VMs can take them,
+once instead of being queued without a reply; if other entry VMs are listed,
 their connections are closed before they are read. If requests wait for the
 processor, their connections are closed as well. Threads are started on demand,
 since most VMs never need many. A stop can wait until no connection is open: a
@@ -491,7 +491,7 @@
         self.sweeps = 0
         # Set when the server closes and must no longer begin any request.
         self.closing = False
-        # Whether other entry VMs accept the callers that this one rejects.
+        # Whether other entry VMs are listed.
         self.has_peers: Callable[[], bool] = lambda: False
         # How long requests wait for a thread that runs.
         self.queue_delays = queue_delays.QueueDelays()
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -196,7 +196,7 @@
     503,
     'no',
     'Not run: backend servers crashed each time they began to run this request'
-    ' or others with the same parts in their prompts (hold {hold}); it is sent'
+    ' or others with the same parts in their prompts (fingerprint {fingerprint}); it is sent'
     ' to none for {left_s} s more.',
 )
 BAD_REQUEST: Final = Code('bad-request', 400, 'no', 'Not run: {reason}.')
--- a/packages/core/foxtaildale/part_completions.py
+++ b/packages/core/foxtaildale/part_completions.py
@@ -1,7 +1,7 @@
 """Parts of prompts in requests that completed at one entry VM.
 
 A part in a request that ran to completion crashes no server. Each VM knows only
-its own completions; whoever decides on a part queries all VMs for theirs.
+its own completions; a VM that decides on a part queries all others for theirs.
 
 The time is an argument.
 """
--- a/packages/core/foxtaildale/quarantine.py
+++ b/packages/core/foxtaildale/quarantine.py
@@ -66,8 +66,8 @@
         return {key: at - now for key, at in self.until.items() if at > now}
 
 
-class Hold(msgspec.Struct, frozen=True):
-    """Why a request is quarantined."""
+class Entry(msgspec.Struct, frozen=True):
+    """What of the quarantine a request matches."""
 
     # Fingerprint of the quarantined request or set of parts.
     fingerprint: int
@@ -75,10 +75,10 @@
     left_s: float
 
     def figures(self) -> dict[str, float | str]:
-        """Returns the figures of a refusal; the log line of the hold has both."""
+        """Returns the figures of a refusal; the log line of the entry has both."""
         return {
             'left_s': math.ceil(self.left_s),
-            'hold': fingerprint.to_text(self.fingerprint),
+            'fingerprint': fingerprint.to_text(self.fingerprint),
         }
 
 
@@ -100,7 +100,7 @@
     def add(
         self,
         now: float,
-        fingerprint: int,
+        key: int,
         left_s: float = QUARANTINE_S,
         parts: Iterable[int] = (),
     ) -> bool:
@@ -108,39 +108,37 @@
 
         Args:
             now: Seconds.
-            fingerprint: Fingerprint of the request or of the set.
+            key: Fingerprint of the request or of the set.
             left_s: Remaining time of the quarantine, seconds.
             parts: Fingerprints of the parts of the set; none for a request.
 
         Returns:
             Whether that is a change.
         """
-        if self._cleared.until.get(fingerprint, now) > now:
+        if self._cleared.until.get(key, now) > now:
             return False
         if not 0 < left_s <= QUARANTINE_S:
             return False
-        is_new = self._quarantined.add(now, fingerprint, left_s)
+        is_new = self._quarantined.add(now, key, left_s)
         part_set = frozenset(parts)
-        if part_set and self._part_sets.get(fingerprint) != part_set:
+        if part_set and self._part_sets.get(key) != part_set:
             is_new = True
             self._part_sets = {
-                key: known
-                for key, known in self._part_sets.items()
-                if key in self._quarantined.until
-            } | {fingerprint: part_set}
+                other: known
+                for other, known in self._part_sets.items()
+                if other in self._quarantined.until
+            } | {key: part_set}
         return is_new
 
-    def clear(
-        self, now: float, fingerprint: int, left_s: float = QUARANTINE_S
-    ) -> bool:
-        """Clears a request; returns whether that is a change."""
+    def clear(self, now: float, key: int, left_s: float = QUARANTINE_S) -> bool:
+        """Clears a request or a set of parts; returns whether that is a change."""
         if not 0 < left_s <= QUARANTINE_S:
             return False
-        self._quarantined.drop(fingerprint)
-        return self._cleared.add(now, fingerprint, left_s)
+        self._quarantined.drop(key)
+        return self._cleared.add(now, key, left_s)
 
     def left_s(
-        self, now: float, fingerprint: int, parts: Iterable[int] = ()
+        self, now: float, request: int, parts: Iterable[int] = ()
     ) -> float:
         """Returns how long a request is quarantined, seconds; 0 if it is not.
 
@@ -148,24 +146,24 @@
 
         Args:
             now: Seconds.
-            fingerprint: Fingerprint of the request.
+            request: Fingerprint of the request.
             parts: Fingerprints of the parts of its prompt.
         """
-        hold = self.find(now, fingerprint, parts)
-        return 0.0 if hold is None else hold.left_s
+        entry = self.find(now, request, parts)
+        return 0.0 if entry is None else entry.left_s
 
     def find(
-        self, now: float, fingerprint: int, parts: Iterable[int] = ()
-    ) -> Hold | None:
-        """Returns why a request is quarantined; None if it is not.
+        self, now: float, request: int, parts: Iterable[int] = ()
+    ) -> Entry | None:
+        """Returns the entry that a request matches; None if there is none.
 
-        May be called from any thread. If several holds apply, the longest one
+        May be called from any thread. If several match, the one that ends last
         is returned. The arguments are those of `left_s`.
         """
         until = self._quarantined.until
         if not until:
             return None
-        keys = [fingerprint]
+        keys = [request]
         part_sets = self._part_sets
         if part_sets:
             known = frozenset(parts)
@@ -173,7 +171,7 @@
                 key for key, part_set in part_sets.items() if part_set <= known
             ]
         ends_at, key = max((until.get(key, now), key) for key in keys)
-        return Hold(key, ends_at - now) if ends_at > now else None
+        return Entry(key, ends_at - now) if ends_at > now else None
 
     def part_sets(self, now: float) -> dict[int, frozenset[int]]:
         """Returns the quarantined sets of parts, by fingerprint."""
--- a/packages/daemon/foxtaildaled/attempt_state.py
+++ b/packages/daemon/foxtaildaled/attempt_state.py
@@ -31,18 +31,18 @@
         self.figures = figures
 
 
-def check_quarantined(hold: quarantine.Hold | None) -> None:
+def check_quarantined(entry: quarantine.Entry | None) -> None:
     """Refuses a quarantined request, which must not be sent to any server.
 
     Args:
-        hold: Why the request is quarantined; None if it is not.
+        entry: What the request matches; None if it is not quarantined.
 
     Raises:
         RequestRefused: The request is quarantined.
     """
-    if hold is not None:
-        refused = RequestRefused(codes.QUARANTINED, retry_after_s=hold.left_s)
-        refused.figures |= hold.figures()
+    if entry is not None:
+        refused = RequestRefused(codes.QUARANTINED, retry_after_s=entry.left_s)
+        refused.figures |= entry.figures()
         raise refused
 
 
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -171,7 +171,7 @@
         )
         try:
             self._prefill_client.ensure_prefilled(req, placement, response)
-            attempt_state.check_quarantined(req.find_hold())
+            attempt_state.check_quarantined(req.find_quarantine())
             if req.check_disconnected():
                 raise attempt_state.RequestRefused(
                     codes.CANCELLED if sent_ids else codes.GONE
@@ -442,7 +442,7 @@
         sent_ids: list[str],
     ) -> bool:
         """Looks for another placement; returns whether one is set."""
-        if req.caller_disconnected.is_set() or req.find_hold():
+        if req.caller_disconnected.is_set() or req.find_quarantine():
             return False
         req.caller_request.after_event = response.splitter.position
         placement = self._placements.try_placement(req, sent_ids)
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -37,9 +37,9 @@
 SHARE_INTERVAL_S: Final = 1.0
 # Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
-# Minimum interval of the batches of a VM that knows no other VM, seconds. First
-# events wait longer than this.
-ALONE_INTERVAL_S: Final = 0.04
+# Minimum interval of the batches of a VM that knows no other VM, seconds; first
+# events wait for them, for longer than this.
+MIN_SAVE_INTERVAL_S: Final = 0.04
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
 _MAX_BATCH: Final = 2048
@@ -57,7 +57,6 @@
     """The origins known to this entry VM; safe for concurrent use."""
 
     __slots__ = (
-        '_alone_at',
         '_awaited',
         '_clock',
         '_coordinators',
@@ -67,6 +66,7 @@
         '_owner',
         '_peers',
         '_pending',
+        '_save_now_at',
         '_share_at',
         '_store',
         '_unsaved',
@@ -97,8 +97,8 @@
         self._pending: list[_Began] = []
         # When origins of services with one version are reported next, seconds.
         self._share_at = 0.0
-        # When origins that no other VM gets may be saved next, seconds.
-        self._alone_at = 0.0
+        # When origins that no other VM gets are saved next, seconds.
+        self._save_now_at = 0.0
         # Set as soon as an own origin is reported, by stream.
         self._awaited: dict[int, threading.Event] = {}
         # Own origins of services that had one version, reported to one VM; by
@@ -180,13 +180,13 @@
         for began_at, origin in pending:
             key = (origin.stream % GROUPS, origin.service in mixed)
             groups.setdefault(key, []).append((began_at, origin))
-        alone: list[_Began] = []
+        unreported: list[_Began] = []
         for (_, is_mixed), group in groups.items():
-            is_known = self._report(group, is_mixed=is_mixed)
-            if is_mixed and not is_known:
-                alone += group
-        if alone:
-            self._save_alone(alone)
+            knows_others = self._report(group, is_mixed=is_mixed)
+            if is_mixed and not knows_others:
+                unreported += group
+        if unreported:
+            self._save_now(unreported)
 
     def _hold_back(
         self, pending: list[_Began], mixed: set[str]
@@ -211,17 +211,21 @@
         ):
             self._save_later(batch)
 
-    def _save_alone(self, group: list[_Began]) -> None:
+    def _save_now(self, group: list[_Began]) -> None:
         """Saves origins that no other VM has; their first events wait."""
-        time.sleep(max(0.0, self._alone_at - self._clock()))
-        self._alone_at = self._clock() + ALONE_INTERVAL_S
+        time.sleep(max(0.0, self._save_now_at - self._clock()))
+        self._save_now_at = self._clock() + MIN_SAVE_INTERVAL_S
         origins = _with_ages(group, self._clock())
         if not self._store.save(self._entry_vm, origins):
             self._save_later(group)
         self._end_waits(group)
 
     def _report(self, group: list[_Began], *, is_mixed: bool) -> bool:
-        """Reports the origins of one group; returns whether VMs are known."""
+        """Reports the origins of one group of streams.
+
+        Returns:
+            Whether any other VM is known.
+        """
         addresses = self._coordinators.successor_addresses(
             subject(group[0][1].stream), COPIES if is_mixed else 1
         )
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -189,7 +189,7 @@
             raise attempt_state.RequestRefused(
                 codes.CANCELLED if sent else codes.GONE
             )
-        attempt_state.check_quarantined(req.find_hold())
+        attempt_state.check_quarantined(req.find_quarantine())
         if req.time_left_s() < routed_request.MIN_SEND_TIME_S:
             limit_ms = int((req.deadline - req.started_at) * 1000)
             raise attempt_state.RequestRefused(
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -197,7 +197,7 @@
         self, req: routed_request.RoutedRequest, history: _SendHistory
     ) -> forwarding.Backend | None:
         """Returns the server for the next attempt, or None."""
-        if req.find_hold():
+        if req.find_quarantine():
             return None
         server = self._choose_server(req, history)
         if server is None or not self._may_send(req, history, server):
@@ -344,7 +344,7 @@
     ) -> forwarding.Backend | None:
         """Returns a server to retry at, counted as a retry, or None."""
         if (
-            req.find_hold()
+            req.find_quarantine()
             or req.caller_disconnected.is_set()
             or req.time_left_s() < routed_request.MIN_SEND_TIME_S
         ):
@@ -412,8 +412,8 @@
             self._send_response(req, last)
         elif history.may_have_run:
             self._send_failure(req)
-        elif (hold := req.find_hold()) is not None:
-            req.refuse_quarantined(hold)
+        elif (entry := req.find_quarantine()) is not None:
+            req.refuse_quarantined(entry)
         else:
             self._refuse(req, history)
 
--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -131,7 +131,7 @@
             server = self._choose_worker(req, tried, preferred)
             if server is None:
                 return None
-            attempt_state.check_quarantined(req.find_hold())
+            attempt_state.check_quarantined(req.find_quarantine())
             tried.append(server.id)
             began_at = self._clock()
             prefilled, was_sent = self._prefill_at(req, server)
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -55,7 +55,6 @@
 COMPLETED_TTL_S: Final = 300.0
 # Interval at which the quarantine is saved in the store, seconds.
 SAVE_INTERVAL_S: Final = 1.0
-
 # Maximum number of queries to all VMs about parts in one round, and the interval
 # between queries that lead to no decision, seconds.
 MAX_PART_QUERIES: Final = 4
--- a/packages/daemon/foxtaildaled/routed_request.py
+++ b/packages/daemon/foxtaildaled/routed_request.py
@@ -42,7 +42,7 @@
 
     __slots__ = (
         '_clock',
-        '_find_hold',
+        '_find_quarantine',
         '_flight',
         '_lock',
         '_own_deadline',
@@ -78,8 +78,8 @@
         clock: ports.Clock,
         process_ends_at: Callable[[], float] = lambda: math.inf,
         account: accounts.Account | None = None,
-        find_hold: Callable[
-            [int, Iterable[int]], quarantine.Hold | None
+        find_quarantine: Callable[
+            [int, Iterable[int]], quarantine.Entry | None
         ] = lambda *_: None,
     ) -> None:
         self.exchange = exchange
@@ -90,7 +90,7 @@
         self.prompt_parts = fingerprint.compute_parts(
             service.name, caller_request.shared_parts
         )
-        self._find_hold = find_hold
+        self._find_quarantine = find_quarantine
         # The client account of the caller; None if no accounts are configured.
         self.account = account
         # Called when the request is refused: it has not run and will not run.
@@ -156,9 +156,9 @@
         """Returns the time since the request arrived, seconds."""
         return self._clock() - self.started_at
 
-    def find_hold(self) -> quarantine.Hold | None:
-        """Returns why the request is quarantined; None if it may be sent."""
-        return self._find_hold(self.fingerprint, self.prompt_parts)
+    def find_quarantine(self) -> quarantine.Entry | None:
+        """Returns what quarantines the request; None if it may be sent."""
+        return self._find_quarantine(self.fingerprint, self.prompt_parts)
 
     def check_disconnected(self) -> bool:
         """Checks the connection; whether the caller has disconnected."""
@@ -211,9 +211,9 @@
             return
         send_error(self.exchange, code, figures, self.entry_vm, retry_after_s)
 
-    def refuse_quarantined(self, hold: quarantine.Hold) -> None:
+    def refuse_quarantined(self, entry: quarantine.Entry) -> None:
         """Refuses the request because it is quarantined."""
-        self.refuse(codes.QUARANTINED, hold.figures(), hold.left_s)
+        self.refuse(codes.QUARANTINED, entry.figures(), entry.left_s)
 
     def record_response(
         self, status: int, *, complete: bool, **fields: object
--- a/packages/daemon/foxtaildaled/router.py
+++ b/packages/daemon/foxtaildaled/router.py
@@ -62,7 +62,7 @@
         '_decode',
         '_ends_at',
         '_entry_vm',
-        '_find_hold',
+        '_find_quarantine',
         '_forward',
         '_generate',
         '_is_accepting',
@@ -84,7 +84,9 @@
         clock: ports.Clock,
         ends_at: Callable[[], float],
         is_accepting: Callable[[], bool],
-        find_hold: Callable[[int, Iterable[int]], quarantine.Hold | None],
+        find_quarantine: Callable[
+            [int, Iterable[int]], quarantine.Entry | None
+        ],
     ) -> None:
         self._entry_vm = entry_vm
         # Returns the time at which this process ends at the latest; infinity
@@ -92,10 +94,10 @@
         self._ends_at = ends_at
         # Returns whether new connections are accepted.
         self._is_accepting = is_accepting
-        # Returns why a request is quarantined, by its fingerprint and those of
-        # the parts of its prompt; a quarantined request must not be sent to any
+        # Returns what quarantines a request, by its fingerprint and those of the
+        # parts of its prompt; a quarantined request must not be sent to any
         # server.
-        self._find_hold = find_hold
+        self._find_quarantine = find_quarantine
         self._matcher = matcher
         self._decode = decode
         self._forward = forwarder
@@ -163,7 +165,7 @@
             clock=self._clock,
             process_ends_at=self._ends_at,
             account=account,
-            find_hold=self._find_hold,
+            find_quarantine=self._find_quarantine,
         )
 
     def _is_admitted(
@@ -225,9 +227,9 @@
         return False
 
     def _serve(self, req: routed_request.RoutedRequest) -> None:
-        hold = req.find_hold()
-        if hold is not None:
-            req.refuse_quarantined(hold)
+        entry = req.find_quarantine()
+        if entry is not None:
+            req.refuse_quarantined(entry)
             return
         req.watch_caller()
         if req.route.kind == 'stream':
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -340,7 +340,7 @@
             clock=clock,
             ends_at=lambda: self._ends_at,
             is_accepting=self._is_accepting,
-            find_hold=lambda request, parts: (
+            find_quarantine=lambda request, parts: (
                 self._state.quarantine_state.quarantine.find(
                     clock(), request, parts
                 )
--- a/tests/test_part_blame.py
+++ b/tests/test_part_blame.py
@@ -48,12 +48,12 @@
 
 
 def test_retries_of_one_request_blame_no_part() -> None:
-    """Guards against a hold of what a single request shares with others."""
+    """Guards against blame of what a single request shares with others."""
     assert _find(*(_crash(f's{n}', 10, _FIRST) for n in range(6))) == ()
 
 
 def test_parts_that_only_come_together_are_blamed_as_a_set() -> None:
-    """Guards against a hold of healthy requests that have one of them."""
+    """Guards against blame of healthy requests that have one of them."""
     reports = [_crash(f's{n}', 10 + n, _FIRST, _BAD) for n in range(3)]
     assert _find(*reports) == (_BAD, _FIRST)
     assert _find(*reports, cleared=(_FIRST,)) == (_BAD,)
@@ -69,10 +69,10 @@
 
 def test_one_part_of_a_set_is_blamed_by_a_crash_without_the_rest() -> None:
     reports = [_crash(f's{n}', 10 + n, _FIRST, _BAD) for n in range(3)]
-    held = (frozenset((_FIRST, _BAD)),)
-    assert _find(*reports, sets=held) == ()
+    blamed = (frozenset((_FIRST, _BAD)),)
+    assert _find(*reports, sets=blamed) == ()
     reports.append(_crash('s3', 20, 99, _BAD))
-    assert _find(*reports, sets=held) == (_BAD,)
+    assert _find(*reports, sets=blamed) == (_BAD,)
 
 
 def test_bystanders_at_some_crashes_are_not_blamed() -> None:
--- a/tests/test_prompt_parts_path.py
+++ b/tests/test_prompt_parts_path.py
@@ -121,7 +121,7 @@
             if worker.stage == 'decode'
         )
 
-    def held(self, router: int) -> set[int]:
+    def quarantined(self, router: int) -> set[int]:
         quarantine = self.routers[router]._state.quarantine_state.quarantine
         return set(quarantine.quarantined(0.0))
 
@@ -169,7 +169,7 @@
 
 
 def test_part_is_stopped_whatever_else_prompts_hold(site: _Site) -> None:
-    """Guards against a hold of the other parts that the first prompts had."""
+    """Guards against a quarantine of other parts that the first prompts had."""
     site.start_routers(3)
     site.serve_healthy((_FIRST,))
     numbers = iter(range(100))
@@ -183,7 +183,7 @@
 
 
 def test_healthy_requests_with_the_other_parts_are_served(site: _Site) -> None:
-    """Guards against a hold of parts that healthy requests have as well."""
+    """Guards against a quarantine of parts that healthy requests have too."""
     parts = (_FIRST, 'm1', _BAD)
     site.start_routers(3)
     site.serve_healthy((_FIRST, 'm1'))
@@ -199,7 +199,7 @@
 
 
 def test_healthy_requests_that_first_come_later_are_served(site: _Site) -> None:
-    """Guards against a hold of parts that no healthy request had before."""
+    """Guards against a quarantine of parts that no healthy request had yet."""
     site.start_routers(3)
     site.serve_healthy(('other',))
     site.crash_servers((_FIRST, 'm1', _BAD), 'chat')
@@ -241,7 +241,7 @@
     assert not any(b'quarantined' in body for _, body in found)
 
 
-def test_crashes_of_all_servers_hold_no_part(site: _Site) -> None:
+def test_crashes_of_all_servers_quarantine_no_part(site: _Site) -> None:
     """Guards against blame of a popular part where servers crash by themselves."""
     site.start_routers(3)
     over = threading.Event()
@@ -267,11 +267,11 @@
     over.set()
     for thread in threads:
         thread.join()
-    assert [site.held(number) for number in range(3)] == [set()] * 3
+    assert [site.quarantined(number) for number in range(3)] == [set()] * 3
 
 
 def test_vms_that_restart_stop_the_part_too(site: _Site) -> None:
-    """Guards against a hold that ends with the processes that know it."""
+    """Guards against a quarantine that ends with the processes."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
     site.serve_healthy((_FIRST,))
@@ -315,7 +315,7 @@
 
 
 def test_vm_without_the_store_stops_the_part(site: _Site) -> None:
-    """Guards against a hold that only the store passes on."""
+    """Guards against a quarantine that only the store passes on."""
     parts = (_FIRST, _BAD)
     site.start_routers(3)
     site.serve_healthy((_FIRST,))
@@ -326,7 +326,7 @@
 
 
 def test_queued_request_with_the_part_reaches_no_server(site: _Site) -> None:
-    """Guards against requests that wait for a placement as the part is held."""
+    """Guards against requests that wait as their part is quarantined."""
     parts = (_FIRST, _BAD)
     cfg = sites.config(1)
     # Requests wait for longer than the time in which the part must be known.
@@ -396,7 +396,9 @@
         'f1:1,f1:1,f1:1,own:2',
     ],
 )
-def test_hostile_prompt_headers_hold_nothing(site: _Site, prompt: str) -> None:
+def test_hostile_prompt_headers_quarantine_nothing(
+    site: _Site, prompt: str
+) -> None:
     """Guards against a header that fails a request or fills the memory."""
     site.start_routers(1)
     headers = {'Foxtaildale-Prompt-Prefix': prompt.encode().decode('latin-1')}
@@ -409,7 +411,7 @@
             headers=headers,
         )
         assert status in (200, 400)
-    assert site.held(0) == set()
+    assert site.quarantined(0) == set()
 
 
 def test_coordinator_of_an_earlier_build_does_not_keep_the_part(
@@ -469,11 +471,11 @@
     assert time.monotonic() - started_at < 0.3
     found = json.loads(body)['error']
     assert (status, found['code'], found['ran']) == (503, 'quarantined', 'no')
-    (hold,) = site.held(0)
-    assert found['figures']['hold'] == fingerprint.to_text(hold)
+    (key,) = site.quarantined(0)
+    assert found['figures']['fingerprint'] == fingerprint.to_text(key)
 
 
-def test_cut_from_servers_holds_nothing(site: _Site) -> None:
+def test_cut_from_servers_quarantines_nothing(site: _Site) -> None:
     """Guards against a refused connection that is taken for a crash."""
     parts = (_FIRST, 'm1')
     site.start_routers(3)
@@ -500,4 +502,4 @@
         statuses.append(site.ask(parts, other)[0])
         statuses.append(site.ask(parts, coordinator)[0])
     assert set(statuses) == {200}
-    assert [site.held(number) for number in range(3)] == [set()] * 3
+    assert [site.quarantined(number) for number in range(3)] == [set()] * 3
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -58,7 +58,7 @@
 
 
 def test_set_that_was_saved_without_its_parts_is_saved_again() -> None:
-    """Guards against a record of an earlier version that holds no request."""
+    """Guards against a record of an earlier version that quarantines nothing."""
     codec = records.Codec()
     state = quarantine_state.QuarantineState(codec, lambda: 1000.0)
     found = part_blame.PartSet('model', (1, 2))
@@ -74,7 +74,7 @@
 
 
 def test_saved_set_is_quarantined_with_its_parts() -> None:
-    """Guards against a hold that ends with the VMs that decided on it."""
+    """Guards against a quarantine that ends with the VMs that decided on it."""
     codec = records.Codec()
     one = quarantine_state.QuarantineState(codec, lambda: 1000.0)
     one.quarantine_parts(0.0, part_blame.PartSet('model', (1, 2)))
