--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -37,8 +37,8 @@
 SHARE_INTERVAL_S: Final = 1.0
 # Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
-# Minimum interval of the batches of a VM that knows no other VM, seconds; first
-# events wait for them, for longer than this.
+# Minimum interval of the batches of a VM that knows no other VM, seconds. It is
+# shorter than the longest wait of a first event for its batch.
 MIN_SAVE_INTERVAL_S: Final = 0.04
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
