--- a/review/lib/clients.py
+++ b/review/lib/clients.py
@@ -1,6 +1,7 @@
 """Clients: one attempt at a router, and what came back."""
 
 import contextlib
+import math
 import secrets
 import time
 
@@ -9,6 +10,8 @@
 
 HOST = 'ficu95.example'
 _EVENT_END = b'\n\n'
+# Bytes that are sent at once at a limited rate.
+_PIECE_BYTES = 65_536
 
 
 class Answer:
@@ -60,6 +63,7 @@
     body: bytes = b'',
     conn: wire.Connection | None = None,
     attempt: str = '',
+    bytes_per_s: float = math.inf,
 ) -> Answer:
     """Sends one attempt and reads its response.
 
@@ -73,6 +77,7 @@
         body: Body of the request.
         conn: A kept connection; a new one is used if None.
         attempt: Id of the attempt; a new one is used if empty.
+        bytes_per_s: Rate at which the request is sent.
     """
     answer = Answer(attempt or new_attempt())
     until = time.monotonic() + deadline_s
@@ -92,7 +97,9 @@
     try:
         conn = conn or wire.connect(address, 1.0)
         conn.sock.settimeout(deadline_s)
-        conn.send(wire.encode_request(method, target, sent, body))
+        _send(
+            conn, wire.encode_request(method, target, sent, body), bytes_per_s
+        )
         _read(conn, answer, until)
     except (OSError, ValueError) as exc:
         answer.error = f'{type(exc).__name__}: {exc}'
@@ -121,6 +128,17 @@
     }
 
 
+def _send(conn: wire.Connection, data: bytes, bytes_per_s: float) -> None:
+    if bytes_per_s == math.inf:
+        conn.send(data)
+        return
+    begun_at = time.monotonic()
+    for begin in range(0, len(data), _PIECE_BYTES):
+        conn.send(data[begin : begin + _PIECE_BYTES])
+        due_at = begun_at + (begin + _PIECE_BYTES) / bytes_per_s
+        time.sleep(max(0.0, due_at - time.monotonic()))
+
+
 def _read(conn: wire.Connection, answer: Answer, until: float) -> None:
     def wait() -> None:
         left_s = until - time.monotonic()
