--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -1,6 +1,7 @@
 """Runs a case: exit status 1 if the rule was broken, 0 if held, 2 if not run."""
 
 from collections.abc import Callable
+import contextlib
 import os
 import pathlib
 import signal
@@ -221,6 +222,8 @@
     word = {HELD: 'held', BROKEN: 'broken', NOT_RUN: 'not run'}[result]
     notes.note('result', rule=word, trouble=has_trouble())
     notes.write()
-    print(f'rule: {word}')
-    sys.stdout.flush()
+    # Nobody may read the output any more.
+    with contextlib.suppress(OSError):
+        print(f'rule: {word}')
+        sys.stdout.flush()
     os._exit(result)
