Log the framing of a response and whether its connection was reused

Hypotheses 1, 2, 4 and 5 of docs/incidents/early-ends.md could not be told apart: no line named what told the end of a server's response. `answered`, `stream broken` and `send failed` do now. No logic is changed.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -21,6 +21,7 @@
 import urllib3.util
 
 from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale_adapters import bounded_responses
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import disconnects
@@ -51,13 +52,21 @@
 class RawResponseHead:
     """Status and headers of a response, as received."""
 
-    __slots__ = ('headers', 'status')
+    __slots__ = ('framing', 'headers', 'reused', 'status')
 
     def __init__(
-        self, status: int, headers: tuple[tuple[str, str], ...]
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        framing: forwarding.Framing,
+        *,
+        reused: bool,
     ) -> None:
         self.status = status
         self.headers = headers
+        self.framing = framing
+        # Whether the connection had served another request before.
+        self.reused = reused
 
 
 class Request:
@@ -75,6 +84,7 @@
         '_lock',
         '_method',
         '_resp',
+        '_reused',
         '_sock',
         '_target',
     )
@@ -107,6 +117,7 @@
         self._connector = connector
         self._idle = idle_conns
         idle_conn = idle_conns.pop(address) if idle_conns is not None else None
+        self._reused = idle_conn is not None
         self._conn = idle_conn or _ServerConnection(address, connector)
         self._method = method
         self._target = target
@@ -214,7 +225,12 @@
             self.cancel()
             raise errors.ConnectionBrokenError(str(exc)) from exc
         self._resp = resp
-        return RawResponseHead(resp.status, tuple(resp.headers.items()))
+        return RawResponseHead(
+            resp.status,
+            tuple(resp.headers.items()),
+            _framing(resp),
+            reused=self._reused,
+        )
 
     def read(self, timeout_s: float) -> bytes:
         """Waits for a chunk of the body; returns b'' at its regular end.
@@ -369,11 +385,16 @@
     )
 
 
+def _framing(resp: urllib3.BaseHTTPResponse) -> forwarding.Framing:
+    """Returns what tells where the body ends."""
+    if 'Transfer-Encoding' in resp.headers:
+        return 'chunks'
+    return 'length' if 'Content-Length' in resp.headers else 'connection'
+
+
 def _is_framed(resp: urllib3.BaseHTTPResponse) -> bool:
     """Whether a length or chunks tell where the body ends."""
-    return (
-        'Content-Length' in resp.headers or 'Transfer-Encoding' in resp.headers
-    )
+    return _framing(resp) != 'connection'
 
 
 def _keep_alive_s(resp: urllib3.BaseHTTPResponse) -> float | None:
--- a/packages/core/foxtaildale/forwarding.py
+++ b/packages/core/foxtaildale/forwarding.py
@@ -14,6 +14,9 @@
 # Whether a request ran. 'no' is guaranteed by the backend server; with 'maybe'
 # the request may have run.
 Ran = Literal['no', 'maybe']
+# What tells where the body of a response ends: its length, the last chunk, or
+# only the end of its connection.
+Framing = Literal['length', 'chunks', 'connection']
 # HTTP status of a server that is not the intended receiver of a request.
 MISDIRECTED: Final = 421
 # HTTP status of a server that refuses a request.
@@ -166,12 +169,19 @@
     ran: Ran = 'maybe'
     # Whether the response belongs to the request that was sent.
     matches: bool = True
+    framing: Framing = 'length'
+    # Whether its connection had served another request before.
+    reused: bool = False
 
     @property
     def not_run(self) -> bool:
         """Whether the server guarantees that the request did not run."""
         return self.ran == 'no'
 
+    def log_fields(self) -> dict[str, object]:
+        """Returns what a log line says of the way the response came."""
+        return {'framing': self.framing, 'reused': self.reused}
+
 
 class ControlResponse(BackendResponse, frozen=True, kw_only=True):
     """A backend server's response to a call without a caller's request."""
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -105,7 +105,8 @@
         ('server', 'status'),
     ),
     'send failed': Event(
-        '{server} sent no complete response: {error}', ('server', 'error')
+        '{server} sent no complete response: {error}',
+        ('server', 'error', 'framing', 'reused'),
     ),
     'answer put aside': Event(
         '{server} responded with status {status} (ran: {ran}); another'
@@ -120,11 +121,12 @@
         'the first event was sent to its caller', ('software',)
     ),
     'stream broken': Event(
-        'the stream of {server} broke: {error}', ('server', 'error')
+        'the stream of {server} broke: {error}',
+        ('server', 'error', 'framing', 'reused'),
     ),
     'answered': Event(
         'its caller got status {status}, complete: {whole}',
-        ('status', 'whole', 'blocks', 'position'),
+        ('status', 'whole', 'blocks', 'position', 'framing', 'reused'),
     ),
     'refused': Event(
         'refused as {code} (status {status}), to come back after'
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -226,6 +226,7 @@
         )
         first_position = response.splitter.position or 0
         began_at = self._clock()
+        head: forwarding.ResponseHead | None = None
         head_at: float | None = None
         try:
             req.set_flight(flight)
@@ -267,6 +268,12 @@
                 began_at=began_at if head_at is None else head_at,
                 may_have_begun=head_at is not None,
             )
+            req.log(
+                'stream broken',
+                server=server.id,
+                error=str(exc),
+                **(head.log_fields() if head is not None else {}),
+            )
             return self._on_broken(req, response, server, exc, sent_ids)
         finally:
             req.set_flight(None)
@@ -323,6 +330,7 @@
             complete=complete,
             blocks=event_count,
             position=splitter.position,
+            **head.log_fields(),
         )
 
     def _start_response(
@@ -364,7 +372,7 @@
         ):
             raise errors.NoReplyError(f'status {head.status}')
         complete = req.exchange.respond(head.status, dict(head.headers), body)
-        req.record_response(head.status, complete=complete)
+        req.record_response(head.status, complete=complete, **head.log_fields())
         return True
 
     def _on_broken(
@@ -375,7 +383,6 @@
         exc: errors.PortError,
         sent_ids: list[str],
     ) -> bool:
-        req.log('stream broken', server=server.id, error=str(exc))
         if not isinstance(exc, errors.UnreachableError):
             # The worker may have fetched the prompt and started.
             response.prefilled = None
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -295,7 +295,12 @@
                 raise errors.NoReplyError('response to another request')
             return _CompleteResponse(head, _read_body(flight, req))
         except errors.PortError as exc:
-            req.log('send failed', server=server.id, error=str(exc))
+            req.log(
+                'send failed',
+                server=server.id,
+                error=str(exc),
+                **(head.log_fields() if head is not None else {}),
+            )
             self._crash_probe.handle_send_error(
                 req, server, exc, began_at=began_at
             )
@@ -460,7 +465,11 @@
         complete = req.exchange.respond(
             response.head.status, dict(response.head.headers), response.body
         )
-        req.record_response(response.head.status, complete=complete)
+        req.record_response(
+            response.head.status,
+            complete=complete,
+            **response.head.log_fields(),
+        )
 
 
 def _read_body(
