--- a/tests/versionsite.py
+++ b/tests/versionsite.py
@@ -171,6 +171,12 @@
             lambda: len(self.store.keys('keyed.entryvms')) == len(self.routers)
         )
 
+    def add(self, name: str, version: str) -> None:
+        """Starts a decode worker and lists it."""
+        worker = wireworker.WireWorker(name, 'model', 'decode', version)
+        self.workers.append(worker)
+        self.store.put('keyed.servers', name, worker.entry())
+
     def begin_each(self, count: int) -> dict[str, str]:
         """Begins streams at the first router; returns versions by attempt."""
         began = {}
