Tell the version of a stream from the store after all entry VMs have ended

What callers saw: all entry VMs were killed at once while two software versions served, or while one joined or left. Streams taken up again went on at the other version with nothing to show it (ORDER), or were refused though servers of their version were there (LOST). A VM that was cut off from the others, with or without the store, did the same with streams that others had begun.

Cause: what version began a stream was known by the memory of VMs, and by the store only half a second after a second version had been seen. Where nothing was known, the versions that a VM listed decided: 'listed version' right after a start, 'only version' with a list of up to 10 s. The class: a conclusion from what one process has not seen.

Change: each service has a default version in the store (keyed.streamversions). The first event of a stream of any other version waits until its origin is saved, 0.1 s at most; a stream that is saved nowhere is of the default version. So the store alone tells the version of every stream, a service with one version writes nothing, and the default changes only when its servers have been gone for twice the timeout. Up to 16 VMs save themselves; in larger deployments the VM that gets the report saves and confirms. A resumed stream reads the store with a read that began after it came. Where the store can't tell (away, recent records dropped), another VM must confirm that the service had one version; the guess 'listed version' is gone.

Ruled out: saving every origin (a write a stream at all times), a version derived from the attempt (versions come and go in between), the history of the servers' topic (tells which versions there were, not which one began a stream).

--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -280,6 +280,24 @@
         }
         return frozenset(listed | removed)
 
+    def accepting_versions(self, service: str, now: float) -> dict[str, int]:
+        """Returns the software versions that begin streams.
+
+        Returns:
+            The number of servers by version.
+        """
+        counts: dict[str, int] = {}
+        for state in self._states.values():
+            if (
+                state.backend.service == service
+                and _begins_streams(state)
+                and not state.backend.leaving
+                and not _is_lost(state, now)
+            ):
+                version = state.backend.version
+                counts[version] = counts.get(version, 0) + 1
+        return counts
+
     def servers_of_version(
         self, service: str, now: float, stage: forwarding.Stage, version: str
     ) -> frozenset[str]:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -32,6 +32,12 @@
         ' of {service}, known by: {source}',
         ('resumes', 'service', 'software', 'source', 'origin_age_ms'),
     ),
+    'origin looked for again': Event(
+        'the origin of its stream is not known yet: {versions} versions are'
+        ' listed in a list of {list_age_ms} ms, the store was read:'
+        ' {store_read}, {replies} VMs replied',
+        ('versions', 'list_age_ms', 'store_read', 'replies'),
+    ),
     'let in': Event(
         'client account {account} was within its limit by its {by}:'
         ' the request costs {cost}, {remaining} remain',
@@ -449,6 +455,34 @@
             'where streams began could not be read from the store: {error}',
             ('error',),
         ),
+        (
+            'origin not saved in time',
+            'the first event of stream {stream} was sent before its version'
+            ' {software} of {service} was saved',
+            ('stream', 'service', 'software'),
+        ),
+        (
+            'origins not confirmed',
+            '{address} was not told that the origins of {count} streams are'
+            ' saved: {error}',
+            ('address', 'count', 'error'),
+        ),
+        (
+            'default version',
+            'streams of {service} that are saved nowhere are of version'
+            ' {software} now, before: {before}',
+            ('service', 'software', 'before', 'others_from'),
+        ),
+        (
+            'default versions not followed',
+            'the default versions could not be read or written: {error}',
+            ('error',),
+        ),
+        (
+            'default version not readable',
+            'the default version of {service} in the store was ignored: {error}',
+            ('service', 'error'),
+        ),
         (
             'origins not readable',
             'a record of where streams began was ignored: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -517,6 +517,16 @@
     origins: tuple[StreamOrigin, ...]
     # Whether the receiver saves them in the store.
     save: bool = False
+    # Peer address of the VM that gets `OriginsSaved` then; empty if none waits
+    # for it.
+    reply_to: str = ''
+
+
+class OriginsSaved(Wire, frozen=True):
+    """Confirms that the origins of streams are saved in the store."""
+
+    # Keys of the streams.
+    streams: tuple[int, ...]
 
 
 class OriginRequest(Wire, frozen=True):
@@ -785,6 +795,7 @@
     | DeadlineUnreachable
     | PlacementRelease
     | OriginReport
+    | OriginsSaved
     | OriginRequest
     | OriginReply
     | ServerFailureReport
--- a/packages/core/foxtaildale/stream_origins.py
+++ b/packages/core/foxtaildale/stream_origins.py
@@ -7,6 +7,7 @@
 The time is an argument.
 """
 
+import math
 from typing import Final
 
 import xxhash
@@ -32,11 +33,13 @@
 class StreamOrigins:
     """The origins of recent streams; the first one of a stream is kept."""
 
-    __slots__ = ('_origins',)
+    __slots__ = ('_evicted_began_at', '_origins')
 
     def __init__(self) -> None:
         # When each stream began, seconds, and its origin; by key.
         self._origins: dict[int, tuple[float, messages.StreamOrigin]] = {}
+        # When the latest stream began that was forgotten early, seconds.
+        self._evicted_began_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._origins)
@@ -48,11 +51,19 @@
             self._origins[origin.stream] = (began_at, origin)
         while self._origins:
             oldest = next(iter(self._origins))
-            age_s = now - self._origins[oldest][0]
-            if age_s < ORIGIN_TTL_S and len(self._origins) <= MAX_ORIGINS:
-                return
+            oldest_began_at = self._origins[oldest][0]
+            if now - oldest_began_at < ORIGIN_TTL_S:
+                if len(self._origins) <= MAX_ORIGINS:
+                    return
+                self._evicted_began_at = max(
+                    self._evicted_began_at, oldest_began_at
+                )
             del self._origins[oldest]
 
+    def has_all(self, now: float, age_s: float) -> bool:
+        """Whether no stream of this age or younger was forgotten."""
+        return now - self._evicted_began_at > age_s
+
     def find(self, now: float, stream: int) -> messages.StreamOrigin | None:
         """Returns the origin of a stream with its age; None if not known."""
         found = self._origins.get(stream)
--- /dev/null
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -0,0 +1,287 @@
+"""The default version of each service in the store (`default_versions`).
+
+One entry VM, the coordinator of the topic, writes changes. The others read the
+topic when the versions of a service change, and when a stream is resumed.
+"""
+
+import logging
+import math
+import threading
+from typing import Final
+
+import msgspec
+
+from foxtaildale import default_versions
+from foxtaildale import errors
+from foxtaildale import ports
+from foxtaildale import positions
+from foxtaildale import routes
+from foxtaildale import stream_origins
+from foxtaildale_adapters import logs
+from foxtaildaled import actors
+from foxtaildaled import coordinator_client
+from foxtaildaled import origin_store
+from foxtaildaled import router_state
+
+# Topic of the store, and name by which its coordinator is chosen.
+TOPIC: Final = 'keyed.streamversions'
+COORDINATOR_SUBJECT: Final = 'streamversions'
+# Interval at which changed versions are noticed, seconds.
+POLL_INTERVAL_S: Final = 0.25
+# Interval of the reads while the default version of a service has no server, and
+# between attempts while the store fails, seconds.
+REREAD_INTERVAL_S: Final = 5.0
+RETRY_INTERVAL_S: Final = 1.0
+# Maximum wait for the read of another request, seconds.
+MAX_WAIT_S: Final = 0.3
+# Time after its first event in which a stream may be resumed, in timeouts of its
+# route, and its minimum, seconds.
+_WINDOW_TIMEOUTS: Final = 2.0
+_MIN_WINDOW_S: Final = 10.0
+
+# Number of servers that begin streams, by version, and the versions whose streams
+# may still be resumed.
+_Versions = tuple[dict[str, int], frozenset[str]]
+
+
+def resume_window_s(route: routes.Route) -> float:
+    """Returns how long after its first event a stream may be resumed."""
+    window_s = max(_MIN_WINDOW_S, _WINDOW_TIMEOUTS * route.timeout_s)
+    return min(window_s, stream_origins.ORIGIN_TTL_S)
+
+
+class DefaultVersionStore:
+    """Reads and writes the default versions; safe for concurrent use."""
+
+    __slots__ = (
+        '_choices',
+        '_clock',
+        '_coordinators',
+        '_defaults',
+        '_end',
+        '_failed_until',
+        '_has_read',
+        '_listed_at_read',
+        '_lock',
+        '_origins',
+        '_owner',
+        '_read_began_at',
+        '_reader',
+        '_writer',
+    )
+
+    def __init__(
+        self,
+        *,
+        reader: ports.KeyedTopics,
+        writer: ports.KeyedTopics,
+        owner: actors.StateOwner[router_state.RouterState],
+        coordinators: coordinator_client.CoordinatorClient,
+        origins: origin_store.OriginStore,
+        clock: ports.Clock,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._owner = owner
+        self._coordinators = coordinators
+        self._origins = origins
+        self._clock = clock
+        # Only the loop uses it; by service.
+        self._choices: dict[str, default_versions.DefaultChoice] = {}
+        # Guards the fields below.
+        self._lock = threading.Lock()
+        # By service.
+        self._defaults: dict[str, default_versions.DefaultVersion] = {}
+        # Versions that had servers when the topic was last read, by service.
+        self._listed_at_read: dict[str, frozenset[str]] = {}
+        # Position of the next record, and whether the topic was read before.
+        self._end = 0
+        self._has_read = False
+        # When the last successful read began, and until when the loop does not
+        # read after a failure, seconds.
+        self._read_began_at = -math.inf
+        self._failed_until = -math.inf
+
+    def is_default(self, service: str, version: str) -> bool:
+        """Whether streams of a version need not be saved.
+
+        The default version may have changed while the version had no server, so
+        what was read before its servers came says nothing.
+        """
+        with self._lock:
+            default = self._defaults.get(service)
+            return (
+                default is not None
+                and default.version == version
+                and version in self._listed_at_read.get(service, ())
+            )
+
+    def read(self, service: str) -> default_versions.DefaultVersion | None:
+        """Reads the default version of a service; None if it has none.
+
+        Raises:
+            errors.PortError: The store could not be read.
+            errors.DecodeError: Its response is invalid.
+        """
+        self._refresh()
+        with self._lock:
+            return self._defaults.get(service)
+
+    def update(self) -> None:
+        """Follows the versions of the services; run by a loop."""
+        now = self._clock()
+        versions = self._owner.run(_read_versions)
+        if now < self._failed_until:
+            return
+        try:
+            if self._needs_read(now, versions):
+                self._refresh()
+            if versions and self._coordinators.is_coordinator(
+                COORDINATOR_SUBJECT
+            ):
+                self._write_changes(now, versions)
+        except (errors.PortError, errors.DecodeError) as exc:
+            self._failed_until = now + RETRY_INTERVAL_S
+            logs.event(
+                logging.WARNING,
+                'default versions not followed',
+                error=str(exc),
+            )
+
+    def _needs_read(
+        self, now: float, versions: dict[str, tuple[_Versions, float]]
+    ) -> bool:
+        with self._lock:
+            if not self._has_read:
+                return True
+            for service, ((listed, _), _) in versions.items():
+                if self._listed_at_read.get(service) != listed.keys():
+                    return True
+                default = self._defaults.get(service)
+                is_served = default is not None and default.version in listed
+                age_s = now - self._read_began_at
+                if not is_served and age_s >= REREAD_INTERVAL_S:
+                    return True
+        return False
+
+    def _write_changes(
+        self, now: float, versions: dict[str, tuple[_Versions, float]]
+    ) -> None:
+        saved_end = self._origins.read_end(self._store_epoch())
+        for service, ((listed, recent), window_s) in versions.items():
+            with self._lock:
+                current, end = self._defaults.get(service), self._end
+            choice = self._choices.setdefault(
+                service, default_versions.DefaultChoice()
+            )
+            changed = choice.next_default(
+                now,
+                current,
+                listed,
+                recent,
+                window_s=window_s,
+                saved_end=saved_end,
+            )
+            if changed is None:
+                continue
+            value = msgspec.msgpack.encode(changed)
+            try:
+                self._writer.put_if_unchanged(TOPIC, service, value, end)
+            finally:
+                # Another VM may have written, or the outcome is not known.
+                self._refresh()
+            logs.event(
+                logging.INFO,
+                'default version',
+                service=service,
+                software=changed.version,
+                before=current.version if current else '',
+                others_from=changed.others_from,
+            )
+
+    def _store_epoch(self) -> int:
+        return self._owner.run(
+            lambda state, _: positions.epoch(state.servers_position())
+        )
+
+    def _refresh(self) -> None:
+        """Reads the topic, unless a read has begun since the call.
+
+        Raises:
+            errors.PortError: The store could not be read.
+            errors.DecodeError: Its response is invalid.
+        """
+        called_at = self._clock()
+        if not self._lock.acquire(timeout=MAX_WAIT_S):
+            raise errors.NoReplyError('another read takes too long')
+        try:
+            if self._read_began_at > called_at:
+                return
+            began_at = self._clock()
+            listed = {
+                service: frozenset(found)
+                for service, ((found, _), _) in self._owner.run(
+                    _read_versions
+                ).items()
+            }
+            self._read()
+            self._read_began_at = began_at
+            self._listed_at_read = listed
+        finally:
+            self._lock.release()
+
+    def _read(self) -> None:
+        if self._has_read:
+            try:
+                found = self._reader.wait_for_records(TOPIC, self._end, 0.0)
+            except errors.RecordsExpiredError:
+                found = self._reader.read_newest(TOPIC)
+        else:
+            found = self._reader.read_newest(TOPIC)
+        for entry in found.entries:
+            self._apply(entry.key, entry.value)
+        self._end = found.end
+        self._has_read = True
+
+    def _apply(self, service: str, value: bytes) -> None:
+        try:
+            self._defaults[service] = msgspec.msgpack.decode(
+                value, type=default_versions.DefaultVersion
+            )
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+            # An entry of another writer; the default version stays.
+            logs.event(
+                logging.WARNING,
+                'default version not readable',
+                service=service[:80],
+                error=str(exc),
+            )
+
+
+def _read_versions(
+    state: router_state.RouterState, now: float
+) -> dict[str, tuple[_Versions, float]]:
+    """Returns the versions of the services whose streams may be resumed.
+
+    With each, the time in which they may be resumed, seconds.
+    """
+    if state.matcher is None or not state.servers_received:
+        return {}
+    windows: dict[str, float] = {}
+    for route in state.matcher.table.routes:
+        if not route.resumable:
+            continue
+        for target in route.targets:
+            windows[target.service] = max(
+                windows.get(target.service, 0.0), resume_window_s(route)
+            )
+    return {
+        service: (
+            (
+                state.fleet.accepting_versions(service, now),
+                state.fleet.versions(service, now),
+            ),
+            window_s,
+        )
+        for service, window_s in windows.items()
+    }
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -1,7 +1,9 @@
 """Finds the service and software version at which a resumed stream goes on.
 
-A guess could combine what two versions wrote, so a stream whose origin is not
-known is refused as long as servers of several versions may have begun it.
+A guess could combine what two versions wrote. A stream whose origin is saved
+nowhere is of the default version of its service (`default_versions`). Where the
+store can't tell that, the stream is refused as long as servers of several
+versions may have begun it.
 """
 
 from collections.abc import Callable
@@ -9,6 +11,7 @@
 from typing import Final
 
 from foxtaildale import codes
+from foxtaildale import default_versions
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
@@ -19,15 +22,15 @@
 from foxtaildaled import actors
 from foxtaildaled import attempt_state
 from foxtaildaled import coordinator_client
+from foxtaildaled import default_version_store
 from foxtaildaled import origin_reports
 from foxtaildaled import origin_store
 from foxtaildaled import routed_request
 from foxtaildaled import router_state
 
-# Time after its first event in which a stream may be resumed, in timeouts of its
-# route, and its minimum, seconds.
-WINDOW_TIMEOUTS: Final = 2.0
-MIN_WINDOW_S: Final = 10.0
+# Time after the timeout of its route in which a stream may still be resumed,
+# seconds. Callers resume within the time that they wait for a response.
+RESUME_MARGIN_S: Final = 2.0
 # Number of VMs that are asked for an origin; one of them may have served the
 # stream and ended, and one may not have the report.
 ASKED_VMS: Final = 3
@@ -41,9 +44,9 @@
 MAX_LIST_AGE_S: Final = 10.0
 # Age of a list of servers that was never received, milliseconds.
 _NO_LIST_AGE_MS: Final = 10**9
-# Maximum time for which a first event waits until another VM has the report,
-# seconds. This VM may end right after the event.
-MAX_REPORT_WAIT_S: Final = 0.05
+# Maximum time for which a first event waits until its origin is saved, seconds.
+# All VMs may end right after the event.
+MAX_SAVE_WAIT_S: Final = 0.1
 
 
 class OriginFinder:
@@ -51,6 +54,7 @@
 
     __slots__ = (
         '_coordinators',
+        '_defaults',
         '_owner',
         '_peers',
         '_reports',
@@ -66,6 +70,7 @@
         peers: ports.PeerGroup,
         reports: origin_reports.OriginReports,
         store: origin_store.OriginStore,
+        defaults: default_version_store.DefaultVersionStore,
         service: Callable[[str], routes.Service],
     ) -> None:
         self._owner = owner
@@ -73,6 +78,7 @@
         self._peers = peers
         self._reports = reports
         self._store = store
+        self._defaults = defaults
         # Returns the settings of a service by its name.
         self._service = service
 
@@ -84,12 +90,15 @@
         if not req.route.resumable:
             return
         service = req.service.name
-        is_mixed = self._owner.run(
-            lambda state, now: len(state.fleet.versions(service, now)) > 1
-        )
         origin = _origin(_stream(req, req.caller_request.id), service, version)
-        # With one version, a lost report does no harm.
-        self._reports.record(origin, MAX_REPORT_WAIT_S if is_mixed else 0.0)
+        # A stream that is saved nowhere must be of the default version of the
+        # only service of its route. A resumed stream is known by its first
+        # attempt.
+        needs_no_save = bool(req.caller_request.resumes) or (
+            len(req.route.targets) == 1
+            and self._defaults.is_default(service, version)
+        )
+        self._reports.record(origin, 0.0 if needs_no_save else MAX_SAVE_WAIT_S)
 
     def bind(self, req: routed_request.RoutedRequest) -> None:
         """Binds a resumed stream to the service and version that began it.
@@ -133,9 +142,8 @@
         """
         try:
             return self._find_once(req)
-        except attempt_state.RequestRefused:
-            if not req.caller_request.resumes:
-                raise
+        except attempt_state.RequestRefused as exc:
+            req.log('origin looked for again', **exc.figures)
         req.caller_disconnected.wait(SECOND_LOOK_S)
         return self._find_once(req)
 
@@ -154,10 +162,16 @@
         own = self._look_up(stream, service)
         if own.origin is not None and own.origin.service in services:
             return own.origin, 'own'
+        saved = self._read_saved(req.route, stream, service)
+        if saved.origin is not None and saved.origin.service in services:
+            return saved.origin, 'store'
         replies = self._ask(stream, service)
         for reply in replies:
             if reply.origin is not None and reply.origin.service in services:
                 return reply.origin, 'peer'
+        is_default = saved.has_all if stream else saved.is_alone
+        if saved.default and is_default and len(services) == 1:
+            return _origin(stream, service, saved.default), 'default'
         # Another VM may know of a version that this one does not list yet.
         known = (own, *replies)
         versions = {version for reply in known for version in reply.versions}
@@ -166,21 +180,29 @@
         is_current = list_age_ms < MAX_LIST_AGE_S * 1000
         # Another service of a split route may have begun the stream.
         is_single = len(versions) == 1 and is_current and len(services) == 1
-        if is_single and known_s >= _resume_window_s(req.route):
+        # A VM that reaches neither the store nor another VM may have missed a
+        # version.
+        is_alone = not replies and self._has_peers()
+        if (
+            not saved.default
+            and is_single
+            and not is_alone
+            and known_s >= default_version_store.resume_window_s(req.route)
+        ):
             return _origin(stream, service, *versions), 'only version'
-        origin = self._find_saved(stream) if stream else None
-        if origin is not None and origin.service in services:
-            return origin, 'store'
         if not versions:
             return None, ''
-        if len(versions) == 1 and is_current:
-            return _origin(stream, service, *versions), 'listed version'
         raise attempt_state.RequestRefused(
             codes.ORIGIN_UNKNOWN,
             versions=len(versions),
             list_age_ms=list_age_ms,
+            store_read=saved.is_read,
+            replies=len(replies),
         )
 
+    def _has_peers(self) -> bool:
+        return self._owner.run(lambda state, _: len(state.entry_vms) > 1)
+
     def _look_up(self, stream: int, service: str) -> messages.OriginReply:
         """Returns what this VM knows of a stream and its service."""
 
@@ -213,21 +235,45 @@
             if isinstance(reply, messages.OriginReply)
         ]
 
-    def _find_saved(self, stream: int) -> messages.StreamOrigin | None:
+    def _read_saved(
+        self, route: routes.Route, stream: int, service: str
+    ) -> '_Saved':
+        """Returns what the store tells of a stream and its service."""
         epoch = self._owner.run(
             lambda state, _: positions.epoch(state.servers_position())
         )
+        saved = _Saved()
         try:
-            return self._store.find(stream, epoch)
+            default = self._defaults.read(service)
+            saved.origin = self._store.find(stream, epoch)
         except (errors.PortError, errors.DecodeError) as exc:
             logs.event(logging.WARNING, 'origins not read', error=str(exc))
-            return None
+            return saved
+        saved.is_read = True
+        if default is not None:
+            saved.default = default.version
+            saved.is_alone = default.others_from == default_versions.ALONE
+            saved.has_all = saved.is_alone or self._store.has_all(
+                default.others_from, route.timeout_s + RESUME_MARGIN_S
+            )
+        return saved
+
+
+class _Saved:
+    """What the store tells of a stream and its service."""
 
+    __slots__ = ('default', 'has_all', 'is_alone', 'is_read', 'origin')
 
-def _resume_window_s(route: routes.Route) -> float:
-    """Returns how long after its first event a stream may be resumed."""
-    window_s = max(MIN_WINDOW_S, WINDOW_TIMEOUTS * route.timeout_s)
-    return min(window_s, stream_origins.ORIGIN_TTL_S)
+    def __init__(self) -> None:
+        # Whether the store could be read.
+        self.is_read = False
+        self.origin: messages.StreamOrigin | None = None
+        # The default version of the service; empty if it is not known.
+        self.default = ''
+        # Whether no other version has streams that may be resumed, and whether
+        # the store has the origins of all that may be.
+        self.is_alone = False
+        self.has_all = False
 
 
 def _stream(req: routed_request.RoutedRequest, attempt: str) -> int:
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -4,10 +4,16 @@
 each origin is reported to another VM. While a service has servers of several
 software versions, two VMs get each report at once, and the first of them saves
 it in the store. A VM that knows no other VM saves its origins itself, at once.
+
+The first event of a stream that is not of the default version of its service
+waits until the origin is saved (`default_versions`). In a small deployment each
+VM saves such origins itself; in a larger one, where the VMs together would write
+too often, the first VM that gets the report saves them and confirms it.
 """
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import threading
 import time
@@ -19,6 +25,7 @@
 from foxtaildale import stream_origins
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
+from foxtaildaled import background_queue
 from foxtaildaled import coordinator_client
 from foxtaildaled import origin_store
 from foxtaildaled import router_state
@@ -37,15 +44,26 @@
 SHARE_INTERVAL_S: Final = 1.0
 # Interval of the batches in the store, seconds.
 SAVE_INTERVAL_S: Final = 0.5
-# Minimum interval of the batches of a VM that knows no other VM, seconds. It is
+# Minimum interval of the batches for which first events wait, seconds. It is
 # shorter than the longest wait of a first event for its batch.
 MIN_SAVE_INTERVAL_S: Final = 0.04
+# Maximum number of entry VMs that save origins themselves; more would write too
+# often.
+MAX_SAVING_VMS: Final = 16
+# Longest wait for the reply to a confirmation, seconds, and maximum number of
+# confirmations that are queued.
+CONFIRM_TIMEOUT_S: Final = 0.1
+MAX_CONFIRMATIONS: Final = 256
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
 _MAX_BATCH: Final = 2048
 
 # When a stream began, seconds, and its origin.
 _Began = tuple[float, messages.StreamOrigin]
+# A stream that began, and whether its first event waits until it is saved.
+_Pending = tuple[float, messages.StreamOrigin, bool]
+# Peer address of a VM, and keys of streams that are saved for it.
+_Confirmation = tuple[str, tuple[int, ...]]
 
 
 def subject(stream: int) -> str:
@@ -59,25 +77,30 @@
     __slots__ = (
         '_awaited',
         '_clock',
+        '_confirmations',
         '_coordinators',
         '_entry_vm',
         '_lock',
         '_origins',
         '_owner',
+        '_peer_address',
         '_peers',
         '_pending',
+        '_requested_by',
         '_save_now_at',
         '_share_at',
         '_store',
         '_unsaved',
         '_unshared',
         'on_report',
+        'on_save',
     )
 
     def __init__(
         self,
         *,
         entry_vm: str,
+        peer_address: str,
         owner: actors.StateOwner[router_state.RouterState],
         coordinators: coordinator_client.CoordinatorClient,
         peers: ports.PeerGroup,
@@ -85,6 +108,7 @@
         clock: ports.Clock,
     ) -> None:
         self._entry_vm = entry_vm
+        self._peer_address = peer_address
         self._owner = owner
         self._coordinators = coordinators
         self._peers = peers
@@ -94,20 +118,29 @@
         self._lock = threading.Lock()
         self._origins = stream_origins.StreamOrigins()
         # Own origins that are not reported yet.
-        self._pending: list[_Began] = []
+        self._pending: list[_Pending] = []
         # When origins of services with one version are reported next, seconds.
         self._share_at = 0.0
         # When origins that no other VM gets are saved next, seconds.
         self._save_now_at = 0.0
-        # Set as soon as an own origin is reported, by stream.
+        # Set as soon as an own origin is reported, or saved if that is what its
+        # first event waits for; by stream.
         self._awaited: dict[int, threading.Event] = {}
+        # Peer address of the VM that waits until an origin is saved, by stream.
+        self._requested_by: dict[int, str] = {}
         # Own origins of services that had one version, reported to one VM; by
         # service, the oldest first.
         self._unshared: dict[str, collections.deque[_Began]] = {}
         # Origins that this VM has to save.
         self._unsaved: list[_Began] = []
-        # Wakes the loop that sends reports.
+        # Wakes the loop that sends reports, and the one that saves.
         self.on_report: Callable[[], None] = _no_op
+        self.on_save: Callable[[], None] = _no_op
+        self._confirmations: background_queue.BackgroundQueue[_Confirmation] = (
+            background_queue.BackgroundQueue(
+                'origins saved', MAX_CONFIRMATIONS, self._send_confirmation
+            )
+        )
 
     def __len__(self) -> int:
         with self._lock:
@@ -120,24 +153,50 @@
 
         Args:
             origin: The origin.
-            wait_s: Maximum time to wait until another VM has the report,
-                seconds.
+            wait_s: Maximum time to wait until it is saved in the store,
+                seconds; 0 if the stream is of the default version.
         """
         now = self._clock()
-        reported = threading.Event()
+        must_save = wait_s > 0
+        saved = threading.Event()
         with self._lock:
             self._origins.record(now, origin)
             is_full = len(self._pending) >= _MAX_PENDING
             if not is_full:
-                self._pending.append((now, origin))
-                if wait_s:
-                    self._awaited[origin.stream] = reported
+                self._pending.append((now, origin, must_save))
+                if must_save:
+                    self._awaited[origin.stream] = saved
         if is_full:
             _log_unreported(1, 0, 0)
             return
-        if wait_s:
-            self.on_report()
-            reported.wait(wait_s)
+        if not must_save:
+            return
+        if self._saves_itself():
+            self._save_later([(now, origin)])
+            self.on_save()
+        self.on_report()
+        if not saved.wait(wait_s):
+            with self._lock:
+                self._awaited.pop(origin.stream, None)
+            logs.event(
+                logging.WARNING,
+                'origin not saved in time',
+                stream=origin.stream,
+                service=origin.service,
+                software=origin.version,
+            )
+
+    def start(self) -> None:
+        """Starts the thread that sends confirmations."""
+        self._confirmations.start()
+
+    def close(self, timeout_s: float) -> int:
+        """Sends the queued confirmations; returns how many were dropped.
+
+        Args:
+            timeout_s: Time for that, seconds.
+        """
+        return self._confirmations.close(timeout_s)
 
     def find(self, stream: int) -> messages.StreamOrigin | None:
         """Returns the origin of a stream if this VM knows it."""
@@ -151,9 +210,22 @@
             for origin in msg.origins:
                 self._origins.record(now, origin)
         if msg.save:
+            if msg.reply_to:
+                with self._lock:
+                    if len(self._requested_by) > stream_origins.MAX_ORIGINS:
+                        self._requested_by.clear()
+                    for item in msg.origins:
+                        self._requested_by[item.stream] = msg.reply_to
             self._save_later(
                 [(now - item.age_ms / 1000, item) for item in msg.origins]
             )
+            if msg.reply_to:
+                self.on_save()
+        return messages.Pong()
+
+    def apply_confirmation(self, msg: messages.OriginsSaved) -> messages.Pong:
+        """Handles the confirmation that origins of this VM are saved."""
+        self._end_waits(msg.streams)
         return messages.Pong()
 
     def send(self) -> None:
@@ -161,7 +233,7 @@
         with self._lock:
             pending, self._pending = self._pending, []
             unshared = set(self._unshared)
-        services = {origin.service for _, origin in pending} | unshared
+        services = {origin.service for _, origin, _ in pending} | unshared
         if not services:
             return
         mixed = self._owner.run(
@@ -174,74 +246,133 @@
         if mixed & unshared:
             # A second version has come: what was reported to one VM only is
             # reported to more, and saved.
-            pending = self._take_unshared(mixed) + pending
+            pending = [
+                (began_at, origin, False)
+                for began_at, origin in self._take_unshared(mixed)
+            ] + pending
         pending = self._hold_back(pending, mixed)
-        groups: dict[tuple[int, bool], list[_Began]] = {}
-        for began_at, origin in pending:
-            key = (origin.stream % GROUPS, origin.service in mixed)
+        groups: dict[tuple[int, bool, bool], list[_Began]] = {}
+        for began_at, origin, must_save in pending:
+            is_urgent = must_save or origin.service in mixed
+            key = (origin.stream % GROUPS, is_urgent, must_save)
             groups.setdefault(key, []).append((began_at, origin))
         unreported: list[_Began] = []
-        for (_, is_mixed), group in groups.items():
-            knows_others = self._report(group, is_mixed=is_mixed)
-            if is_mixed and not knows_others:
+        for (_, is_urgent, must_save), group in groups.items():
+            is_saved_here = must_save and self._saves_itself()
+            knows_others = self._report(
+                group,
+                is_urgent=is_urgent,
+                save=is_urgent and not is_saved_here,
+                confirm=must_save and not is_saved_here,
+            )
+            if is_urgent and not knows_others and not is_saved_here:
                 unreported += group
         if unreported:
             self._save_now(unreported)
 
+    def _saves_itself(self) -> bool:
+        """Whether each VM saves the origins that its first events wait for."""
+        return (
+            self._owner.run(lambda state, _: len(state.entry_vms))
+            <= MAX_SAVING_VMS
+        )
+
     def _hold_back(
-        self, pending: list[_Began], mixed: set[str]
-    ) -> list[_Began]:
+        self, pending: list[_Pending], mixed: set[str]
+    ) -> list[_Pending]:
         """Returns what is reported now; the rest waits for the next batch."""
         now = self._clock()
         if now >= self._share_at:
             self._share_at = now + SHARE_INTERVAL_S
             return pending
-        held = [item for item in pending if item[1].service not in mixed]
+        held = [
+            item
+            for item in pending
+            if not item[2] and item[1].service not in mixed
+        ]
         with self._lock:
             self._pending[:0] = held
-        return [item for item in pending if item[1].service in mixed]
+        return [item for item in pending if item[2] or item[1].service in mixed]
 
     def save(self) -> None:
         """Saves origins in the store; run by a loop."""
+        with self._lock:
+            if not self._unsaved:
+                return
+        time.sleep(max(0.0, self._save_now_at - self._clock()))
         with self._lock:
             batch = self._unsaved[:_MAX_BATCH]
             del self._unsaved[:_MAX_BATCH]
-        if batch and not self._store.save(
-            self._entry_vm, _with_ages(batch, self._clock())
-        ):
-            self._save_later(batch)
+        self._save(batch)
 
     def _save_now(self, group: list[_Began]) -> None:
         """Saves origins that no other VM has; their first events wait."""
         time.sleep(max(0.0, self._save_now_at - self._clock()))
+        self._save(group)
+
+    def _save(self, batch: list[_Began]) -> None:
         self._save_now_at = self._clock() + MIN_SAVE_INTERVAL_S
-        origins = _with_ages(group, self._clock())
+        origins = _with_ages(batch, self._clock())
         if not self._store.save(self._entry_vm, origins):
-            self._save_later(group)
-        self._end_waits(group)
-
-    def _report(self, group: list[_Began], *, is_mixed: bool) -> bool:
+            self._save_later(batch)
+            return
+        streams = [origin.stream for _, origin in batch]
+        self._end_waits(streams)
+        confirmed: dict[str, list[int]] = {}
+        with self._lock:
+            for stream in streams:
+                address = self._requested_by.pop(stream, '')
+                if address:
+                    confirmed.setdefault(address, []).append(stream)
+        for address, saved in confirmed.items():
+            if not self._confirmations.put((address, tuple(saved))):
+                _log_unconfirmed(address, len(saved), 'too many are queued')
+
+    def _send_confirmation(self, confirmation: _Confirmation) -> None:
+        address, streams = confirmation
+        msg = messages.OriginsSaved(streams=streams)
+        try:
+            self._peers.request(address, msg, CONFIRM_TIMEOUT_S)
+        except errors.PortError as exc:
+            _log_unconfirmed(address, len(streams), str(exc))
+
+    def _report(
+        self,
+        group: list[_Began],
+        *,
+        is_urgent: bool,
+        save: bool,
+        confirm: bool,
+    ) -> bool:
         """Reports the origins of one group of streams.
 
+        Args:
+            group: The streams.
+            is_urgent: Whether several VMs get the report.
+            save: Whether the first of them saves the origins.
+            confirm: Whether first events wait until they are saved.
+
         Returns:
             Whether any other VM is known.
         """
         addresses = self._coordinators.successor_addresses(
-            subject(group[0][1].stream), COPIES if is_mixed else 1
+            subject(group[0][1].stream), COPIES if is_urgent else 1
         )
         if not addresses:
-            if is_mixed:
+            if is_urgent:
                 _log_unreported(len(group), 0, 0)
             else:
                 self._keep_unshared(group)
-                self._end_waits(group)
             return False
         origins = _with_ages(group, self._clock())
         replied: set[str] = set()
         alive: set[str] = set()
         for number, address in enumerate(addresses):
+            is_saver = save and not number
             msg = messages.OriginReport(
-                origins=origins, save=is_mixed and not number
+                origins=origins,
+                save=is_saver,
+                reply_to=self._peer_address if is_saver and confirm else '',
             )
             try:
                 self._peers.request(address, msg, REPLY_TIMEOUT_S)
@@ -252,23 +383,22 @@
                 continue
             else:
                 replied.add(address)
-                self._end_waits(group)
-        self._end_waits(group)
         self._coordinators.record_replies(addresses, replied | alive)
-        if not is_mixed:
+        if not is_urgent:
             self._keep_unshared(group)
-        elif addresses[0] not in replied:
+        elif save and addresses[0] not in replied:
             self._save_later(group)
+            self.on_save()
         if len(replied) < len(addresses):
             _log_unreported(len(group), len(addresses), len(replied))
         return True
 
-    def _end_waits(self, group: list[_Began]) -> None:
+    def _end_waits(self, streams: Iterable[int]) -> None:
         with self._lock:
-            for _, origin in group:
-                reported = self._awaited.pop(origin.stream, None)
-                if reported is not None:
-                    reported.set()
+            for stream in streams:
+                saved = self._awaited.pop(stream, None)
+                if saved is not None:
+                    saved.set()
 
     def _keep_unshared(self, group: list[_Began]) -> None:
         oldest = self._clock() - stream_origins.ORIGIN_TTL_S
@@ -317,5 +447,15 @@
     )
 
 
+def _log_unconfirmed(address: str, count: int, error: str) -> None:
+    logs.event(
+        logging.INFO,
+        'origins not confirmed',
+        address=address,
+        count=count,
+        error=error,
+    )
+
+
 def _no_op() -> None:
     """Default callback that does nothing."""
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -2,9 +2,12 @@
 
 They outlive the entry VMs: after a loss of power on all VMs, callers resume
 streams whose versions no VM remembers. Origins are written in batches, and only
-while a service has servers of several software versions.
+those of streams that are not of the default version of their service
+(`default_versions`).
 """
 
+from collections.abc import Iterator
+import contextlib
 import logging
 import math
 import threading
@@ -21,8 +24,6 @@
 
 # Topic of the store. It is a plain log, so that old batches expire.
 TOPIC: Final = 'streamorigins'
-# Time for which a read is not repeated, seconds.
-REREAD_INTERVAL_S: Final = 0.2
 # Time after a failed read in which the store is not read again, and maximum wait
 # for the read of another request, seconds.
 FAILURE_INTERVAL_S: Final = 2.0
@@ -48,10 +49,13 @@
     __slots__ = (
         '_clock',
         '_failed_until',
+        '_gap_end',
         '_lock',
         '_next',
+        '_oldest_at',
         '_origins',
-        '_read_at',
+        '_reached_end',
+        '_read_began_at',
         '_reader',
         '_wall',
         '_writer',
@@ -75,7 +79,15 @@
         self._origins = stream_origins.StreamOrigins()
         # Position of the next record to read.
         self._next = 0
-        self._read_at = -math.inf
+        # Position behind the last records that could not be read since the
+        # store had dropped them, and when the batch there was saved, seconds;
+        # None if there is none.
+        self._gap_end = 0
+        self._oldest_at: float | None = None
+        # When the last successful read began, seconds, and whether it came to the
+        # end of the topic.
+        self._read_began_at = -math.inf
+        self._reached_end = False
         # Until when the store is not read after a failure, seconds.
         self._failed_until = -math.inf
 
@@ -107,24 +119,66 @@
             errors.PortError: The store could not be read.
             errors.DecodeError: Its response is invalid.
         """
+        with self._current(epoch):
+            return self._origins.find(self._clock(), stream)
+
+    def has_all(self, position: int, age_s: float) -> bool:
+        """Whether the last read had all origins of recent streams.
+
+        The store drops old batches, and may drop recent ones.
+
+        Args:
+            position: Position from which on origins were saved.
+            age_s: Maximum age of the streams, seconds.
+        """
+        with self._lock:
+            now = self._clock()
+            if positions.epoch(position) != positions.epoch(self._next):
+                return False
+            if not (self._reached_end and self._origins.has_all(now, age_s)):
+                return False
+            if self._gap_end <= position:
+                return True
+            oldest_at = self._oldest_at
+            return oldest_at is not None and now - oldest_at >= age_s
+
+    def read_end(self, epoch: int) -> int:
+        """Returns the position behind all origins that are saved.
+
+        Args:
+            epoch: The present epoch of the store.
+
+        Raises:
+            errors.PortError: The store could not be read.
+            errors.DecodeError: Its response is invalid.
+        """
+        with self._current(epoch):
+            return self._next
+
+    @contextlib.contextmanager
+    def _current(self, epoch: int) -> Iterator[None]:
+        """Holds the lock after a read that began since the call."""
+        called_at = self._clock()
         if not self._lock.acquire(timeout=MAX_WAIT_S):
             raise errors.NoReplyError('another read takes too long')
         try:
             now = self._clock()
             if now < self._failed_until:
                 raise errors.NoReplyError('a recent read failed')
-            if now - self._read_at >= REREAD_INTERVAL_S:
+            if self._read_began_at <= called_at:
                 self._failed_until = now + FAILURE_INTERVAL_S
                 self._read(epoch)
                 self._failed_until = -math.inf
-                self._read_at = self._clock()
-            return self._origins.find(self._clock(), stream)
+                self._read_began_at = now
+            yield
         finally:
             self._lock.release()
 
     def _read(self, epoch: int) -> None:
         if positions.epoch(self._next) != epoch:
             self._next = positions.make(epoch, 0)
+            self._gap_end = 0
+        self._reached_end = False
         for _ in range(_MAX_READS):
             try:
                 found = self._reader.wait_for_records(TOPIC, self._next, 0.0)
@@ -132,12 +186,14 @@
                 first = positions.make(epoch, exc.first)
                 if first <= self._next:
                     raise
-                self._next = first
+                self._next = self._gap_end = first
+                self._oldest_at = None
                 continue
             self._next = found.end
             for entry in found.entries:
                 self._apply(entry.value)
             if not found.entries:
+                self._reached_end = True
                 return
 
     def _apply(self, value: bytes) -> None:
@@ -148,6 +204,8 @@
             return
         now = self._clock()
         age_s = max(0.0, self._wall() - batch.saved_at)
+        if self._oldest_at is None:
+            self._oldest_at = now - age_s
         for origin in batch.origins:
             self._origins.record(
                 now,
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -36,6 +36,7 @@
 from foxtaildaled import coordinator_client
 from foxtaildaled import crash_detection
 from foxtaildaled import crash_evidence
+from foxtaildaled import default_version_store
 from foxtaildaled import engine_cleanup
 from foxtaildaled import generation
 from foxtaildaled import loops
@@ -149,6 +150,7 @@
         '_codec',
         '_coordinators',
         '_crash_evidence',
+        '_default_versions',
         '_ends_at',
         '_fitness',
         '_handlers',
@@ -293,8 +295,17 @@
             clock=clock,
             wall=time.time,
         )
+        self._default_versions = default_version_store.DefaultVersionStore(
+            reader=self._make_store(adapters),
+            writer=self._make_store(adapters),
+            owner=owner,
+            coordinators=self._coordinators,
+            origins=origins,
+            clock=clock,
+        )
         self._origin_reports = origin_reports.OriginReports(
             entry_vm=cfg.entry_vm,
+            peer_address=cfg.peer_address,
             owner=owner,
             coordinators=self._coordinators,
             peers=self._peers,
@@ -307,6 +318,7 @@
             peers=self._peers,
             reports=self._origin_reports,
             store=origins,
+            defaults=self._default_versions,
             service=self._service,
         )
         budgets = router_retry_budgets.RouterRetryBudgets(
@@ -388,6 +400,7 @@
                 self._placement_plan.current_placements(msg.service)
             ),
             messages.OriginReport: self._origin_reports.apply_report,
+            messages.OriginsSaved: self._origin_reports.apply_confirmation,
             messages.OriginRequest: self._origin_finder.answer,
             messages.DumpRequest: lambda _: messages.DumpReply(
                 state=self._dump()
@@ -400,6 +413,7 @@
         self._relay.start()
         self._cleanup.start()
         self._coordinators.start()
+        self._origin_reports.start()
         for loop in self._loops:
             loop.start()
         self.addresses = {
@@ -485,6 +499,7 @@
         # The requests that have just ended may have queued releases.
         dropped = self._cleanup.close(_FLUSH_S)
         dropped += self._coordinators.close(_FLUSH_S)
+        dropped += self._origin_reports.close(_FLUSH_S)
         if dropped:
             logs.event(logging.WARNING, 'releases dropped', count=dropped)
         self._relay.close()
@@ -598,6 +613,12 @@
             origin_reports.SAVE_INTERVAL_S,
             self._origin_reports.save,
         )
+        self._origin_reports.on_save = saved_origins_loop.wake
+        default_versions_loop = process.Loop(
+            'default versions',
+            default_version_store.POLL_INTERVAL_S,
+            self._default_versions.update,
+        )
         paths_loop = process.Loop(
             'server paths',
             self._server_paths.interval_s,
@@ -608,6 +629,7 @@
             paths_loop,
             origins_loop,
             saved_origins_loop,
+            default_versions_loop,
             limits_loop,
             quarantine_loop,
             send_limits_loop,
--- /dev/null
+++ b/tests/test_default_versions.py
@@ -0,0 +1,129 @@
+"""The default version of a service: when it changes, and what is saved."""
+
+from collections.abc import Iterator
+import time
+
+import pytest
+
+from foxtaildale import default_versions
+from foxtaildaled import origin_reports
+from tests import site as sites
+from tests import versionsite
+
+_WINDOW_S = 28.0
+_END = 500
+
+
+class _Choice:
+    """The default version of one service, over time."""
+
+    def __init__(self) -> None:
+        self._choice = default_versions.DefaultChoice()
+        self.current: default_versions.DefaultVersion | None = None
+
+    def step(self, now: float, *listed: str, recent: str = '') -> str:
+        """Lists servers of versions; returns the version, '+' if not alone."""
+        counts = {version: listed.count(version) for version in listed}
+        changed = self._choice.next_default(
+            now,
+            self.current,
+            counts,
+            frozenset(recent.split()),
+            window_s=_WINDOW_S,
+            saved_end=_END,
+        )
+        self.current = changed or self.current
+        assert self.current is not None
+        is_alone = self.current.others_from == default_versions.ALONE
+        return self.current.version + ('' if is_alone else '+')
+
+
+def test_the_first_default_version_is_that_of_most_servers() -> None:
+    assert _Choice().step(0.0, 'v1') == 'v1'
+    assert _Choice().step(0.0, 'v1', 'v2', 'v1') == 'v1+'
+    assert _Choice().step(0.0, 'v1', recent='v0') == 'v1+'
+
+
+def test_a_version_that_joins_does_not_become_the_default() -> None:
+    """Guards against unsaved streams that are taken for the newest version."""
+    choice = _Choice()
+    choice.step(0.0, 'v1')
+    assert choice.step(1.0, 'v1', 'v2', 'v2') == 'v1+'
+    assert choice.current == default_versions.DefaultVersion('v1', _END)
+    assert choice.step(1.0 + 2 * _WINDOW_S, 'v1', 'v2', 'v2') == 'v1+'
+
+
+def test_the_default_changes_when_no_stream_of_it_may_be_resumed() -> None:
+    """Guards against streams of a version that has just left."""
+    choice = _Choice()
+    choice.step(0.0, 'v1')
+    choice.step(1.0, 'v2', recent='v1 v2')
+    assert choice.step(_WINDOW_S, 'v2', recent='v1 v2') == 'v1+'
+    # A server of it came back: the time begins anew.
+    assert choice.step(_WINDOW_S + 0.5, 'v1', 'v2') == 'v1+'
+    choice.step(_WINDOW_S + 1.0, 'v2', recent='v1')
+    assert choice.step(2 * _WINDOW_S + 0.5, 'v2', recent='v1') == 'v1+'
+    assert choice.step(2 * _WINDOW_S + 1.5, 'v2', recent='v1') == 'v2+'
+
+
+def test_other_versions_are_over_when_none_of_their_streams_is_left() -> None:
+    choice = _Choice()
+    choice.step(0.0, 'v1', 'v2')
+    # Of equally many servers the greater name.
+    assert choice.step(1.0, 'v2') == 'v2+'
+    assert choice.step(1.0 + _WINDOW_S, 'v2') == 'v2'
+
+
+def test_without_servers_nothing_changes() -> None:
+    """Guards against a default version chosen from an empty list."""
+    choice = default_versions.DefaultChoice()
+    assert (
+        choice.next_default(
+            9e9, None, {}, frozenset(), window_s=1.0, saved_end=0
+        )
+        is None
+    )
+
+
+@pytest.fixture
+def site() -> Iterator[versionsite.VersionSite]:
+    made = versionsite.VersionSite()
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.mark.parametrize('saving_vms', [0, 16])
+def test_first_events_wait_for_the_store_and_no_longer(
+    site: versionsite.VersionSite,
+    monkeypatch: pytest.MonkeyPatch,
+    saving_vms: int,
+) -> None:
+    """Guards against confirmations that never come, or events without them."""
+    monkeypatch.setattr(origin_reports, 'MAX_SAVING_VMS', saving_vms)
+    late: list[str] = []
+    monkeypatch.setattr(
+        origin_reports,
+        'logs',
+        _Events(late),
+    )
+    site.fill(3)
+    began_at = time.monotonic()
+    began = site.begin_each(24)
+    took_s = (time.monotonic() - began_at) / len(began)
+    assert set(began.values()) == {'v1', 'v2'}
+    assert 'origin not saved in time' not in late
+    assert took_s < 0.1
+    site.store.down = True
+    assert sites.send(site, 'POST', '/chat/x', attempt='last')[0] == 200
+
+
+class _Events:
+    """Takes the place of the log."""
+
+    def __init__(self, names: list[str]) -> None:
+        self._names = names
+
+    def event(self, _level: int, name: str, **_: object) -> None:
+        self._names.append(name)
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -14,6 +14,7 @@
     'coordinator_client',
     'crash_detection',
     'crash_evidence',
+    'default_version_store',
     'engine_cleanup',
     'generation',
     'initial_state',
--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -3,13 +3,16 @@
 from collections.abc import Iterator
 import pathlib
 import signal
+import time
 
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import stream_origins
 from foxtaildale_adapters import connections
 from foxtaildale_adapters import peers
 from foxtaildale_platform import store
+from foxtaildaled import origin_store
 from tests import site as sites
 from tests import versionsite
 
@@ -114,6 +117,27 @@
     _check(site, dict.fromkeys(began.keys() - first, 'v2'), (200, ''))
 
 
+def test_streams_are_saved_before_their_first_event_but_for_one_version(
+    site: versionsite.VersionSite,
+) -> None:
+    """Guards against streams of two versions that are saved nowhere."""
+    site.fill(2)
+    for _ in range(_STREAMS):
+        attempt, version = site.begin()
+        stream = stream_origins.digest('', attempt)
+        # Whoever reads the store after the first event finds the origin there.
+        reader = origin_store.OriginStore(
+            reader=store.Store(site.store.address),
+            writer=store.Store(site.store.address),
+            clock=time.monotonic,
+            wall=time.time,
+        )
+        origin = reader.find(stream, epoch=1)
+        unsaved = site.resume('never-seen', number=1)
+        assert unsaved[0] == 200
+        assert (origin.version if origin else unsaved[2]) == version
+
+
 @pytest.mark.parametrize('has_store', [True, False])
 def test_a_vm_that_is_out_of_step_mixes_no_versions(
     site: versionsite.VersionSite,
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -240,8 +240,14 @@
 ) -> None:
     """Guards against a guess between two versions."""
     site.fill(2)
-    for resumes in ('never-seen', ''):
-        assert site.resume(resumes) == (503, 'origin-unknown', '')
+    site.begin_each(_STREAMS)
+    refused = (503, 'origin-unknown', '')
+    assert site.resume('') == refused
+    # The store drops recent origins, and is away.
+    site.store.forget('streamorigins')
+    assert site.resume('never-seen', number=1) == refused
+    site.store.down = True
+    assert site.resume('never-seen', number=1) == refused
 
 
 def test_a_caller_resumes_as_a_second_version_comes(
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -24,6 +24,7 @@
 from foxtaildaled import actors
 from foxtaildaled import attempt_state
 from foxtaildaled import coordinator_client
+from foxtaildaled import default_version_store
 from foxtaildaled import origin_finder
 from foxtaildaled import origin_reports
 from foxtaildaled import origin_store
@@ -187,7 +188,8 @@
         self.records.append(value)
 
     def read_newest(self, topic: str) -> ports.KeyedRecords:
-        raise NotImplementedError
+        start = positions.make(self.epoch, 0)
+        return self.wait_for_records(topic, start, 0.0)
 
     def put_if_unchanged(
         self, topic: str, key: str, value: bytes, end: int
@@ -325,8 +327,18 @@
         )
         self.log = _Log()
         store = _store(self.log, self._clock)
+        self.defaults_log = _Log()
+        defaults = default_version_store.DefaultVersionStore(
+            reader=self.defaults_log,
+            writer=self.defaults_log,
+            owner=self.owner,
+            coordinators=coordinators,
+            origins=store,
+            clock=self._clock,
+        )
         self.reports = origin_reports.OriginReports(
             entry_vm='vm-1',
+            peer_address='vm-1:1',
             owner=self.owner,
             coordinators=coordinators,
             peers=self.peers,
@@ -339,6 +351,7 @@
             peers=self.peers,
             reports=self.reports,
             store=store,
+            defaults=defaults,
             service=lambda name: routes.Service(name=name),
         )
 
