Place a stream that its caller resumes before new requests

What callers saw: after a loss of all entry VMs most streams that were taken up again were refused (long-wait, no-time) though servers of their version had room for others.

Cause: the queue puts a response that broke off before all others, but only if this side resumes it. One that its caller resumes was a late request: behind all new ones that may still meet their target, and refused for the wait of the whole queue.

Change: the placement request says that the caller resumes a stream; it goes first, and its position counts only those before it. Its deadline is checked as before, since what can't finish wastes memory.

Evidence: test_a_stream_that_its_caller_resumes_precedes_new_requests failed with the order of the queue as before and passes; 84 tests of the plan, the router and the coordinators passed.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -452,6 +452,8 @@
     must_finish: bool = False
     # Software version of the decode worker; empty if any may get the request.
     version: str = ''
+    # Whether the caller resumes a stream, and so has a part of the response.
+    resumed: bool = False
 
 
 class PlacementGrant(Wire, frozen=True, tag='Place'):
--- a/packages/core/foxtaildale/queues.py
+++ b/packages/core/foxtaildale/queues.py
@@ -5,7 +5,8 @@
 order of arrival, an overload of some seconds would make every request late. A
 refused request that is retried counts from its first attempt. Its target is
 already missed, so it delays no other request, and it comes first among the late
-requests. A broken stream goes before all others: its caller has a part of the
+requests. A broken stream goes before all others, whether this side or its caller
+resumes it: its caller has a part of the response, the rest is shorter than a new
 response, and the caller hardly notices the pause if the stream resumes at once.
 
 The time is an argument.
@@ -65,14 +66,16 @@
     def join(
         self, now: float, msg: messages.PlacementRequest
     ) -> plan_entries.Waiter:
-        """Adds a request behind those that wait for a placement."""
+        """Adds a request behind those that go before it."""
         arrived_at = now - msg.waited_ms / 1000
         first_at = self._first_attempts.first_arrived_at(
             now, msg.request_digest, arrived_at
         )
         is_retry = first_at < arrived_at - MIN_RETRY_INTERVAL_S
         waiter = plan_entries.Waiter(msg, first_at, is_retry=is_retry)
-        waiter.position = self.unplaced_count()
+        waiter.position = (
+            self._resumed_count() if _has_part(msg) else self.unplaced_count()
+        )
         self._waiters[msg.request] = waiter
         return waiter
 
@@ -96,6 +99,12 @@
             waiter.placement is None for waiter in self._waiters.values()
         )
 
+    def _resumed_count(self) -> int:
+        return sum(
+            waiter.placement is None and _has_part(waiter.msg)
+            for waiter in self._waiters.values()
+        )
+
     def ranked(
         self, now: float, mean_prefill_s: float
     ) -> list[plan_entries.Waiter]:
@@ -148,4 +157,9 @@
     age_s = now - waiter.arrived_at
     is_late = wait_limits.misses_target(age_s, msg.target_ms / 1000, prefill_s)
     tie_break = msg.priority, waiter.arrived_at, msg.request
-    return not msg.response_started, is_late, *tie_break
+    return not _has_part(msg), is_late, *tie_break
+
+
+def _has_part(msg: messages.PlacementRequest) -> bool:
+    """Whether the caller already has a part of the response."""
+    return msg.response_started or msg.resumed
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -371,6 +371,7 @@
             remaining_ms=max(1, int(req.time_left_s() * 1000)),
             must_finish=req.must_finish,
             version=req.software_version,
+            resumed=call.after_event is not None,
         )
 
     def _accept_placement(
--- a/tests/test_placement_plan.py
+++ b/tests/test_placement_plan.py
@@ -52,6 +52,7 @@
     avoid: tuple[str, ...] = (),
     digest: int = 0,
     started: bool = False,
+    resumed: bool = False,
     decoders: tuple[fleet.ServerState, ...] = _DECODERS,
     prefillers: tuple[fleet.ServerState, ...] = _PREFILLERS,
 ) -> messages.PlacementGrant | messages.Queued | messages.DeadlineUnreachable:
@@ -69,6 +70,7 @@
         excluded_servers=avoid,
         request_digest=digest,
         response_started=started,
+        resumed=resumed,
     )
     return plan.request_placement(
         now, msg, _SERVICE, lambda: (decoders, prefillers)
@@ -678,6 +680,26 @@
     )
 
 
+def test_a_stream_that_its_caller_resumes_precedes_new_requests() -> None:
+    """Guards against callers with a part of a response behind all new ones."""
+    plan = placement_plan.Plan()
+    _fill(plan)
+    for number in range(12):
+        _request_placement(plan, 0.1, f'new{number}')
+    resumed = _request_placement(
+        plan, 0.15, 'resumed', waited_ms=2500, resumed=True
+    )
+    # It is not refused for a wait that it does not have.
+    assert isinstance(resumed, messages.Queued)
+    assert (resumed.position, resumed.wait_ms) == (0, 0)
+    _release(plan, 0.2, 'fill-0')
+    assert isinstance(_request_placement(plan, 0.3, 'new0'), messages.Queued)
+    assert isinstance(
+        _request_placement(plan, 0.3, 'resumed', waited_ms=2650, resumed=True),
+        messages.PlacementGrant,
+    )
+
+
 def test_a_request_that_can_not_complete_is_refused_at_once() -> None:
     """A caller retries with 2 s left, and its response takes eight.
 
