--- a/packages/core/foxtaildale/default_versions.py
+++ b/packages/core/foxtaildale/default_versions.py
@@ -12,6 +12,7 @@
 The time is an argument.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Set
 from typing import Final
@@ -50,7 +51,7 @@
         recent: Set[str],
         *,
         window_s: float,
-        saved_end: int,
+        saved_end: Callable[[], int],
     ) -> DefaultVersion | None:
         """Returns the new default version; None if nothing changes.
 
@@ -61,7 +62,8 @@
             recent: Versions whose streams may still be resumed, as far as this
                 entry VM knows.
             window_s: Time in which a stream may be resumed, seconds.
-            saved_end: Position behind the origins that are saved so far.
+            saved_end: Returns the position behind the origins that are saved so
+                far.
         """
         if not listed:
             return None
@@ -71,19 +73,20 @@
         if current is None:
             # All streams so far are saved.
             is_alone = len(recent | listed.keys()) == 1
-            others_from = ALONE if is_alone else saved_end
+            others_from = ALONE if is_alone else saved_end()
             return DefaultVersion(most_common, others_from)
         if current.version in listed:
             self._gone_since = None
         elif self._gone_since is None:
             self._gone_since = now
         elif now - self._gone_since >= window_s:
+            changed = DefaultVersion(most_common, saved_end())
             self._gone_since = None
-            return DefaultVersion(most_common, saved_end)
+            return changed
         if (recent | listed.keys()) - {current.version}:
             self._alone_since = None
             if current.others_from == ALONE:
-                return DefaultVersion(current.version, saved_end)
+                return DefaultVersion(current.version, saved_end())
         elif self._alone_since is None:
             self._alone_since = now
         elif (
--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -66,6 +66,7 @@
         '_origins',
         '_owner',
         '_read_began_at',
+        '_read_lock',
         '_reader',
         '_writer',
     )
@@ -88,7 +89,9 @@
         self._clock = clock
         # Only the loop uses it; by service.
         self._choices: dict[str, default_versions.DefaultChoice] = {}
-        # Guards the fields below.
+        # Held during a read of the topic; taken before `_lock`.
+        self._read_lock = threading.Lock()
+        # Guards the fields below, and is never held during a read.
         self._lock = threading.Lock()
         # By service.
         self._defaults: dict[str, default_versions.DefaultVersion] = {}
@@ -97,7 +100,7 @@
         # Position of the next record, and whether the topic was read before.
         self._end = 0
         self._has_read = False
-        # When the last successful read began, and until when the loop does not
+        # When the last successful read began, and until when the topic is not
         # read after a failure, seconds.
         self._read_began_at = -math.inf
         self._failed_until = -math.inf
@@ -130,9 +133,9 @@
     def update(self) -> None:
         """Follows the versions of the services; run by a loop."""
         now = self._clock()
-        versions = self._owner.run(_read_versions)
         if now < self._failed_until:
             return
+        versions = self._owner.run(_read_versions)
         try:
             if self._needs_read(now, versions):
                 self._refresh()
@@ -141,7 +144,6 @@
             ):
                 self._write_changes(now, versions)
         except (errors.PortError, errors.DecodeError) as exc:
-            self._failed_until = now + RETRY_INTERVAL_S
             logs.event(
                 logging.WARNING,
                 'default versions not followed',
@@ -158,16 +160,20 @@
                 if self._listed_at_read.get(service) != listed.keys():
                     return True
                 default = self._defaults.get(service)
-                is_served = default is not None and default.version in listed
                 age_s = now - self._read_began_at
-                if not is_served and age_s >= REREAD_INTERVAL_S:
+                if default is None:
+                    # The coordinator is about to write it.
+                    if age_s >= RETRY_INTERVAL_S:
+                        return True
+                elif (
+                    default.version not in listed and age_s >= REREAD_INTERVAL_S
+                ):
                     return True
         return False
 
     def _write_changes(
         self, now: float, versions: dict[str, tuple[_Versions, float]]
     ) -> None:
-        saved_end = self._origins.read_end(self._store_epoch())
         for service, ((listed, recent), window_s) in versions.items():
             with self._lock:
                 current, end = self._defaults.get(service), self._end
@@ -180,7 +186,7 @@
                 listed,
                 recent,
                 window_s=window_s,
-                saved_end=saved_end,
+                saved_end=self._read_saved_end,
             )
             if changed is None:
                 continue
@@ -199,10 +205,11 @@
                 others_from=changed.others_from,
             )
 
-    def _store_epoch(self) -> int:
-        return self._owner.run(
+    def _read_saved_end(self) -> int:
+        epoch = self._owner.run(
             lambda state, _: positions.epoch(state.servers_position())
         )
+        return self._origins.read_end(epoch)
 
     def _refresh(self) -> None:
         """Reads the topic, unless a read has begun since the call.
@@ -212,50 +219,62 @@
             errors.DecodeError: Its response is invalid.
         """
         called_at = self._clock()
-        if not self._lock.acquire(timeout=MAX_WAIT_S):
+        if not self._read_lock.acquire(timeout=MAX_WAIT_S):
             raise errors.NoReplyError('another read takes too long')
         try:
             if self._read_began_at > called_at:
                 return
             began_at = self._clock()
+            if began_at < self._failed_until:
+                raise errors.NoReplyError('a recent read failed')
             listed = {
                 service: frozenset(found)
                 for service, ((found, _), _) in self._owner.run(
                     _read_versions
                 ).items()
             }
-            self._read()
-            self._read_began_at = began_at
-            self._listed_at_read = listed
+            self._failed_until = began_at + RETRY_INTERVAL_S
+            found = self._read()
+            self._failed_until = -math.inf
+            defaults = {
+                entry.key: default
+                for entry in found.entries
+                if (default := _decode(entry.key, entry.value)) is not None
+            }
+            with self._lock:
+                self._defaults |= defaults
+                self._end = found.end
+                self._has_read = True
+                self._read_began_at = began_at
+                self._listed_at_read = listed
         finally:
-            self._lock.release()
+            self._read_lock.release()
 
-    def _read(self) -> None:
+    def _read(self) -> ports.KeyedRecords:
         if self._has_read:
             try:
-                found = self._reader.wait_for_records(TOPIC, self._end, 0.0)
+                return self._reader.wait_for_records(TOPIC, self._end, 0.0)
             except errors.RecordsExpiredError:
-                found = self._reader.read_newest(TOPIC)
-        else:
-            found = self._reader.read_newest(TOPIC)
-        for entry in found.entries:
-            self._apply(entry.key, entry.value)
-        self._end = found.end
-        self._has_read = True
+                pass  # All is read again.
+        return self._reader.read_newest(TOPIC)
 
-    def _apply(self, service: str, value: bytes) -> None:
-        try:
-            self._defaults[service] = msgspec.msgpack.decode(
-                value, type=default_versions.DefaultVersion
-            )
-        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
-            # An entry of another writer; the default version stays.
-            logs.event(
-                logging.WARNING,
-                'default version not readable',
-                service=service[:80],
-                error=str(exc),
-            )
+
+def _decode(
+    service: str, value: bytes
+) -> default_versions.DefaultVersion | None:
+    try:
+        return msgspec.msgpack.decode(
+            value, type=default_versions.DefaultVersion
+        )
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        # An entry of another writer; the default version stays.
+        logs.event(
+            logging.WARNING,
+            'default version not readable',
+            service=service[:80],
+            error=str(exc),
+        )
+        return None
 
 
 def _read_versions(
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -94,7 +94,8 @@
         # A stream that is saved nowhere must be of the default version of the
         # only service of its route. A resumed stream is known by its first
         # attempt.
-        needs_no_save = bool(req.caller_request.resumes) or (
+        call = req.caller_request
+        needs_no_save = bool(call.resumes and call.after_event) or (
             len(req.route.targets) == 1
             and self._defaults.is_default(service, version)
         )
@@ -162,13 +163,13 @@
         own = self._look_up(stream, service)
         if own.origin is not None and own.origin.service in services:
             return own.origin, 'own'
-        saved = self._read_saved(req.route, stream, service)
-        if saved.origin is not None and saved.origin.service in services:
-            return saved.origin, 'store'
         replies = self._ask(stream, service)
         for reply in replies:
             if reply.origin is not None and reply.origin.service in services:
                 return reply.origin, 'peer'
+        saved = self._read_saved(req.route, stream, service)
+        if saved.origin is not None and saved.origin.service in services:
+            return saved.origin, 'store'
         is_default = saved.has_all if stream else saved.is_alone
         if saved.default and is_default and len(services) == 1:
             return _origin(stream, service, saved.default), 'default'
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -131,7 +131,9 @@
             position: Position from which on origins were saved.
             age_s: Maximum age of the streams, seconds.
         """
-        with self._lock:
+        if not self._lock.acquire(timeout=MAX_WAIT_S):
+            return False
+        try:
             now = self._clock()
             if positions.epoch(position) != positions.epoch(self._next):
                 return False
@@ -141,6 +143,8 @@
                 return True
             oldest_at = self._oldest_at
             return oldest_at is not None and now - oldest_at >= age_s
+        finally:
+            self._lock.release()
 
     def read_end(self, epoch: int) -> int:
         """Returns the position behind all origins that are saved.
--- a/tests/test_default_versions.py
+++ b/tests/test_default_versions.py
@@ -6,6 +6,8 @@
 import pytest
 
 from foxtaildale import default_versions
+from foxtaildale_platform import store
+from foxtaildaled import default_version_store
 from foxtaildaled import origin_reports
 from tests import site as sites
 from tests import versionsite
@@ -30,7 +32,7 @@
             counts,
             frozenset(recent.split()),
             window_s=_WINDOW_S,
-            saved_end=_END,
+            saved_end=lambda: _END,
         )
         self.current = changed or self.current
         assert self.current is not None
@@ -79,7 +81,7 @@
     choice = default_versions.DefaultChoice()
     assert (
         choice.next_default(
-            9e9, None, {}, frozenset(), window_s=1.0, saved_end=0
+            9e9, None, {}, frozenset(), window_s=1.0, saved_end=lambda: 0
         )
         is None
     )
@@ -119,6 +121,31 @@
     assert sites.send(site, 'POST', '/chat/x', attempt='last')[0] == 200
 
 
+def test_at_rest_the_default_versions_cost_no_calls_to_the_store(
+    site: versionsite.VersionSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against VMs that read the topics in a loop."""
+    site.fill(2)
+    for router in site.routers:
+        defaults = router._default_versions
+        sites.until(
+            lambda found=defaults: any(  # type: ignore[misc]
+                found.is_default('model', version) for version in ('v1', 'v2')
+            )
+        )
+    time.sleep(2 * default_version_store.POLL_INTERVAL_S)
+    paths: list[str] = []
+    get = store.Store._get
+
+    def record(self: store.Store, path: str, timeout_s: float) -> object:
+        paths.append(path)
+        return get(self, path, timeout_s)
+
+    monkeypatch.setattr(store.Store, '_get', record)
+    time.sleep(6 * default_version_store.POLL_INTERVAL_S)
+    assert not [path for path in paths if 'stream' in path]
+
+
 class _Events:
     """Takes the place of the log."""
 
