Refuse deeply nested records and messages as invalid

Another writer's entry with deeply nested JSON raised RecursionError out of the decoders of the store's records, of the rank, of the redaction of keys, of responses of backend servers and of messages between VMs. Only the errors of the library were caught, so the exception left the loop that reads: the position of the topic had been moved, and the other records of the reply were lost.

Cause: each decoder listed the exceptions that its author expected. Numbers of more than 4,300 digits were ruled out: msgspec refuses them itself.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import values
 
@@ -826,7 +827,4 @@
     """
     if len(data) > MAX_BYTES:
         raise errors.DecodeError(f'{len(data)} bytes, limit {MAX_BYTES}')
-    try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise errors.DecodeError(str(exc)) from exc
+    return decoding.decode(_decoder.decode, data)
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
@@ -142,8 +143,8 @@
 
     def _apply(self, value: bytes) -> None:
         try:
-            batch = _batch.decode(value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            batch = decoding.decode(_batch.decode, value)
+        except errors.DecodeError as exc:
             logs.event(logging.WARNING, 'origins not readable', error=str(exc))
             return
         now = self._clock()
