Apply the other records of a reply when one of them fails

Any exception that is no DecodeError, from the rank, the redaction or the application of one record, left the loop that reads. The position of the topic had been moved by then, so servers that came or left in the same reply stayed unknown until their entries changed again: callers were refused while servers were there, or sent to servers that had left.

Cause: a reply was one unit of failure, and its position was recorded first. Each record is now its own unit: a failure is logged as 'record not applied' with topic, key and offset, and the next record is applied. A record whose redaction fails is stored without content, since it may contain keys; one whose rank fails is ordered by its position.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -228,6 +228,11 @@
             'a record of {topic} was ignored: {error}',
             ('topic', 'key', 'offset', 'source', 'error'),
         ),
+        (
+            'record not applied',
+            'a record of {topic} raised an unexpected error: {error}',
+            ('step', 'topic', 'key', 'offset', 'error'),
+        ),
         (
             'backend server known',
             '{server} may get work of {service}, told by {source}',
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -89,7 +89,7 @@
         self._seeds = seeds
         self._mirrors = {
             topic: mirror.Mirror(
-                functools.partial(codec.rank, topic),
+                functools.partial(self._rank, topic),
                 # Live servers write their entries again within seconds.
                 retain_carried=topic != codec.servers_topic,
             )
@@ -414,8 +414,21 @@
             for topic, topic_mirror in self._mirrors.items()
         }
 
+    def _rank(self, topic: str, key: str, value: bytes) -> mirror.Rank:
+        try:
+            return self._codec.rank(topic, key, value)
+        except Exception as exc:
+            # Without a rank, the record is ordered by its position.
+            _log_fault('rank', topic, key, None, exc)
+            return mirror.UNRANKED
+
     def _seal_entry(self, topic: str, entry: mirror.Entry) -> mirror.Entry:
-        value = self._codec.redact(topic, entry.value)
+        try:
+            value = self._codec.redact(topic, entry.value)
+        except Exception as exc:
+            # The record may contain keys.
+            _log_fault('redact', topic, entry.key, entry.offset, exc)
+            value = b''
         if value is entry.value:
             return entry
         return msgspec.structs.replace(entry, value=value)
@@ -507,6 +520,12 @@
                     source=source,
                     error=str(exc),
                 )
+            except errors.InvariantError:
+                raise
+            except Exception as exc:
+                # The position is already behind all records of the reply, so
+                # the others would never be applied.
+                _log_fault('apply', topic, entry.key, entry.offset, exc)
 
     def _apply_table(self, entry: mirror.Entry, source: str) -> None:
         if entry.key != self._codec.config_key or not entry.value:
@@ -609,6 +628,20 @@
             self.entry_vms = remaining
 
 
+def _log_fault(
+    step: str, topic: str, key: str, offset: int | None, exc: Exception
+) -> None:
+    logs.event(
+        logging.ERROR,
+        'record not applied',
+        step=step,
+        topic=topic,
+        key=key,
+        offset=offset,
+        error=repr(exc),
+    )
+
+
 def _differs(before: forwarding.Backend, after: forwarding.Backend) -> bool:
     """Whether a server's entry changed in a way that affects requests."""
     return (before.leaving, before.stage, before.version) != (
