--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,6 +1,7 @@
 """Records, messages and headers that another writer made."""
 
 from collections.abc import Callable
+import json
 
 import pytest
 
@@ -14,6 +15,16 @@
 
 _DEPTH = 100_000
 _NESTED = b'[' * _DEPTH + b']' * _DEPTH
+_SERVER: dict[str, object] = {
+    'service': 's',
+    'address': '10.0.0.9:8080',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'seq_no': 1,
+}
 
 
 def _decode_prefill(data: bytes) -> object:
@@ -68,3 +79,83 @@
     fields = b'\x91' * _DEPTH + b'\xc0'
     with pytest.raises(errors.DecodeError):
         messages.decode(bytes((kind[0] + 1,)) + kind[1:] + fields)
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        '10.0.0.9:0',
+        '10.0.0.9:65536',
+        '10.0.0.9:99999',
+        '10.0.0.9:080',
+        '999.0.0.1:80',
+        '10.0.0.256:80',
+        '010.0.0.9:80',
+        '0.0.0.0:80',
+        '10.0.0.9:80\n',
+        '\u0661\u0660.0.0.9:80',
+        '10.0.0.9:\u0668\u0660',
+        '10.0.0.9',
+        'host:80',
+    ],
+)
+def test_an_address_that_can_not_be_used_is_no_server(address: str) -> None:
+    """A port out of range raised `OverflowError`, no `OSError`, when used."""
+    with pytest.raises(errors.DecodeError, match='address'):
+        records.decode_server('i-1', _server(address=address))
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['1.2.3.4:1', '10.0.0.9:80', '127.0.0.1:65535', '255.249.199.99:59999'],
+)
+def test_an_address_that_can_be_used_is_a_server(address: str) -> None:
+    """A pattern that is too strict keeps a sound server from being used."""
+    found = records.decode_server('i-1', _server(address=address))
+    assert found.address == address
+
+
+@pytest.mark.parametrize('field', ['slots', 'seq_no', 'born', 'version'])
+@pytest.mark.parametrize('value', [10**40, 2**64, 2**63, -1, -(10**40)])
+def test_a_number_that_no_message_can_hold_is_no_server(
+    field: str, value: int
+) -> None:
+    """Encoded for another VM it raised `OverflowError` in every reply."""
+    data = _server(**{field: value})
+    with pytest.raises(errors.DecodeError, match=field):
+        records.decode_server('i-1', data)
+    assert messages.encode(_reply_with_rank(data))
+
+
+@pytest.mark.parametrize('value', [1e308, -1, 1e13])
+def test_a_duration_out_of_range_is_no_server(value: float) -> None:
+    """A duration beyond what timers take raised `OverflowError` when used."""
+    with pytest.raises(errors.DecodeError, match='cold_left_ms'):
+        records.decode_server('i-1', _server(cold_left_ms=value))
+
+
+@pytest.mark.parametrize('field', ['service', 'zone', 'version'])
+def test_a_very_long_name_is_no_server(field: str) -> None:
+    """Every line of a log and every message would carry the name."""
+    with pytest.raises(errors.DecodeError, match=field):
+        records.decode_server('i-1', _server(**{field: 'x' * 10_000}))
+
+
+@pytest.mark.parametrize('key', ['', 'a\r\nb', 'a b', 'ä', 'x' * 300, 'a\0'])
+def test_an_id_that_no_header_can_hold_is_no_server(key: str) -> None:
+    """An id with a newline is a header of its own in requests to the server."""
+    with pytest.raises(errors.DecodeError, match='id'):
+        records.decode_server(key, _server())
+
+
+def _server(**changed: object) -> bytes:
+    return json.dumps(_SERVER | changed).encode()
+
+
+def _reply_with_rank(value: bytes) -> messages.RecordsReply:
+    rank = records.rank(names.SERVERS_TOPIC, 'i-1', value)
+    return messages.RecordsReply(
+        records={names.SERVERS_TOPIC: (('i-1', 1, b'', rank),)},
+        positions={},
+        store_age_s=0.0,
+    )
