Ignore a server entry that starts in the far future

An entry of another writer under the id of a running server, with a start time far in the future, made every later entry of the real server one of an earlier incarnation: the server wasn't used again until its process was restarted on all VMs. After a restore of the store the rank of such an entry, also of a removed one, outranked the restored entries.

Cause: the start time of an entry was trusted without a bound. A VM whose clock is hours off, or was never set, still uses all servers.

--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -45,6 +45,12 @@
 # can come, begin streams and go unnoticed, seconds.
 _MAX_LIST_GAP_S = 10.0
 
+# How far the clocks of machines may differ, seconds. A server that started later
+# than that after the present time did not write its entry itself.
+_MAX_CLOCK_SKEW_S = 86_400.0
+# A clock that shows an earlier time was never set, seconds since the Unix epoch.
+_MIN_WALL_S = 1_600_000_000.0
+
 
 class RouterState:
     """State of a router; the current time is passed as an argument."""
@@ -56,6 +62,7 @@
         '_peer_address',
         '_seeds',
         '_unreadable',
+        '_wall',
         'announcements',
         'entry_vms',
         'failure_rates',
@@ -85,6 +92,8 @@
         wall: ports.Clock = time.time,
     ) -> None:
         self._codec = codec
+        # Returns seconds since the Unix epoch.
+        self._wall = wall
         self._peer_address = peer_address
         self._seeds = seeds
         self._mirrors = {
@@ -215,7 +224,12 @@
             topic_mirror = self._mirrors.get(topic)
             if topic_mirror is None:
                 continue
-            entries = [mirror.Entry(*record) for record in records]
+            entries = [
+                mirror.Entry(
+                    key, offset, value, self._usable_rank(topic, removed)
+                )
+                for key, offset, value, removed in records
+            ]
             end = reply.positions.get(topic, 0)
             positions_before = self._changed_positions(topic, entries)
             before = topic_mirror.end
@@ -416,12 +430,24 @@
 
     def _rank(self, topic: str, key: str, value: bytes) -> mirror.Rank:
         try:
-            return self._codec.rank(topic, key, value)
+            return self._usable_rank(topic, self._codec.rank(topic, key, value))
         except Exception as exc:
             # Without a rank, the record is ordered by its position.
             _log_fault('rank', topic, key, None, exc)
             return mirror.UNRANKED
 
+    def _usable_rank(self, topic: str, rank: mirror.Rank) -> mirror.Rank:
+        """Returns the rank, unless it would outrank all later records."""
+        if topic == self._codec.servers_topic and self._is_in_future(rank[0]):
+            return mirror.UNRANKED
+        return rank
+
+    def _is_in_future(self, started_at_ms: int) -> bool:
+        wall_s = self._wall()
+        if wall_s < _MIN_WALL_S:
+            return False
+        return started_at_ms > (wall_s + _MAX_CLOCK_SKEW_S) * 1000
+
     def _seal_entry(self, topic: str, entry: mirror.Entry) -> mirror.Entry:
         try:
             value = self._codec.redact(topic, entry.value)
@@ -569,6 +595,10 @@
             )
             return True
         backend = self._codec.decode_server(entry.key, entry.value)
+        if self._is_in_future(backend.born):
+            raise errors.DecodeError(
+                f'backend server {entry.key}: start time {backend.born} ms'
+            )
         unreadable = entry.key in self._unreadable
         self._unreadable.discard(entry.key)
         known_start = self.fleet.started_at(entry.key)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -25,6 +25,9 @@
     'seq_no': 1,
 }
 _ODD_KEY = 'odd'
+_WALL_S = 1_790_000_000.0
+_NOW_MS = int(_WALL_S * 1000)
+_EPOCH = 1 << 40
 
 
 class _FaultyCodec(records.Codec):
@@ -58,7 +61,7 @@
 
 
 def _state(
-    codec: records.Codec = _CODEC, wall_s: float = 1e9
+    codec: records.Codec = _CODEC, wall_s: float = _WALL_S
 ) -> router_state.RouterState:
     return router_state.RouterState(
         codec, 'me:1', (), '', random.Random(1), wall=lambda: wall_s
@@ -96,12 +99,11 @@
     )
     state = _state(_FaultyCodec(step))
     topic = _CODEC.servers_topic
-    second_epoch = 1 << 40
     _read(state, _entry('left', 0), _entry(_ODD_KEY, 1))
     entries = (
-        _entry(_ODD_KEY, second_epoch + 1, zone='odd'),
-        mirror.Entry(key='left', offset=second_epoch + 2, value=b''),
-        _entry('joined', second_epoch + 3),
+        _entry(_ODD_KEY, _EPOCH + 1, zone='odd'),
+        mirror.Entry(key='left', offset=_EPOCH + 2, value=b''),
+        _entry('joined', _EPOCH + 3),
     )
     if source == 'store':
         _read(state, *entries)
@@ -109,12 +111,67 @@
         found = tuple((e.key, e.offset, e.value, e.removed) for e in entries)
         reply = messages.RecordsReply(
             records={topic: found},
-            positions={topic: second_epoch + 4},
+            positions={topic: _EPOCH + 4},
             store_age_s=0.0,
         )
         state.apply_peer_reply(reply, 1.0, requested_at=1.0, sender='x:1')
     assert 'joined' in _usable(state)
-    assert state.applied_offset(topic) == second_epoch + 4
+    assert state.applied_offset(topic) == _EPOCH + 4
     # Records of other VMs are redacted already.
     is_reached = (step, source) != ('redact', 'peer')
     assert (('record not applied', topic, _ODD_KEY) in events) == is_reached
+
+
+_YEAR_MS = 365 * 86_400_000
+
+
+def test_a_start_in_the_future_does_not_replace_a_server() -> None:
+    """Each later entry of the real server was one of an earlier start."""
+    state = _state()
+    _read(state, _entry('i-1', 0, born=_NOW_MS))
+    _read(state, _entry('i-1', 1, born=_NOW_MS + _YEAR_MS, address='1.1.1.1:1'))
+    assert _usable(state) == set()
+    _read(state, _entry('i-1', 2, born=_NOW_MS))
+    assert _usable(state) == {'i-1'}
+    backend = state.fleet.usable('i-1', 1.0)
+    assert backend is not None
+    assert backend.address == _ENTRY['address']
+
+
+@pytest.mark.parametrize('is_removed', [True, False])
+def test_a_start_in_the_future_does_not_outrank_a_restored_entry(
+    is_removed: bool,
+) -> None:
+    """After a restore of the store the real server was never used again."""
+    state = _state()
+    _read(state, _entry('i-1', 0, born=_NOW_MS + _YEAR_MS, address='1.1.1.1:1'))
+    if is_removed:
+        _read(state, mirror.Entry(key='i-1', offset=1, value=b''))
+    _read(state, _entry('i-1', _EPOCH + 1, born=_NOW_MS))
+    backend = state.fleet.usable('i-1', 1.0)
+    assert backend is not None
+    assert backend.address == _ENTRY['address']
+
+
+def test_a_removed_start_in_the_future_of_another_vm_outranks_nothing() -> None:
+    """VMs of an earlier build send the rank of the removed entry."""
+    state = _state()
+    topic = _CODEC.servers_topic
+    reply = messages.RecordsReply(
+        records={topic: (('i-1', 1, b'', (_NOW_MS + _YEAR_MS, 1)),)},
+        positions={topic: 2},
+        store_age_s=0.0,
+    )
+    state.apply_peer_reply(reply, 1.0, requested_at=1.0, sender='x:1')
+    _read(state, _entry('i-1', _EPOCH + 1, born=_NOW_MS))
+    assert _usable(state) == {'i-1'}
+
+
+@pytest.mark.parametrize('wall_s', [0.0, _WALL_S - 40_000, _WALL_S + 40_000])
+def test_servers_are_used_although_the_own_clock_is_wrong(
+    wall_s: float,
+) -> None:
+    """A clock that was never set, or is hours off, ruled out each server."""
+    state = _state(wall_s=wall_s)
+    _read(state, _entry('i-1', 0, born=_NOW_MS))
+    assert _usable(state) == {'i-1'}
