Refuse values that can't be used in the other topics

Configuration: a time limit of 1e308 raised OverflowError in the waits of requests, negative limits and counts were taken. Entry VMs: one that doesn't exist, with 1e308 cores, was chosen by every VM as reader of the store; a VM whose own entry was overwritten by an unreadable one never wrote it again, so that VMs that started later didn't know it. Quarantined requests: a part above 64 bits made every reply to a peer fail. Saved origins: an impossible time raised OverflowError on each resumption, and an age below zero never expired. Stage holders: bytes that are no UTF-8 ended each claim of the lease. Keys of client accounts: a field name written with an escape, or in an unknown place, wasn't redacted before the record was stored and sent to other VMs.

An entry VM lists itself again if its newest entry can't be decoded.

--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -41,6 +41,19 @@
 
 
 _batch: Final = msgspec.msgpack.Decoder(Batch)
+# Latest valid time of a batch, seconds since the Unix epoch, and largest valid
+# age of an origin, milliseconds.
+_MAX_SAVED_AT_S: Final = 1e11
+_MAX_AGE_MS: Final = 10**9
+
+
+def _decode_batch(value: bytes) -> Batch:
+    batch = _batch.decode(value)
+    if not 0 <= batch.saved_at <= _MAX_SAVED_AT_S or not all(
+        0 <= origin.age_ms <= _MAX_AGE_MS for origin in batch.origins
+    ):
+        raise ValueError('time out of range')
+    return batch
 
 
 class OriginStore:
@@ -143,7 +156,7 @@
 
     def _apply(self, value: bytes) -> None:
         try:
-            batch = decoding.decode(_batch.decode, value)
+            batch = decoding.decode(_decode_batch, value)
         except errors.DecodeError as exc:
             logs.event(logging.WARNING, 'origins not readable', error=str(exc))
             return
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -62,6 +62,7 @@
         '_peer_address',
         '_seeds',
         '_unreadable',
+        '_unreadable_vms',
         '_wall',
         'announcements',
         'entry_vms',
@@ -117,6 +118,8 @@
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
         # Servers whose newest entry can't be decoded; each is logged once.
         self._unreadable: set[str] = set()
+        # Entry VMs whose newest entry can't be decoded.
+        self._unreadable_vms: set[str] = set()
         self.fleet = fleet.Fleet(data_centre, rng)
         self.announcements = server_announcements.ServerAnnouncements(
             self.fleet
@@ -400,8 +403,10 @@
     def is_listed(self, name: str, member: forwarding.EntryVm) -> bool:
         """Whether the store lists an entry VM with the given data."""
         members = self._mirrors[self._codec.members_topic]
-        return self.entry_vms.get(name) == member and not members.is_carried(
-            name
+        return (
+            self.entry_vms.get(name) == member
+            and name not in self._unreadable_vms
+            and not members.is_carried(name)
         )
 
     def seeds(self) -> list[str]:
@@ -536,6 +541,8 @@
                     if entry.key in self._unreadable:
                         continue
                     self._unreadable.add(entry.key)
+                elif topic == self._codec.members_topic:
+                    self._unreadable_vms.add(entry.key)
                 # The previous configuration or entry VM stays in use.
                 logs.event(
                     logging.ERROR,
@@ -651,8 +658,10 @@
     def _apply_member(self, entry: mirror.Entry) -> None:
         if entry.value:
             member = self._codec.decode_member(entry.key, entry.value)
+            self._unreadable_vms.discard(entry.key)
             self.entry_vms = {**self.entry_vms, entry.key: member}
         else:
+            self._unreadable_vms.discard(entry.key)
             remaining = dict(self.entry_vms)
             remaining.pop(entry.key, None)
             self.entry_vms = remaining
--- a/packages/daemon/foxtaildaled/stage_orders.py
+++ b/packages/daemon/foxtaildaled/stage_orders.py
@@ -114,7 +114,10 @@
         offset, holder = None, ''
         for entry in holders.entries:
             if entry.key == service:
-                offset, holder = entry.offset, entry.value.decode()
+                offset, holder = (
+                    entry.offset,
+                    entry.value.decode(errors='replace'),
+                )
         epoch = positions.epoch(holders.end)
         if not service_lease.may_claim(self._clock(), epoch, offset, holder):
             return None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -175,3 +175,19 @@
     state = _state(wall_s=wall_s)
     _read(state, _entry('i-1', 0, born=_NOW_MS))
     assert _usable(state) == {'i-1'}
+
+
+def test_an_entry_vm_writes_its_entry_again_over_an_odd_one() -> None:
+    """VMs that started later didn't know the one whose entry was odd."""
+    state = _state()
+    topic = _CODEC.members_topic
+    member = forwarding.EntryVm('10.0.0.1:80')
+    value = _CODEC.encode_member(member)
+    _read(state, mirror.Entry(key='vm-1', offset=0, value=value), topic=topic)
+    assert state.is_listed('vm-1', member)
+    odd = b'{"peer_address":"10.0.0.1:99999"}'
+    _read(state, mirror.Entry(key='vm-1', offset=1, value=odd), topic=topic)
+    assert state.entry_vms == {'vm-1': member}
+    assert not state.is_listed('vm-1', member)
+    _read(state, mirror.Entry(key='vm-1', offset=2, value=value), topic=topic)
+    assert state.is_listed('vm-1', member)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -2,16 +2,20 @@
 
 from collections.abc import Callable
 import json
+import math
 
+import msgspec
 import pytest
 
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import mirror
+from foxtaildale import ports
 from foxtaildale_platform import names
 from foxtaildale_platform import records
 from foxtaildale_platform import server_client
 from foxtaildale_platform import store
+from foxtaildaled import origin_store
 
 _DEPTH = 100_000
 _NESTED = b'[' * _DEPTH + b']' * _DEPTH
@@ -148,6 +152,162 @@
         records.decode_server(key, _server())
 
 
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'peer_address': '10.0.0.9:99999'},
+        {'peer_address': '10.0.0.9:80\n'},
+        {'peer_address': '10.0.0.9:'},
+        {'peer_address': f'{"a" * 64}.example:80'},
+        {'peer_address': '..:80'},
+        {'relay_address': '10.0.0.9:0'},
+        {'relay_address': 'x y:1'},
+        {'cores': 1e308},
+        {'cores': -1},
+    ],
+)
+def test_an_entry_vm_that_can_not_be_used_is_refused(
+    change: dict[str, object],
+) -> None:
+    """Every VM chose one that doesn't exist as the reader of the store."""
+    sound = {'peer_address': 'vm-1.example:80', 'relay_address': '10.0.0.9:81'}
+    assert records.decode_member('vm-1', json.dumps(sound).encode())
+    with pytest.raises(errors.DecodeError):
+        records.decode_member('vm-1', json.dumps(sound | change).encode())
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'until': 1e308},
+        {'until': -1},
+        {'fingerprint': 2**64},
+        {'parts': [10**40]},
+        {'parts': [-1]},
+    ],
+)
+def test_a_quarantined_request_out_of_range_is_refused(
+    change: dict[str, object],
+) -> None:
+    """A part above 64 bits can't be encoded, so each reply to a peer failed."""
+    sound = {'fingerprint': 1, 'until': 1e9, 'parts': [2**64 - 1]}
+    assert records.decode_quarantined(json.dumps(sound).encode())
+    with pytest.raises(errors.DecodeError):
+        records.decode_quarantined(json.dumps(sound | change).encode())
+
+
+_ROUTE = {
+    'name': 'r',
+    'host': 'h',
+    'path_prefix': '/',
+    'kind': 'streaming',
+    'timeout_ms': 1000,
+    'service': 's',
+}
+
+
+@pytest.mark.parametrize('value', [1e308, -1, 10**40])
+@pytest.mark.parametrize(
+    'field',
+    [
+        'timeout_ms',
+        'target_latency_ms',
+        'target_gap_ms',
+        'max_attempts',
+        'version',
+        'kv_hold_s',
+        'hold_ms',
+        'slots',
+        'stride',
+        'idle_timeout_ms',
+        'max_body_bytes',
+        'weight',
+    ],
+)
+def test_a_configuration_with_a_number_out_of_range_is_refused(
+    field: str, value: float
+) -> None:
+    """A time limit of 1e308 raised `OverflowError` in each wait of a request."""
+    change = {field: value}
+    config = {
+        'version': 1,
+        'routes': [_ROUTE | change],
+        'services': [{'name': 's', 'engine': change}],
+        'limits': change,
+    }
+    if field == 'version':
+        config |= change
+    if field == 'weight':
+        split = [{'service': 's', 'weight': value}]
+        config['routes'] = [_ROUTE | {'weighted_split': split}]
+    with pytest.raises(errors.DecodeError, match=field):
+        records.decode_table(json.dumps(config).encode())
+
+
+@pytest.mark.parametrize(
+    'config',
+    [
+        b'{"version":1,"tenants":[{"name":"a","api\\u005fkeys":["geheim"]}]}',
+        b'{"version":1,"other":{"api\\u005fkeys":["geheim"]}}',
+        b'{"version":1,"tenants":[],"other":{"api_keys":["geheim"]}}',
+    ],
+)
+def test_a_key_in_an_unusual_place_is_not_stored(config: bytes) -> None:
+    """A field name with an escape passed by; VMs kept the key and sent it on."""
+    assert b'geheim' not in records.redact_keys(names.CONFIG_TOPIC, config)
+
+
+@pytest.mark.parametrize('saved_at', [math.nan, math.inf, -1e308, 1e308])
+def test_saved_origins_of_an_impossible_time_are_refused(
+    saved_at: float,
+) -> None:
+    """`OverflowError` out of the age of an origin refused each resumption."""
+    batch = origin_store.Batch(saved_at, (_ORIGIN,))
+    assert _saved(batch) is None
+
+
+@pytest.mark.parametrize('age_ms', [-1, 2**63])
+def test_saved_origins_of_an_impossible_age_are_refused(age_ms: int) -> None:
+    """An origin from the future never expired and kept those behind it."""
+    odd = msgspec.structs.replace(_ORIGIN, age_ms=age_ms)
+    assert _saved(origin_store.Batch(1e9, (odd,))) is None
+
+
+_ORIGIN = messages.StreamOrigin(stream=5, service='s', version='v1')
+
+
+def _saved(batch: origin_store.Batch) -> messages.StreamOrigin | None:
+    """Reads a batch among sound ones; returns the origin that it has."""
+    written = (
+        batch,
+        origin_store.Batch(1e9, (msgspec.structs.replace(_ORIGIN, stream=6),)),
+    )
+    found = origin_store.OriginStore(
+        reader=_Topics(written),  # type: ignore[arg-type]
+        writer=_Topics(()),  # type: ignore[arg-type]
+        clock=lambda: 1.0,
+        wall=lambda: 1e9,
+    )
+    assert found.find(6, 0) is not None
+    return found.find(5, 0)
+
+
+class _Topics:
+    """A topic that was written once."""
+
+    def __init__(self, batches: tuple[origin_store.Batch, ...]) -> None:
+        self._batches = batches
+
+    def wait_for_records(
+        self, _topic: str, offset: int, _wait_s: float
+    ) -> ports.KeyedRecords:
+        entries = tuple(
+            mirror.Entry(key='vm', offset=n, value=msgspec.msgpack.encode(b))
+            for n, b in enumerate(self._batches)
+        )
+        return ports.KeyedRecords(len(entries), entries[offset:])
+
+
 def _server(**changed: object) -> bytes:
     return json.dumps(_SERVER | changed).encode()
 
