Refuse odd numbers in messages and headers, and invalid addresses

The same class of fault where messages, headers and addresses come in. An infinite number, or none, in a message of another VM raised OverflowError in the decision that used it; it is refused as a whole now, with a log line 'message not readable' in the receiver. The kernel took port 99999 as 34463.

--- a/packages/adapters/foxtaildale_adapters/connectors.py
+++ b/packages/adapters/foxtaildale_adapters/connectors.py
@@ -7,6 +7,7 @@
 # TCP closes the connection if sent bytes stay unacknowledged for this long,
 # milliseconds. A machine behind a network partition sends no reset.
 TCP_USER_TIMEOUT_MS: Final = 4000
+MAX_PORT: Final = 65_535
 
 
 class NoPathError(OSError):
@@ -55,10 +56,18 @@
     """Opens a connection to 'IP:PORT' with the usual options.
 
     Raises:
-        OSError: The connection was not opened in time.
+        OSError: The connection was not opened in time, or the address is
+            invalid.
     """
     host, _, port = address.rpartition(':')
-    sock = socket.create_connection((host, int(port)), timeout_s)
+    try:
+        number = int(port)
+        if not 0 < number <= MAX_PORT:
+            # The resolver takes it modulo 65536: another server's port.
+            raise ValueError('port out of range')
+        sock = socket.create_connection((host, number), timeout_s)
+    except (OverflowError, ValueError) as exc:
+        raise OSError(f'invalid address {address[:100]!r}: {exc}') from exc
     set_options(sock)
     return sock
 
--- a/packages/adapters/foxtaildale_adapters/zmq_responder.py
+++ b/packages/adapters/foxtaildale_adapters/zmq_responder.py
@@ -12,6 +12,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import logging
 import math
 import queue
 import threading
@@ -23,6 +24,7 @@
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale_adapters import connections
+from foxtaildale_adapters import logs
 from foxtaildale_adapters import peers
 from foxtaildale_adapters import wakes
 
@@ -211,8 +213,9 @@
         payload = frame[connections.SEQUENCE_BYTES :]
         try:
             msg = messages.decode(payload)
-        except errors.DecodeError:
+        except errors.DecodeError as exc:
             self.counts.dropped += 1
+            logs.event(logging.WARNING, 'message not readable', error=str(exc))
             return
         self.counts.received += 1
         self.counts.received_bytes += len(payload)
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -228,6 +228,11 @@
             'a record of {topic} was ignored: {error}',
             ('topic', 'key', 'offset', 'source', 'error'),
         ),
+        (
+            'message not readable',
+            'a message between VMs was ignored: {error}',
+            ('error',),
+        ),
         (
             'record not applied',
             'a record of {topic} raised an unexpected error: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -4,6 +4,7 @@
 Every request has one reply; `ErrorReply` may replace any reply.
 """
 
+from typing import Annotated
 from typing import Final
 from typing import Literal
 
@@ -13,6 +14,11 @@
 from foxtaildale import errors
 from foxtaildale import values
 
+# A decision on an infinite number, or on none, would raise an error or never
+# end, so a message with one is not decoded.
+_MAX_NUMBER: Final = 1e15
+Number = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+
 
 class Wire(
     msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True
@@ -248,10 +254,10 @@
     witness: str
     witness_address: str
     # Time of issue in seconds on the executor's own monotonic clock.
-    issued_at: float
+    issued_at: Number
     # Reading of the witness's own monotonic clock, taken before the issue,
     # seconds.
-    witness_clock: float
+    witness_clock: Number
     # Hex HMAC-SHA256 of the fields above.
     mac: str = ''
 
@@ -267,7 +273,7 @@
     body_digest: str
     # Copied from the ticket; from it the witness decides whether it may have
     # forgotten the identity.
-    witness_clock: float
+    witness_clock: Number
 
 
 class VoidRequest(Wire, frozen=True, tag='Void'):
@@ -279,7 +285,7 @@
     identity: str
     witness: str
     body_digest: str
-    witness_clock: float
+    witness_clock: Number
 
 
 class OutcomeReport(Wire, frozen=True, tag='Tell'):
@@ -288,7 +294,7 @@
     identity: str
     witness: str
     body_digest: str
-    witness_clock: float
+    witness_clock: Number
     outcome: values.Outcome
     response: bytes = b''
 
@@ -310,7 +316,7 @@
 
     status: str
     # The witness's clock, seconds; each reply has it for later tickets.
-    clock: float = 0.0
+    clock: Number = 0.0
     outcome: values.Outcome | None = None
     response: bytes = b''
 
@@ -355,12 +361,12 @@
     positions: dict[str, int]
     # Requests that the sender sent to plain servers since its last message, and
     # how many of them failed, by server id.
-    request_counts: dict[str, tuple[float, float]] = {}
+    request_counts: dict[str, tuple[Number, Number]] = {}
     # Recent updates on servers that leave or no longer leave
     # (`departures.Departure`), by server id.
     departures: dict[str, tuple[int, int]] = {}
     # Backoff requests of servers (`backoffs.Backoff`), by server id.
-    backoffs: dict[str, tuple[int, float]] = {}
+    backoffs: dict[str, tuple[int, Number]] = {}
     # Largest value that the reply may contain, bytes; None for no limit.
     max_value_bytes: int | None = None
 
@@ -374,22 +380,22 @@
     # Position up to which the receiver knows each topic with these records.
     positions: dict[str, int]
     # Time since the store's last reply to the sender, seconds.
-    store_age_s: float
+    store_age_s: Number
     # Ratio of recent requests to plain servers that failed, by server id, over
     # all entry VMs that report to the sender.
-    failure_ratios: dict[str, float] = {}
+    failure_ratios: dict[str, Number] = {}
     # Whether a call of the sender to the store failed since the store's last
     # reply.
     store_failed: bool = False
     # Quarantined requests, which are sent to no server, and requests that can't
     # be quarantined: remaining time in seconds by fingerprint.
-    quarantined: dict[int, float] = {}
-    cleared: dict[int, float] = {}
+    quarantined: dict[int, Number] = {}
+    cleared: dict[int, Number] = {}
     # Updates on servers that announced that they leave
     # (`departures.Departure`), and backoff requests (`backoffs.Backoff`), by
     # server id.
     departures: dict[str, tuple[int, int]] = {}
-    backoffs: dict[str, tuple[int, float]] = {}
+    backoffs: dict[str, tuple[int, Number]] = {}
     # Position up to which the sender knows each topic of which it left out
     # large records.
     left_out: dict[str, int] = {}
@@ -579,10 +585,10 @@
     # Identifies the coordinator process that sends it.
     coordinator_id: int
     # Remaining quarantine in seconds by fingerprint.
-    quarantined: dict[int, float] = {}
+    quarantined: dict[int, Number] = {}
     # For other requests, remaining time during which they can't be quarantined,
     # seconds by fingerprint.
-    cleared: dict[int, float] = {}
+    cleared: dict[int, Number] = {}
     # Parts of prompts by the fingerprint of their set, for sets in
     # `quarantined`: all requests that have all these parts are quarantined.
     part_sets: dict[int, tuple[int, ...]] = {}
@@ -626,9 +632,9 @@
     """A VM's record of one server's limit, and the sends it requests."""
 
     # Requests per second; None if the server no longer reports a limit.
-    limit: float | None
+    limit: Number | None
     # Time since the server reported the limit, seconds.
-    age_s: float
+    age_s: Number
     # Number of sends requested.
     requested: int
     # Number of granted sends that expired unused.
@@ -638,8 +644,8 @@
 class ServerSendGrant(Wire, frozen=True, tag='SendGrant'):
     """The coordinator's record of a server's limit, and the granted sends."""
 
-    limit: float | None
-    age_s: float
+    limit: Number | None
+    age_s: Number
     # Number of sends granted.
     granted: int = 0
 
@@ -683,7 +689,7 @@
 
     account: str
     # Cost of the request, in units of the account's limit.
-    cost: float
+    cost: Number
 
 
 class CreditReply(Wire, frozen=True, tag='Credit'):
@@ -693,7 +699,7 @@
     # milliseconds.
     wait_ms: int
     # Credit that the account has left, units.
-    remaining: float
+    remaining: Number
 
 
 class CreditRefund(Wire, frozen=True, tag='GiveBack'):
@@ -703,7 +709,7 @@
     """
 
     account: str
-    cost: float
+    cost: Number
 
 
 class UsageReport(Wire, frozen=True, tag='LetIn'):
@@ -713,7 +719,7 @@
     """
 
     # Admitted units less refunded units, by account.
-    admitted: dict[str, float]
+    admitted: dict[str, Number]
 
 
 class EligibilityRequest(Wire, frozen=True, tag='AskHome'):
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -53,7 +53,12 @@
     adapter_paths = [_PLATFORM / f'{name}.py' for name in adapter_names]
     server_paths = [
         _ADAPTERS / f'{name}.py'
-        for name in ('httpd', 'peers', 'connection_relay')
+        for name in (
+            'httpd',
+            'peers',
+            'connection_relay',
+            'zmq_responder',
+        )
     ]
     for path in (*paths, *adapter_paths, *server_paths):
         text = path.read_text()
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -8,9 +8,11 @@
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import mirror
 from foxtaildale import ports
+from foxtaildale_adapters import connectors
 from foxtaildale_platform import names
 from foxtaildale_platform import records
 from foxtaildale_platform import server_client
@@ -273,6 +275,43 @@
     assert _saved(origin_store.Batch(1e9, (odd,))) is None
 
 
+@pytest.mark.parametrize('value', [math.nan, math.inf, -math.inf, 1e308])
+def test_a_message_with_a_number_out_of_range_is_refused(value: float) -> None:
+    """A decision on infinity raised `OverflowError` in the state's actor."""
+    reply = messages.RecordsReply(
+        records={}, positions={}, store_age_s=0.0, quarantined={5: value}
+    )
+    with pytest.raises(errors.DecodeError):
+        messages.decode(messages.encode(reply))
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['10.0.0.9', '10.0.0.9:', ':', '127.0.0.1:99999', f'{"a" * 64}.b:80', 'x'],
+)
+def test_an_invalid_address_is_an_error_of_the_connection(address: str) -> None:
+    """Other exceptions ended the loop that probes servers, and the relay's."""
+    with pytest.raises(OSError, match='address'):
+        connectors.open_socket(address, 0.1)
+
+
+@pytest.mark.parametrize(
+    'text', ['9' * 5000 + ',1,1', '²,1,1', '1,1', '-1,1,1']
+)
+def test_an_odd_load_is_no_load(text: str) -> None:
+    """`ValueError` out of a header ended the request that read it."""
+    assert server_client._decode_load(text) is None
+    assert server_client._decode_load('1, 2,3') == forwarding.Load(1, 2, 3)
+
+
+@pytest.mark.parametrize('handle', ['a\r\nB: c', 'a b', 'ä', 'x' * 5000])
+def test_a_handle_that_no_header_can_hold_is_refused(handle: str) -> None:
+    """`ValueError` out of the next request's header ended that request."""
+    body = json.dumps({'handle_id': handle}).encode()
+    with pytest.raises(errors.DecodeError):
+        _decode_prefill(body)
+
+
 _ORIGIN = messages.StreamOrigin(stream=5, service='s', version='v1')
 
 
