Test that VMs follow the list past odd records of each topic

A seeded writer leaves odd records in every topic, beside the entries of servers that join and leave, on a site of two routers. A server that joins later is used, one that left is not, and no loop logs an error.

The stand-in of the store writes raw bytes and keys that are not ASCII.

--- a/tests/soakversions.py
+++ b/tests/soakversions.py
@@ -3,7 +3,8 @@
 Router processes are stopped, killed and suspended, the store fails, and servers
 of several versions come, go and change, while callers break off their streams
 and resume them anywhere. No stream may have events of two versions, and resumed
-streams must go on at least half as often as new ones begin.
+streams must go on at least half as often as new ones begin. Another writer
+leaves odd records in each topic.
 """
 
 import collections
@@ -18,6 +19,8 @@
 import time
 from typing import Final
 
+from tests import oddentries
+from tests import site as sites
 from tests import versionsite
 from tests.standins import serving
 from tests.standins import wireworker
@@ -51,6 +54,8 @@
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self._rng = random.Random(seed)
+        # Draws odd records; the other faults of a seed stay as they are.
+        self._odd = random.Random(-seed)
         self._names = iter(range(1_000_000))
         self._attempts = iter(range(1_000_000))
         self._ends = threading.Event()
@@ -80,6 +85,7 @@
                 self._rng.choice(
                     (self._trouble, self._trouble, self._replace, self._store)
                 )()
+                self._write_odd_entries()
         finally:
             self._ends.set()
             for caller in callers:
@@ -152,6 +158,15 @@
                 time.sleep(0.05)
         self._troubled.difference_update(chosen)
 
+    def _write_odd_entries(self) -> None:
+        """Another writer leaves odd records among the sound ones."""
+        if self._odd.random() < 0.5:
+            return
+        store = self.site.store
+        sound = self.site.workers[0].entry()
+        oddentries.write_server(store, self._odd, 'odd', sound)
+        oddentries.write_others(store, self._odd, sites.config(1), 'odd')
+
     def _store(self) -> None:
         """The store is away for a while."""
         self.site.store.down = True
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -40,6 +40,10 @@
         data = b'' if value is None else msgspec.json.encode(value)
         self._append(topic, key, data)
 
+    def put_bytes(self, topic: str, key: str, data: bytes) -> None:
+        """Writes a record as another writer may, whatever its bytes are."""
+        self._append(topic, key, data)
+
     def forget(self, topic: str) -> None:
         """Drops the records; the newest of each key stay readable."""
         with self._changed:
@@ -146,6 +150,7 @@
             end = len(self._topics[topic])
         body = struct.pack('>QQ', end, first)
         for key, data in records:
-            record = bytes((len(key),)) + key.encode() + data
+            name = key.encode()
+            record = bytes((len(name),)) + name + data
             body += struct.pack('>I', len(record)) + record
         return serving.Response(body, kind='application/octet-stream')
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,8 @@
 """Routers that read entries of another writer among those of servers."""
 
+import contextlib
 import random
+import threading
 
 import msgspec
 import pytest
@@ -12,6 +14,8 @@
 from foxtaildale_adapters import logs
 from foxtaildale_platform import records
 from foxtaildaled import router_state
+from tests import oddentries
+from tests import site as sites
 
 _CODEC = records.Codec()
 _ENTRY: dict[str, object] = {
@@ -191,3 +195,62 @@
     assert not state.is_listed('vm-1', member)
     _read(state, mirror.Entry(key='vm-1', offset=2, value=value), topic=topic)
     assert state.is_listed('vm-1', member)
+
+
+_ROUNDS = 12
+# Errors that a thread logs when something ended its step.
+_ENDED = {'loop', 'thread died', 'invariant', 'record not applied'}
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_routers_follow_the_list_past_odd_records(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """VMs that read an odd record stopped following the list, or ended."""
+    rng = random.Random(seed)
+    ended: list[object] = []
+    log_event = logs.event
+
+    def record(level: int, event: str, **fields: object) -> None:
+        # A router that an earlier test closed has no actor any more.
+        is_closed = 'ActorDeadError' in str(fields.get('error'))
+        if event in _ENDED and not is_closed:
+            ended.append((event, fields))
+        log_event(level, event, **fields)
+
+    monkeypatch.setattr(logs, 'event', record)
+    monkeypatch.setattr(threading, 'excepthook', ended.append)
+    with contextlib.closing(sites.Site()) as site:
+        config = sites.config(1)
+        site.store.put('keyed.op', 'config', config)
+        site.worker('s0', 'plain')
+        site.start_routers(2)
+        for number in range(_ROUNDS):
+            left, joined = f's{number}', f's{number + 1}'
+            before = site.workers[left]
+            for key in (left, 'odd', 'odd id'):
+                sound = before.entry()
+                oddentries.write_server(site.store, rng, key, sound)
+            oddentries.write_others(site.store, rng, config, 'vm-1')
+            site.worker(joined, 'plain')
+            site.store.put('keyed.servers', left, None)
+            for router in range(2):
+                _wait_until_only(site, router, joined)
+        assert not ended
+
+
+def _wait_until_only(site: sites.Site, router: int, name: str) -> None:
+    """Waits until a router sends requests to one server only."""
+    # A server that vanished right after an error of the store stays in use for
+    # a moment, so several requests in a row have to reach the new one.
+    in_row = 0
+
+    def reaches() -> bool:
+        nonlocal in_row
+        before = len(site.workers[name].came)
+        status, _, _ = sites.send(site, 'GET', '/safe/x', number=router)
+        reached = status == 200 and len(site.workers[name].came) > before
+        in_row = in_row + 1 if reached else 0
+        return in_row == 3
+
+    sites.until(reaches, 6.0)
