Test that an unreadable claim delays stage orders only

Bytes that are no UTF-8 in the topic of stage holders raised UnicodeDecodeError out of each claim, so no engine of that service was ordered to another stage any more.

--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -568,6 +568,14 @@
     assert not _orders(site)
 
 
+def test_an_unreadable_claim_delays_orders_only(site: Site) -> None:
+    """A claim that is no UTF-8 ended each later claim: no engine was ordered."""
+    _site_of_idle_prefill_workers(site)
+    site.store.put_bytes('keyed.stageholders', 'model', b'\xff\xfe')
+    _send_many(site)
+    sites.until(lambda: bool(_orders(site)), 20.0)
+
+
 def test_a_home_that_is_lost_stops_nobody(calm: Site) -> None:
     """The VM that plans the engines dies, and its entry stays listed."""
     calm.store.put('keyed.entryvms', 'ghost', {'peer_address': '127.0.0.1:1'})
