--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -234,6 +234,16 @@
             'a record of {topic} was ignored: {error}',
             ('topic', 'key', 'offset', 'source', 'error'),
         ),
+        (
+            'message not readable',
+            'a message between VMs was ignored: {error}',
+            ('error',),
+        ),
+        (
+            'record not applied',
+            'a record of {topic} raised an unexpected error: {error}',
+            ('step', 'topic', 'key', 'offset', 'error'),
+        ),
         (
             'backend server known',
             '{server} may get work of {service}, told by {source}',
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
@@ -41,6 +42,19 @@
 
 
 _batch: Final = msgspec.msgpack.Decoder(Batch)
+# Latest valid time of a batch, seconds since the Unix epoch, and largest valid
+# age of an origin, milliseconds.
+_MAX_SAVED_AT_S: Final = 1e11
+_MAX_AGE_MS: Final = 10**9
+
+
+def _decode_batch(value: bytes) -> Batch:
+    batch = _batch.decode(value)
+    if not 0 <= batch.saved_at <= _MAX_SAVED_AT_S or not all(
+        0 <= origin.age_ms <= _MAX_AGE_MS for origin in batch.origins
+    ):
+        raise ValueError('time out of range')
+    return batch
 
 
 class OriginStore:
@@ -202,8 +216,8 @@
 
     def _apply(self, value: bytes) -> None:
         try:
-            batch = _batch.decode(value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            batch = decoding.decode(_decode_batch, value)
+        except errors.DecodeError as exc:
             logs.event(logging.WARNING, 'origins not readable', error=str(exc))
             return
         now = self._clock()
--- a/packages/daemon/foxtaildaled/router_state.py
+++ b/packages/daemon/foxtaildaled/router_state.py
@@ -45,6 +45,12 @@
 # can come, begin streams and go unnoticed, seconds.
 _MAX_LIST_GAP_S = 10.0
 
+# How far the clocks of machines may differ, seconds. A server that started later
+# than that after the present time did not write its entry itself.
+_MAX_CLOCK_SKEW_S = 86_400.0
+# A clock that shows an earlier time was never set, seconds since the Unix epoch.
+_MIN_WALL_S = 1_600_000_000.0
+
 
 class RouterState:
     """State of a router; the current time is passed as an argument."""
@@ -56,6 +62,8 @@
         '_peer_address',
         '_seeds',
         '_unreadable',
+        '_unreadable_vms',
+        '_wall',
         'announcements',
         'entry_vms',
         'failure_rates',
@@ -85,11 +93,13 @@
         wall: ports.Clock = time.time,
     ) -> None:
         self._codec = codec
+        # Returns seconds since the Unix epoch.
+        self._wall = wall
         self._peer_address = peer_address
         self._seeds = seeds
         self._mirrors = {
             topic: mirror.Mirror(
-                functools.partial(codec.rank, topic),
+                functools.partial(self._rank, topic),
                 # Live servers write their entries again within seconds.
                 retain_carried=topic != codec.servers_topic,
             )
@@ -108,6 +118,8 @@
         self.on_restarted: Callable[[forwarding.Backend], int] = lambda _: 0
         # Servers whose newest entry can't be decoded; each is logged once.
         self._unreadable: set[str] = set()
+        # Entry VMs whose newest entry can't be decoded.
+        self._unreadable_vms: set[str] = set()
         self.fleet = fleet.Fleet(data_centre, rng)
         self.announcements = server_announcements.ServerAnnouncements(
             self.fleet
@@ -215,7 +227,12 @@
             topic_mirror = self._mirrors.get(topic)
             if topic_mirror is None:
                 continue
-            entries = [mirror.Entry(*record) for record in records]
+            entries = [
+                mirror.Entry(
+                    key, offset, value, self._usable_rank(topic, removed)
+                )
+                for key, offset, value, removed in records
+            ]
             end = reply.positions.get(topic, 0)
             positions_before = self._changed_positions(topic, entries)
             before = topic_mirror.end
@@ -386,8 +403,10 @@
     def is_listed(self, name: str, member: forwarding.EntryVm) -> bool:
         """Whether the store lists an entry VM with the given data."""
         members = self._mirrors[self._codec.members_topic]
-        return self.entry_vms.get(name) == member and not members.is_carried(
-            name
+        return (
+            self.entry_vms.get(name) == member
+            and name not in self._unreadable_vms
+            and not members.is_carried(name)
         )
 
     def seeds(self) -> list[str]:
@@ -414,8 +433,33 @@
             for topic, topic_mirror in self._mirrors.items()
         }
 
+    def _rank(self, topic: str, key: str, value: bytes) -> mirror.Rank:
+        try:
+            return self._usable_rank(topic, self._codec.rank(topic, key, value))
+        except Exception as exc:
+            # Without a rank, the record is ordered by its position.
+            _log_fault('rank', topic, key, None, exc)
+            return mirror.UNRANKED
+
+    def _usable_rank(self, topic: str, rank: mirror.Rank) -> mirror.Rank:
+        """Returns the rank, unless it would outrank all later records."""
+        if topic == self._codec.servers_topic and self._is_in_future(rank[0]):
+            return mirror.UNRANKED
+        return rank
+
+    def _is_in_future(self, started_at_ms: int) -> bool:
+        wall_s = self._wall()
+        if wall_s < _MIN_WALL_S:
+            return False
+        return started_at_ms > (wall_s + _MAX_CLOCK_SKEW_S) * 1000
+
     def _seal_entry(self, topic: str, entry: mirror.Entry) -> mirror.Entry:
-        value = self._codec.redact(topic, entry.value)
+        try:
+            value = self._codec.redact(topic, entry.value)
+        except Exception as exc:
+            # The record may contain keys.
+            _log_fault('redact', topic, entry.key, entry.offset, exc)
+            value = b''
         if value is entry.value:
             return entry
         return msgspec.structs.replace(entry, value=value)
@@ -497,6 +541,8 @@
                     if entry.key in self._unreadable:
                         continue
                     self._unreadable.add(entry.key)
+                elif topic == self._codec.members_topic:
+                    self._unreadable_vms.add(entry.key)
                 # The previous configuration or entry VM stays in use.
                 logs.event(
                     logging.ERROR,
@@ -507,6 +553,12 @@
                     source=source,
                     error=str(exc),
                 )
+            except errors.InvariantError:
+                raise
+            except Exception as exc:
+                # The position is already behind all records of the reply, so
+                # the others would never be applied.
+                _log_fault('apply', topic, entry.key, entry.offset, exc)
 
     def _apply_table(self, entry: mirror.Entry, source: str) -> None:
         if entry.key != self._codec.config_key or not entry.value:
@@ -550,6 +602,10 @@
             )
             return True
         backend = self._codec.decode_server(entry.key, entry.value)
+        if self._is_in_future(backend.born):
+            raise errors.DecodeError(
+                f'backend server {entry.key}: start time {backend.born} ms'
+            )
         unreadable = entry.key in self._unreadable
         self._unreadable.discard(entry.key)
         known_start = self.fleet.started_at(entry.key)
@@ -602,13 +658,29 @@
     def _apply_member(self, entry: mirror.Entry) -> None:
         if entry.value:
             member = self._codec.decode_member(entry.key, entry.value)
+            self._unreadable_vms.discard(entry.key)
             self.entry_vms = {**self.entry_vms, entry.key: member}
         else:
+            self._unreadable_vms.discard(entry.key)
             remaining = dict(self.entry_vms)
             remaining.pop(entry.key, None)
             self.entry_vms = remaining
 
 
+def _log_fault(
+    step: str, topic: str, key: str, offset: int | None, exc: Exception
+) -> None:
+    logs.event(
+        logging.ERROR,
+        'record not applied',
+        step=step,
+        topic=topic,
+        key=key,
+        offset=offset,
+        error=repr(exc),
+    )
+
+
 def _differs(before: forwarding.Backend, after: forwarding.Backend) -> bool:
     """Whether a server's entry changed in a way that affects requests."""
     return (before.leaving, before.stage, before.version) != (
