Late streams of a stop: no end is promised by a guessed token time

Cause: a late request is served only if its response will be complete before the process ends. That was estimated with the measured time of a token, or with INITIAL_TOKEN_S until one is measured. The coordinator that stops gives up its role at once, and the next one begins with a new plan: the constant was used exactly while the old one stops. Without a coordinator the constant was always used. It is several times too low for slow engines.

Ruled out: the wait for a placement (the request was granted one at once), and the grace time (the process ended in time).

Fix: the entry VM that relays responses keeps the token times that it measured (`token_times`) and sends the median with a placement request. A coordinator uses its own measurements, or else the VM's; without either a request that must finish is refused, and another VM has the time for it. Without a coordinator the VM's own time decides, with the hint and the maximum length as in the plan. A prefill speed that was not measured counts as one that meets the target. The new field is the last of the message and has a default: VMs of the build before send none, and a late request of theirs is refused by a coordinator that measured nothing.

test_a_late_stream_goes_on_without_a_coordinator made the constant large so that no late stream seems to end in time. That time is now the measured one, so the test makes this large; what it checks is the same.

--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -452,6 +452,9 @@
     must_finish: bool = False
     # Software version of the decode worker; empty if any may get the request.
     version: str = ''
+    # Time of a token of the service as the holder measured it, seconds; 0 if
+    # it measured none.
+    token_s: float = 0.0
 
 
 class PlacementGrant(Wire, frozen=True, tag='Place'):
@@ -467,6 +470,7 @@
 class DeadlineUnreachable(Wire, frozen=True, tag='TooLate'):
     """No placement would complete the response in time."""
 
+    # 0 if it is not known.
     required_ms: int
 
 
--- a/packages/core/foxtaildale/placement_plan.py
+++ b/packages/core/foxtaildale/placement_plan.py
@@ -46,7 +46,8 @@
 PASS_INTERVAL_S: Final = 0.02
 # Time after which a placement expires if its holder does not renew it, seconds.
 RENEWAL_TIMEOUT_S: Final = 4.0
-# Initial time of one token before the first measurement, seconds.
+# Initial time of one token before the first measurement, seconds. It is for
+# planning only: a response that must be complete in time is not promised by it.
 INITIAL_TOKEN_S: Final = 0.0007
 # Weight of a new measurement in the moving average.
 _NEW_WEIGHT: Final = 0.1
@@ -155,16 +156,23 @@
         tokens = self._lengths.expected_tokens(
             msg.hinted_tokens, msg.max_output_tokens
         )
-        token_s = self._decode_speeds.median_s() or self._token_s
+        token_s = self._decode_speeds.median_s()
         prefill_s = self._prefills.unqueued_s(msg.prompt_tokens)
-        needs_s = prefill_s + tokens * token_s
         left_s = msg.remaining_ms / 1000
         if msg.must_finish:
+            # A coordinator that is new has no measurements.
+            token_s = token_s or msg.token_s
+            if not token_s:
+                return messages.DeadlineUnreachable(required_ms=0)
+            if not self._prefills.speed.is_measured:
+                prefill_s = max(prefill_s, msg.target_ms / 1000)
+            needs_s = prefill_s + tokens * token_s
             longest_s = prefill_s + (
                 (msg.max_output_tokens or math.inf) * token_s
             )
             is_late = wait_limits.may_outlast(needs_s, longest_s, left_s)
         else:
+            needs_s = prefill_s + tokens * (token_s or self._token_s)
             is_late = wait_limits.cannot_finish(needs_s, left_s)
         if not is_late:
             return None
--- a/packages/core/foxtaildale/prefill_speed.py
+++ b/packages/core/foxtaildale/prefill_speed.py
@@ -50,6 +50,11 @@
         # Fixed overhead of a prefill, seconds.
         self.overhead_s = INITIAL_OVERHEAD_S
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether any prefill was measured."""
+        return self._max_per_s > 0.0
+
     def record(self, prompt_tokens: int, took_s: float, *, alone: bool) -> None:
         """Records a measured prefill of an engine that is not slow.
 
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -14,7 +14,6 @@
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import messages
-from foxtaildale import placement_plan
 from foxtaildale import ports
 from foxtaildale import routes
 from foxtaildale import wait_limits
@@ -25,6 +24,7 @@
 from foxtaildaled import routed_request
 from foxtaildaled import router_state
 from foxtaildaled import sendlimits
+from foxtaildaled import token_times
 
 # Maximum number of decode workers that one attempt asks for a reservation.
 MAX_RESERVATION_REQUESTS: Final = 3
@@ -41,6 +41,7 @@
         '_owner',
         '_request_numbers',
         '_send_limits',
+        '_token_times',
         '_workers',
     )
 
@@ -51,6 +52,7 @@
         workers: ports.ServerClient,
         client: placement_client.PlacementClient,
         send_limits: sendlimits.SendLimits,
+        times: token_times.TokenTimes,
         entry_vm: str,
         clock: ports.Clock,
     ) -> None:
@@ -58,6 +60,7 @@
         self._workers = workers
         self._client = client
         self._send_limits = send_limits
+        self._token_times = times
         self._entry_vm = entry_vm
         self._clock = clock
         self._local_queue = local_queue.LocalQueue()
@@ -89,7 +92,7 @@
             spot = self._coordinated_spot(req, sent, started=response_started)
             if spot is not None:
                 return spot
-        if req.must_finish and not response_started and _may_be_cut(req):
+        if req.must_finish and not response_started and self._may_be_cut(req):
             raise attempt_state.RequestRefused(codes.STOPPING)
         return attempt_state.AttemptPlacement(self._reserve(req, sent))
 
@@ -134,6 +137,13 @@
     ) -> None:
         """Releases a placement and reports what was measured there."""
         self._local_queue.notify_released()
+        output_tokens = spot.event_count * req.service.event_tokens
+        if spot.complete and output_tokens and spot.decode_s:
+            self._token_times.record(
+                req.service.name,
+                spot.reserved.worker.id,
+                spot.decode_s / output_tokens,
+            )
         if not spot.plan_request:
             return
         self._client.release(
@@ -142,7 +152,7 @@
                 request=spot.plan_request,
                 prefill_ms=int(spot.prefill_s * 1000),
                 decode_ms=int(spot.decode_s * 1000),
-                output_tokens=spot.event_count * req.service.event_tokens,
+                output_tokens=output_tokens,
                 complete=spot.complete,
                 prefill_rejected=spot.prefill_refused,
             )
@@ -371,6 +381,7 @@
             remaining_ms=max(1, int(req.time_left_s() * 1000)),
             must_finish=req.must_finish,
             version=req.software_version,
+            token_s=self._token_times.median_s(req.service.name) or 0.0,
         )
 
     def _accept_placement(
@@ -486,6 +497,24 @@
                 return forwarding.Reserved(server, reply.text, tokens)
         return None
 
+    def _may_be_cut(self, req: routed_request.RoutedRequest) -> bool:
+        """Whether this process may end before the response does.
+
+        The prefill is assumed to meet the target, as its speed is not known
+        without the coordinator.
+        """
+        token_s = self._token_times.median_s(req.service.name)
+        if not token_s:
+            return True
+        call, target_s = req.caller_request, req.route.target_s
+        longest_tokens = call.output_tokens or math.inf
+        expected_tokens = call.hinted_tokens or longest_tokens
+        return wait_limits.may_outlast(
+            target_s + expected_tokens * token_s,
+            target_s + longest_tokens * token_s,
+            req.time_left_s(),
+        )
+
     def _decoders(
         self, req: routed_request.RoutedRequest, sent: list[str]
     ) -> list[forwarding.Backend]:
@@ -525,19 +554,6 @@
     return req.software_version in ('', worker.version)
 
 
-def _may_be_cut(req: routed_request.RoutedRequest) -> bool:
-    """Whether this process may end before the response does.
-
-    No measured times are known here, so they are those of a new plan and of a
-    prefill that meets the target.
-    """
-    longest_tokens = req.caller_request.output_tokens or math.inf
-    longest_s = (
-        req.route.target_s + longest_tokens * placement_plan.INITIAL_TOKEN_S
-    )
-    return wait_limits.may_outlast(longest_s, math.inf, req.time_left_s())
-
-
 def _stage(service: routes.Service) -> forwarding.Stage:
     """Returns the stage of the servers that run the requests of a service."""
     return 'decode' if service.kv_tokens else ''
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -54,6 +54,7 @@
 from foxtaildaled import self_reports
 from foxtaildaled import sendlimits
 from foxtaildaled import server_paths
+from foxtaildaled import token_times
 from foxtaildaled import tracked_flights
 from foxtaildaled import vm_eligibility
 
@@ -541,6 +542,7 @@
             workers=self._workers,
             client=self._placement_plan,
             send_limits=self._send_limits,
+            times=token_times.TokenTimes(clock),
             entry_vm=self.cfg.entry_vm,
             clock=clock,
         )
--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -10,9 +10,9 @@
 import msgspec
 import pytest
 
-from foxtaildale import placement_plan
 from foxtaildaled import placement_client
 from foxtaildaled import router_daemon
+from foxtaildaled import token_times
 from tests import site as sites
 from tests import stopprobes
 from tests.standins import serving
@@ -150,13 +150,16 @@
 
 
 def _begin_stream(
-    site: sites.Site, headers: dict[str, str]
+    site: sites.Site,
+    headers: dict[str, str],
+    events: int = 40,
+    pace_s: float = 0.1,
 ) -> stopprobes.Connection:
-    """Begins a stream of 4 s; returns once its head was sent."""
+    """Begins a stream; returns once its head was sent."""
     numbers: list[int] = []
     for name in ('d1', 'd2'):
-        site.workers[name].events = 40
-        site.workers[name].pace_s = 0.1
+        site.workers[name].events = events
+        site.workers[name].pace_s = pace_s
         site.workers[name].on_event = lambda number, _: numbers.append(number)
     conn = stopprobes.Connection(site.routers[0].addresses['caller'], _ENDS_S)
     conn.send(_stream_request(headers))
@@ -234,6 +237,27 @@
     conn.close()
 
 
+def test_slow_engines_are_known_without_a_coordinator(
+    site: sites.Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a late stream that is cut as its engines are slow."""
+    _allow_long_requests(site)
+    headers = _headers('first', 14.0) | {'Foxtaildale-Token-Count': '500,640'}
+    conn = _begin_stream(site, headers, 12, 0.5)
+    with futures.ThreadPoolExecutor(1) as pool:
+        stopped = pool.submit(site.routers[0].stop)
+        monkeypatch.setattr(
+            placement_client.PlacementClient, 'request', lambda *_: None
+        )
+        late = {'Foxtaildale-Attempt-Id': 'late'}
+        conn.send(_stream_request(headers | late))
+        assert _read_whole(conn).body == sites.events('first', 12)
+        assert _read_whole(conn).status == 503
+        stopped.result(_ENDS_S)
+    conn.close()
+    assert all('late' not in worker.ids() for worker in site.workers.values())
+
+
 def test_a_late_stream_goes_on_without_a_coordinator(
     site: sites.Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -249,7 +273,9 @@
                 placement_client.PlacementClient, 'request', lambda *_: None
             )
             # No stream seems to end in time now.
-            monkeypatch.setattr(placement_plan, 'INITIAL_TOKEN_S', 1.0)
+            monkeypatch.setattr(
+                token_times.TokenTimes, 'median_s', lambda *_: 1.0
+            )
             raise serving.Cut
 
     conn = _begin_stream(site, headers)
--- a/tests/test_placement_plan.py
+++ b/tests/test_placement_plan.py
@@ -52,6 +52,8 @@
     avoid: tuple[str, ...] = (),
     digest: int = 0,
     started: bool = False,
+    must_finish: bool = False,
+    token_s: float = 0.0,
     decoders: tuple[fleet.ServerState, ...] = _DECODERS,
     prefillers: tuple[fleet.ServerState, ...] = _PREFILLERS,
 ) -> messages.PlacementGrant | messages.Queued | messages.DeadlineUnreachable:
@@ -69,6 +71,8 @@
         excluded_servers=avoid,
         request_digest=digest,
         response_started=started,
+        must_finish=must_finish,
+        token_s=token_s,
     )
     return plan.request_placement(
         now, msg, _SERVICE, lambda: (decoders, prefillers)
@@ -788,3 +792,67 @@
     )
     if isinstance(reply, messages.Queued):
         assert reply.retry_in_ms <= 2 * queues.BASE_POLL_MS
+
+
+@pytest.mark.parametrize(
+    ('token_s', 'reply'),
+    [
+        (0.0, messages.DeadlineUnreachable),
+        (0.0034, messages.DeadlineUnreachable),
+        (0.0006, messages.PlacementGrant),
+    ],
+)
+def test_a_new_plan_promises_no_end_without_a_measurement(
+    token_s: float, reply: type[messages.Message]
+) -> None:
+    """Guards against a late stream that a stop cuts after a guessed time."""
+    plan = placement_plan.Plan()
+    assert isinstance(
+        _request_placement(
+            plan,
+            0.0,
+            'late',
+            prompt=3200,
+            hinted=1440,
+            longest=2040,
+            left_ms=3100,
+            must_finish=True,
+            token_s=token_s,
+        ),
+        reply,
+    )
+
+
+def test_a_plan_promises_an_end_by_its_own_measurements() -> None:
+    """Guards against refusals of late streams whose times were measured."""
+    plan = placement_plan.Plan()
+    assert isinstance(
+        _request_placement(plan, 0.0, 'first'), messages.PlacementGrant
+    )
+    plan.release(
+        1.0,
+        messages.PlacementRelease(
+            service='s',
+            request='first',
+            prefill_ms=100,
+            decode_ms=600,
+            output_tokens=1000,
+            complete=True,
+        ),
+    )
+    for left_ms, reply in (
+        (3100, messages.PlacementGrant),
+        (1000, messages.DeadlineUnreachable),
+    ):
+        assert isinstance(
+            _request_placement(
+                plan,
+                2.0,
+                f'late-{left_ms}',
+                hinted=1440,
+                longest=2040,
+                left_ms=left_ms,
+                must_finish=True,
+            ),
+            reply,
+        )
