Histories: know a summary whose prompt was in the prefix cache

Seen once: KeyError 'summary--87' in the collector of the histories, after which nothing was checked.

Cause: the collector knows a summary by the length of its prompt in the engine's record, which holds only the tokens that the engine worked on. The first word of a prompt is unique to its summary, not to its attempt: when a summary is prefilled a second time, its first block of 128 tokens is in the cache. Summary 41 has a prompt of 143 tokens; 15 remain, which is read as number -87. From number 128 on such a summary would have been credited to another one without an error.

Ruled out: a request of another test that met a port of this one, and a decode without a prefill in the record (this raises a KeyError with the request).

The record now also holds the cached tokens, and the collector adds both. The check is as strict, and no execution is left out.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -244,8 +244,8 @@
     def _send_summary(self, patrol: int, number: int) -> None:
         """Sends one summary until it is known whether it ran."""
         key = ''
-        # The first word is unique, so the prefix cache does not reduce the
-        # number of tokens that the engines record.
+        # The first word is unique, so only a repetition of the same summary can
+        # find a part of its prompt in the prefix cache.
         prompt = ' '.join([f'n{number}'] + ['tower'] * (_MIN_WORDS + number))
         body = json.dumps(
             {
@@ -350,7 +350,9 @@
             address = self._dep.workers[name].address
             for record in json.loads(self._dep.get(address, '/record').data):
                 if record['kind'] == 'prefill' and record['phase'] == 'begun':
-                    prompt_tokens[record['request']] = record['tokens']
+                    prompt_tokens[record['request']] = (
+                        record['tokens'] + record['cached']
+                    )
                 elif record['kind'] == 'decode' and record['phase'] == 'begun':
                     started_decodes.append(
                         (name, record['request'], record['at'])
--- a/tests/standins/prefiller.py
+++ b/tests/standins/prefiller.py
@@ -277,4 +277,5 @@
             job.req.attempt,
             holder=job.req.holder,
             tokens=len(job.tokens) - job.cached,
+            cached=job.cached,
         )
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -112,6 +112,8 @@
     at: float
     # Tokens worked on, where that makes sense.
     tokens: int = 0
+    # Tokens of a prompt that were in the prefix cache and not worked on.
+    cached: int = 0
     # Name of the call, and digest of its body.
     call: str = ''
     body: str = ''
@@ -135,6 +137,7 @@
         *,
         holder: str = '',
         tokens: int = 0,
+        cached: int = 0,
         call: str = '',
         body: str = '',
     ) -> None:
@@ -147,6 +150,7 @@
             holder=holder,
             at=time.monotonic(),
             tokens=tokens,
+            cached=cached,
             call=call,
             body=body,
         )
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -364,6 +364,22 @@
     assert kinds == {'stored', 'evicted'}
 
 
+def test_a_prompt_that_is_prefilled_again_is_known_by_its_length(
+    pair: _Pair,
+) -> None:
+    """Guards against executions of a history credited to another request."""
+    prompt = ' '.join(['n41', *['tower'] * 142])
+    for request in ('first', 'again'):
+        _MODELS.prefill(pair.prefill.address, _prefill(request, prompt), 20.0)
+    begun = [
+        entry
+        for entry in control.record(pair.prefill)
+        if entry.phase == 'begun' and entry.request in ('first', 'again')
+    ]
+    assert [entry.tokens for entry in begun] == [143, 15]
+    assert [entry.tokens + entry.cached for entry in begun] == [143, 143]
+
+
 def test_a_leaving_engine_refuses_new_work_only(pair: _Pair) -> None:
     """An engine is about to be stopped while it still sends answers."""
     pair.ready('staying')
