--- a/tests/soakversions.py
+++ b/tests/soakversions.py
@@ -1,13 +1,20 @@
-"""Soak of software versions: python -m tests.soakversions SEED...
+"""Soak of software versions: python -m tests.soakversions [--severe] SEED...
 
 Router processes are stopped, killed and suspended, the store fails, and servers
 of several versions come, go and change, while callers break off their streams
 and resume them anywhere. No stream may have events of two versions, and resumed
 streams must go on at least half as often as new ones begin.
+
+With --severe, all routers are also ended at once while versions come and go, and
+one is suspended or loses the store meanwhile; callers then resume their streams
+as soon as they can.
 """
 
 import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import http.client
 import pathlib
 import random
@@ -25,6 +32,14 @@
 _ROUTERS: Final = 3
 _CALLERS: Final = 8
 _LASTS_S: Final = 12.0
+_SEVERE_LASTS_S: Final = 24.0
+# How long callers prefer a router that has just come back, and how long they
+# wait for one, seconds.
+_PREFERRED_S: Final = 1.0
+_AWAITED_S: Final = 10.0
+# How long callers try to resume a stream, and their pause, seconds.
+_RETRIED_S: Final = 12.0
+_RETRY_PAUSE_S: Final = 0.2
 _PACE_S: Final = 0.04
 _EVENTS: Final = 12
 # Time after a change of the servers of a version in which its streams are not
@@ -49,7 +64,12 @@
 class _Soak:
     """One run."""
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, *, severe: bool
+    ) -> None:
+        self._severe = severe
+        # Router at which streams are resumed now, and until when, seconds.
+        self._preferred = (0, 0.0)
         self._rng = random.Random(seed)
         self._names = iter(range(1_000_000))
         self._attempts = iter(range(1_000_000))
@@ -61,7 +81,11 @@
         self.mixed: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.site = versionsite.ProcessSite(folder, _ROUTERS, versions=())
-        for version in ('v1', 'v1', 'v1', 'v2', 'v2', 'v2'):
+        versions = ['v1', 'v1', 'v1', 'v2', 'v2', 'v2']
+        if severe:
+            # A release with all routers down is the first that is not v1.
+            versions = ['v1'] * 6
+        for version in versions:
             self._add(version)
 
     def run(self) -> list[str]:
@@ -73,13 +97,18 @@
         time.sleep(_SETTLES_S)
         for caller in callers:
             caller.start()
-        end = time.monotonic() + _LASTS_S
+        lasts_s = _SEVERE_LASTS_S if self._severe else _LASTS_S
+        end = time.monotonic() + lasts_s
+        actions = [self._trouble, self._trouble, self._replace, self._store]
+        if self._severe:
+            actions += [self._end_all, self._end_all, self._miss_changes]
         try:
+            if self._severe:
+                time.sleep(self._rng.uniform(0.5, 1.5))
+                self._end_all([self._release])
             while time.monotonic() < end:
                 time.sleep(self._rng.uniform(0.2, 1.2))
-                self._rng.choice(
-                    (self._trouble, self._trouble, self._replace, self._store)
-                )()
+                self._rng.choice(actions)()
         finally:
             self._ends.set()
             for caller in callers:
@@ -111,9 +140,7 @@
             return
         self._changed_at[worker.version] = time.monotonic()
         if self._rng.random() < 0.5:
-            self.site.workers.remove(worker)
-            self.site.store.put('keyed.servers', worker.name, None)
-            worker.close()
+            self._remove(worker)
             return
         # Its streams end with its incarnation.
         self._changed_at[version] = time.monotonic()
@@ -146,11 +173,86 @@
             if router.process is not None:
                 router.process.wait(10)
             router.start()
+        self._await_ready(chosen)
+
+    def _end_all(self, changes: Sequence[Callable[[], None]] = ()) -> None:
+        """All routers end at once while versions come and go."""
+        self.counts['all ended'] += 1
+        if not changes:
+            changes = (self._replace, self._change_versions, self._release)
+        routers = self.site.routers
+        self._troubled.update(range(_ROUTERS))
+        for router in routers:
+            router.send_signal(signal.SIGKILL)
+        time.sleep(self._rng.uniform(0.1, 0.5))
+        self._rng.choice(changes)()
         for router in routers:
-            end = time.monotonic() + 20.0
+            if router.process is not None:
+                router.process.wait(10)
+            router.start()
+        if self._rng.random() < 0.5:
+            self._replace()
+        self._await_ready(range(_ROUTERS))
+
+    def _miss_changes(self) -> None:
+        """A router is suspended or without the store as versions change."""
+        self.counts['changes missed'] += 1
+        number = self._rng.randrange(_ROUTERS)
+        router = self.site.routers[number]
+        suspends = self._rng.random() < 0.5
+        self._troubled.add(number)
+        if suspends:
+            router.send_signal(signal.SIGSTOP)
+        else:
+            router.relay.cut()
+        self._change_versions()
+        time.sleep(self._rng.uniform(0.5, 3.0))
+        self._preferred = (number, time.monotonic() + _PREFERRED_S)
+        if suspends:
+            router.send_signal(signal.SIGCONT)
+        else:
+            router.relay.mend()
+        self._await_ready([number])
+
+    def _change_versions(self) -> None:
+        """A version joins, or leaves with all of its servers."""
+        decoders = [w for w in self.site.workers if w.stage == 'decode']
+        versions = sorted({worker.version for worker in decoders})
+        if len(versions) < 2 or self._rng.random() < 0.6:
+            version = self._rng.choice(('v1', 'v2', 'v3', 'v4'))
+            for _ in range(self._rng.choice((1, 2))):
+                self._add(version)
+            return
+        version = self._rng.choice(versions)
+        for worker in decoders:
+            if worker.version == version:
+                self._remove(worker)
+
+    def _release(self) -> None:
+        """All servers are replaced by ones of one other version."""
+        decoders = [w for w in self.site.workers if w.stage == 'decode']
+        listed = {worker.version for worker in decoders}
+        others = sorted({'v1', 'v2', 'v3', 'v4'} - listed)
+        version = self._rng.choice(others or sorted(listed))
+        for _ in decoders[:4]:
+            self._add(version)
+        for worker in decoders:
+            self._remove(worker)
+
+    def _remove(self, worker: wireworker.WireWorker) -> None:
+        self._changed_at[worker.version] = time.monotonic()
+        self.site.workers.remove(worker)
+        self.site.store.put('keyed.servers', worker.name, None)
+        worker.close()
+
+    def _await_ready(self, numbers: Iterable[int]) -> None:
+        """Waits until routers are ready again."""
+        end = time.monotonic() + 20.0
+        for number in numbers:
+            router = self.site.routers[number]
             while not router.is_ready() and time.monotonic() < end:
                 time.sleep(0.05)
-        self._troubled.difference_update(chosen)
+            self._troubled.discard(number)
 
     def _store(self) -> None:
         """The store is away for a while."""
@@ -169,13 +271,33 @@
         first = ''
         for _ in range(4):
             number = rng.randrange(_ROUTERS)
+            preferred, until = self._preferred
+            if received and time.monotonic() < until:
+                number = preferred
             attempt = f'a{next(self._attempts)}'
             wanted = rng.choice((1, 2, 5, _EVENTS, _EVENTS))
             healthy = number not in self._troubled
             events = self._attempt(
                 number, attempt, first, len(received), wanted
             )
+            retry_until = time.monotonic() + _RETRIED_S
+            while (
+                self._severe
+                and received
+                and not events
+                and not self._ends.wait(_RETRY_PAUSE_S)
+                and time.monotonic() < retry_until
+            ):
+                number = self._await_any_router(rng)
+                attempt = f'a{next(self._attempts)}'
+                healthy = number not in self._troubled
+                events = self._attempt(
+                    number, attempt, first, len(received), wanted
+                )
             if events is None:
+                if self._severe:
+                    # Callers without a pause would slow the routers' start.
+                    time.sleep(_RETRY_PAUSE_S)
                 return
             healthy = healthy and number not in self._troubled
             if healthy and not self._ends.is_set():
@@ -189,6 +311,14 @@
             if len(received) >= _EVENTS:
                 return
 
+    def _await_any_router(self, rng: random.Random) -> int:
+        """Returns a router without trouble, or any after a while."""
+        end = time.monotonic() + _AWAITED_S
+        while len(self._troubled) == _ROUTERS and time.monotonic() < end:
+            time.sleep(0.02)
+        healthy = sorted(set(range(_ROUTERS)) - self._troubled)
+        return rng.choice(healthy or range(_ROUTERS))
+
     def _count(self, received: list[str], *, went_on: bool) -> None:
         if not received:
             self.counts['begun' if went_on else 'not begun'] += 1
@@ -237,15 +367,17 @@
         return found
 
 
-def play(seed: int) -> list[str]:
+def play(seed: int, *, severe: bool = False) -> list[str]:
     """Plays one seed; returns what was broken."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = _Soak(seed, pathlib.Path(folder))
+        soak = _Soak(seed, pathlib.Path(folder), severe=severe)
         found = soak.run()
     print(seed, dict(soak.counts), found or 'held', flush=True)
     return found
 
 
 if __name__ == '__main__':
-    broken = [seed for seed in sys.argv[1:] if play(int(seed))]
+    seeds = [arg for arg in sys.argv[1:] if arg != '--severe']
+    is_severe = '--severe' in sys.argv
+    broken = [seed for seed in seeds if play(int(seed), severe=is_severe)]
     sys.exit(bool(broken))
