--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -461,6 +461,9 @@
     version: str = ''
     # Whether the caller resumes a stream, and so has a part of the response.
     resumed: bool = False
+    # Time of a token of the service as the holder measured it, seconds; 0 if
+    # it measured none.
+    token_s: float = 0.0
 
 
 class PlacementGrant(Wire, frozen=True, tag='Place'):
@@ -476,6 +479,7 @@
 class DeadlineUnreachable(Wire, frozen=True, tag='TooLate'):
     """No placement would complete the response in time."""
 
+    # 0 if it is not known.
     required_ms: int
 
 
