Default versions: change in two steps, per epoch of the store, and never by an old list

A default counts only in the epoch that it was written in, and the first one only after a window, unless all VMs start for the first time. - Callers without Resumes got the default while the VM listed two versions.

A request that names Last-Event-Id 0, or one on a route that is not resumable, goes before no others.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -481,7 +481,14 @@
             'default version',
             'streams of {service} that are saved nowhere are of version'
             ' {software} now, before: {before}',
-            ('service', 'software', 'before', 'others_from'),
+            (
+                'service',
+                'software',
+                'before',
+                'others_from',
+                'settled',
+                'retired',
+            ),
         ),
         (
             'default versions not followed',
--- a/packages/core/foxtaildale/stream_origins.py
+++ b/packages/core/foxtaildale/stream_origins.py
@@ -62,7 +62,7 @@
 
     def has_all(self, now: float, age_s: float) -> bool:
         """Whether no stream of this age or younger was forgotten."""
-        return now - self._evicted_began_at > age_s
+        return age_s <= ORIGIN_TTL_S and now - self._evicted_began_at > age_s
 
     def find(self, now: float, stream: int) -> messages.StreamOrigin | None:
         """Returns the origin of a stream with its age; None if not known."""
--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -33,7 +33,13 @@
 REREAD_INTERVAL_S: Final = 5.0
 RETRY_INTERVAL_S: Final = 1.0
 # Maximum wait for the read of another request, seconds.
-MAX_WAIT_S: Final = 0.3
+MAX_WAIT_S: Final = 0.6
+# Maximum age of the list of servers by which a default version is changed,
+# seconds.
+MAX_LIST_AGE_S: Final = 1.5
+# Time after the first start of all VMs in which the first default version is
+# written, seconds. Callers come later.
+FIRST_START_S: Final = 60.0
 # Time after its first event in which a stream may be resumed, in timeouts of its
 # route, and its minimum, seconds.
 _WINDOW_TIMEOUTS: Final = 2.0
@@ -60,6 +66,7 @@
         '_defaults',
         '_end',
         '_failed_until',
+        '_first_start_until',
         '_has_read',
         '_listed_at_read',
         '_lock',
@@ -80,6 +87,7 @@
         coordinators: coordinator_client.CoordinatorClient,
         origins: origin_store.OriginStore,
         clock: ports.Clock,
+        first_start: bool = False,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -87,6 +95,11 @@
         self._coordinators = coordinators
         self._origins = origins
         self._clock = clock
+        # Until when no stream can have begun before this process was started,
+        # seconds.
+        self._first_start_until = (
+            clock() + FIRST_START_S if first_start else -math.inf
+        )
         # Only the loop uses it; by service.
         self._choices: dict[str, default_versions.DefaultChoice] = {}
         # Held during a read of the topic; taken before `_lock`.
@@ -116,6 +129,9 @@
             return (
                 default is not None
                 and default.version == version
+                and default.is_settled
+                and not default.is_retired
+                and default.epoch == positions.epoch(self._end)
                 and version in self._listed_at_read.get(service, ())
             )
 
@@ -154,7 +170,8 @@
         self, now: float, versions: dict[str, tuple[_Versions, float]]
     ) -> bool:
         with self._lock:
-            if not self._has_read:
+            is_restored = positions.epoch(self._end) != self._store_epoch()
+            if not self._has_read or is_restored:
                 return True
             for service, ((listed, _), _) in versions.items():
                 if self._listed_at_read.get(service) != listed.keys():
@@ -174,6 +191,12 @@
     def _write_changes(
         self, now: float, versions: dict[str, tuple[_Versions, float]]
     ) -> None:
+        epoch = self._store_epoch()
+        is_current = self._owner.run(
+            lambda state, now: state.is_fresh(now, MAX_LIST_AGE_S)
+        )
+        if not is_current:
+            return
         for service, ((listed, recent), window_s) in versions.items():
             with self._lock:
                 current, end = self._defaults.get(service), self._end
@@ -186,7 +209,9 @@
                 listed,
                 recent,
                 window_s=window_s,
+                epoch=epoch,
                 saved_end=self._read_saved_end,
+                first_start=now < self._first_start_until,
             )
             if changed is None:
                 continue
@@ -203,13 +228,17 @@
                 software=changed.version,
                 before=current.version if current else '',
                 others_from=changed.others_from,
+                settled=changed.is_settled,
+                retired=changed.is_retired,
             )
 
     def _read_saved_end(self) -> int:
-        epoch = self._owner.run(
+        return self._origins.read_end(self._store_epoch())
+
+    def _store_epoch(self) -> int:
+        return self._owner.run(
             lambda state, _: positions.epoch(state.servers_position())
         )
-        return self._origins.read_end(epoch)
 
     def _refresh(self) -> None:
         """Reads the topic, unless a read has begun since the call.
@@ -234,7 +263,7 @@
                 ).items()
             }
             self._failed_until = began_at + RETRY_INTERVAL_S
-            found = self._read()
+            found, is_snapshot = self._read()
             self._failed_until = -math.inf
             defaults = {
                 entry.key: default
@@ -242,6 +271,8 @@
                 if (default := _decode(entry.key, entry.value)) is not None
             }
             with self._lock:
+                if is_snapshot:
+                    self._defaults.clear()
                 self._defaults |= defaults
                 self._end = found.end
                 self._has_read = True
@@ -250,13 +281,15 @@
         finally:
             self._read_lock.release()
 
-    def _read(self) -> ports.KeyedRecords:
+    def _read(self) -> tuple[ports.KeyedRecords, bool]:
+        """Returns new records, and whether they are all that there are."""
         if self._has_read:
             try:
-                return self._reader.wait_for_records(TOPIC, self._end, 0.0)
+                found = self._reader.wait_for_records(TOPIC, self._end, 0.0)
+                return found, False
             except errors.RecordsExpiredError:
                 pass  # All is read again.
-        return self._reader.read_newest(TOPIC)
+        return self._reader.read_newest(TOPIC), True
 
 
 def _decode(
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -30,7 +30,7 @@
 
 # Time after the timeout of its route in which a stream may still be resumed,
 # seconds. Callers resume within the time that they wait for a response.
-RESUME_MARGIN_S: Final = 2.0
+RESUME_MARGIN_S: Final = 3.0
 # Number of VMs that are asked for an origin; one of them may have served the
 # stream and ended, and one may not have the report.
 ASKED_VMS: Final = 3
@@ -170,12 +170,13 @@
         saved = self._read_saved(req.route, stream, service)
         if saved.origin is not None and saved.origin.service in services:
             return saved.origin, 'store'
-        is_default = saved.has_all if stream else saved.is_alone
-        if saved.default and is_default and len(services) == 1:
-            return _origin(stream, service, saved.default), 'default'
         # Another VM may know of a version that this one does not list yet.
         known = (own, *replies)
         versions = {version for reply in known for version in reply.versions}
+        is_only = saved.is_alone and versions <= {saved.default}
+        is_default = is_only or (saved.has_all and bool(stream))
+        if saved.default and is_default and len(services) == 1:
+            return _origin(stream, service, saved.default), 'default'
         list_age_ms = min(reply.list_age_ms for reply in known)
         known_s = max(reply.known_ms for reply in known) / 1000
         is_current = list_age_ms < MAX_LIST_AGE_S * 1000
@@ -191,8 +192,6 @@
             and known_s >= default_version_store.resume_window_s(req.route)
         ):
             return _origin(stream, service, *versions), 'only version'
-        if not versions:
-            return None, ''
         raise attempt_state.RequestRefused(
             codes.ORIGIN_UNKNOWN,
             versions=len(versions),
@@ -251,11 +250,18 @@
             logs.event(logging.WARNING, 'origins not read', error=str(exc))
             return saved
         saved.is_read = True
-        if default is not None:
+        if (
+            default is not None
+            and default.is_settled
+            and default.epoch == epoch
+        ):
             saved.default = default.version
             saved.is_alone = default.others_from == default_versions.ALONE
-            saved.has_all = saved.is_alone or self._store.has_all(
-                default.others_from, route.timeout_s + RESUME_MARGIN_S
+            saved.has_all = self._store.has_all(
+                positions.make(epoch, 0)
+                if saved.is_alone
+                else default.others_from,
+                route.timeout_s + RESUME_MARGIN_S,
             )
         return saved
 
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -18,6 +18,7 @@
 import threading
 import time
 from typing import Final
+from typing import Literal
 
 from foxtaildale import errors
 from foxtaildale import messages
@@ -60,8 +61,10 @@
 
 # When a stream began, seconds, and its origin.
 _Began = tuple[float, messages.StreamOrigin]
-# A stream that began, and whether its first event waits until it is saved.
-_Pending = tuple[float, messages.StreamOrigin, bool]
+# A stream that began, and whether its first event waits until it is saved: by
+# this VM, by the one that gets the report, or not at all.
+_Saver = Literal['', 'self', 'receiver']
+_Pending = tuple[float, messages.StreamOrigin, _Saver]
 # Peer address of a VM, and keys of streams that are saved for it.
 _Confirmation = tuple[str, tuple[int, ...]]
 
@@ -157,27 +160,32 @@
                 seconds; 0 if the stream is of the default version.
         """
         now = self._clock()
-        must_save = wait_s > 0
+        saver: _Saver = ''
+        if wait_s > 0:
+            saver = 'self' if self._saves_itself() else 'receiver'
         saved = threading.Event()
         with self._lock:
             self._origins.record(now, origin)
             is_full = len(self._pending) >= _MAX_PENDING
             if not is_full:
-                self._pending.append((now, origin, must_save))
-                if must_save:
-                    self._awaited[origin.stream] = saved
+                self._pending.append((now, origin, saver))
+            if saver:
+                self._awaited[origin.stream] = saved
         if is_full:
             _log_unreported(1, 0, 0)
+        if not saver:
             return
-        if not must_save:
-            return
-        if self._saves_itself():
+        if is_full or saver == 'self':
             self._save_later([(now, origin)])
             self.on_save()
         self.on_report()
         if not saved.wait(wait_s):
             with self._lock:
                 self._awaited.pop(origin.stream, None)
+            if saver == 'receiver':
+                # Its confirmation, or the receiver itself, may be lost.
+                self._save_later([(now, origin)])
+                self.on_save()
             logs.event(
                 logging.WARNING,
                 'origin not saved in time',
@@ -246,26 +254,29 @@
         if mixed & unshared:
             # A second version has come: what was reported to one VM only is
             # reported to more, and saved.
+            no_saver: _Saver = ''
             pending = [
-                (began_at, origin, False)
+                (began_at, origin, no_saver)
                 for began_at, origin in self._take_unshared(mixed)
             ] + pending
         pending = self._hold_back(pending, mixed)
-        groups: dict[tuple[int, bool, bool], list[_Began]] = {}
-        for began_at, origin, must_save in pending:
-            is_urgent = must_save or origin.service in mixed
-            key = (origin.stream % GROUPS, is_urgent, must_save)
+        groups: dict[tuple[int, bool, _Saver], list[_Began]] = {}
+        # First events wait for the first ones.
+        for began_at, origin, saver in sorted(
+            pending, key=lambda item: item[2] != 'receiver'
+        ):
+            is_urgent = bool(saver) or origin.service in mixed
+            key = (origin.stream % GROUPS, is_urgent, saver)
             groups.setdefault(key, []).append((began_at, origin))
         unreported: list[_Began] = []
-        for (_, is_urgent, must_save), group in groups.items():
-            is_saved_here = must_save and self._saves_itself()
+        for (_, is_urgent, saver), group in groups.items():
             knows_others = self._report(
                 group,
                 is_urgent=is_urgent,
-                save=is_urgent and not is_saved_here,
-                confirm=must_save and not is_saved_here,
+                save=is_urgent and saver != 'self',
+                confirm=saver == 'receiver',
             )
-            if is_urgent and not knows_others and not is_saved_here:
+            if is_urgent and not knows_others and saver != 'self':
                 unreported += group
         if unreported:
             self._save_now(unreported)
@@ -303,7 +314,10 @@
         with self._lock:
             batch = self._unsaved[:_MAX_BATCH]
             del self._unsaved[:_MAX_BATCH]
+            has_more = bool(self._unsaved)
         self._save(batch)
+        if has_more:
+            self.on_save()
 
     def _save_now(self, group: list[_Began]) -> None:
         """Saves origins that no other VM has; their first events wait."""
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -27,10 +27,10 @@
 TOPIC: Final = 'streamorigins'
 # Time after a failed read in which the store is not read again, and maximum wait
 # for the read of another request, seconds.
-FAILURE_INTERVAL_S: Final = 2.0
-MAX_WAIT_S: Final = 0.3
+FAILURE_INTERVAL_S: Final = 0.4
+MAX_WAIT_S: Final = 0.6
 # Maximum number of reads of one look-up, each of up to a megabyte.
-_MAX_READS: Final = 20
+_MAX_READS: Final = 200
 
 
 class Batch(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/daemon/foxtaildaled/placement_finder.py
+++ b/packages/daemon/foxtaildaled/placement_finder.py
@@ -381,7 +381,7 @@
             remaining_ms=max(1, int(req.time_left_s() * 1000)),
             must_finish=req.must_finish,
             version=req.software_version,
-            resumed=call.after_event is not None,
+            resumed=bool(call.after_event) and req.route.resumable,
             token_s=self._token_times.median_s(req.service.name) or 0.0,
         )
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -303,6 +303,7 @@
             coordinators=self._coordinators,
             origins=origins,
             clock=clock,
+            first_start=cfg.first_start,
         )
         self._origin_reports = origin_reports.OriginReports(
             entry_vm=cfg.entry_vm,
--- a/tests/test_default_versions.py
+++ b/tests/test_default_versions.py
@@ -19,61 +19,112 @@
 class _Choice:
     """The default version of one service, over time."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, first_start: bool = True) -> None:
         self._choice = default_versions.DefaultChoice()
+        self._first_start = first_start
+        self._now = 0.0
         self.current: default_versions.DefaultVersion | None = None
 
-    def step(self, now: float, *listed: str, recent: str = '') -> str:
-        """Lists servers of versions; returns the version, '+' if not alone."""
-        counts = {version: listed.count(version) for version in listed}
-        changed = self._choice.next_default(
-            now,
-            self.current,
-            counts,
-            frozenset(recent.split()),
-            window_s=_WINDOW_S,
-            saved_end=lambda: _END,
-        )
-        self.current = changed or self.current
+    def lists(
+        self,
+        *listed: str,
+        for_s: float = 0.0,
+        recent: str = '',
+        epoch: int = 1,
+        step_s: float = 1.0,
+    ) -> str:
+        """Lists servers of versions for a time.
+
+        Returns:
+            The default version at the end, with '+' unless it is alone, '?'
+            unless it is settled, and '-' if it is retired.
+        """
+        end = self._now + for_s
+        while True:
+            changed = self._choice.next_default(
+                self._now,
+                self.current,
+                {version: listed.count(version) for version in listed},
+                frozenset(recent.split()),
+                window_s=_WINDOW_S,
+                epoch=epoch,
+                saved_end=lambda: _END,
+                first_start=self._first_start,
+            )
+            self.current = changed or self.current
+            self._now += step_s
+            if self._now > end:
+                break
         assert self.current is not None
         is_alone = self.current.others_from == default_versions.ALONE
-        return self.current.version + ('' if is_alone else '+')
+        return (
+            self.current.version
+            + ('' if is_alone else '+')
+            + ('' if self.current.is_settled else '?')
+            + ('-' if self.current.is_retired else '')
+        )
 
 
 def test_the_first_default_version_is_that_of_most_servers() -> None:
-    assert _Choice().step(0.0, 'v1') == 'v1'
-    assert _Choice().step(0.0, 'v1', 'v2', 'v1') == 'v1+'
-    assert _Choice().step(0.0, 'v1', recent='v0') == 'v1+'
+    assert _Choice().lists('v1') == 'v1'
+    assert _Choice().lists('v1', 'v2', 'v1') == 'v1+'
+    assert _Choice().lists('v1', recent='v0') == 'v1+'
+
+
+def test_streams_before_the_first_default_version_are_not_of_it() -> None:
+    """Guards against streams that began before anything was saved."""
+    choice = _Choice(first_start=False)
+    assert choice.lists('v1', for_s=_WINDOW_S - 2.0) == 'v1+?'
+    assert choice.lists('v1', for_s=3.0) == 'v1'
+
+
+def test_a_restored_store_vouches_for_no_stream() -> None:
+    """Guards against saved origins that a copy of the store lacks."""
+    choice = _Choice(first_start=False)
+    choice.lists('v1', 'v2', 'v2', for_s=3 * _WINDOW_S)
+    assert choice.lists('v1', 'v1', 'v2', epoch=2) == 'v2+?'
 
 
 def test_a_version_that_joins_does_not_become_the_default() -> None:
     """Guards against unsaved streams that are taken for the newest version."""
     choice = _Choice()
-    choice.step(0.0, 'v1')
-    assert choice.step(1.0, 'v1', 'v2', 'v2') == 'v1+'
-    assert choice.current == default_versions.DefaultVersion('v1', _END)
-    assert choice.step(1.0 + 2 * _WINDOW_S, 'v1', 'v2', 'v2') == 'v1+'
+    choice.lists('v1')
+    assert choice.lists('v1', 'v2', 'v2') == 'v1+'
+    assert choice.current is not None
+    assert choice.current.others_from == _END
+    assert choice.lists('v1', 'v2', 'v2', for_s=2 * _WINDOW_S) == 'v1+'
 
 
 def test_the_default_changes_when_no_stream_of_it_may_be_resumed() -> None:
     """Guards against streams of a version that has just left."""
     choice = _Choice()
-    choice.step(0.0, 'v1')
-    choice.step(1.0, 'v2', recent='v1 v2')
-    assert choice.step(_WINDOW_S, 'v2', recent='v1 v2') == 'v1+'
+    choice.lists('v1')
+    assert choice.lists('v2', recent='v1 v2') == 'v1+'
+    # All streams are saved from now on.
+    assert choice.lists('v2', recent='v1', for_s=4.0) == 'v1+-'
+    assert choice.lists('v2', recent='v1', for_s=_WINDOW_S - 8.0) == 'v1+-'
     # A server of it came back: the time begins anew.
-    assert choice.step(_WINDOW_S + 0.5, 'v1', 'v2') == 'v1+'
-    choice.step(_WINDOW_S + 1.0, 'v2', recent='v1')
-    assert choice.step(2 * _WINDOW_S + 0.5, 'v2', recent='v1') == 'v1+'
-    assert choice.step(2 * _WINDOW_S + 1.5, 'v2', recent='v1') == 'v2+'
+    assert choice.lists('v1', 'v2') == 'v1+'
+    assert choice.lists('v2', recent='v1', for_s=_WINDOW_S - 2.0) == 'v1+-'
+    assert choice.lists('v2', recent='v1', for_s=8.0) == 'v2+'
+
+
+def test_a_decision_after_a_pause_of_the_process_begins_anew() -> None:
+    """Guards against a default changed by what was seen before a pause."""
+    choice = _Choice()
+    choice.lists('v1')
+    assert choice.lists('v2', recent='v1', for_s=8.0) == 'v1+-'
+    later = 3 * _WINDOW_S
+    assert choice.lists('v2', recent='v1', step_s=later) == 'v1+-'
+    assert choice.lists('v2', recent='v1') == 'v1+-'
 
 
 def test_other_versions_are_over_when_none_of_their_streams_is_left() -> None:
     choice = _Choice()
-    choice.step(0.0, 'v1', 'v2')
     # Of equally many servers the greater name.
-    assert choice.step(1.0, 'v2') == 'v2+'
-    assert choice.step(1.0 + _WINDOW_S, 'v2') == 'v2'
+    assert choice.lists('v1', 'v2') == 'v2+'
+    assert choice.lists('v2', for_s=_WINDOW_S - 2.0) == 'v2+'
+    assert choice.lists('v2', for_s=4.0) == 'v2'
 
 
 def test_without_servers_nothing_changes() -> None:
@@ -81,7 +132,13 @@
     choice = default_versions.DefaultChoice()
     assert (
         choice.next_default(
-            9e9, None, {}, frozenset(), window_s=1.0, saved_end=lambda: 0
+            9e9,
+            None,
+            {},
+            frozenset(),
+            window_s=1.0,
+            epoch=1,
+            saved_end=lambda: 0,
         )
         is None
     )
