Return the memory of large bodies when they are freed

Cause: the C library raises the size from which it maps a block by itself to that of the largest block that was freed. Later bodies then come from the heap of the thread that reads them, and each heap keeps up to twice that size.

The setting is fixed now, so a block of 128 KiB or more is always mapped by itself and returned when it is freed. In the environment it would depend on how the process is started. Without the setting in the C library a line is logged.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -147,6 +147,12 @@
             'the router started',
             ('first_start', 'caller', 'ready', 'admin'),
         ),
+        (
+            'large blocks kept',
+            'the memory allocator may keep the memory of large bodies that were'
+            ' freed',
+            (),
+        ),
         (
             'stopping',
             'the router is stopping with {busy} requests in progress on'
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -24,6 +24,7 @@
 from foxtaildale import ports
 from foxtaildale import routes
 from foxtaildale_adapters import admin
+from foxtaildale_adapters import allocator
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
@@ -396,6 +397,8 @@
 
     def start(self) -> None:
         """Starts the loops, then the servers."""
+        if not allocator.return_large_blocks():
+            logs.event(logging.WARNING, 'large blocks kept')
         self._responder.start()
         self._relay.start()
         self._cleanup.start()
