Limit what a connection holds unread

Received bytes that were not read count as memory of the process, and the kernel lets a connection hold some megabytes of them once it was read quickly. A VM that is suspended or has no processor time would go over its memory with few connections.

Cause: the receive buffers of connections of callers and to backend servers had no limit but the kernel's (6 MB).

Now at most twice 128 KiB are held.

--- a/packages/adapters/foxtaildale_adapters/connection_files.py
+++ b/packages/adapters/foxtaildale_adapters/connection_files.py
@@ -13,6 +13,15 @@
 
 # Maximum length of a line, and of the request line with all headers, bytes.
 MAX_HEAD_BYTES: Final = 64 * 1024
+# Size of the receive buffer of a connection, of which the kernel offers the
+# sender the half or more, bytes. It would grow to some megabytes otherwise, and
+# received bytes count as memory of the process.
+RECEIVE_BUFFER_BYTES: Final = 128 * 1024
+
+
+def limit_receive_buffer(sock: socket.socket) -> None:
+    """Limits the bytes that a connection may hold unread."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
 def set_send_timeout(sock: socket.socket, timeout_s: float) -> None:
--- a/packages/adapters/foxtaildale_adapters/connectors.py
+++ b/packages/adapters/foxtaildale_adapters/connectors.py
@@ -4,6 +4,8 @@
 from typing import Final
 from typing import Protocol
 
+from foxtaildale_adapters import connection_files
+
 # TCP closes the connection if sent bytes stay unacknowledged for this long,
 # milliseconds. A machine behind a network partition sends no reset.
 TCP_USER_TIMEOUT_MS: Final = 4000
@@ -65,6 +67,7 @@
 
 def set_options(sock: socket.socket) -> None:
     """Sets the options of connections to servers."""
+    connection_files.limit_receive_buffer(sock)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -498,6 +498,12 @@
         # Only the selector's thread uses it.
         self._closed_unread = queue_delays.LoggedCount()
 
+    def bind(self, family: int, type: int, proto: int = 0) -> Any:  # noqa: A002, ANN401
+        """Creates the socket for connections, which inherit its buffer size."""
+        sock = super().bind(family, type, proto)
+        connection_files.limit_receive_buffer(sock)
+        return sock
+
     def add_connection(self, conn: _Connection) -> None:
         """Counts a connection as open."""
         with self.became_idle:
--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -1,5 +1,7 @@
 """What the platform does to processes that use too much memory."""
 
+import contextlib
+import os
 import pathlib
 import threading
 import time
@@ -9,6 +11,8 @@
 
 # Time between two looks at the memory, seconds.
 _WATCH_S = 0.02
+# State of a listening socket in the kernel's table.
+_LISTEN = '0A'
 # Pause before a process is started again, seconds.
 _RESTART_S = 0.5
 
@@ -27,6 +31,8 @@
         self._memory_mb = memory_mb
         self._ended = threading.Event()
         self.peak_mb = 0.0
+        # The largest part of it that had been received and not read.
+        self.peak_unread_mb = 0.0
         # Number of kills of each router.
         self.kills = [0] * len(routers.ips)
         self._threads = [
@@ -48,7 +54,9 @@
 
     def _watch(self, number: int) -> None:
         while not self._ended.wait(_WATCH_S):
-            used_mb = _memory_mb(self._routers.pid(number))
+            unread_mb = _unread_mb(self._routers.pid(number))
+            used_mb = _memory_mb(self._routers.pid(number)) + unread_mb
+            self.peak_unread_mb = max(self.peak_unread_mb, unread_mb)
             self.peak_mb = max(self.peak_mb, used_mb)
             if used_mb <= self._memory_mb:
                 continue
@@ -61,6 +69,31 @@
             self._routers.start(number, first=False)
 
 
+def _unread_mb(pid: int) -> float:
+    """Returns the bytes that a process has received and not read, MB.
+
+    The page says that they count toward the memory limit.
+    """
+    inodes = set()
+    folder = f'/proc/{pid}/fd'
+    try:
+        for name in os.listdir(folder):
+            with contextlib.suppress(OSError):
+                target = os.readlink(f'{folder}/{name}')
+                if target.startswith('socket:['):
+                    inodes.add(target[8:-1])
+    except OSError:
+        return 0.0
+    size = 0
+    table = pathlib.Path('/proc/net/tcp').read_text(encoding='ascii')
+    for line in table.splitlines()[1:]:
+        fields = line.split()
+        # Of a listening socket it is the number of new connections.
+        if fields[9] in inodes and fields[3] != _LISTEN:
+            size += int(fields[4].partition(':')[2], 16)
+    return size / 1024 / 1024
+
+
 def _memory_mb(pid: int) -> float:
     """Returns the resident memory of a process, MB."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text(encoding='utf-8')
