Refuse large request bodies for which no memory is left

What callers saw: with 38 callers that send bodies of 4 MB at once, within the configured limit, each router went over the memory of its VM within a second or two and was killed, in turn, about ten times in 24 s. No request was answered.

Cause: every thread read its request completely into memory, 96 threads with up to 4 MiB each.

Ruled out: workers, the store and links are sound in the case; the number of threads can't be the limit, since nearly all bodies have some KB.

The fix: the bodies under way share a budget of three tenths of the memory. A request is admitted by its announced length before its body is read; a chunked one as it grows. What finds no room is refused at once as `memory-full` (503, not run, Retry-After), and the rest of its body is discarded for up to 3 s, so that callers that read only after they have sent it get the refusal. A body of up to 64 KiB needs no room: those of all threads together are bounded by the number of threads. The part is returned after the response was sent, in every case.

The connection is not closed unread as with full threads: the head has been read by then, so only the status tells the caller that it may send the request again.

--- a/packages/adapters/foxtaildale_adapters/caller_server.py
+++ b/packages/adapters/foxtaildale_adapters/caller_server.py
@@ -5,6 +5,7 @@
 import time
 from typing import Final
 
+from foxtaildale import byte_budget
 from foxtaildale import errors
 from foxtaildale_adapters import caller_exchange
 from foxtaildale_adapters import httpd
@@ -40,6 +41,8 @@
         idle_check_s: Interval between checks for idle connections, seconds.
         has_peers: Returns whether other entry VMs are listed, which callers
             that are rejected here may reach; it must not block.
+        budget: Bytes of the bodies under way; without a limit if None.
+        on_body_refused: Called when a body was refused for lack of memory.
     """
 
     __slots__ = ('_server', '_thread')
@@ -56,6 +59,8 @@
         half_close: bool = True,
         idle_check_s: float = IDLE_CHECK_S,
         has_peers: Callable[[], bool] = lambda: False,
+        budget: byte_budget.ByteBudget | None = None,
+        on_body_refused: Callable[[], None] = lambda: None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._server = httpd.HttpServer(
@@ -66,6 +71,9 @@
         self._server.entry_vm = entry_vm
         self._server.allows_half_close = half_close
         self._server.has_peers = has_peers
+        if budget is not None:
+            self._server.byte_budget = budget
+        self._server.on_body_refused = on_body_refused
         self._thread: threading.Thread | None = None
 
     def start(self) -> str:
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -30,6 +30,7 @@
 from cheroot import server
 from cheroot.workers import threadpool
 
+from foxtaildale import byte_budget
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale_adapters import caller_exchange
@@ -50,19 +51,35 @@
 # Number of requests in progress below which a VM is not overloaded, however long
 # a request waits for its thread.
 MIN_OVERLOAD_REQUESTS: Final = 16
-# Delay after which a caller refused for busy threads should retry, seconds.
+# Delay after which a caller refused for busy threads or for the size of its body
+# should retry, seconds.
 BUSY_RETRY_AFTER_S: Final = 1
 # Time for the first request on a new connection to arrive before a stop closes
 # the connection as idle, seconds.
 FIRST_REQUEST_S: Final = 0.2
 # How long unread input is read and discarded before a close, seconds.
 DISCARD_INPUT_S: Final = 1.0
+# How long the rest of a large body that was refused is discarded, seconds: its
+# caller may read the refusal only after it has sent the body.
+DISCARD_BODY_S: Final = 3.0
 _READ_BYTES: Final = 4096
 # Prefix of the headers that carry identities and limits of a request.
 HEADER_PREFIX: Final = b'Foxtaildale-'
 _HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
+# Refusals after which the same request may be served soon.
+_RETRIABLE: Final = frozenset((codes.ENTRY_BUSY.name, codes.MEMORY_FULL.name))
+# Maximum length of an id of a caller in a log line, bytes.
+_MAX_LOGGED_ID: Final = 80
+
+
+class _NoRoomError(Exception):
+    """No memory is left for a body of this length, bytes."""
+
+    def __init__(self, length: int) -> None:
+        super().__init__(length)
+        self.length = length
 
 
 # Headers that may occur only once. If they were repeated, the end of the body
@@ -129,6 +146,25 @@
             codes.TOO_LARGE, found=length or f'over {limit}', limit=limit
         )
 
+    def refuse_for_memory(self, length: int) -> None:
+        """Refuses a body for which no memory is left, bytes."""
+        budget = self.server.byte_budget
+        limit = int(budget.limit)
+        name = HEADER_PREFIX + b'Attempt-Id'
+        attempt = self.inheaders.get(name, b'')[:_MAX_LOGGED_ID]
+        logs.event(
+            logging.WARNING,
+            'body refused',
+            caller=f'{self.conn.remote_addr}:{self.conn.remote_port}',
+            attempt=attempt.decode('latin-1'),
+            bytes=length,
+            held=budget.used,
+            limit=limit,
+        )
+        self.server.on_body_refused()
+        self.conn.discard_s = DISCARD_BODY_S
+        self.refuse(codes.MEMORY_FULL, found=length, limit=limit)
+
     def refuse(self, code: codes.Code, **figures: float | str) -> None:
         """Sends an error, discards further input and closes the connection."""
         self.close_connection = True
@@ -160,6 +196,8 @@
         # Whether the connection was ever added to the idle connections.
         self.was_idle = False
         self.discard_input = False
+        # For how long it is discarded, seconds.
+        self.discard_s = DISCARD_INPUT_S
         # When its request was queued for a thread, seconds.
         self.queued_at = 0.0
         # Number of requests that were read from this connection.
@@ -213,7 +251,7 @@
         self, code: codes.Code, figures: caller_exchange.Figures, *, sure: bool
     ) -> None:
         """Sends an error as the last response of the connection."""
-        retry_s = BUSY_RETRY_AFTER_S if code is codes.ENTRY_BUSY else 0
+        retry_s = BUSY_RETRY_AFTER_S if code.name in _RETRIABLE else 0
         body = caller_exchange.error_body(
             code, figures, self.server.entry_vm, retry_s, certain=sure
         )
@@ -246,7 +284,7 @@
         """
         try:
             self.socket.shutdown(socket.SHUT_WR)
-            self.rfile.set_deadline(DISCARD_INPUT_S)
+            self.rfile.set_deadline(self.discard_s)
             while self.rfile.read1(connection_files.MAX_HEAD_BYTES):
                 pass
         except OSError:
@@ -281,10 +319,13 @@
     req: _Request
 
     def respond(self) -> None:
+        with self.req.server.byte_budget.for_request() as held:
+            body = self._read_body(held)
+            if body is not None:
+                self._handle(body)
+
+    def _handle(self, body: bytes) -> None:
         req = self.req
-        body = self._read_body()
-        if body is None:
-            return
         exchange = caller_exchange.Exchange(req, body, req.server.watcher)
         try:
             req.server.handler.handle(exchange)
@@ -314,15 +355,17 @@
             exchange.abort()
             self.req.close_connection = True
 
-    def _read_body(self) -> bytes | None:
+    def _read_body(self, held: byte_budget.Reservation) -> bytes | None:
         """Returns the complete body, or None after sending an error."""
         req = self.req
         try:
             return (
-                self._read_chunked_body()
+                self._read_chunked_body(held)
                 if req.chunked_read
-                else self._read_sized_body()
+                else self._read_sized_body(held)
             )
+        except _NoRoomError as exc:
+            req.refuse_for_memory(exc.length)
         except TimeoutError:
             req.refuse(codes.SLOW_REQUEST, limit_s=req.server.timeout)
         except cheroot_errors.MaxSizeExceeded:
@@ -336,11 +379,13 @@
             req.refuse_too_large('')
         return None
 
-    def _read_sized_body(self) -> bytes:
+    def _read_sized_body(self, held: byte_budget.Reservation) -> bytes:
         length = self.req.inheaders.get(b'Content-Length', b'0')
         # The library's int() also accepts '-1', which reads to the end.
         if not length.isdigit():
             raise ValueError('the Content-Length header is not a number')
+        if not held.reserve(int(length)):
+            raise _NoRoomError(int(length))
         data: bytes = self.req.rfile.read()
         if len(data) < int(length):
             raise ValueError(
@@ -348,7 +393,7 @@
             )
         return data
 
-    def _read_chunked_body(self) -> bytes:
+    def _read_chunked_body(self, held: byte_budget.Reservation) -> bytes:
         if b'Content-Length' in self.req.inheaders:
             raise ValueError(
                 'Content-Length and Transfer-Encoding exclude each other'
@@ -356,9 +401,13 @@
         # The reads are small because the library concatenates the chunks of a
         # read one by one, which is quadratic in the size of the read.
         chunks = []
+        size = 0
         self.req.rfile.rfile = _ChunkReader(self.req.conn.rfile)
         while chunk := self.req.rfile.read(_READ_BYTES):
             chunks.append(chunk)
+            size += len(chunk)
+            if not held.grow(size):
+                raise _NoRoomError(size)
         self.req.rfile.rfile = self.req.conn.rfile
         for _ in self.req.rfile.read_trailer_lines():
             pass
@@ -493,6 +542,10 @@
         self.closing = False
         # Whether other entry VMs are listed.
         self.has_peers: Callable[[], bool] = lambda: False
+        # Bytes of the bodies under way; without a limit by default.
+        self.byte_budget = byte_budget.ByteBudget(math.inf)
+        # Called when a body was refused for lack of memory.
+        self.on_body_refused: Callable[[], None] = lambda: None
         # How long requests wait for a thread that runs.
         self.queue_delays = queue_delays.QueueDelays()
         # Only the selector's thread uses it.
--- a/packages/adapters/foxtaildale_adapters/metrics.py
+++ b/packages/adapters/foxtaildale_adapters/metrics.py
@@ -151,6 +151,7 @@
         'messages',
         'prefill_seconds',
         'prefill_tokens',
+        'refused_bodies',
         'requests',
         'retries',
         'store_calls',
@@ -215,6 +216,13 @@
             'Tries of a request after its first.',
             'service',
         )
+        self.refused_bodies = Counter(
+            lock,
+            'foxtaildale_refused_bodies_total',
+            'Bodies of requests that were refused, and of responses that were'
+            ' broken off, for lack of memory.',
+            'kind',
+        )
         self.messages = Counter(
             lock,
             'foxtaildale_messages_total',
--- /dev/null
+++ b/packages/core/foxtaildale/byte_budget.py
@@ -0,0 +1,235 @@
+"""Limits the memory of the bodies that a VM holds at once.
+
+Requests of callers and responses of backend servers share one budget. A small
+body needs no part of it: the number of threads bounds how many there are. What
+callers send may use a part only, so that responses to requests that have run
+can still be read.
+
+The length of a request is known in advance or grows in small steps, and it is
+refused if there is no room. A response has run already. If there is no room for
+more of it, the largest response that is being read is revoked in its favour, so
+that bodies without end take nothing from shorter ones. A response that was read
+completely is not revoked.
+"""
+
+from collections.abc import Callable
+import threading
+import types
+from typing import Final
+from typing import Self
+
+# Largest body that needs no part of the budget, bytes.
+SMALL_BYTES: Final = 64 * 1024
+# Unit in which a growing body takes parts of the budget, bytes.
+STEP_BYTES: Final = 64 * 1024
+# Part of the memory of the VM that bodies may use.
+MEMORY_FRACTION: Final = 0.3
+# Part of the budget that requests may use. A single one may use all of it, as
+# it could otherwise never be served.
+REQUEST_FRACTION: Final = 0.6
+# Part of the budget by which it may be exceeded until a response that was
+# revoked is dropped.
+EXCESS_FRACTION: Final = 0.25
+# Number of copies that exist while the chunks of a body are joined, or while a
+# response is sent behind its head.
+_COPIES: Final = 2
+
+
+class Reservation:
+    """The part of a budget that one body uses; release it in every case.
+
+    One thread uses it. It is a context manager that releases the part.
+    """
+
+    __slots__ = (
+        '_budget',
+        'is_revocable',
+        'length',
+        'on_revoked',
+        'refused',
+        'revoked',
+        'size',
+    )
+
+    def __init__(
+        self, budget: 'ByteBudget', on_revoked: Callable[[], None] | None
+    ) -> None:
+        self._budget = budget
+        # Ends the read; None for a request.
+        self.on_revoked = on_revoked
+        # Whether the body is a response that is being read.
+        self.is_revocable = on_revoked is not None
+        self.revoked = False
+        # Whether there was no room for more of the body.
+        self.refused = False
+        # Length of the body so far, bytes.
+        self.length = 0
+        # The part in use, bytes.
+        self.size = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.release()
+
+    def reserve(self, length: int) -> bool:
+        """Reserves a body of a known length, bytes; returns whether it fits."""
+        self.length = length
+        return length <= SMALL_BYTES or self._budget.resize(self, length)
+
+    def grow(self, length: int) -> bool:
+        """Reserves what a body that is read in chunks needs.
+
+        Args:
+            length: Length of the chunks so far, bytes.
+
+        Returns:
+            False if there is no room, or if the body was revoked.
+        """
+        self.length = length
+        if self.revoked:
+            return False
+        if length <= SMALL_BYTES or _COPIES * length <= self.size:
+            return True
+        steps = -(-_COPIES * length // STEP_BYTES)
+        return self._budget.resize(self, steps * STEP_BYTES)
+
+    def keep(self) -> None:
+        """Keeps the part of a response that was read completely."""
+        self._budget.keep(self)
+
+    def was_refused(self) -> bool:
+        """Whether there was no room for more of the body, or it was revoked."""
+        return self.refused or self.revoked
+
+    def release(self) -> None:
+        """Returns the part; may be called more than once."""
+        if self.size:
+            self._budget.release(self)
+
+
+class ByteBudget:
+    """Bytes of the bodies under way; safe for concurrent use.
+
+    Args:
+        limit: Size of the budget, bytes.
+    """
+
+    __slots__ = (
+        '_lock',
+        '_request_bytes',
+        '_responses',
+        '_revoked_bytes',
+        'limit',
+        'used',
+    )
+
+    def __init__(self, limit: float) -> None:
+        self._lock = threading.Lock()
+        self.limit = limit
+        # Bytes in use, of which requests use `_request_bytes`, and responses
+        # that were revoked and not released yet `_revoked_bytes`.
+        self.used = 0
+        self._request_bytes = 0
+        self._revoked_bytes = 0
+        # Responses that are being read and were not revoked.
+        self._responses: set[Reservation] = set()
+
+    def for_request(self) -> Reservation:
+        """Returns an empty reservation for the body of a request."""
+        return Reservation(self, None)
+
+    def for_response(self, on_revoked: Callable[[], None]) -> Reservation:
+        """Returns an empty reservation for the body of a response.
+
+        Args:
+            on_revoked: Ends the read of the body. Any thread may call it, at
+                most once; it must not block.
+        """
+        return Reservation(self, on_revoked)
+
+    def resize(self, held: Reservation, size: int) -> bool:
+        """Changes the size of a reservation, if there is room."""
+        with self._lock:
+            added = size - held.size
+            if held.is_revocable:
+                revoked = self._make_room(held, added)
+            else:
+                revoked = [] if self._has_room(added) else None
+            held.refused = revoked is None
+            if revoked is not None:
+                self.used += added
+                held.size = size
+                if held.is_revocable:
+                    self._responses.add(held)
+                else:
+                    self._request_bytes += added
+        for other in revoked or ():
+            if other.on_revoked is not None:
+                other.on_revoked()
+        return revoked is not None
+
+    def keep(self, held: Reservation) -> None:
+        """No longer revokes a reservation."""
+        with self._lock:
+            held.is_revocable = False
+            self._responses.discard(held)
+
+    def release(self, held: Reservation) -> None:
+        """Returns all bytes of a reservation."""
+        with self._lock:
+            self.used -= held.size
+            if held.on_revoked is None:
+                self._request_bytes -= held.size
+            elif held.revoked:
+                self._revoked_bytes -= held.size
+            self._responses.discard(held)
+            held.size = 0
+
+    def _has_room(self, added: int) -> bool:
+        """Whether a request may use some more bytes."""
+        if self.used + added > self.limit:
+            return False
+        in_use = self._request_bytes
+        return not in_use or in_use + added <= REQUEST_FRACTION * self.limit
+
+    def _make_room(
+        self, held: Reservation, added: int
+    ) -> list[Reservation] | None:
+        """Revokes larger responses as far as some more bytes need it.
+
+        Returns:
+            Those that were revoked; None if there is no room, and none was.
+        """
+        if held.revoked or self.used + added > self.limit * (
+            1 + EXCESS_FRACTION
+        ):
+            return None
+        missing = self.used - self._revoked_bytes + added - self.limit
+        if missing <= 0:
+            return []
+        larger = [
+            other
+            for other in self._responses
+            if other is not held and other.size > held.size + added
+        ]
+        larger.sort(key=lambda other: other.size, reverse=True)
+        revoked = []
+        for other in larger:
+            revoked.append(other)
+            missing -= other.size
+            if missing <= 0:
+                break
+        else:
+            return None
+        for other in revoked:
+            other.revoked = True
+            self._revoked_bytes += other.size
+            self._responses.discard(other)
+        return revoked
--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -218,6 +218,13 @@
     'no',
     'Not run: this entry VM already serves {limit} requests.',
 )
+MEMORY_FULL: Final = Code(
+    'memory-full',
+    503,
+    'no',
+    'Not run: this entry VM has no memory left for a body of {found} bytes'
+    ' (all bodies may use {limit} bytes).',
+)
 NO_ROUTE: Final = Code(
     'no-route', 404, 'no', 'Not run: version {version} has no such route.'
 )
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -185,6 +185,12 @@
             ' waited {delay_ms} ms for a thread',
             ('count', 'busy', 'limit', 'delay_ms'),
         ),
+        (
+            'body refused',
+            'no memory was left for a body of {bytes} bytes that {caller} sent'
+            ' with attempt {attempt}; bodies use {held} of {limit} bytes',
+            ('caller', 'attempt', 'bytes', 'held', 'limit'),
+        ),
         (
             'thread not started',
             'no thread could be started, a request waits for another: {exc}',
--- a/packages/core/foxtaildale/options.py
+++ b/packages/core/foxtaildale/options.py
@@ -12,6 +12,8 @@
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 # Rate of a link of one gigabit per second, bytes per second.
 DEFAULT_LINK_BYTES_PER_S: Final = 125_000_000.0
+# Memory of a small VM, bytes.
+DEFAULT_MEMORY_BYTES: Final = 128_000_000.0
 _Address = Annotated[
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
 ]
@@ -89,6 +91,8 @@
     cores: float = 1.0
     # Rate of the VM's network link, bytes per second.
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    # Memory that this process may use, bytes.
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
     # IP address on which operators read state and metrics.
     admin_host: str
     # Address of the platform's store.
@@ -114,6 +118,6 @@
     # Whether all entry VMs start for the first time, so that no earlier process
     # has made sends after a first one.
     first_start: bool = False
-    # Largest number of caller requests served at once. A small VM has 128 MB of
-    # memory; a waiting thread uses about 0.1 MB.
+    # Largest number of caller requests served at once. A waiting
+    # thread uses about 0.1 MB.
     threads: int = 96
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -18,6 +18,7 @@
 
 from foxtaildale import accounts
 from foxtaildale import allowances
+from foxtaildale import byte_budget
 from foxtaildale import fingerprint
 from foxtaildale import messages
 from foxtaildale import options
@@ -145,6 +146,7 @@
 
     __slots__ = (
         '_admin',
+        '_byte_budget',
         '_cleanup',
         '_closed',
         '_codec',
@@ -196,6 +198,9 @@
         # other.
         self._stores: list[ports.KeyedTopics] = []
         self._metrics = metrics.Metrics()
+        self._byte_budget = byte_budget.ByteBudget(
+            cfg.memory_bytes * byte_budget.MEMORY_FRACTION
+        )
         self._state = router_state.RouterState(
             adapters.codec,
             cfg.peer_address,
@@ -357,6 +362,10 @@
             half_close=False,
             idle_check_s=_IDLE_CHECK_S,
             has_peers=lambda: len(self._state.entry_vms) > 1,
+            budget=self._byte_budget,
+            on_body_refused=lambda: self._metrics.refused_bodies.add(
+                1, 'request'
+            ),
         )
         self._readiness = caller_server.Server(
             cfg.ready_address,
@@ -459,6 +468,10 @@
         """Returns the number of requests in progress."""
         return self._server.busy()
 
+    def body_bytes(self) -> int:
+        """Returns the bytes that the larger bodies under way use."""
+        return self._byte_budget.used
+
     def relayed_connections(self) -> int:
         """Returns the number of connections relayed for other entry VMs."""
         return self._relay.open_connections()
--- a/tests/site.py
+++ b/tests/site.py
@@ -110,6 +110,8 @@
         retry_burst: float = 20.0,
         first_start: bool = True,
         connector: connectors.Connector | None = None,
+        threads: int = 8,
+        memory_bytes: float = options.DEFAULT_MEMORY_BYTES,
     ) -> router_daemon.RouterDaemon:
         """Starts a router."""
         self._number += 1
@@ -127,7 +129,8 @@
             seeds=seeds,
             retry_burst=retry_burst,
             first_start=first_start,
-            threads=8,
+            threads=threads,
+            memory_bytes=memory_bytes,
         )
         made = router_daemon.Adapters(
             codec=records.Codec(),
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -1,15 +1,24 @@
 """The memory of bodies under way, of callers and of backend servers."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
+from concurrent import futures
 import contextlib
 import fcntl
+import http.client
+import json
 import pathlib
 import socket
 import struct
 import termios
 import threading
 import time
+from typing import Any
 from typing import Final
 
+import pytest
+
+from foxtaildale import byte_budget
 from foxtaildale_adapters import allocator
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import connectors
@@ -17,6 +26,9 @@
 
 _MB: Final = 1_000_000
 _BODY_BYTES: Final = 4 * _MB
+_MEMORY_BYTES: Final = 128 * _MB
+_LIMIT: Final = _MEMORY_BYTES * byte_budget.MEMORY_FRACTION
+_LARGE_REQUESTS: Final = 16
 # Bytes that a sender offers, and time in which they arrive if there is room for
 # them, seconds.
 _OFFERED_BYTES: Final = 64 * _MB
@@ -27,6 +39,328 @@
 _TIMEOUT_S: Final = 6.0
 
 
+def _budget(limit: int) -> byte_budget.ByteBudget:
+    return byte_budget.ByteBudget(limit)
+
+
+def test_a_small_body_needs_no_part_of_the_budget() -> None:
+    """Guards against small requests that are refused for large ones."""
+    budget = _budget(10 * _MB)
+    assert budget.for_request().reserve(6 * _MB)
+    for _ in range(1000):
+        assert budget.for_request().reserve(byte_budget.SMALL_BYTES)
+        assert budget.for_response(lambda: None).grow(byte_budget.SMALL_BYTES)
+    assert budget.used == 6 * _MB
+
+
+def test_requests_leave_a_part_for_responses() -> None:
+    """Guards against requests that ran and whose responses find no room."""
+    budget = _budget(10 * _MB)
+    held = [budget.for_request() for _ in range(10)]
+    assert sum(one.reserve(_MB) for one in held) == 6
+    assert budget.for_response(lambda: None).grow(_MB)
+
+
+def test_a_request_larger_than_its_part_is_admitted_alone() -> None:
+    """Guards against a body that is refused however often it is sent."""
+    budget = _budget(10 * _MB)
+    with budget.for_request() as held:
+        assert held.reserve(9 * _MB)
+        assert not budget.for_request().reserve(100_000)
+    assert budget.used == 0
+    assert not budget.for_request().reserve(11 * _MB)
+
+
+def test_a_response_takes_its_room_from_the_largest() -> None:
+    """Guards against bodies without end that take what short ones need."""
+    budget = _budget(10 * _MB)
+    revoked: list[str] = []
+    large = budget.for_response(lambda: revoked.append('large'))
+    middle = budget.for_response(lambda: revoked.append('middle'))
+    short = budget.for_response(lambda: revoked.append('short'))
+    assert large.grow(3 * _MB)
+    assert middle.grow(int(1.8 * _MB))
+    assert short.grow(_MB // 2)
+    assert revoked == ['large']
+    assert not large.grow(4 * _MB)
+    assert large.was_refused()
+    large.release()
+    middle.release()
+    short.release()
+    assert budget.used == 0
+
+
+def test_the_largest_response_takes_nothing_from_others() -> None:
+    """Guards against a short response that is dropped for a body without end."""
+    budget = _budget(10 * _MB)
+    revoked: list[str] = []
+    short = budget.for_response(lambda: revoked.append('short'))
+    large = budget.for_response(lambda: revoked.append('large'))
+    assert short.grow(_MB)
+    assert large.grow(3 * _MB)
+    assert not large.grow(5 * _MB)
+    assert large.was_refused()
+    assert not revoked
+    assert short.grow(int(1.5 * _MB))
+
+
+def test_a_complete_response_is_not_revoked() -> None:
+    """Guards against a ready response that is dropped for one that may be."""
+    budget = _budget(10 * _MB)
+    revoked: list[str] = []
+    ready = budget.for_response(lambda: revoked.append('ready'))
+    assert ready.grow(4 * _MB)
+    ready.keep()
+    assert not budget.for_response(lambda: None).grow(2 * _MB)
+    assert not revoked
+    ready.release()
+    ready.release()
+    assert budget.used == 0
+
+
+def test_revoked_responses_bound_what_is_used_beyond_the_limit() -> None:
+    """Guards against revoked responses that are read on without a bound."""
+    budget = _budget(10 * _MB)
+    held = []
+    for _ in range(40):
+        held.append(budget.for_response(lambda: None))
+        held[-1].grow(_MB)
+    for _ in range(40):
+        held.append(budget.for_response(lambda: None))
+        held[-1].grow(_MB // 2)
+    most = budget.limit * (1 + byte_budget.EXCESS_FRACTION)
+    assert budget.limit * 0.9 < budget.used <= most
+    for one in held:
+        one.release()
+    assert budget.used == 0
+    assert budget.for_response(lambda: None).grow(4 * _MB)
+
+
+def _large_config() -> dict[str, Any]:
+    made = sites.config(1)
+    made['limits'] = {
+        'header_timeout_ms': 1000,
+        'max_body_bytes': _BODY_BYTES,
+    }
+    return made
+
+
+@pytest.fixture(name='site')
+def _site() -> Iterator[sites.Site]:
+    made = sites.Site()
+    made.store.put('keyed.op', 'config', _large_config())
+    yield made
+    made.close()
+
+
+def _start(site: sites.Site, workers: int = 4) -> None:
+    for number in range(workers):
+        site.worker(f's{number + 1}', 'plain')
+    site.router(threads=64, memory_bytes=_MEMORY_BYTES)
+    sites.until(lambda: sites.ready(site))
+
+
+def _send(
+    site: sites.Site, attempt: str, size: int = 0
+) -> tuple[int, dict[str, str], bytes]:
+    """Sends a request that may run once only; status 0 if it has no answer."""
+    conn = http.client.HTTPConnection(
+        site.routers[0].addresses['caller'], timeout=_TIMEOUT_S
+    )
+    headers = {
+        'Host': 'h.example',
+        'Foxtaildale-Attempt-Id': attempt,
+        'Foxtaildale-Deadline-Ms': '3000',
+    }
+    try:
+        conn.request('POST', '/once/x', bytes(size), headers)
+    except ConnectionError:
+        pass  # The refusal came before the body was sent.
+    try:
+        resp = conn.getresponse()
+        body = resp.read()
+    except (OSError, http.client.HTTPException):
+        return 0, {}, b''
+    finally:
+        conn.close()
+    found = {name.lower(): value for name, value in resp.getheaders()}
+    return resp.status, found, body
+
+
+def _ran(site: sites.Site) -> set[str]:
+    return {name for worker in site.workers.values() for name in worker.ids()}
+
+
+def test_large_requests_beyond_the_budget_are_refused(site: sites.Site) -> None:
+    """Guards against a burst of large bodies that uses up a VM's memory."""
+    _start(site)
+    for worker in site.workers.values():
+        worker.work_s = 0.5
+    router = site.routers[0]
+    names = [f'large-{number}' for number in range(_LARGE_REQUESTS)]
+    with futures.ThreadPoolExecutor(2 * _LARGE_REQUESTS) as pool:
+        large = {
+            name: pool.submit(_send, site, name, _BODY_BYTES) for name in names
+        }
+        sites.until(lambda: router.body_bytes() > _LIMIT / 2)
+        small = [
+            pool.submit(_send, site, f'small-{number}', 30_000)
+            for number in range(_LARGE_REQUESTS // 2)
+        ]
+        assert {one.result()[0] for one in small} == {200}
+        found = {name: one.result() for name, one in large.items()}
+    statuses = {name: answer[0] for name, answer in found.items()}
+    served = {name for name in names if statuses[name] == 200}
+    assert served == _ran(site) & set(names)
+    assert len(served) * _BODY_BYTES <= _LIMIT, statuses
+    assert len(served) > 2
+    for name in set(names) - served:
+        status, headers, body = found[name]
+        assert status == 503
+        assert headers['retry-after'] == '1'
+        error = json.loads(body)['error']
+        assert (error['code'], error['ran']) == ('memory-full', 'no')
+    sites.until(lambda: router.body_bytes() == 0)
+    text = router._metrics.render().decode()
+    count = len(names) - len(served)
+    assert f'foxtaildale_refused_bodies_total{{kind="request"}} {count}' in text
+
+
+def _raw(site: sites.Site, data: bytes, *, is_read: bool = True) -> bytes:
+    host, _, port = site.routers[0].addresses['caller'].rpartition(':')
+    with socket.create_connection((host, int(port)), _TIMEOUT_S) as sock:
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(data)
+        if not is_read:
+            return b''
+        found = b''
+        with contextlib.suppress(ConnectionError):
+            while chunk := sock.recv(65_536):
+                found += chunk
+        return found
+
+
+def _head(*lines: str) -> bytes:
+    return '\r\n'.join(
+        (
+            'POST /once/x HTTP/1.1',
+            'Host: h.example',
+            'Foxtaildale-Attempt-Id: a1',
+            'Foxtaildale-Deadline-Ms: 2000',
+            'Connection: close',
+            *lines,
+            '',
+            '',
+        )
+    ).encode()
+
+
+def _broken_off(site: sites.Site) -> None:
+    head = _head(f'Content-Length: {_BODY_BYTES}')
+    _raw(site, head + bytes(_MB), is_read=False)
+
+
+def _slow(site: sites.Site) -> None:
+    site.routers[0]._server.set_limits(1.0, 0.3, _BODY_BYTES)
+    head = _head(f'Content-Length: {_BODY_BYTES}')
+    assert b' 408 ' in _raw(site, head + bytes(_MB))
+
+
+def _chunked(site: sites.Site) -> None:
+    chunk = b'10000\r\n' + bytes(65_536) + b'\r\n'
+    head = _head('Transfer-Encoding: chunked')
+    found = _raw(site, head + 20 * chunk + b'0\r\n\r\n')
+    assert b' 200 ' in found, found
+
+
+def _cut_chunks(site: sites.Site) -> None:
+    chunk = b'10000\r\n' + bytes(65_536) + b'\r\n'
+    head = _head('Transfer-Encoding: chunked')
+    assert b' 400 ' in _raw(site, head + 20 * chunk + b'xyz\r\n')
+
+
+def _gone(site: sites.Site) -> None:
+    for worker in site.workers.values():
+        worker.work_s = 0.5
+    head = _head(f'Content-Length: {_MB}')
+    _raw(site, head + bytes(_MB), is_read=False)
+
+
+def _error(site: sites.Site) -> None:
+    for worker in site.workers.values():
+        worker.error = True
+    assert _send(site, 'a1', _MB)[0] == 500
+
+
+def _refused(site: sites.Site) -> None:
+    for worker in site.workers.values():
+        worker.refuse = True
+    assert _send(site, 'a1', _MB)[0] == 503
+
+
+def _cut(site: sites.Site) -> None:
+    for worker in site.workers.values():
+        worker.cut = True
+    assert _send(site, 'a1', _MB)[0] == 502
+
+
+def _served(site: sites.Site) -> None:
+    assert _send(site, 'a1', _MB)[0] == 200
+
+
+_PATHS: Final = (
+    _broken_off,
+    _slow,
+    _chunked,
+    _cut_chunks,
+    _gone,
+    _error,
+    _refused,
+    _cut,
+    _served,
+)
+
+
+@pytest.mark.parametrize('play', _PATHS, ids=lambda play: play.__name__)
+def test_the_budget_is_returned_in_every_case(
+    site: sites.Site, play: Callable[[sites.Site], None]
+) -> None:
+    """Guards against memory that stays counted, until all is refused."""
+    _start(site, workers=2)
+    budget = site.routers[0]._byte_budget
+    used = []
+    resize = type(budget).resize
+
+    class _Recorder(byte_budget.ByteBudget):
+        __slots__ = ()
+
+        def resize(self, held: byte_budget.Reservation, size: int) -> bool:
+            used.append(size)
+            return resize(self, held, size)
+
+    budget.__class__ = _Recorder
+    play(site)
+    router = site.routers[0]
+    sites.until(lambda: bool(used))
+    sites.until(lambda: not router.requests_in_progress())
+    assert router.body_bytes() == 0
+    assert budget._request_bytes == budget._revoked_bytes == 0
+    assert not budget._responses
+
+
+def test_chunks_beyond_the_budget_are_refused(site: sites.Site) -> None:
+    """Guards against bodies without a length that use up a VM's memory."""
+    _start(site, workers=2)
+    router = site.routers[0]
+    router._byte_budget.limit = _MB
+    chunk = b'10000\r\n' + bytes(65_536) + b'\r\n'
+    found = _raw(site, _head('Transfer-Encoding: chunked') + 20 * chunk)
+    assert b' 503 ' in found
+    assert b'"ran":"no"' in found
+    sites.until(lambda: router.body_bytes() == 0)
+    assert not _ran(site)
+
+
 def _unread(sock: socket.socket) -> int:
     """Returns the bytes that arrived and were not read."""
     found = fcntl.ioctl(sock, termios.FIONREAD, bytes(4))
