Break off the largest response when memory runs short

What callers saw: two of four workers sent bodies without end.

Cause: a response is held until it is complete. There was a limit of 16 MiB for each, and none for all of them together.

Ruled out: the size limit alone can't help, as twelve bodies below it are enough; a lower one would refuse what is allowed to a single response.

The fix: responses take part in the budget of bodies, twice their length, since they are copied as they are joined and sent. If there is no room, the largest one that is being read is revoked: its connection is shut down, and it counts as broken off, so that it is retried as any such response, and what may have run is never called "not run". A response that was read completely is kept. Each request of a plain service, prefill result and error response of an engine returns its part in every case; chunks of a broken response are dropped at once, which its traceback would have kept.

`test_review` constructs a forwarder and passes the new argument; what it checks is as before.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -104,6 +104,11 @@
         '{server} promised that it did not run it (status {status})',
         ('server', 'status'),
     ),
+    'response refused': Event(
+        'no memory was left for more of the response of {server}, of which'
+        ' {bytes} bytes were read; bodies use {held} of {limit} bytes',
+        ('server', 'bytes', 'held', 'limit'),
+    ),
     'send failed': Event(
         '{server} sent no complete response: {error}',
         ('server', 'error', 'framing', 'reused'),
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -10,6 +10,7 @@
 import random
 from typing import Final
 
+from foxtaildale import byte_budget
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import fingerprint
@@ -53,6 +54,7 @@
     """Serves requests for model engines; resumes them where allowed."""
 
     __slots__ = (
+        '_byte_budget',
         '_cleanup',
         '_clock',
         '_crash_probe',
@@ -77,6 +79,7 @@
         prefill_client: prefill_clients.PrefillClient,
         cleanup: ports.ResourceReleaser,
         crash_probe: crash_detection.CrashDetector,
+        budget: byte_budget.ByteBudget,
         on_completed: routed_request.OnCompleted,
         clock: ports.Clock,
         rng: random.Random,
@@ -89,6 +92,8 @@
         self._prefill_client = prefill_client
         self._cleanup = cleanup
         self._crash_probe = crash_probe
+        # Bytes of the error responses that are read.
+        self._byte_budget = budget
         # Called with a request that completed successfully.
         self._on_completed = on_completed
         self._clock = clock
@@ -366,12 +371,17 @@
             errors.NoReplyError: The request should be resumed at another
                 worker instead, or a part of the response was sent before.
         """
-        body = prefill_clients.read_body(flight, req.time_left_s(), self._clock)
-        if response.started or (
-            head.status >= 500 and self._may_resume(req, sent_ids)
-        ):
-            raise errors.NoReplyError(f'status {head.status}')
-        complete = req.exchange.respond(head.status, dict(head.headers), body)
+        with self._byte_budget.for_response(flight.cancel) as held:
+            body = prefill_clients.read_body(
+                flight, req.time_left_s(), self._clock, held
+            )
+            if response.started or (
+                head.status >= 500 and self._may_resume(req, sent_ids)
+            ):
+                raise errors.NoReplyError(f'status {head.status}')
+            complete = req.exchange.respond(
+                head.status, dict(head.headers), body
+            )
         req.record_response(head.status, complete=complete, **head.log_fields())
         return True
 
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -10,6 +10,7 @@
 import random
 from typing import Final
 
+from foxtaildale import byte_budget
 from foxtaildale import codes
 from foxtaildale import errors
 from foxtaildale import fingerprint
@@ -45,11 +46,18 @@
 class _CompleteResponse:
     """A complete response of a backend server."""
 
-    __slots__ = ('body', 'head')
+    __slots__ = ('body', 'head', 'held')
 
-    def __init__(self, head: forwarding.ResponseHead, body: bytes) -> None:
+    def __init__(
+        self,
+        head: forwarding.ResponseHead,
+        body: bytes,
+        held: byte_budget.Reservation,
+    ) -> None:
         self.head = head
         self.body = body
+        # Memory of the body.
+        self.held = held
 
 
 class _SendHistory:
@@ -63,6 +71,7 @@
         'rate_limited',
         'replacement',
         'requests_sent',
+        'reservations',
         'tried_ids',
     )
 
@@ -86,12 +95,21 @@
         self.rate_limited = False
         # Whether a request without a response may have run.
         self.may_have_run = False
+        # Memory of all responses.
+        self.reservations: list[byte_budget.Reservation] = []
+
+    def set_response(self, response: _CompleteResponse | None) -> None:
+        """Replaces the last response, whose memory is no longer needed."""
+        if self.last_response is not None:
+            self.last_response.held.release()
+        self.last_response = response
 
 
 class PlainForwarder:
     """Serves requests of plain services, with retries where allowed."""
 
     __slots__ = (
+        '_byte_budget',
         '_clock',
         '_crash_probe',
         '_on_completed',
@@ -110,6 +128,7 @@
         budgets: router_retry_budgets.RouterRetryBudgets,
         send_limits: sendlimits.SendLimits,
         crash_probe: crash_detection.CrashDetector,
+        budget: byte_budget.ByteBudget,
         on_completed: routed_request.OnCompleted,
         clock: ports.Clock,
         rng: random.Random,
@@ -119,6 +138,8 @@
         self._retry_budgets = budgets
         self._send_limits = send_limits
         self._crash_probe = crash_probe
+        # Bytes of the responses that are held.
+        self._byte_budget = budget
         # Called with a request that completed successfully.
         self._on_completed = on_completed
         self._clock = clock
@@ -128,8 +149,12 @@
         """Serves one request; returns after its final response is sent."""
         self._retry_budgets.record_first_attempt(req.service.name)
         history = _SendHistory()
-        while self._try_server(req, history):
-            pass
+        try:
+            while self._try_server(req, history):
+                pass
+        finally:
+            for held in history.reservations:
+                held.release()
 
     def _try_server(
         self, req: routed_request.RoutedRequest, history: _SendHistory
@@ -160,7 +185,7 @@
             history.missed += 1
         else:
             history.attempts += 1
-        history.last_response = response
+        history.set_response(response)
         if self._should_retry(req, response, history.attempts):
             req.log(
                 'answer put aside',
@@ -183,7 +208,7 @@
             return True
         history.requests_sent += 1
         history.attempts += 1
-        history.last_response = None
+        history.set_response(None)
         history.may_have_run = True
         if req.caller_disconnected.is_set():
             req.refuse(codes.CANCELLED)
@@ -285,6 +310,8 @@
         began_at = self._clock()
         head: forwarding.ResponseHead | None = None
         is_to_blame = True
+        held = self._byte_budget.for_response(flight.cancel)
+        history.reservations.append(held)
         try:
             req.set_flight(flight)
             flight.send(left_s)
@@ -293,8 +320,10 @@
             head = flight.read_head(req.time_left_s())
             if not head.matches:
                 raise errors.NoReplyError('response to another request')
-            return _CompleteResponse(head, _read_body(flight, req))
+            body = self._read_body(flight, req, server, held)
+            return _CompleteResponse(head, body, held)
         except errors.PortError as exc:
+            held.release()
             req.log(
                 'send failed',
                 server=server.id,
@@ -318,6 +347,29 @@
                 is_to_blame=is_to_blame,
             )
 
+    def _read_body(
+        self,
+        flight: ports.ServerExchange,
+        req: routed_request.RoutedRequest,
+        server: forwarding.Backend,
+        held: byte_budget.Reservation,
+    ) -> bytes:
+        """Reads a complete response body; see the function."""
+        try:
+            return _read_body(flight, req, held)
+        except errors.PortError:
+            if held.was_refused():
+                budget = self._byte_budget
+                req.request_metrics.refused_bodies.add(1, 'response')
+                req.log(
+                    'response refused',
+                    server=server.id,
+                    bytes=held.length,
+                    held=budget.used,
+                    limit=int(budget.limit),
+                )
+            raise
+
     def _await_response(
         self,
         req: routed_request.RoutedRequest,
@@ -473,22 +525,35 @@
 
 
 def _read_body(
-    flight: ports.ServerExchange, req: routed_request.RoutedRequest
+    flight: ports.ServerExchange,
+    req: routed_request.RoutedRequest,
+    held: byte_budget.Reservation,
 ) -> bytes:
     """Reads a complete response body.
 
     Raises:
-        errors.NoReplyError: The body broke off, is too long or took too long.
+        errors.NoReplyError: The body broke off, is too long, took too long, or
+            no memory is left for it.
     """
     chunks = []
     size = 0
-    while chunk := flight.read_chunk(req.time_left_s()):
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_RESPONSE_BYTES:
-            raise errors.NoReplyError(
-                f'response body exceeds {MAX_RESPONSE_BYTES} bytes'
-            )
-        if req.is_overdue():
-            raise errors.NoReplyError('response body not complete in time')
+    try:
+        while chunk := flight.read_chunk(req.time_left_s()):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_RESPONSE_BYTES:
+                raise errors.NoReplyError(
+                    f'response body exceeds {MAX_RESPONSE_BYTES} bytes'
+                )
+            if not held.grow(size):
+                raise errors.NoReplyError(
+                    f'no memory for {size} bytes of the response body'
+                )
+            if req.is_overdue():
+                raise errors.NoReplyError('response body not complete in time')
+    except errors.PortError:
+        # The traceback would keep them.
+        chunks.clear()
+        raise
+    held.keep()
     return b''.join(chunks)
--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -4,6 +4,7 @@
 import time
 from typing import Final
 
+from foxtaildale import byte_budget
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import ports
@@ -39,6 +40,7 @@
     """Sends the prompts of requests to prefill workers."""
 
     __slots__ = (
+        '_byte_budget',
         '_clock',
         '_crash_probe',
         '_on_failed',
@@ -57,6 +59,7 @@
         budgets: router_retry_budgets.RouterRetryBudgets,
         send_limits: sendlimits.SendLimits,
         crash_probe: crash_detection.CrashDetector,
+        budget: byte_budget.ByteBudget,
         clock: ports.Clock,
         on_failed: ServerCallback,
         on_replaced: ServerCallback,
@@ -66,6 +69,8 @@
         self._retry_budgets = budgets
         self._send_limits = send_limits
         self._crash_probe = crash_probe
+        # Bytes of the results that are read.
+        self._byte_budget = budget
         self._clock = clock
         self._on_failed = on_failed
         self._on_replaced = on_replaced
@@ -192,12 +197,13 @@
         flight = self._workers.prefill(req.caller_request, server, left_s)
         self._owner.run(lambda state, _: state.fleet.record_sent(server.id))
         began_at = self._clock()
+        held = self._byte_budget.for_response(flight.cancel)
         try:
             req.set_flight(flight)
             flight.send(left_s)
             req.log_relayed(server.id, flight.via)
             head = flight.read_head(left_s)
-            body = read_body(flight, left_s, self._clock)
+            body = read_body(flight, left_s, self._clock, held)
             if head.ran == 'no':
                 if head.replaces(server.id):
                     self._on_replaced(req, server)
@@ -221,6 +227,7 @@
         finally:
             req.set_flight(None)
             flight.close()
+            held.release()
             self._owner.run(
                 lambda state, _: state.fleet.record_finished(server.id)
             )
@@ -243,6 +250,7 @@
     flight: ports.ServerExchange,
     timeout_s: float,
     clock: ports.Clock = time.monotonic,
+    held: byte_budget.Reservation | None = None,
 ) -> bytes:
     """Reads a complete body that is known to be small.
 
@@ -250,20 +258,33 @@
         flight: The exchange, behind the head of its response.
         timeout_s: Time for the complete body, seconds.
         clock: Returns the time, seconds.
+        held: Gets the memory of the body; None if it is not counted.
 
     Raises:
-        errors.NoReplyError: The body broke off, is too long or took too long.
+        errors.NoReplyError: The body broke off, is too long, took too long, or
+            no memory is left for it.
     """
     deadline = clock() + timeout_s
     chunks = []
     size = 0
-    while chunk := flight.read_chunk(deadline - clock()):
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_SMALL_BODY_BYTES:
-            raise errors.NoReplyError(
-                f'response body exceeds {MAX_SMALL_BODY_BYTES} bytes'
-            )
-        if clock() > deadline:
-            raise errors.NoReplyError('response body not complete in time')
+    try:
+        while chunk := flight.read_chunk(deadline - clock()):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_SMALL_BODY_BYTES:
+                raise errors.NoReplyError(
+                    f'response body exceeds {MAX_SMALL_BODY_BYTES} bytes'
+                )
+            if held is not None and not held.grow(size):
+                raise errors.NoReplyError(
+                    f'no memory for a response body of {size} bytes'
+                )
+            if clock() > deadline:
+                raise errors.NoReplyError('response body not complete in time')
+    except errors.PortError:
+        # The traceback would keep them.
+        chunks.clear()
+        raise
+    if held is not None:
+        held.keep()
     return b''.join(chunks)
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
+import itertools
 import json
 import threading
 import time
@@ -19,6 +20,8 @@
 
 _STAMP = 'Foxtaildale-Response-Stamp'
 _ATTEMPT = 'Foxtaildale-Attempt-Id'
+# Size of a block of a body without end, bytes.
+_BLOCK_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,6 +52,10 @@
         self.error = False
         self.cut = False
         self.break_after: int | None = None
+        # Whether the bodies of a plain server go on until the caller closes, and
+        # bytes that it adds to them otherwise.
+        self.endless = False
+        self.more_bytes = 0
         self.pace_s = 0.0
         self.work_s = 0.0
         self.events = 5
@@ -194,9 +201,13 @@
             )
         self.on_run(req)
         time.sleep(self.work_s)
+        if self.endless:
+            blocks = itertools.repeat(bytes(_BLOCK_BYTES))
+            return serving.Response(blocks, headers=stamped)
         self.ended.append(attempt)
         return serving.Response(
-            f'{attempt}:{req.target}'.encode(), headers=stamped
+            f'{attempt}:{req.target}'.encode() + bytes(self.more_bytes),
+            headers=stamped,
         )
 
     def _stream(
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -19,9 +19,12 @@
 import pytest
 
 from foxtaildale import byte_budget
+from foxtaildale import errors
 from foxtaildale_adapters import allocator
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import connectors
+from foxtaildale_platform import server_client
+from foxtaildaled import prefill_clients
 from tests import site as sites
 
 _MB: Final = 1_000_000
@@ -226,6 +229,76 @@
     assert f'foxtaildale_refused_bodies_total{{kind="request"}} {count}' in text
 
 
+def test_bodies_without_end_cost_sound_responses_nothing(
+    site: sites.Site,
+) -> None:
+    """Guards against two bad servers whose bodies use up a VM's memory."""
+    _start(site)
+    bad, sound = ('s1', 's2'), ('s3', 's4')
+    for name in bad:
+        site.workers[name].endless = True
+    for name in sound:
+        site.workers[name].more_bytes = 300_000
+    router = site.routers[0]
+    ends = threading.Event()
+    peaks = [0]
+
+    def watch() -> None:
+        while not ends.wait(0.005):
+            peaks.append(router.body_bytes())
+
+    with futures.ThreadPoolExecutor(25) as pool:
+        watching = pool.submit(watch)
+        names = [f'a{number}' for number in range(72)]
+        try:
+            found = dict(
+                zip(
+                    names,
+                    pool.map(lambda name: _send(site, name), names),
+                    strict=True,
+                )
+            )
+        finally:
+            ends.set()
+        watching.result()
+    ran_sound = {name for key in sound for name in site.workers[key].ids()}
+    ran_bad = {name for key in bad for name in site.workers[key].ids()}
+    assert len(ran_bad) > 2
+    assert {found[name][0] for name in ran_sound} == {200}
+    for name in ran_bad:
+        status, _, body = found[name]
+        assert status in (502, 504), (status, body)
+        assert json.loads(body)['error']['ran'] != 'no'
+    assert max(peaks) <= _LIMIT * (1 + byte_budget.EXCESS_FRACTION)
+    sites.until(lambda: router.body_bytes() == 0)
+
+
+class _BlockExchange(server_client.ServerExchange):
+    """A response of some blocks."""
+
+    def __init__(self, blocks: int) -> None:
+        self.blocks = blocks
+
+    def read_chunk(self, timeout_s: float) -> bytes:
+        del timeout_s
+        self.blocks -= 1
+        return bytes(65_536) if self.blocks >= 0 else b''
+
+
+def test_error_responses_and_prefill_results_need_room() -> None:
+    """Guards against responses of engines that use up a VM's memory."""
+    budget = _budget(_MB)
+    with budget.for_response(lambda: None) as held:
+        body = prefill_clients.read_body(_BlockExchange(4), 5.0, held=held)
+        assert len(body) * 2 == budget.used
+        with (
+            budget.for_response(lambda: None) as other,
+            pytest.raises(errors.NoReplyError),
+        ):
+            prefill_clients.read_body(_BlockExchange(10), 5.0, held=other)
+    assert budget.used == 0
+
+
 def _raw(site: sites.Site, data: bytes, *, is_read: bool = True) -> bytes:
     host, _, port = site.routers[0].addresses['caller'].rpartition(':')
     with socket.create_connection((host, int(port)), _TIMEOUT_S) as sock:
@@ -305,7 +378,11 @@
 
 
 def _served(site: sites.Site) -> None:
-    assert _send(site, 'a1', _MB)[0] == 200
+    for worker in site.workers.values():
+        worker.more_bytes = _MB
+    status, _, body = _send(site, 'a1', _MB)
+    assert status == 200
+    assert len(body) > _MB
 
 
 _PATHS: Final = (
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -20,6 +20,7 @@
 import msgspec
 import pytest
 
+from foxtaildale import byte_budget
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale import messages
@@ -302,6 +303,7 @@
         crash_probe=cast(
             Any, types.SimpleNamespace(handle_send_error=lambda *_, **__: None)
         ),
+        budget=byte_budget.ByteBudget(math.inf),
         on_completed=do_nothing,
         clock=lambda: now[0],
         rng=random.Random(1),
