--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -110,6 +110,11 @@
         '{server} promised that it did not run it (status {status})',
         ('server', 'status'),
     ),
+    'response refused': Event(
+        'no memory was left for more of the response of {server}, of which'
+        ' {bytes} bytes were read; bodies use {held} of {limit} bytes',
+        ('server', 'bytes', 'held', 'limit'),
+    ),
     'send failed': Event(
         '{server} sent no complete response: {error}',
         ('server', 'error', 'framing', 'reused'),
@@ -153,6 +158,12 @@
             'the router started',
             ('first_start', 'caller', 'ready', 'admin'),
         ),
+        (
+            'large blocks kept',
+            'the memory allocator may keep the memory of large bodies that were'
+            ' freed',
+            (),
+        ),
         (
             'stopping',
             'the router is stopping with {busy} requests in progress on'
@@ -185,6 +196,12 @@
             ' waited {delay_ms} ms for a thread',
             ('count', 'busy', 'limit', 'delay_ms'),
         ),
+        (
+            'body refused',
+            'no memory was left for a body of {bytes} bytes that {caller} sent'
+            ' with attempt {attempt}; bodies use {held} of {limit} bytes',
+            ('caller', 'attempt', 'bytes', 'held', 'limit'),
+        ),
         (
             'thread not started',
             'no thread could be started, a request waits for another: {exc}',
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -18,12 +18,14 @@
 
 from foxtaildale import accounts
 from foxtaildale import allowances
+from foxtaildale import byte_budget
 from foxtaildale import fingerprint
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
 from foxtaildale import routes
 from foxtaildale_adapters import admin
+from foxtaildale_adapters import allocator
 from foxtaildale_adapters import caller_server
 from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
@@ -146,6 +148,7 @@
 
     __slots__ = (
         '_admin',
+        '_byte_budget',
         '_cleanup',
         '_closed',
         '_codec',
@@ -198,6 +201,9 @@
         # other.
         self._stores: list[ports.KeyedTopics] = []
         self._metrics = metrics.Metrics()
+        self._byte_budget = byte_budget.ByteBudget(
+            cfg.memory_bytes * byte_budget.MEMORY_FRACTION
+        )
         self._state = router_state.RouterState(
             adapters.codec,
             cfg.peer_address,
@@ -344,6 +350,7 @@
                 budgets=budgets,
                 send_limits=self._send_limits,
                 crash_probe=crash_probe,
+                budget=self._byte_budget,
                 on_completed=self._quarantining.record_completed,
                 clock=clock,
                 rng=rng,
@@ -370,6 +377,10 @@
             half_close=False,
             idle_check_s=_IDLE_CHECK_S,
             has_peers=lambda: len(self._state.entry_vms) > 1,
+            budget=self._byte_budget,
+            on_body_refused=lambda: self._metrics.refused_bodies.add(
+                1, 'request'
+            ),
         )
         self._readiness = caller_server.Server(
             cfg.ready_address,
@@ -411,6 +422,8 @@
 
     def start(self) -> None:
         """Starts the loops, then the servers."""
+        if not allocator.return_large_blocks():
+            logs.event(logging.WARNING, 'large blocks kept')
         self._responder.start()
         self._relay.start()
         self._cleanup.start()
@@ -472,6 +485,10 @@
         """Returns the number of requests in progress."""
         return self._server.busy()
 
+    def body_bytes(self) -> int:
+        """Returns the bytes that the larger bodies under way use."""
+        return self._byte_budget.used
+
     def relayed_connections(self) -> int:
         """Returns the number of connections relayed for other entry VMs."""
         return self._relay.open_connections()
@@ -574,12 +591,14 @@
                 budgets=budgets,
                 send_limits=self._send_limits,
                 crash_probe=crash_probe,
+                budget=self._byte_budget,
                 clock=clock,
                 on_failed=placements.record_failure,
                 on_replaced=placements.report_replaced,
             ),
             cleanup=self._cleanup,
             crash_probe=crash_probe,
+            budget=self._byte_budget,
             on_completed=self._quarantining.record_completed,
             clock=clock,
             rng=rng,
