Keep the error that a connection reports while more is awaited

Callers saw streams of resumable routes end as complete before their last event. Such a stream is awaited with a read that looks into the connection; it dropped the error. Linux reports a reset to one read only, and the next one returns the end of the input. That is the regular end of a response with neither a length nor chunks.

Ruled out: poll does not take the error, plain responses are awaited before their head only, and a cancellation is checked on its own.

The error is kept and raised by the next read, of the head or of the body.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -83,6 +83,7 @@
         '_idle',
         '_lock',
         '_method',
+        '_peek_error',
         '_resp',
         '_reused',
         '_sock',
@@ -131,6 +132,9 @@
         # Whether the response body was read to its regular end.
         self._complete = False
         self._resp: urllib3.BaseHTTPResponse | None = None
+        # Error of `_peek`, which the next read raises. Linux reports a reset to
+        # one read only; the next one returns the end of the input.
+        self._peek_error: Exception | None = None
         # The connected socket; the connection drops its reference to it if it
         # is to be closed after the response.
         self._sock: socket.socket | None = None
@@ -197,6 +201,8 @@
         deadline = time.monotonic() + timeout_s
         while True:
             unread = self._peek(sock)
+            if self._peek_error is not None:
+                return True
             if unread and not self._is_chunk_end(unread):
                 return True
             if not disconnects.has_input(sock, deadline - time.monotonic()):
@@ -212,6 +218,7 @@
             errors.NoReplyError: No head arrived in time, or it is malformed.
         """
         try:
+            self._raise_peek_error()
             self._set_timeout(timeout_s)
             self._conn.timeout = timeout_s
             resp = self._conn.getresponse()
@@ -241,6 +248,7 @@
         if self._resp is None:
             raise errors.InvariantError('body read before the response head')
         try:
+            self._raise_peek_error()
             self._set_timeout(timeout_s)
             with bounded_responses.limited(self._resp, timeout_s):
                 data = self._resp.read1(_READ_BYTES)
@@ -328,11 +336,15 @@
         try:
             sock.settimeout(0.0)
             data: bytes = reader.peek(1)
-        except _CONNECTION_ERRORS:
-            # The next read raises it again.
+        except _CONNECTION_ERRORS as exc:
+            self._peek_error = exc
             return b''
         return data
 
+    def _raise_peek_error(self) -> None:
+        if self._peek_error is not None:
+            raise self._peek_error
+
     def _is_chunk_end(self, unread: bytes) -> bool:
         """Whether these bytes only end a chunk whose data were read.
 
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -46,6 +46,8 @@
         self.hangs = False
         self._closing = threading.Event()
         self.status = b'200 OK'
+        # How long the server waits between its last byte and the close, seconds.
+        self.wait_s = 0.0
         self._head = head
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
@@ -87,6 +89,7 @@
         sock.sendall(next(self.bodies))
         if self.hangs:
             self._closing.wait()
+        self._closing.wait(self.wait_s)
         if self.crashes:
             self._listener.close()
         if self.resets:
@@ -279,3 +282,42 @@
     _start(site)
     status, _, body = sites.send(site, 'POST', '/chat/a')
     assert (status, body) == (200, _EVENTS + b'id: 3\ndata: c\n\n')
+
+
+@pytest.mark.parametrize('target', ['/chat/a', '/safe/a'])
+def test_reset_after_a_pause_does_not_look_complete(
+    site: sites.Site, make: Callable[..., _Server], target: str
+) -> None:
+    """Guards against a reset that is lost while the router awaits more."""
+    is_stream = target.startswith('/chat')
+    server = make(_EVENTS, head=_STREAM if is_stream else b'\r\n')
+    server.resets = True
+    server.wait_s = 0.2
+    _list(site, server, *(('model', 'decode') if is_stream else ('plain', '')))
+    _start(site)
+    status, _, body = sites.send(site, 'POST', target)
+    assert body == b'(cut)' or status == 502
+
+
+def test_reset_between_two_reads_is_not_lost(
+    make: Callable[..., _Server],
+) -> None:
+    """Guards against an error that is dropped before the read that needs it."""
+    server = make(b'abc')
+    server.resets = True
+    server.wait_s = 0.1
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=connectors.DirectConnector(),
+    )
+    request.send(1.0)
+    request.read_head(1.0)
+    assert request.read(1.0) == b'abc'
+    assert request.await_response(2.0)
+    with pytest.raises(errors.ConnectionBrokenError):
+        request.read(1.0)
+    request.close()
