A response that ends with its connection needs a server that goes on

Callers could get a part of a response without a length as complete: the end of its connection counted as regular unless a new connection was refused. A process that is killed closes its sockets in any order, so that its listener may outlive the connection of the response, and a server that is cut off does not refuse.

The response is now complete only if a new connection is opened and stays open for a moment, in one of three tries: a lost packet delays one, and a server with too many connections resets one.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -272,17 +272,18 @@
         """Checks that a body that ended with its connection is complete.
 
         A crash of the server closes the connection too, and so does `cancel`.
+        The body counts as complete only if the server is seen to go on.
 
         Raises:
-            errors.ConnectionBrokenError: The body broke off.
+            errors.ConnectionBrokenError: The body may have broken off.
         """
         with self._lock:
             is_cancelled = self._cancelled
         if is_cancelled:
             raise errors.ConnectionBrokenError('cancelled')
-        if probe.Probe(self._connector).check(self._address) == 'refused':
+        if not probe.is_running(self._connector, self._address):
             raise errors.ConnectionBrokenError(
-                'the server crashed as its response ended'
+                'the server may have crashed as its response ended'
             )
 
     def cancel(self) -> None:
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -42,9 +42,15 @@
         self.resets = False
         # Whether the server is gone once it has answered.
         self.crashes = False
+        # Whether new connections are closed at once after the answer, as they
+        # are while a process ends, and whether they are not answered at all.
+        self.drops = False
+        self.is_silent = False
         # Whether the connection stays open until the server is closed.
         self.hangs = False
         self._closing = threading.Event()
+        self._answered = False
+        self._queued: list[socket.socket] = []
         self.status = b'200 OK'
         # How long the server waits between its last byte and the close, seconds.
         self.wait_s = 0.0
@@ -58,6 +64,8 @@
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        for conn in self._queued:
+            conn.close()
         self._thread.join()
 
     def _serve(self) -> None:
@@ -67,7 +75,11 @@
             except OSError:
                 return
             with sock, contextlib.suppress(OSError):
+                if self._answered and self.drops:
+                    continue
                 self._answer(sock)
+            if self._answered and self.is_silent:
+                self._closing.wait()
 
     def _answer(self, sock: socket.socket) -> None:
         request = b''
@@ -90,8 +102,17 @@
         if self.hangs:
             self._closing.wait()
         self._closing.wait(self.wait_s)
+        self._answered = True
         if self.crashes:
             self._listener.close()
+        if self.is_silent:
+            # The queue of new connections is full.
+            self._listener.listen(0)
+            for _ in range(3):
+                conn = socket.socket()
+                conn.setblocking(False)
+                conn.connect_ex(self._listener.getsockname())
+                self._queued.append(conn)
         if self.resets:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
 
@@ -142,7 +163,7 @@
     assert _read(make(b'abc')) == b'abc'
 
 
-@pytest.mark.parametrize('fault', ['resets', 'crashes'])
+@pytest.mark.parametrize('fault', ['resets', 'crashes', 'drops', 'is_silent'])
 def test_body_that_breaks_off_is_not_whole(
     make: Callable[..., _Server], fault: str
 ) -> None:
