Relay: pass a reset on that a send was told of

A requesting VM could take a part of a response without a length for a complete one: the kernel reports a reset once. If a send to the server got it, the next read found a regular end, and the relay passed that on as a close.

The relay remembers the reset and resets the requesting side once it has sent what it had received.

--- a/packages/adapters/foxtaildale_adapters/connection_relay.py
+++ b/packages/adapters/foxtaildale_adapters/connection_relay.py
@@ -128,6 +128,7 @@
         'far',
         'far_broken',
         'far_ended',
+        'far_reset',
         'is_connecting',
         'near',
         'request',
@@ -150,6 +151,9 @@
         # more bytes; its response may still be read then.
         self.far_ended = False
         self.far_broken = False
+        # Whether a send reported a reset by the server. The kernel reports it
+        # once, so that a read finds a regular end.
+        self.far_reset = False
         # When bytes were last passed on, seconds.
         self.active_at = now
 
@@ -418,11 +422,12 @@
         _send_some(conn.near, conn.to_near)
         try:
             _send_some(conn.far, conn.to_far)
-        except (BrokenPipeError, ConnectionResetError):
+        except (BrokenPipeError, ConnectionResetError) as exc:
+            conn.far_reset |= isinstance(exc, ConnectionResetError)
             conn.far_broken = True
             conn.to_far.clear()
         if conn.far_ended and not conn.to_near:
-            self._close(conn)
+            self._close(conn, abort=conn.far_reset)
             return
         self._wait_for(
             conn, conn.near, conn.to_near, len(conn.to_far), ended=False
--- a/tests/test_connection_relay.py
+++ b/tests/test_connection_relay.py
@@ -25,8 +25,14 @@
     def __init__(self) -> None:
         self.refuse: messages.RelayResult | None = None
         self.results: list[messages.RelayResult] = []
+        # Holds up the relay until it is set, and whether it does.
+        self.hold: threading.Event | None = None
+        self.holding = threading.Event()
 
     def refusal(self, _address: str) -> messages.RelayResult | None:
+        if self.hold is not None:
+            self.holding.set()
+            self.hold.wait(5.0)
         return self.refuse
 
     def record(
@@ -137,6 +143,45 @@
     server.close()
 
 
+def test_a_reset_that_a_send_reports_is_no_regular_end(
+    relay: connection_relay.Relay, gate: _Gate
+) -> None:
+    """Guards against a reset that is reported once, to a send, and then lost."""
+    resetting = threading.Event()
+    reset = threading.Event()
+
+    def handle(conn: socket.socket) -> None:
+        conn.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
+        resetting.wait(5.0)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        conn.close()
+        reset.set()
+
+    server = _Server(handle)
+    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock.settimeout(5.0)
+    # The relay's thread stands still, so that it gets both events at once.
+    held = threading.Event()
+    gate.hold = held
+    other = threading.Thread(
+        target=lambda: connection_relay.connect_through(
+            relay.address, server.address, 5.0
+        ).close()
+    )
+    other.start()
+    sites.until(gate.holding.is_set)
+    sock.sendall(b'more of the request')
+    time.sleep(0.05)
+    resetting.set()
+    assert reset.wait(5.0)
+    time.sleep(0.05)
+    held.set()
+    with sock, pytest.raises(ConnectionResetError):
+        _read_all(sock)
+    other.join(5.0)
+    server.close()
+
+
 def test_a_response_before_the_end_of_the_request_is_passed_on(
     relay: connection_relay.Relay,
 ) -> None:
