A relayed response without a length needs the same relay at its end

The kernel of an entry VM whose router is killed closes the connections that it relayed. To the requesting VM that looked like the regular end of a response without a length, as the server still accepted connections.

The reply of a relay now names its process (a new last field; empty from a VM of the build before). At such an end the same relay opens another connection to the server: it must be the same process, and the connection must stay open. Tests of the relay read the socket from the result of connect_through, which now holds the name as well.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -23,6 +23,7 @@
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale_adapters import bounded_responses
+from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
@@ -187,7 +188,8 @@
     def via(self) -> str:
         """Name of the entry VM that relays the connection, or ''."""
         conn = self._conn
-        return conn.via if isinstance(conn, _ServerConnection) else ''
+        opened = conn.opened if isinstance(conn, _ServerConnection) else None
+        return opened.via if opened is not None else ''
 
     def await_response(self, timeout_s: float) -> bool:
         """Waits until a read makes progress or the connection ends.
@@ -281,11 +283,20 @@
             is_cancelled = self._cancelled
         if is_cancelled:
             raise errors.ConnectionBrokenError('cancelled')
-        if not probe.is_running(self._connector, self._address):
+        if not self._is_path_running():
             raise errors.ConnectionBrokenError(
                 'the server may have crashed as its response ended'
             )
 
+    def _is_path_running(self) -> bool:
+        conn = self._conn
+        opened = conn.opened if isinstance(conn, _ServerConnection) else None
+        if opened is not None and opened.relay:
+            return connection_relay.is_running(
+                opened, self._address, self._connector
+            )
+        return probe.is_running(self._connector, self._address)
+
     def cancel(self) -> None:
         """Shuts the connection down; may be called more than once."""
         with self._lock:
@@ -378,16 +389,15 @@
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self._address = address
         self._connector = connector
-        # Name of the entry VM that relays the connection, if one does.
-        self.via = ''
+        # None until it is connected.
+        self.opened: connectors.Opened | None = None
 
     def _new_conn(self) -> socket.socket:
         timeout_s = self.timeout
         if not isinstance(timeout_s, float):
             timeout_s = CONNECT_TIMEOUT_S
-        opened = self._connector.connect(self._address, timeout_s)
-        self.via = opened.via
-        return opened.sock
+        self.opened = self._connector.connect(self._address, timeout_s)
+        return self.opened.sock
 
 
 def _is_reusable(resp: urllib3.BaseHTTPResponse) -> bool:
--- a/packages/adapters/foxtaildale_adapters/connection_relay.py
+++ b/packages/adapters/foxtaildale_adapters/connection_relay.py
@@ -29,6 +29,7 @@
 from foxtaildale import ports
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import logs
+from foxtaildale_adapters import probe
 from foxtaildale_adapters import wakes
 
 # Time for the request to arrive, and for the server to be connected to,
@@ -38,6 +39,8 @@
 # Time without any bytes after which a connection is closed, seconds. Requests
 # have ended by then; the VM that sent them may have lost power.
 IDLE_TIMEOUT_S: Final = 60.0
+# Time for a relay to open another connection after one has ended, seconds.
+PROBE_TIMEOUT_S: Final = 0.3
 # Maximum number of connections that are opened at the same time.
 MAX_CONNECTING: Final = 8
 # Maximum number of relayed connections; each has two descriptors.
@@ -56,16 +59,18 @@
 
     Attributes:
         result: Its reply; empty if there was none.
+        incarnation: Name of the process that replied.
     """
 
-    def __init__(self, result: str, text: str) -> None:
+    def __init__(self, result: str, text: str, incarnation: str = '') -> None:
         super().__init__(text)
         self.result = result
+        self.incarnation = incarnation
 
 
 def connect_through(
     relay: str, address: str, timeout_s: float
-) -> socket.socket:
+) -> connectors.Opened:
     """Opens a connection to a backend server through another entry VM.
 
     Args:
@@ -93,8 +98,42 @@
     if not isinstance(reply, messages.RelayReply) or reply.result != 'open':
         sock.close()
         result = getattr(reply, 'result', '')
-        raise RelayError(result, f'{relay}: {result or "no relay reply"}')
-    return sock
+        raise RelayError(
+            result,
+            f'{relay}: {result or "no relay reply"}',
+            getattr(reply, 'incarnation', ''),
+        )
+    return connectors.Opened(sock, relay=relay, incarnation=reply.incarnation)
+
+
+def is_running(
+    opened: connectors.Opened, address: str, connector: connectors.Connector
+) -> bool:
+    """Returns whether a relay and the server behind it are known to go on.
+
+    Args:
+        opened: A connection through the relay, which has ended. It ends
+            regularly, too, if the relaying process is killed.
+        address: 'IP:PORT' of the backend server.
+        connector: Reaches the server if the relay opens no more connections.
+    """
+    for _ in range(probe.MAX_PROBES):
+        try:
+            again = connect_through(opened.relay, address, PROBE_TIMEOUT_S)
+        except RelayError as exc:
+            if exc.result == 'refused':
+                return False
+            if exc.result in ('', 'silent'):
+                continue
+            return exc.incarnation == opened.incarnation and probe.is_running(
+                connector, address
+            )
+        with again.sock:
+            if again.incarnation != opened.incarnation:
+                return False
+            if probe.stays_open(again.sock):
+                return True
+    return False
 
 
 def _read_exactly(sock: socket.socket, size: int) -> bytes:
@@ -167,6 +206,7 @@
         '_connections',
         '_connector',
         '_gate',
+        '_incarnation',
         '_listener',
         '_opened',
         '_pool',
@@ -183,6 +223,7 @@
         connector: connectors.Connector,
         gate: Gate,
         clock: ports.Clock,
+        incarnation: str = '',
     ) -> None:
         """Binds the address; connections are accepted after `start`.
 
@@ -191,6 +232,7 @@
             connector: Connects to the servers.
             gate: Decides which connections are opened.
             clock: Returns the time, seconds.
+            incarnation: Names this start of the process in replies.
 
         Raises:
             OSError: The address can't be bound.
@@ -204,6 +246,7 @@
         self._connector = connector
         self._gate = gate
         self._clock = clock
+        self._incarnation = incarnation
         # Connecting may wait, so it is done in threads of their own.
         self._pool = futures.ThreadPoolExecutor(
             MAX_CONNECTING, thread_name_prefix='relay-connect'
@@ -388,15 +431,22 @@
             conn.far = far
             conn.request = None
             conn.active_at = self._clock()
-            conn.to_near += _encode_reply('open')
+            conn.to_near += self._encode_reply('open')
             self._flush(conn)
 
     def _refuse(self, conn: _Connection, result: messages.RelayResult) -> None:
         # The reply fits into the empty send buffer of a new connection.
         with contextlib.suppress(OSError):
-            conn.near.send(_encode_reply(result))
+            conn.near.send(self._encode_reply(result))
         self._close(conn)
 
+    def _encode_reply(self, result: messages.RelayResult) -> bytes:
+        reply = messages.RelayReply(
+            result=result, incarnation=self._incarnation
+        )
+        payload = messages.encode(reply)
+        return _LENGTH.pack(len(payload)) + payload
+
     def _read_near(self, conn: _Connection) -> None:
         data = conn.near.recv(_READ_BYTES)
         if not data:
@@ -493,11 +543,6 @@
             conn.far.close()
 
 
-def _encode_reply(result: messages.RelayResult) -> bytes:
-    payload = messages.encode(messages.RelayReply(result=result))
-    return _LENGTH.pack(len(payload)) + payload
-
-
 def _send_some(sock: socket.socket, data: bytearray) -> None:
     """Sends as much as the socket takes."""
     if not data:
--- a/packages/adapters/foxtaildale_adapters/connectors.py
+++ b/packages/adapters/foxtaildale_adapters/connectors.py
@@ -16,12 +16,21 @@
 class Opened:
     """An open connection to a backend server."""
 
-    __slots__ = ('sock', 'via')
-
-    def __init__(self, sock: socket.socket, via: str = '') -> None:
+    __slots__ = ('incarnation', 'relay', 'sock', 'via')
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        via: str = '',
+        relay: str = '',
+        incarnation: str = '',
+    ) -> None:
         self.sock = sock
-        # Name of the entry VM that relays it; empty if none does.
+        # Name of the entry VM that relays it, 'IP:PORT' of its relay, and the
+        # name of the relaying process; all empty if none does.
         self.via = via
+        self.relay = relay
+        self.incarnation = incarnation
 
 
 class Connector(Protocol):
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -415,6 +415,8 @@
     """Reply to `RelayRequest`."""
 
     result: RelayResult
+    # Names the process that relays; empty if an earlier build sent the reply.
+    incarnation: str = ''
 
 
 class PlacementRequest(Wire, frozen=True, tag='AskPlace'):
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -19,6 +19,7 @@
 from foxtaildale import accounts
 from foxtaildale import allowances
 from foxtaildale import fingerprint
+from foxtaildale import incarnations
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
@@ -245,7 +246,11 @@
             rng=rng,
         )
         self._relay = connection_relay.Relay(
-            cfg.relay_address, adapters.connector, self._server_paths, clock
+            cfg.relay_address,
+            adapters.connector,
+            self._server_paths,
+            clock,
+            incarnations.make('relay', cfg.entry_vm),
         )
         self._workers = tracked_flights.TrackingWorkers(
             adapters.make_workers(self._server_paths),
--- a/packages/daemon/foxtaildaled/server_paths.py
+++ b/packages/daemon/foxtaildaled/server_paths.py
@@ -234,7 +234,7 @@
                 names = names[:MAX_RELAYS]
         for name in names:
             try:
-                sock = connection_relay.connect_through(
+                opened = connection_relay.connect_through(
                     vms[name].relay_address, address, RELAY_TIMEOUT_S
                 )
             except connection_relay.RelayError as exc:
@@ -260,7 +260,8 @@
                         self._relays.record_silence(name, self._clock())
                 continue
             self._record_relayed(name, address, error)
-            return connectors.Opened(sock, name)
+            opened.via = name
+            return opened
         if error is not None and not self.is_lost():
             raise error
         raise connectors.NoPathError(f'no entry VM reaches {address}')
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -24,16 +24,16 @@
         '_listener',
         '_lock',
         '_silent',
-        '_target',
         'accepted',
         'address',
         'cut_off',
         'delay_s',
+        'target',
     )
 
     def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(':')
-        self._target = (host, int(port))
+        # 'IP:PORT' to which new connections are passed on.
+        self.target = target
         self._listener = socket.create_server(('127.0.0.1', 0))
         self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
         self._lock = threading.Lock()
@@ -111,7 +111,8 @@
                 near.close()
                 continue
             try:
-                far = socket.create_connection(self._target)
+                host, _, port = self.target.rpartition(':')
+                far = socket.create_connection((host, int(port)))
             except OSError:
                 near.close()
                 continue
--- a/tests/test_connection_relay.py
+++ b/tests/test_connection_relay.py
@@ -101,7 +101,9 @@
             conn.sendall(data.upper())
 
     server = _Server(handle)
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     with sock:
         sock.settimeout(5.0)
         writer = threading.Thread(target=sock.sendall, args=(_LARGE,))
@@ -116,8 +118,12 @@
 ) -> None:
     """Guards against a relay that buffers without bound or blocks."""
     server = _Server(lambda conn: conn.sendall(_LARGE * 4))
-    slow = connection_relay.connect_through(relay.address, server.address, 1.0)
-    quick = connection_relay.connect_through(relay.address, server.address, 1.0)
+    slow = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
+    quick = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     quick.settimeout(5.0)
     with slow, quick:
         assert len(_read_all(quick)) == 4 * len(_LARGE)
@@ -136,7 +142,9 @@
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
 
     server = _Server(handle)
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     sock.settimeout(5.0)
     with sock, pytest.raises(ConnectionResetError):
         _read_all(sock)
@@ -158,15 +166,16 @@
         reset.set()
 
     server = _Server(handle)
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     sock.settimeout(5.0)
     # The relay's thread stands still, so that it gets both events at once.
     held = threading.Event()
     gate.hold = held
     other = threading.Thread(
-        target=lambda: connection_relay.connect_through(
-            relay.address, server.address, 5.0
-        ).close()
+        target=connection_relay.connect_through,
+        args=(relay.address, server.address, 5.0),
     )
     other.start()
     sites.until(gate.holding.is_set)
@@ -194,7 +203,9 @@
         time.sleep(0.5)
 
     server = _Server(handle)
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     sock.settimeout(5.0)
     with sock:
         sock.sendall(b'x' * 1000)
@@ -214,7 +225,9 @@
         ended.set()
 
     server = _Server(handle)
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     sock.shutdown(socket.SHUT_RDWR)
     assert ended.wait(0.5)
     sites.until(lambda: relay.open_connections() == 0)
@@ -261,7 +274,9 @@
     relay: connection_relay.Relay,
 ) -> None:
     server = _Server(lambda conn: conn.sendall(conn.recv(10)))
-    sock = connection_relay.connect_through(relay.address, server.address, 1.0)
+    sock = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     relay.stop_accepting()
     with pytest.raises(connection_relay.RelayError) as raised:
         connection_relay.connect_through(relay.address, server.address, 1.0)
@@ -286,7 +301,9 @@
         sock.sendall(data)
         with contextlib.suppress(ConnectionResetError):
             assert _read_all(sock) == b''
-    other = connection_relay.connect_through(relay.address, server.address, 1.0)
+    other = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    ).sock
     with other:
         assert _read_all(other) == b'ok'
     server.close()
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -7,14 +7,18 @@
 import socket
 import struct
 import threading
+import time
 from typing import Final
 
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import messages
 from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
 from tests import site as sites
+from tests.standins import relay as relays
 
 _HEAD: Final = (
     b'HTTP/1.1 %b\r\nFoxtaildale-Attempt-Id: %b\r\n'
@@ -342,3 +346,72 @@
     with pytest.raises(errors.ConnectionBrokenError):
         request.read(1.0)
     request.close()
+
+
+class _Gate:
+    """Lets every connection pass."""
+
+    def refusal(self, _address: str) -> messages.RelayResult | None:
+        return None
+
+    def record(
+        self, _address: str, result: messages.RelayResult
+    ) -> messages.RelayResult:
+        return result
+
+
+class _RelayedConnector:
+    """Opens all connections through one VM."""
+
+    def __init__(self, relay_address: str) -> None:
+        self._relay_address = relay_address
+
+    def connect(self, address: str, timeout_s: float) -> connectors.Opened:
+        return connection_relay.connect_through(
+            self._relay_address, address, timeout_s
+        )
+
+
+def _start_relay(name: str) -> connection_relay.Relay:
+    relay = connection_relay.Relay(
+        '127.0.0.1:0',
+        connectors.DirectConnector(),
+        _Gate(),
+        time.monotonic,
+        name,
+    )
+    relay.start()
+    return relay
+
+
+@pytest.mark.parametrize('fault', ['', 'killed', 'restarted'])
+def test_end_of_a_relaying_vm_is_no_end_of_the_response(
+    make: Callable[..., _Server], fault: str
+) -> None:
+    """Guards against a killed relay whose closes look like the server's."""
+    server = make(b'abc')
+    server.hangs = bool(fault)
+    first, second = _start_relay('relay-1'), _start_relay('relay-2')
+    link = relays.Relay(first.address)
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=_RelayedConnector(link.address),
+    )
+    with contextlib.closing(first), contextlib.closing(second), link:
+        request.send(1.0)
+        request.read_head(1.0)
+        assert request.read(1.0) == b'abc'
+        if not fault:
+            assert request.read(1.0) == b''
+        else:
+            link.stop()
+            if fault == 'restarted':
+                link.target = second.address
+                link.start()
+            with pytest.raises(errors.ConnectionBrokenError):
+                request.read(1.0)
+        request.close()
--- a/tests/test_unreachable_servers.py
+++ b/tests/test_unreachable_servers.py
@@ -12,6 +12,7 @@
 import pytest
 
 from foxtaildale_adapters import connection_relay
+from foxtaildale_adapters import connectors
 from foxtaildaled import plain_forwarder
 from foxtaildaled import router_daemon
 from tests import site as sites
@@ -290,7 +291,7 @@
 
     def be_late_once(
         relay: str, address: str, timeout_s: float
-    ) -> socket.socket:
+    ) -> connectors.Opened:
         if relay == site.routers[2]._relay.address and not late:
             late.append(address)
             raise connection_relay.RelayError('', 'timed out')
