Chunked responses: only a complete last chunk and trailers end a body

Callers could get a part of a chunked response as complete: the library reads the size of a chunk with int() from a line that may lack its end, so that a line that breaks off behind its first zero is the last chunk, as are '+0', '-0', '0_0' and '0x0'; it also takes the end of the connection for the end of the trailers, and does not look at the two bytes behind a chunk.

The size must be hexadecimal digits, and its line and each trailer must have their ends, the last one empty. This holds for all responses read with urllib3, control calls and the store's included.

--- a/packages/adapters/foxtaildale_adapters/bounded_responses.py
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -2,14 +2,15 @@
 
 The timeout of a socket limits each read, so a server that sends a byte now and
 then could hold its reader for any time, and one that sends fast could send
-headers or interim responses without end. The library also takes a head that
-ends with its connection for complete.
+headers or interim responses without end. The library also takes a head, a last
+chunk or trailers that end with the connection for complete.
 """
 
 from collections.abc import Iterator
 import contextlib
 import http.client
 import io
+import re
 import socket
 import time
 from typing import TYPE_CHECKING
@@ -23,8 +24,11 @@
 
 # Maximum size of a head with its interim responses, bytes.
 MAX_HEAD_BYTES: Final = 256 * 1024
+# Maximum size of the line with the size of a chunk, and of a trailer, bytes.
+MAX_LINE_BYTES: Final = 65536
 # Minimum timeout of a read, seconds; a socket with 0 would not wait.
 MIN_TIMEOUT_S: Final = 0.001
+_CHUNK_SIZE: Final = re.compile(rb'[0-9A-Fa-f]{1,16}')
 
 
 class _LimitedReader(io.RawIOBase):
@@ -70,6 +74,10 @@
 class BoundedResponse(http.client.HTTPResponse):
     """A response whose head is limited by the timeout of the socket."""
 
+    if TYPE_CHECKING:
+
+        def _close_conn(self) -> None: ...
+
     def __init__(
         self,
         sock: socket.socket,
@@ -92,6 +100,38 @@
         reader.head_left = None
         reader.deadline = None
 
+    def _get_chunk_left(self) -> int | None:
+        """Returns the bytes left of the chunk; None behind the last one.
+
+        Replaces a method of the library.
+
+        Raises:
+            http.client.IncompleteRead: The framing is broken or ends early.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None and self.fp.read(2) != b'\r\n':
+            raise http.client.IncompleteRead(b'')
+        self.chunk_left = self._read_chunk_size() or None
+        if self.chunk_left is None:
+            while self._read_line() not in (b'\r\n', b'\n'):
+                pass  # A trailer.
+            self._close_conn()
+        return self.chunk_left
+
+    def _read_chunk_size(self) -> int:
+        size = self._read_line().partition(b';')[0].strip()
+        if not _CHUNK_SIZE.fullmatch(size):
+            raise http.client.IncompleteRead(b'')
+        return int(size, 16)
+
+    def _read_line(self) -> bytes:
+        """Reads a complete line."""
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if not line.endswith(b'\n'):
+            raise http.client.IncompleteRead(b'')
+        return line
+
 
 class Connection(urllib3.connection.HTTPConnection):
     """A connection with bounded responses."""
