Idle connections: no reuse by an attempt that the connection carried

A server may send a second response up to seconds after the first one. It is told from the response to the next request by the attempt id, but prefill and decode of one attempt, and two sends of it to one server, have the same id and took connections from one pool: the second response to the one was then the response to the other.

An idle connection keeps the ids of the attempts that it carried, at most 64, and such an attempt does not reuse it. Before this change the 2 new tests failed. The test of idle times reads the connection from the result of pop, which now holds the ids as well.

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -17,6 +17,7 @@
 from typing import Final
 
 import urllib3
+import urllib3.connection
 import urllib3.exceptions
 import urllib3.util
 
@@ -34,6 +35,8 @@
 # a lost SYN after one second, by when another server could have replied. No
 # request was sent at that point, so trying another server is always safe.
 CONNECT_TIMEOUT_S: Final = 0.2
+# Maximum number of attempts whose ids are kept with a connection.
+MAX_ATTEMPTS_PER_CONNECTION: Final = 64
 _READ_BYTES: Final = 65536
 # Value with which the library reports version HTTP/1.1 of a response.
 _HTTP_1_1: Final = 11
@@ -75,6 +78,7 @@
 
     __slots__ = (
         '_address',
+        '_attempts',
         '_body',
         '_cancelled',
         '_complete',
@@ -101,6 +105,7 @@
         *,
         connector: connectors.Connector,
         idle_conns: idle_connections.IdleConnections | None = None,
+        attempt: str = '',
     ) -> None:
         """Prepares a request; sends nothing yet.
 
@@ -114,13 +119,24 @@
             idle_conns: Pool from which an idle connection is taken, if there is
                 one, and to which it is returned. None for a request that must
                 not be sent twice.
+            attempt: Id of the attempt, which the response names; the request
+                takes no connection that carried the attempt. Empty if the
+                response names none.
         """
         self._address = address
         self._connector = connector
         self._idle = idle_conns
-        idle_conn = idle_conns.pop(address) if idle_conns is not None else None
-        self._reused = idle_conn is not None
-        self._conn = idle_conn or _ServerConnection(address, connector)
+        idle = idle_conns.pop(address, attempt) if idle_conns else None
+        self._reused = idle is not None
+        # Ids of the attempts that the connection carried.
+        self._attempts = frozenset((attempt,) if attempt else ())
+        if idle is not None:
+            self._attempts |= idle.attempts
+        self._conn: urllib3.connection.HTTPConnection = (
+            idle.conn
+            if idle is not None
+            else _ServerConnection(address, connector)
+        )
         self._method = method
         self._target = target
         self._headers = dict(headers)
@@ -326,6 +342,8 @@
         if self.via or not _is_reusable(self._resp):
             # An idle connection would hold up a stop of the VM that relays it.
             return False
+        if len(self._attempts) >= MAX_ATTEMPTS_PER_CONNECTION:
+            return False
         with self._lock:
             if self._cancelled or self._conn.sock is None:
                 return False
@@ -334,7 +352,7 @@
             self._conn = _ServerConnection(self._address, self._connector)
             self._sock = None
             resp, self._resp = self._resp, None
-        self._idle.add(self._address, conn, _keep_alive_s(resp))
+        self._idle.add(self._address, conn, _keep_alive_s(resp), self._attempts)
         return True
 
     def _peek(self, sock: socket.socket) -> bytes:
--- a/packages/adapters/foxtaildale_adapters/idle_connections.py
+++ b/packages/adapters/foxtaildale_adapters/idle_connections.py
@@ -8,7 +8,9 @@
 connection is reused only after a minimum idle time, and closed if it received
 anything. A connection may still close or stop responding just when it is
 reused. This delays a request that may be sent again. A request that must not be
-sent twice therefore never reuses a connection.
+sent twice therefore never reuses a connection. A server may also send a second
+response long after the first one. Its attempt id tells it from the response to
+another attempt, so that an attempt reuses no connection that carried it.
 """
 
 import contextlib
@@ -36,16 +38,21 @@
 MAX_ADDRESSES: Final = 256
 
 
-class _IdleConnection:
-    __slots__ = ('conn', 'idle_since', 'usable_until')
+class IdleConnection:
+    """A connection that waits for reuse."""
+
+    __slots__ = ('attempts', 'conn', 'idle_since', 'usable_until')
 
     def __init__(
         self,
         conn: urllib3.connection.HTTPConnection,
+        attempts: frozenset[str],
         idle_since: float,
         usable_until: float,
     ) -> None:
         self.conn = conn
+        # Ids of the attempts that it carried.
+        self.attempts = attempts
         self.idle_since = idle_since
         self.usable_until = usable_until
 
@@ -59,10 +66,15 @@
         self._clock = clock
         self._lock = threading.Lock()
         # By address; each list is sorted by `idle_since`.
-        self._idle: dict[str, list[_IdleConnection]] = {}
+        self._idle: dict[str, list[IdleConnection]] = {}
+
+    def pop(self, address: str, attempt: str = '') -> IdleConnection | None:
+        """Removes and returns a reusable connection; None if there is none.
 
-    def pop(self, address: str) -> urllib3.connection.HTTPConnection | None:
-        """Removes and returns a reusable connection; None if there is none."""
+        Args:
+            address: Address of the server.
+            attempt: Id of the attempt; empty if its response names none.
+        """
         now = self._clock()
         with self._lock:
             entries = self._idle.get(address, [])
@@ -70,13 +82,11 @@
                 entry
                 for entry in entries
                 if now - entry.idle_since >= MIN_IDLE_S
+                and attempt not in entry.attempts
             ]
-            too_recent = [
-                entry
-                for entry in entries
-                if now - entry.idle_since < MIN_IDLE_S
+            self._idle[address] = [
+                entry for entry in entries if entry not in candidates
             ]
-            self._idle[address] = too_recent
         reusable = None
         # The connection with the shortest idle time is the least likely to be
         # closed.
@@ -91,13 +101,14 @@
                 entry.conn.close()
             else:
                 self._add(address, entry)
-        return reusable.conn if reusable is not None else None
+        return reusable
 
     def add(
         self,
         address: str,
         conn: urllib3.connection.HTTPConnection,
         server_timeout_s: float | None,
+        attempts: frozenset[str] = frozenset(),
     ) -> None:
         """Stores an idle connection, or closes it if the address has enough.
 
@@ -106,6 +117,7 @@
             conn: Connection whose last response was read completely.
             server_timeout_s: Idle timeout that the server reported, seconds;
                 None if it reported none.
+            attempts: Ids of the attempts that the connection carried.
         """
         now = self._clock()
         max_idle_s = (
@@ -113,7 +125,8 @@
             if server_timeout_s is None
             else min(MAX_IDLE_S, IDLE_TIMEOUT_FRACTION * server_timeout_s)
         )
-        self._add(address, _IdleConnection(conn, now, now + max_idle_s))
+        entry = IdleConnection(conn, attempts, now, now + max_idle_s)
+        self._add(address, entry)
 
     def close(self) -> None:
         """Closes all idle connections."""
@@ -125,7 +138,7 @@
         for entry in evicted:
             entry.conn.close()
 
-    def _add(self, address: str, entry: _IdleConnection) -> None:
+    def _add(self, address: str, entry: IdleConnection) -> None:
         with self._lock:
             entries = self._idle.pop(address, [])
             entries.append(entry)
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -66,7 +66,11 @@
         self.drop()
 
 
-def _ask(address: str, kept: idle_connections.IdleConnections | None) -> bytes:
+def _ask(
+    address: str,
+    kept: idle_connections.IdleConnections | None,
+    attempt: str = '',
+) -> bytes:
     req = backend_request.Request(
         address,
         'GET',
@@ -75,6 +79,7 @@
         b'',
         connector=connectors.DirectConnector(),
         idle_conns=kept,
+        attempt=attempt,
     )
     req.send(1.0)
     req.read_head(1.0)
@@ -154,10 +159,37 @@
     _ask(server.address, kept)
     assert kept.pop(server.address) is None
     now[0] += idle_connections.MIN_IDLE_S
-    conn = kept.pop(server.address)
-    assert conn is not None
-    kept.add(server.address, conn, None)
+    idle = kept.pop(server.address)
+    assert idle is not None
+    kept.add(server.address, idle.conn, None)
     now[0] += idle_connections.MAX_IDLE_S
     assert kept.pop(server.address) is None
     kept.close()
     server.close()
+
+
+def test_an_attempt_does_not_reuse_a_connection_that_carried_it() -> None:
+    """Guards against a late second response with the id of the same attempt."""
+    server = _Server(_ANSWER + b'\r\nok')
+    kept = idle_connections.IdleConnections(time.monotonic)
+    opened = []
+    for attempt in ('a1', 'a2', 'a1', 'a3'):
+        _ask(server.address, kept, attempt)
+        opened.append(server.opened)
+        time.sleep(2 * idle_connections.MIN_IDLE_S)
+    kept.close()
+    server.close()
+    assert opened == [1, 1, 2, 2]
+
+
+def test_a_connection_carries_a_limited_number_of_attempts() -> None:
+    """Guards against the growth of what a connection remembers."""
+    now = [0.0]
+    server = _Server(_ANSWER + b'\r\nok')
+    kept = idle_connections.IdleConnections(lambda: now[0])
+    for number in range(backend_request.MAX_ATTEMPTS_PER_CONNECTION + 1):
+        _ask(server.address, kept, f'a{number}')
+        now[0] += idle_connections.MIN_IDLE_S
+    kept.close()
+    server.close()
+    assert server.opened == 2
