Responses: a connection with bytes behind a response is not reused

The library reads ahead. Bytes of a second response that came with the end of the first one were lost with its buffer, and the check of an idle connection looks at the socket only.

The response looks into its buffer as it releases the connection, and shuts the connection down if there are bytes; this holds for control calls and the store as well.

--- a/packages/adapters/foxtaildale_adapters/bounded_responses.py
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -15,6 +15,7 @@
 import time
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import cast
 
 import urllib3
 import urllib3.connection
@@ -41,6 +42,8 @@
         # Deadline of all reads, seconds of the monotonic clock; None if only the
         # timeout of the socket applies.
         self.deadline: float | None = None
+        # Whether the response was read to its end or given up.
+        self.is_done = False
         # How much of the head may still be read, bytes; None behind the head.
         self.head_left: int | None = None
 
@@ -51,6 +54,8 @@
         return self._raw.fileno()
 
     def readinto(self, buffer: 'WriteableBuffer', /) -> int | None:
+        if self.is_done:
+            return None
         if self.deadline is not None:
             left_s = self.deadline - time.monotonic()
             if left_s <= 0:
@@ -65,6 +70,10 @@
                 raise http.client.LineTooLong('head of the response')
         return count
 
+    def shut_down(self) -> None:
+        """Shuts the connection down, so that it is not reused."""
+        self._sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         if not self.closed:
             self._raw.close()
@@ -74,10 +83,6 @@
 class BoundedResponse(http.client.HTTPResponse):
     """A response whose head is limited by the timeout of the socket."""
 
-    if TYPE_CHECKING:
-
-        def _close_conn(self) -> None: ...
-
     def __init__(
         self,
         sock: socket.socket,
@@ -100,6 +105,21 @@
         reader.head_left = None
         reader.deadline = None
 
+    def _close_conn(self) -> None:
+        """Releases the connection; replaces a method of the library.
+
+        Bytes behind the response may be buffered here. They are lost, and the
+        next response would begin within a second one, so that the connection
+        is shut down.
+        """
+        buffered, self.fp = self.fp, cast(io.BufferedReader, None)
+        self.reader.is_done = True
+        # An error means that another thread closed the connection.
+        with contextlib.suppress(OSError, ValueError):
+            if buffered.peek(1):
+                self.reader.shut_down()
+        buffered.close()
+
     def _get_chunk_left(self) -> int | None:
         """Returns the bytes left of the chunk; None behind the last one.
 
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -10,6 +10,7 @@
 
 from foxtaildale_adapters import backend_request
 from foxtaildale_adapters import connectors
+from foxtaildale_adapters import http_client
 from foxtaildale_adapters import idle_connections
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n'
@@ -193,3 +194,20 @@
     kept.close()
     server.close()
     assert server.opened == 2
+
+
+def test_bytes_read_with_an_answer_are_no_part_of_the_next_one() -> None:
+    """Guards against a second response that begins in a lost buffer."""
+    second = _ANSWER + b'\r\nNO'
+    assert _play(_Server(_ANSWER + b'\r\nok' + second)) == (2, 2)
+
+
+def test_control_calls_do_not_read_what_follows_an_answer() -> None:
+    """Guards against a second response that begins in a lost buffer."""
+    server = _Server(_ANSWER + b'\r\nok' + _ANSWER)
+    client = http_client.HttpClient()
+    for _ in range(2):
+        got = client.send(server.address, 'GET', '/', timeout_s=1.0)
+        assert got.body == b'ok'
+    server.close()
+    assert server.opened == 2
