Event streams: a second response ends a stream as broken off

A stream with neither a length nor chunks has no end of its own, so that a second response of its server stood in it as events: its head and first event were forwarded, and the rest of its events behind them.

A line that begins with 'HTTP/1.' is no line of an event. The events before it are forwarded, and the stream counts as broken off, so that it is resumed or cut.

--- a/packages/core/foxtaildale/sse.py
+++ b/packages/core/foxtaildale/sse.py
@@ -5,6 +5,7 @@
 without lost or repeated bytes.
 """
 
+import re
 from typing import Final
 
 from foxtaildale import errors
@@ -13,6 +14,8 @@
 MAX_EVENT_BYTES: Final = 1024 * 1024
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
+# Start of a line that is no line of an event: the head of another response.
+_STATUS_LINE: Final = re.compile(rb'^HTTP/1\.', re.MULTILINE)
 
 
 class Splitter:
@@ -23,21 +26,27 @@
             the start of a stream.
     """
 
-    __slots__ = ('_incomplete', 'position')
+    __slots__ = ('_has_second', '_incomplete', 'position')
 
     # Number of the last complete event.
     position: int | None
 
     def __init__(self, position: int | None = None) -> None:
         self._incomplete = bytearray()
+        # Whether a second response has begun, which a server may send behind
+        # one that has neither a length nor chunks.
+        self._has_second = False
         self.position = position
 
     def feed(self, block: bytes) -> bytes:
         """Adds a block; returns the events that are now complete.
 
         Raises:
-            errors.NoReplyError: An event exceeds `MAX_EVENT_BYTES`.
+            errors.NoReplyError: An event exceeds `MAX_EVENT_BYTES`, or a second
+                response has begun; the stream counts as broken off then.
         """
+        if self._has_second:
+            raise errors.NoReplyError('a second response within the stream')
         incomplete = self._incomplete
         # What was searched before has no end of an event but for its last byte.
         searched = max(0, len(incomplete) - len(_EVENT_END) + 1)
@@ -48,6 +57,13 @@
             raise errors.NoReplyError(f'event above {MAX_EVENT_BYTES} bytes')
         if not complete_bytes:
             return b''
+        second = _STATUS_LINE.search(incomplete, 0, complete_bytes)
+        if second is not None:
+            self._has_second = True
+            end = incomplete.rfind(_EVENT_END, 0, second.start())
+            complete_bytes = end + len(_EVENT_END) if end >= 0 else 0
+            if not complete_bytes:
+                raise errors.NoReplyError('a second response within the stream')
         events = bytes(incomplete[:complete_bytes])
         del incomplete[:complete_bytes]
         for line in events.splitlines():
@@ -63,6 +79,7 @@
     def discard_incomplete_event(self) -> None:
         """Discards an incomplete event before the stream is resumed."""
         self._incomplete.clear()
+        self._has_second = False
 
     def _update_position(self, text: bytes) -> None:
         if text.isdigit():
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -4,10 +4,13 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
+from foxtaildale import errors
 from foxtaildale import sse
 
 _STREAM = b''.join(b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(1, 6))
+_SECOND = b'HTTP/1.1 200 OK\r\nAttempt: a\r\n\r\nid: 3\ndata: x\n\n'
 
 
 @hypothesis.given(strategies.lists(strategies.integers(0, len(_STREAM))))
@@ -38,3 +41,31 @@
     splitter.discard_incomplete_event()
     assert splitter.position == 4
     assert splitter.feed(b'id: 5\ndata: b\n\n') == b'id: 5\ndata: b\n\n'
+
+
+def test_a_second_response_is_no_part_of_a_stream() -> None:
+    """Guards against events of a late second response within a stream."""
+    splitter = sse.Splitter()
+    assert splitter.feed(b'id: 1\ndata: a\n\n') == b'id: 1\ndata: a\n\n'
+    with pytest.raises(errors.NoReplyError):
+        splitter.feed(_SECOND)
+    assert splitter.position == 1
+
+
+def test_events_before_a_second_response_are_kept() -> None:
+    """Guards against a resume that skips events that were not forwarded."""
+    splitter = sse.Splitter()
+    first = b'id: 1\ndata: a\n\n'
+    assert splitter.feed(first + _SECOND) == first
+    assert splitter.position == 1
+    assert splitter.has_incomplete_event
+    with pytest.raises(errors.NoReplyError):
+        splitter.feed(b'id: 4\ndata: y\n\n')
+    splitter.discard_incomplete_event()
+    assert splitter.feed(b'id: 2\ndata: b\n\n') == b'id: 2\ndata: b\n\n'
+
+
+def test_data_may_look_like_a_response() -> None:
+    """Guards against a sound stream that is cut."""
+    event = b'id: 1\ndata: HTTP/1.1 200 OK\ndata: \n\n'
+    assert sse.Splitter().feed(event) == event
