Callers without chunks: an aborted response ends in a reset

A response to an HTTP/1.0 caller has neither a length nor chunks when it is streamed, so that its end is that of the connection. One that the router gave up, as its stream broke off, ended with a close and looked whole.

Such a connection is now closed with a reset.

--- a/packages/adapters/foxtaildale_adapters/caller_exchange.py
+++ b/packages/adapters/foxtaildale_adapters/caller_exchange.py
@@ -92,6 +92,7 @@
     __slots__ = (
         '_chunked',
         '_disconnected',
+        '_ends_with_connection',
         '_events',
         '_lock',
         '_req',
@@ -131,6 +132,9 @@
         self._lock = threading.Lock()
         self._state = 'waiting'
         self._chunked = False
+        # Whether the started response has neither a length nor chunks, as for a
+        # caller that speaks HTTP/1.0.
+        self._ends_with_connection = False
         # Whether the response is an event stream.
         self._events = False
         self._disconnected = False
@@ -168,7 +172,9 @@
             False if the caller disconnected.
         """
         self._begin(status, headers, None)
-        sent = self._write(self._head(b''))
+        head = self._head(b'')
+        self._ends_with_connection = not self._chunked
+        sent = self._write(head)
         self._events = headers.get('Content-Type') == EVENT_STREAM
         return sent
 
@@ -256,8 +262,15 @@
             self._watcher.remove(self._sock.fileno())
 
     def abort(self) -> None:
-        """Closes the connection immediately, even within a response."""
+        """Closes the connection immediately, even within a response.
+
+        If only the end of the connection ends the response, it is reset once
+        the handler has returned.
+        """
         self._disconnected = True
+        if self._ends_with_connection and not self.finished:
+            self._req.conn.reset_on_close = True
+            return
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -21,6 +21,7 @@
 import math
 import selectors
 import socket
+import struct
 import threading
 import time
 from typing import Any
@@ -60,6 +61,8 @@
 _READ_BYTES: Final = 4096
 # Prefix of the headers that carry identities and limits of a request.
 HEADER_PREFIX: Final = b'Foxtaildale-'
+# Value of SO_LINGER with which a close sends a reset.
+_RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
@@ -160,6 +163,9 @@
         # Whether the connection was ever added to the idle connections.
         self.was_idle = False
         self.discard_input = False
+        # Whether it ends with a reset: a close would end a response that has
+        # neither a length nor chunks.
+        self.reset_on_close = False
         # When its request was queued for a thread, seconds.
         self.queued_at = 0.0
         # Number of requests that were read from this connection.
@@ -238,6 +244,17 @@
         finally:
             self.server.remove_connection(self)
 
+    def _close_kernel_socket(self) -> None:
+        if not self.reset_on_close:
+            super()._close_kernel_socket()  # type: ignore[misc]
+            return
+        try:
+            self.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        except OSError:
+            pass  # The caller closed it first.
+
     def _discard_input(self) -> None:
         """Reads and discards input for a short time after an early error.
 
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -460,6 +460,17 @@
         running.ask('/unfinished')
 
 
+def test_an_unfinished_answer_without_chunks_is_reset(running: Running) -> None:
+    """Guards against a part that looks whole, as only the close would end it."""
+    head = b'POST /%b HTTP/1.0\r\nContent-Length: 0\r\n\r\n'
+    with running.connect() as sock:
+        sock.sendall(head % b'unfinished')
+        with pytest.raises(ConnectionResetError):
+            read_all(sock)
+    running.script.release.set()
+    assert running.raw(head % b'stream').endswith(b'data: 2\n\n')
+
+
 def test_callers_beyond_the_threads_are_told_at_once(running: Running) -> None:
     """Every thread is busy; one more would wait unseen by admission."""
     socks = [running.connect() for _ in range(12)]
