Test of late responses: read a request that comes in two parts

The server of the test counted a request for each block that it read, so that the numbers were off if a request came in two blocks (seen once).

--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -46,7 +46,7 @@
     def _serve(self, sock: socket.socket) -> None:
         with sock, contextlib.suppress(OSError):
             sock.settimeout(5.0)
-            while sock.recv(65536):
+            while _read_request(sock):
                 with self._lock:
                     self._numbers += 1
                     body = self._body % self._numbers
@@ -60,6 +60,17 @@
                 ).start()
 
 
+def _read_request(sock: socket.socket) -> bytes:
+    """Returns a request whose body is a JSON object; b'' at the end."""
+    data = b''
+    while not data.endswith(b'}'):
+        part = sock.recv(65536)
+        if not part:
+            return b''
+        data += part
+    return data
+
+
 def _send_late(sock: socket.socket, response: bytes) -> None:
     with contextlib.suppress(OSError):
         sock.sendall(response)
