Bodies without a length: a second response is no part of them

A second response that a server sent behind a body with neither a length nor chunks was forwarded as part of it.

--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -348,6 +348,37 @@
     request.close()
 
 
+_SECOND: Final = (
+    b'HTTP/1.1 500 x\r\nContent-Length: 1\r\n'
+    b'foxtaildale-attempt-id: a1\r\n\r\nx'
+)
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [
+        (b'whole' + _SECOND, 502),
+        (b'whole' + b'a' * 70_000 + _SECOND, 502),
+        (b'whole' + _SECOND.replace(b': a1', b': a12'), 200),
+        (b'HTTP/1.1 200 OK\r\n\r\nfoxtaildale-attempt-id: a1\r\n', 200),
+    ],
+    ids=['second', 'second in a later block', 'other id', 'no head'],
+)
+def test_second_response_is_no_part_of_a_body(
+    site: sites.Site,
+    make: Callable[..., _Server],
+    body: bytes,
+    expected: int,
+) -> None:
+    """Guards against a late second response behind a body without a length."""
+    _list(site, make(body), 'plain', '')
+    _start(site)
+    status, _, found = sites.send(site, 'POST', '/once/a', attempt='a1')
+    assert status == expected
+    if expected == 200:
+        assert found == body
+
+
 class _Gate:
     """Lets every connection pass."""
 
