Stand-ins: servers that respond twice, and without a length

The wire worker sends a second response, of the same or another status, a while after the first one, and may leave out length and chunks. The new test sends requests of all four kinds to such servers: no caller gets a response that is not its own or not whole.

--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
 import errno
 import json
 import os
@@ -82,6 +83,12 @@
     status: int = 200
     kind: str = 'application/json'
     headers: tuple[tuple[str, str], ...] = ()
+    # Whether a length or chunks tell where the body ends.
+    framed: bool = True
+    # Status of a second response with the same headers, 0 for none, and how long
+    # after the first one it is sent, seconds.
+    second_status: int = 0
+    second_after_s: float = 0.0
 
 
 Handler = Callable[[Request], Response]
@@ -173,12 +180,24 @@
         raw.outheaders = [(b'Content-Type', response.kind.encode())]
         for name, value in response.headers:
             raw.outheaders.append((name.encode(), value.encode()))
+        if not response.framed:
+            # The library then adds no chunks, and closes the connection.
+            raw.response_protocol = 'HTTP/1.0'
+            raw.close_connection = True
         if isinstance(body, bytes):
-            length = str(len(body)).encode()
-            raw.outheaders.append((b'Content-Length', length))
+            if response.framed:
+                length = str(len(body)).encode()
+                raw.outheaders.append((b'Content-Length', length))
             raw.ensure_headers_sent()
             raw.write(body)
-            return
+        else:
+            self._write_chunks(body)
+        if response.second_status:
+            _stutter(raw, response)
+
+    def _write_chunks(self, body: Iterator[bytes]) -> None:
+        raw = self.req
+        cut = OSError(errno.ECONNRESET, 'cut')
         raw.ensure_headers_sent()
         try:
             for chunk in body:
@@ -190,6 +209,28 @@
             getattr(body, 'close', lambda: None)()
 
 
+def _stutter(raw: cheroot.server.HTTPRequest, response: Response) -> None:
+    """Sends a second response, with a body of its own."""
+    body = b'second response'
+    head = [b'HTTP/1.1 %d x' % response.second_status]
+    head.append(b'Content-Length: %d' % len(body))
+    for name, value in response.headers:
+        head.append(f'{name}: {value}'.encode())
+    data = b'\r\n'.join((*head, b'', body))
+    conn: socket.socket = raw.conn.socket
+
+    def send() -> None:
+        with contextlib.suppress(OSError):
+            conn.sendall(data)
+
+    if response.second_after_s:
+        timer = threading.Timer(response.second_after_s, send)
+        timer.daemon = True
+        timer.start()
+    else:
+        send()
+
+
 def _shut(raw: cheroot.server.HTTPRequest) -> None:
     try:
         raw.conn.socket.shutdown(socket.SHUT_RDWR)
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -2,7 +2,8 @@
 
 It notes what ran. Faults are fields: `refuse` sheds everything, `error`
 answers 500, `cut` closes after it ran without an answer, `break_after` breaks
-a stream off after so many events, `pace_s` is the time between events. `on_run`
+a stream off after so many events, `framed` and `stutters` are about the ends of
+responses and about second ones, `pace_s` is the time between events. `on_run`
 is called as a request begins to run, behind the head of a stream, and `on_prefill`
 as its prompt is read.
 """
@@ -49,6 +50,13 @@
         self.error = False
         self.cut = False
         self.break_after: int | None = None
+        # Whether its responses have a length or chunks, whether it responds
+        # twice, with which status, 0 for the same, and how long after the first
+        # response, seconds.
+        self.framed = True
+        self.stutters = False
+        self.second_status = 0
+        self.second_after_s: Callable[[], float] = lambda: 0.0
         self.pace_s = 0.0
         self.work_s = 0.0
         self.events = 5
@@ -112,6 +120,15 @@
         self._server.stop()
 
     def _handle(self, req: serving.Request) -> serving.Response:
+        response = self._respond(req)
+        if not req.path.startswith('/api/'):
+            response.framed = self.framed
+        if self.stutters:
+            response.second_status = self.second_status or response.status
+            response.second_after_s = self.second_after_s()
+        return response
+
+    def _respond(self, req: serving.Request) -> serving.Response:
         if req.path == '/api/hold-take':
             refuse = self.refuse
             said = self._said(refuse=refuse)
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import random
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
 from foxtaildale import forwarding
 from foxtaildale_adapters import connectors
 from foxtaildale_platform import server_client
+from tests import site as sites
 
 # Time between a response and the second one, seconds.
 _DELAY_S: Final = 0.05
@@ -107,3 +109,39 @@
     for _ in range(2):
         client.order_stage(_backend(server), 'decode', 'vm-1', 1)
     assert server.opened == 2
+
+
+@pytest.mark.parametrize('framed', [True, False])
+@pytest.mark.parametrize('status', [0, 503])
+def test_no_caller_gets_a_second_response(framed: bool, status: int) -> None:
+    """Guards against a second response that is taken for another one."""
+    rng = random.Random(7)
+    site = sites.Site()
+    with contextlib.closing(site):
+        site.store.put('keyed.op', 'config', sites.config(1))
+        workers = [
+            site.worker('s1', 'plain'),
+            site.worker('p1', 'model', 'prefill'),
+            site.worker('d1', 'model', 'decode'),
+        ]
+        for worker in workers:
+            worker.framed = framed
+            worker.stutters = True
+            worker.second_status = status
+            worker.second_after_s = lambda: rng.choice((0, 0.02, 0.1, 0.5))
+        site.router()
+        sites.until(lambda: sites.ready(site))
+        whole = 0
+        for number in range(40):
+            attempt = f'a{number}'
+            path = ('/safe/x', '/once/x', '/chat/x', '/single/x')[number % 4]
+            got, _, body = sites.send(site, 'POST', path, attempt=attempt)
+            if got != 200 or body == b'(cut)':
+                continue
+            whole += 1
+            if path in ('/safe/x', '/once/x'):
+                assert body == f'{attempt}:{path}'.encode()
+            else:
+                assert body.count(b'data: ') == workers[2].events
+                assert body.count(f'{attempt}-'.encode()) == workers[2].events
+        assert whole
