Stand-ins: a link that ends with a reset

The relay of the tests resets its connections; streams through a router are whole whether a link ends with a reset, with a close and no listener, or in silence, with and without chunks.

--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -1,6 +1,7 @@
 """A TCP relay in a thread, with switches for what networks do.
 
-`cut` closes every connection and accepts no new ones. `silence` forgets the
+`cut` closes every connection and accepts no new ones. `reset` resets the open
+ones towards those who opened them. `silence` forgets the
 connections that are open: they stay open, and what comes on them is thrown
 away, while new ones work. `delay_s` holds up each block of bytes. `stop` ends it
 as the end of a process does, `start` listens at the same address again.
@@ -8,11 +9,14 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 from typing import Final
 
 _BLOCK: Final = 65536
+# Value of SO_LINGER with which a close sends a reset.
+_RESET: Final = struct.pack('ii', 1, 0)
 
 
 class Relay:
@@ -23,6 +27,7 @@
         '_conns',
         '_listener',
         '_lock',
+        '_reset',
         '_silent',
         'accepted',
         'address',
@@ -41,6 +46,8 @@
         # Both sockets of each connection.
         self._conns: list[tuple[socket.socket, socket.socket]] = []
         self._silent: set[socket.socket] = set()
+        # Near ends that are closed with a reset.
+        self._reset: set[socket.socket] = set()
         self.accepted = 0
         self.cut_off = False
         self.delay_s = 0.0
@@ -62,6 +69,18 @@
         self.cut_off = False
         self.delay_s = 0.0
 
+    def reset(self) -> None:
+        """Resets every connection that is open."""
+        with self._lock:
+            pairs, self._conns = self._conns, []
+        for near, far in pairs:
+            # The threads that pass bytes hold the sockets open until they end;
+            # only the far end is told with a close.
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            self._reset.add(near)
+            with contextlib.suppress(OSError):
+                far.shutdown(socket.SHUT_RDWR)
+
     def silence(self) -> None:
         """Forgets the open connections without closing them."""
         with self._lock:
@@ -130,7 +149,12 @@
                     time.sleep(self.delay_s)
                 if source not in self._silent:
                     sink.sendall(data)
-        if source not in self._silent:
+        if sink in self._reset:
+            # The other thread may still read from it.
+            with contextlib.suppress(OSError):
+                sink.shutdown(socket.SHUT_RD)
+            sink.close()
+        elif source not in self._silent and source not in self._reset:
             _shut((source, sink))
 
 
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -446,3 +446,39 @@
             with pytest.raises(errors.ConnectionBrokenError):
                 request.read(1.0)
         request.close()
+
+
+@pytest.mark.parametrize('framed', [True, False])
+@pytest.mark.parametrize('fault', ['reset', 'stop', 'silence'])
+def test_stream_is_whole_however_its_link_ends(
+    site: sites.Site, framed: bool, fault: str
+) -> None:
+    """Guards against the end of a link that looks like that of a stream."""
+    broken: list[int] = []
+    links = []
+    for name in ('d1', 'd2'):
+        worker = site.worker(name, 'model', 'decode')
+        worker.framed = framed
+        worker.pace_s = 0.05
+        link = relays.Relay(worker.address)
+        links.append(link)
+
+        def on_event(
+            number: int, _attempt: str, link: relays.Relay = link
+        ) -> None:
+            if number == 3 and not broken:
+                broken.append(number)
+                getattr(link, fault)()
+
+        worker.on_event = on_event
+        entry = worker.entry() | {'address': link.address}
+        site.store.put('keyed.servers', name, entry)
+    _start(site)
+    status, _, body = sites.send(site, 'POST', '/chat/a', attempt='a1')
+    for link in links:
+        link.close()
+    assert broken
+    assert status == 200
+    assert [line for line in body.split(b'\n') if line.startswith(b'id')] == [
+        b'id: %d' % number for number in range(1, 6)
+    ]
