--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -17,12 +17,14 @@
 from typing import Final
 
 import urllib3
+import urllib3.connection
 import urllib3.exceptions
 import urllib3.util
 
 from foxtaildale import errors
 from foxtaildale import forwarding
 from foxtaildale_adapters import bounded_responses
+from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import http_client
@@ -33,6 +35,8 @@
 # a lost SYN after one second, by when another server could have replied. No
 # request was sent at that point, so trying another server is always safe.
 CONNECT_TIMEOUT_S: Final = 0.2
+# Maximum number of attempts whose ids are kept with a connection.
+MAX_ATTEMPTS_PER_CONNECTION: Final = 64
 _READ_BYTES: Final = 65536
 # Value with which the library reports version HTTP/1.1 of a response.
 _HTTP_1_1: Final = 11
@@ -74,6 +78,7 @@
 
     __slots__ = (
         '_address',
+        '_attempts',
         '_body',
         '_cancelled',
         '_complete',
@@ -83,6 +88,7 @@
         '_idle',
         '_lock',
         '_method',
+        '_peek_error',
         '_resp',
         '_reused',
         '_sock',
@@ -99,6 +105,7 @@
         *,
         connector: connectors.Connector,
         idle_conns: idle_connections.IdleConnections | None = None,
+        attempt: str = '',
     ) -> None:
         """Prepares a request; sends nothing yet.
 
@@ -112,13 +119,24 @@
             idle_conns: Pool from which an idle connection is taken, if there is
                 one, and to which it is returned. None for a request that must
                 not be sent twice.
+            attempt: Id of the attempt, which the response names; the request
+                takes no connection that carried the attempt. Empty if the
+                response names none.
         """
         self._address = address
         self._connector = connector
         self._idle = idle_conns
-        idle_conn = idle_conns.pop(address) if idle_conns is not None else None
-        self._reused = idle_conn is not None
-        self._conn = idle_conn or _ServerConnection(address, connector)
+        idle = idle_conns.pop(address, attempt) if idle_conns else None
+        self._reused = idle is not None
+        # Ids of the attempts that the connection carried.
+        self._attempts = frozenset((attempt,) if attempt else ())
+        if idle is not None:
+            self._attempts |= idle.attempts
+        self._conn: urllib3.connection.HTTPConnection = (
+            idle.conn
+            if idle is not None
+            else _ServerConnection(address, connector)
+        )
         self._method = method
         self._target = target
         self._headers = dict(headers)
@@ -131,6 +149,9 @@
         # Whether the response body was read to its regular end.
         self._complete = False
         self._resp: urllib3.BaseHTTPResponse | None = None
+        # Error of `_peek`, which the next read raises. Linux reports a reset to
+        # one read only; the next one returns the end of the input.
+        self._peek_error: Exception | None = None
         # The connected socket; the connection drops its reference to it if it
         # is to be closed after the response.
         self._sock: socket.socket | None = None
@@ -183,7 +204,8 @@
     def via(self) -> str:
         """Name of the entry VM that relays the connection, or ''."""
         conn = self._conn
-        return conn.via if isinstance(conn, _ServerConnection) else ''
+        opened = conn.opened if isinstance(conn, _ServerConnection) else None
+        return opened.via if opened is not None else ''
 
     def await_response(self, timeout_s: float) -> bool:
         """Waits until a read makes progress or the connection ends.
@@ -197,6 +219,8 @@
         deadline = time.monotonic() + timeout_s
         while True:
             unread = self._peek(sock)
+            if self._peek_error is not None:
+                return True
             if unread and not self._is_chunk_end(unread):
                 return True
             if not disconnects.has_input(sock, deadline - time.monotonic()):
@@ -212,6 +236,7 @@
             errors.NoReplyError: No head arrived in time, or it is malformed.
         """
         try:
+            self._raise_peek_error()
             self._set_timeout(timeout_s)
             self._conn.timeout = timeout_s
             resp = self._conn.getresponse()
@@ -241,6 +266,7 @@
         if self._resp is None:
             raise errors.InvariantError('body read before the response head')
         try:
+            self._raise_peek_error()
             self._set_timeout(timeout_s)
             with bounded_responses.limited(self._resp, timeout_s):
                 data = self._resp.read1(_READ_BYTES)
@@ -264,18 +290,28 @@
         """Checks that a body that ended with its connection is complete.
 
         A crash of the server closes the connection too, and so does `cancel`.
+        The body counts as complete only if the server is seen to go on.
 
         Raises:
-            errors.ConnectionBrokenError: The body broke off.
+            errors.ConnectionBrokenError: The body may have broken off.
         """
         with self._lock:
             is_cancelled = self._cancelled
         if is_cancelled:
             raise errors.ConnectionBrokenError('cancelled')
-        if probe.Probe(self._connector).check(self._address) == 'refused':
+        if not self._is_path_running():
             raise errors.ConnectionBrokenError(
-                'the server crashed as its response ended'
+                'the server may have crashed as its response ended'
+            )
+
+    def _is_path_running(self) -> bool:
+        conn = self._conn
+        opened = conn.opened if isinstance(conn, _ServerConnection) else None
+        if opened is not None and opened.relay:
+            return connection_relay.is_running(
+                opened, self._address, self._connector
             )
+        return probe.is_running(self._connector, self._address)
 
     def cancel(self) -> None:
         """Shuts the connection down; may be called more than once."""
@@ -306,6 +342,8 @@
         if self.via or not _is_reusable(self._resp):
             # An idle connection would hold up a stop of the VM that relays it.
             return False
+        if len(self._attempts) >= MAX_ATTEMPTS_PER_CONNECTION:
+            return False
         with self._lock:
             if self._cancelled or self._conn.sock is None:
                 return False
@@ -314,7 +352,7 @@
             self._conn = _ServerConnection(self._address, self._connector)
             self._sock = None
             resp, self._resp = self._resp, None
-        self._idle.add(self._address, conn, _keep_alive_s(resp))
+        self._idle.add(self._address, conn, _keep_alive_s(resp), self._attempts)
         return True
 
     def _peek(self, sock: socket.socket) -> bytes:
@@ -328,11 +366,15 @@
         try:
             sock.settimeout(0.0)
             data: bytes = reader.peek(1)
-        except _CONNECTION_ERRORS:
-            # The next read raises it again.
+        except _CONNECTION_ERRORS as exc:
+            self._peek_error = exc
             return b''
         return data
 
+    def _raise_peek_error(self) -> None:
+        if self._peek_error is not None:
+            raise self._peek_error
+
     def _is_chunk_end(self, unread: bytes) -> bool:
         """Whether these bytes only end a chunk whose data were read.
 
@@ -365,16 +407,15 @@
         super().__init__(host, int(port), timeout=CONNECT_TIMEOUT_S)
         self._address = address
         self._connector = connector
-        # Name of the entry VM that relays the connection, if one does.
-        self.via = ''
+        # None until it is connected.
+        self.opened: connectors.Opened | None = None
 
     def _new_conn(self) -> socket.socket:
         timeout_s = self.timeout
         if not isinstance(timeout_s, float):
             timeout_s = CONNECT_TIMEOUT_S
-        opened = self._connector.connect(self._address, timeout_s)
-        self.via = opened.via
-        return opened.sock
+        self.opened = self._connector.connect(self._address, timeout_s)
+        return self.opened.sock
 
 
 def _is_reusable(resp: urllib3.BaseHTTPResponse) -> bool:
--- a/packages/adapters/foxtaildale_adapters/bounded_responses.py
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -2,18 +2,20 @@
 
 The timeout of a socket limits each read, so a server that sends a byte now and
 then could hold its reader for any time, and one that sends fast could send
-headers or interim responses without end. The library also takes a head that
-ends with its connection for complete.
+headers or interim responses without end. The library also takes a head, a last
+chunk or trailers that end with the connection for complete.
 """
 
 from collections.abc import Iterator
 import contextlib
 import http.client
 import io
+import re
 import socket
 import time
 from typing import TYPE_CHECKING
 from typing import Final
+from typing import cast
 
 import urllib3
 import urllib3.connection
@@ -23,8 +25,11 @@
 
 # Maximum size of a head with its interim responses, bytes.
 MAX_HEAD_BYTES: Final = 256 * 1024
+# Maximum size of the line with the size of a chunk, and of a trailer, bytes.
+MAX_LINE_BYTES: Final = 65536
 # Minimum timeout of a read, seconds; a socket with 0 would not wait.
 MIN_TIMEOUT_S: Final = 0.001
+_CHUNK_SIZE: Final = re.compile(rb'[0-9A-Fa-f]{1,16}')
 
 
 class _LimitedReader(io.RawIOBase):
@@ -37,6 +42,8 @@
         # Deadline of all reads, seconds of the monotonic clock; None if only the
         # timeout of the socket applies.
         self.deadline: float | None = None
+        # Whether the response was read to its end or given up.
+        self.is_done = False
         # How much of the head may still be read, bytes; None behind the head.
         self.head_left: int | None = None
 
@@ -47,6 +54,8 @@
         return self._raw.fileno()
 
     def readinto(self, buffer: 'WriteableBuffer', /) -> int | None:
+        if self.is_done:
+            return None
         if self.deadline is not None:
             left_s = self.deadline - time.monotonic()
             if left_s <= 0:
@@ -61,6 +70,10 @@
                 raise http.client.LineTooLong('head of the response')
         return count
 
+    def shut_down(self) -> None:
+        """Shuts the connection down, so that it is not reused."""
+        self._sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         if not self.closed:
             self._raw.close()
@@ -92,6 +105,53 @@
         reader.head_left = None
         reader.deadline = None
 
+    def _close_conn(self) -> None:
+        """Releases the connection; replaces a method of the library.
+
+        Bytes behind the response may be buffered here. They are lost, and the
+        next response would begin within a second one, so that the connection
+        is shut down.
+        """
+        buffered, self.fp = self.fp, cast(io.BufferedReader, None)
+        self.reader.is_done = True
+        # An error means that another thread closed the connection.
+        with contextlib.suppress(OSError, ValueError):
+            if buffered.peek(1):
+                self.reader.shut_down()
+        buffered.close()
+
+    def _get_chunk_left(self) -> int | None:
+        """Returns the bytes left of the chunk; None behind the last one.
+
+        Replaces a method of the library.
+
+        Raises:
+            http.client.IncompleteRead: The framing is broken or ends early.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left is not None and self.fp.read(2) != b'\r\n':
+            raise http.client.IncompleteRead(b'')
+        self.chunk_left = self._read_chunk_size() or None
+        if self.chunk_left is None:
+            while self._read_line() not in (b'\r\n', b'\n'):
+                pass  # A trailer.
+            self._close_conn()
+        return self.chunk_left
+
+    def _read_chunk_size(self) -> int:
+        size = self._read_line().partition(b';')[0].strip()
+        if not _CHUNK_SIZE.fullmatch(size):
+            raise http.client.IncompleteRead(b'')
+        return int(size, 16)
+
+    def _read_line(self) -> bytes:
+        """Reads a complete line."""
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if not line.endswith(b'\n'):
+            raise http.client.IncompleteRead(b'')
+        return line
+
 
 class Connection(urllib3.connection.HTTPConnection):
     """A connection with bounded responses."""
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -7,14 +7,18 @@
 import socket
 import struct
 import threading
+import time
 from typing import Final
 
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import messages
 from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
 from tests import site as sites
+from tests.standins import relay as relays
 
 _HEAD: Final = (
     b'HTTP/1.1 %b\r\nFoxtaildale-Attempt-Id: %b\r\n'
@@ -42,10 +46,18 @@
         self.resets = False
         # Whether the server is gone once it has answered.
         self.crashes = False
+        # Whether new connections are closed at once after the answer, as they
+        # are while a process ends, and whether they are not answered at all.
+        self.drops = False
+        self.is_silent = False
         # Whether the connection stays open until the server is closed.
         self.hangs = False
         self._closing = threading.Event()
+        self._answered = False
+        self._queued: list[socket.socket] = []
         self.status = b'200 OK'
+        # How long the server waits between its last byte and the close, seconds.
+        self.wait_s = 0.0
         self._head = head
         self._thread = threading.Thread(target=self._serve, daemon=True)
         self._thread.start()
@@ -56,6 +68,8 @@
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        for conn in self._queued:
+            conn.close()
         self._thread.join()
 
     def _serve(self) -> None:
@@ -65,7 +79,11 @@
             except OSError:
                 return
             with sock, contextlib.suppress(OSError):
+                if self._answered and self.drops:
+                    continue
                 self._answer(sock)
+            if self._answered and self.is_silent:
+                self._closing.wait()
 
     def _answer(self, sock: socket.socket) -> None:
         request = b''
@@ -87,8 +105,18 @@
         sock.sendall(next(self.bodies))
         if self.hangs:
             self._closing.wait()
+        self._closing.wait(self.wait_s)
+        self._answered = True
         if self.crashes:
             self._listener.close()
+        if self.is_silent:
+            # The queue of new connections is full.
+            self._listener.listen(0)
+            for _ in range(3):
+                conn = socket.socket()
+                conn.setblocking(False)
+                conn.connect_ex(self._listener.getsockname())
+                self._queued.append(conn)
         if self.resets:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
 
@@ -139,7 +167,7 @@
     assert _read(make(b'abc')) == b'abc'
 
 
-@pytest.mark.parametrize('fault', ['resets', 'crashes'])
+@pytest.mark.parametrize('fault', ['resets', 'crashes', 'drops', 'is_silent'])
 def test_body_that_breaks_off_is_not_whole(
     make: Callable[..., _Server], fault: str
 ) -> None:
@@ -279,3 +307,178 @@
     _start(site)
     status, _, body = sites.send(site, 'POST', '/chat/a')
     assert (status, body) == (200, _EVENTS + b'id: 3\ndata: c\n\n')
+
+
+@pytest.mark.parametrize('target', ['/chat/a', '/safe/a'])
+def test_reset_after_a_pause_does_not_look_complete(
+    site: sites.Site, make: Callable[..., _Server], target: str
+) -> None:
+    """Guards against a reset that is lost while the router awaits more."""
+    is_stream = target.startswith('/chat')
+    server = make(_EVENTS, head=_STREAM if is_stream else b'\r\n')
+    server.resets = True
+    server.wait_s = 0.2
+    _list(site, server, *(('model', 'decode') if is_stream else ('plain', '')))
+    _start(site)
+    status, _, body = sites.send(site, 'POST', target)
+    assert body == b'(cut)' or status == 502
+
+
+def test_reset_between_two_reads_is_not_lost(
+    make: Callable[..., _Server],
+) -> None:
+    """Guards against an error that is dropped before the read that needs it."""
+    server = make(b'abc')
+    server.resets = True
+    server.wait_s = 0.1
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=connectors.DirectConnector(),
+    )
+    request.send(1.0)
+    request.read_head(1.0)
+    assert request.read(1.0) == b'abc'
+    assert request.await_response(2.0)
+    with pytest.raises(errors.ConnectionBrokenError):
+        request.read(1.0)
+    request.close()
+
+
+_SECOND: Final = (
+    b'HTTP/1.1 500 x\r\nContent-Length: 1\r\n'
+    b'foxtaildale-attempt-id: a1\r\n\r\nx'
+)
+
+
+@pytest.mark.parametrize(
+    ('body', 'expected'),
+    [
+        (b'whole' + _SECOND, 502),
+        (b'whole' + b'a' * 70_000 + _SECOND, 502),
+        (b'whole' + _SECOND.replace(b': a1', b': a12'), 200),
+        (b'HTTP/1.1 200 OK\r\n\r\nfoxtaildale-attempt-id: a1\r\n', 200),
+    ],
+    ids=['second', 'second in a later block', 'other id', 'no head'],
+)
+def test_second_response_is_no_part_of_a_body(
+    site: sites.Site,
+    make: Callable[..., _Server],
+    body: bytes,
+    expected: int,
+) -> None:
+    """Guards against a late second response behind a body without a length."""
+    _list(site, make(body), 'plain', '')
+    _start(site)
+    status, _, found = sites.send(site, 'POST', '/once/a', attempt='a1')
+    assert status == expected
+    if expected == 200:
+        assert found == body
+
+
+class _Gate:
+    """Lets every connection pass."""
+
+    def refusal(self, _address: str) -> messages.RelayResult | None:
+        return None
+
+    def record(
+        self, _address: str, result: messages.RelayResult
+    ) -> messages.RelayResult:
+        return result
+
+
+class _RelayedConnector:
+    """Opens all connections through one VM."""
+
+    def __init__(self, relay_address: str) -> None:
+        self._relay_address = relay_address
+
+    def connect(self, address: str, timeout_s: float) -> connectors.Opened:
+        return connection_relay.connect_through(
+            self._relay_address, address, timeout_s
+        )
+
+
+def _start_relay(name: str) -> connection_relay.Relay:
+    relay = connection_relay.Relay(
+        '127.0.0.1:0',
+        connectors.DirectConnector(),
+        _Gate(),
+        time.monotonic,
+        name,
+    )
+    relay.start()
+    return relay
+
+
+@pytest.mark.parametrize('fault', ['', 'killed', 'restarted'])
+def test_end_of_a_relaying_vm_is_no_end_of_the_response(
+    make: Callable[..., _Server], fault: str
+) -> None:
+    """Guards against a killed relay whose closes look like the server's."""
+    server = make(b'abc')
+    server.hangs = bool(fault)
+    first, second = _start_relay('relay-1'), _start_relay('relay-2')
+    link = relays.Relay(first.address)
+    request = backend_request.Request(
+        server.address,
+        method='GET',
+        target='/',
+        headers={},
+        body=b'',
+        connector=_RelayedConnector(link.address),
+    )
+    with contextlib.closing(first), contextlib.closing(second), link:
+        request.send(1.0)
+        request.read_head(1.0)
+        assert request.read(1.0) == b'abc'
+        if not fault:
+            assert request.read(1.0) == b''
+        else:
+            link.stop()
+            if fault == 'restarted':
+                link.target = second.address
+                link.start()
+            with pytest.raises(errors.ConnectionBrokenError):
+                request.read(1.0)
+        request.close()
+
+
+@pytest.mark.parametrize('framed', [True, False])
+@pytest.mark.parametrize('fault', ['reset', 'stop', 'silence'])
+def test_stream_is_whole_however_its_link_ends(
+    site: sites.Site, framed: bool, fault: str
+) -> None:
+    """Guards against the end of a link that looks like that of a stream."""
+    broken: list[int] = []
+    links = []
+    for name in ('d1', 'd2'):
+        worker = site.worker(name, 'model', 'decode')
+        worker.framed = framed
+        worker.pace_s = 0.05
+        link = relays.Relay(worker.address)
+        links.append(link)
+
+        def on_event(
+            number: int, _attempt: str, link: relays.Relay = link
+        ) -> None:
+            if number == 3 and not broken:
+                broken.append(number)
+                getattr(link, fault)()
+
+        worker.on_event = on_event
+        entry = worker.entry() | {'address': link.address}
+        site.store.put('keyed.servers', name, entry)
+    _start(site)
+    status, _, body = sites.send(site, 'POST', '/chat/a', attempt='a1')
+    for link in links:
+        link.close()
+    assert broken
+    assert status == 200
+    assert [line for line in body.split(b'\n') if line.startswith(b'id')] == [
+        b'id: %d' % number for number in range(1, 6)
+    ]
