A caller's deeply nested body or ticket is a bad request

Callers saw status 502, code 'failed' and 'ran: unknown' for a body with deep nesting at /v1/chat/completions and /v1/tickets, and for a ticket with a deeply nested field: as if the router or a backend server had failed.

The cause: msgspec raises RecursionError there, which is neither a DecodeError nor a ValueError, so the handler of unexpected errors answered. Ruled out: the limit on the size of a body (these bodies are below it). The reply of a service that a witness saved could raise the same error, or a ValidationError, after the request had run; it is now ignored with a log line, as a reply that is no longer saved.

All four go through decoding.decode, which turns whatever a decoder raises into errors.DecodeError.

--- a/packages/core/foxtaildale/chat.py
+++ b/packages/core/foxtaildale/chat.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from foxtaildale import backends
-from foxtaildale import errors
+from foxtaildale import decoding
 
 # Longest response that a caller may request, tokens.
 MAX_OUTPUT_TOKENS: Final = 32_768
@@ -54,10 +54,7 @@
         errors.DecodeError: The body is not a valid request; the message has the
             reason.
     """
-    try:
-        return _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise errors.DecodeError(str(exc)) from exc
+    return decoding.decode(_decoder.decode, body)
 
 
 def estimate_tokens(prompt: str) -> int:
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -239,6 +239,11 @@
             'a message between VMs was ignored: {error}',
             ('error',),
         ),
+        (
+            'saved reply not readable',
+            'the saved reply of a service was ignored: {error}',
+            ('error',),
+        ),
         (
             'record not applied',
             'a record of {topic} raised an unexpected error: {error}',
--- a/packages/core/foxtaildale/tickets.py
+++ b/packages/core/foxtaildale/tickets.py
@@ -32,6 +32,8 @@
 
 from foxtaildale import bounded_records
 from foxtaildale import codes
+from foxtaildale import decoding
+from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import values
 
@@ -159,8 +161,8 @@
         return None
     try:
         data = base64.urlsafe_b64decode(text + '=' * (-len(text) % 4))
-        return _decoder.decode(data)
-    except (binascii.Error, ValueError):
+        return decoding.decode(_decoder.decode, data)
+    except (binascii.Error, ValueError, errors.DecodeError):
         return None
 
 
--- a/packages/daemon/foxtaildaled/plain_requests.py
+++ b/packages/daemon/foxtaildaled/plain_requests.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from foxtaildale import codes
+from foxtaildale import decoding
+from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import tickets
 from foxtaildaled import claim_client
@@ -24,6 +26,9 @@
     count: Annotated[int, msgspec.Meta(ge=1, le=ticket_handler.MAX_TICKETS)] = 1
 
 
+_tickets_req: Final = msgspec.json.Decoder(TicketsReq)
+
+
 class TicketsReply(msgspec.Struct, frozen=True):
     """New tickets of a service."""
 
@@ -82,8 +87,8 @@
     def issue_tickets(self, visit: request_context.RequestContext) -> None:
         """Issues tickets."""
         try:
-            req = msgspec.json.decode(visit.exchange.body, type=TicketsReq)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            req = decoding.decode(_tickets_req.decode, visit.exchange.body)
+        except errors.DecodeError as exc:
             self._replies.reject(visit, '', str(exc))
             return
         service = self._gate.admit(
--- a/packages/daemon/foxtaildaled/ticket_handler.py
+++ b/packages/daemon/foxtaildaled/ticket_handler.py
@@ -6,18 +6,21 @@
 ticket or reports the outcome of its request.
 """
 
+import logging
 from typing import Final
 from typing import Protocol
 
 import msgspec
 
 from foxtaildale import codes
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import options
 from foxtaildale import ports
 from foxtaildale import tickets
 from foxtaildale import values
+from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import plain_services
 from foxtaildaled import view
@@ -32,6 +35,8 @@
 # Delay before a retry that may obtain a definite outcome, seconds.
 _RETRY_AFTER_S: Final = 1.0
 
+_reply_decoder: Final = msgspec.msgpack.Decoder(ports.Reply)
+
 
 class OutcomeFactory(Protocol):
     """A function that makes outcomes that name this entry."""
@@ -282,7 +287,14 @@
 
 
 def decode_reply(data: bytes) -> ports.Reply | None:
-    """Decodes a service's reply that a witness stored; None if it is empty."""
+    """Decodes a service's reply that a witness stored.
+
+    Returns None if it is empty or not readable.
+    """
     if not data:
         return None
-    return msgspec.msgpack.decode(data, type=ports.Reply)
+    try:
+        return decoding.decode(_reply_decoder.decode, data)
+    except errors.DecodeError as exc:
+        logs.event(logging.WARNING, 'saved reply not readable', error=str(exc))
+        return None
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -69,6 +69,20 @@
     assert error['message']
 
 
+@pytest.mark.parametrize('path', ['/v1/chat/completions', '/v1/tickets'])
+@pytest.mark.parametrize('field', ['nobody-knows', 'model', 'count'])
+def test_a_deeply_nested_body_is_a_bad_request(
+    dep: deployment.Deployment, path: str, field: str
+) -> None:
+    """`RecursionError` out of the body was told as a fault of the router."""
+    body = f'{{"{field}":'.encode() + b'[' * 100_000
+    answer = dep.post(dep.caller('entry-1'), path, body)
+    error = json.loads(answer.data)['error']
+    assert (answer.status, error['code']) == (400, 'bad-request')
+    assert error['ran'] == 'no'
+    assert len(error['message']) < 1000
+
+
 def test_a_ticket_of_another_deployment_is_not_run(
     dep: deployment.Deployment,
 ) -> None:
--- a/tests/test_logevents.py
+++ b/tests/test_logevents.py
@@ -39,6 +39,7 @@
     'server_paths',
     'stage_orders',
     'store_sync',
+    'ticket_handler',
 )
 _LOG_CALL = re.compile(
     r'(?:logs\.event\(\s*[\w.]+,|\.log\()\s*'
