A deeply nested response of an engine or the platform is no reply

A stream whose engine sent an event with deep nesting ended with 'failed' instead of going on at another engine; a reply, an error body, a list of VMs or a batch of the log with deep nesting raised RecursionError out of its client.

The cause: msgspec raises RecursionError for these, and the clients turned only DecodeError and UnicodeDecodeError into errors.NoReplyError, which is what their callers retry. Ruled out: the limit on the size of an event (1 MiB, far above these). The clients now decode through decoding.decode.

--- a/packages/adapters/foxtaildale_adapters/engines.py
+++ b/packages/adapters/foxtaildale_adapters/engines.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from foxtaildale import backends
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale_adapters import body
 from foxtaildale_adapters import events
@@ -26,6 +27,8 @@
     'Connection': 'close',
 }
 
+_error_decoder: Final = msgspec.json.Decoder(backends.BackendError)
+
 _T = TypeVar('_T')
 
 
@@ -173,8 +176,11 @@
     if response.status != 200:
         raise _error(response)
     try:
-        return msgspec.json.decode(response.body, type=reply_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decoding.decode(
+            lambda data: msgspec.json.decode(data, type=reply_type),
+            response.body,
+        )
+    except errors.DecodeError as exc:
         # A response arrived, so the request may have been executed.
         raise errors.NoReplyError(f'response cannot be decoded: {exc}') from exc
 
@@ -183,13 +189,13 @@
     """Returns the error for an unsuccessful response."""
     if response.status >= 400:
         try:
-            backend_error = msgspec.json.decode(
-                response.body, type=backends.BackendError
+            backend_error = decoding.decode(
+                _error_decoder.decode, response.body
             )
             return errors.RejectedError(
                 backend_error.code, backend_error.message
             )
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except errors.DecodeError:
             pass
     return errors.NoReplyError(
         f'status {response.status} without an error body'
--- a/packages/adapters/foxtaildale_adapters/events.py
+++ b/packages/adapters/foxtaildale_adapters/events.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from foxtaildale import backends
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import ports
 
@@ -61,12 +62,12 @@
         return None
     data = event[start + len(_DATA_PREFIX) :]
     try:
-        return _chunk_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_chunk_decoder.decode, data)
+    except errors.DecodeError:
         pass
     try:
-        return _end_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decoding.decode(_end_decoder.decode, data)
+    except errors.DecodeError as exc:
         raise errors.NoReplyError(f'event cannot be decoded: {exc}') from exc
 
 
--- a/packages/adapters/foxtaildale_adapters/platform.py
+++ b/packages/adapters/foxtaildale_adapters/platform.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import values
@@ -148,7 +149,7 @@
     data: bytes,
 ) -> _T:
     try:
-        return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return decoding.decode(decoder.decode, data)
+    except errors.DecodeError as exc:
         # A response arrived, so the request may have been executed.
         raise errors.NoReplyError(f'response cannot be decoded: {exc}') from exc
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -1,15 +1,21 @@
 """What decoders raise for bytes that another program wrote."""
 
 import base64
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
 import pytest
 
+from foxtaildale import backends
 from foxtaildale import chat
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import tickets
+from foxtaildale_adapters import engines
+from foxtaildale_adapters import events
+from foxtaildale_adapters import http_client
+from foxtaildale_adapters import platform
 from foxtaildaled import ticket_handler
 
 _DEPTH: Final = 100_000
@@ -46,3 +52,31 @@
     """`RecursionError` or `ValidationError` ended a request that had run."""
     for data in (_NESTED_MSGPACK, b'\x07', b'\x81\xa6status\xa1x', b'\xff'):
         assert ticket_handler.decode_reply(data) is None
+
+
+def _decode_engine_reply(body: bytes) -> object:
+    return engines._decode(http_client.Response(200, body), backends.Load)
+
+
+_RESPONSE_DECODERS: Final[dict[str, Callable[[], object]]] = {
+    'event': lambda: events.decode_event(b'data: ' + _NESTED_JSON),
+    'reply of an engine': lambda: _decode_engine_reply(_NESTED_JSON),
+    'list of VMs': lambda: platform._decode(platform._listing, _NESTED_JSON),
+    'offset': lambda: platform._decode(platform._first_decoder, _NESTED_JSON),
+    'records': lambda: platform._decode(
+        platform._batch_decoder, b'\x94\x00\x01\x90' + _NESTED_MSGPACK
+    ),
+}
+
+
+@pytest.mark.parametrize('name', _RESPONSE_DECODERS)
+def test_a_deeply_nested_response_is_no_reply(name: str) -> None:
+    """`RecursionError` out of a response was not retried at another server."""
+    with pytest.raises(errors.NoReplyError, match='decoded'):
+        _RESPONSE_DECODERS[name]()
+
+
+def test_a_deeply_nested_error_of_an_engine_is_no_error_body() -> None:
+    """`RecursionError` out of an error was not retried at another server."""
+    found = engines._error(http_client.Response(400, _NESTED_JSON))
+    assert isinstance(found, errors.NoReplyError)
