Odd records of default versions and of saved origins prove nothing

A default version longer than a server's version may be, or a position below ALONE, was taken over from the store, and a batch of origins whose time was near 0 counted as an old batch: where records had expired, the streams of other versions in them were then taken to be over, so that a resumed stream could go on at the default version.

The cause: neither record's fields had bounds beyond their types. Ruled out: an origin from the future or with an age below 0 lives no longer than the others (a batch from the future counts as new, negative ages are refused; a test now holds the former). An empty version stays valid, since a server may have one, and the coordinator would write it again without end.

A batch of more than 30 days no longer dates the gap, so the gap counts as recent.

--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import default_versions
 from foxtaildale import errors
 from foxtaildale import ports
@@ -39,6 +40,10 @@
 _WINDOW_TIMEOUTS: Final = 2.0
 _MIN_WINDOW_S: Final = 10.0
 
+_default: Final = msgspec.msgpack.Decoder(default_versions.DefaultVersion)
+# Maximum length of a software version, as in the records of servers.
+_MAX_VERSION_CHARS: Final = 255
+
 # Number of servers that begin streams, by version, and the versions whose streams
 # may still be resumed.
 _Versions = tuple[dict[str, int], frozenset[str]]
@@ -259,14 +264,21 @@
         return self._reader.read_newest(TOPIC)
 
 
+def _decode_default(value: bytes) -> default_versions.DefaultVersion:
+    default = _default.decode(value)
+    if len(default.version) > _MAX_VERSION_CHARS:
+        raise ValueError('version too long')
+    if default.others_from < default_versions.ALONE:
+        raise ValueError('others_from out of range')
+    return default
+
+
 def _decode(
     service: str, value: bytes
 ) -> default_versions.DefaultVersion | None:
     try:
-        return msgspec.msgpack.decode(
-            value, type=default_versions.DefaultVersion
-        )
-    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        return decoding.decode(_decode_default, value)
+    except errors.DecodeError as exc:
         # An entry of another writer; the default version stays.
         logs.event(
             logging.WARNING,
--- a/packages/daemon/foxtaildaled/origin_store.py
+++ b/packages/daemon/foxtaildaled/origin_store.py
@@ -46,6 +46,9 @@
 # age of an origin, milliseconds.
 _MAX_SAVED_AT_S: Final = 1e11
 _MAX_AGE_MS: Final = 10**9
+# Maximum age at which a batch proves that the batches before it are old, seconds.
+# An older one more likely has a wrong time.
+_MAX_BATCH_AGE_S: Final = 30 * 86_400.0
 
 
 def _decode_batch(value: bytes) -> Batch:
@@ -222,7 +225,7 @@
             return
         now = self._clock()
         age_s = max(0.0, self._wall() - batch.saved_at)
-        if self._oldest_at is None:
+        if self._oldest_at is None and age_s <= _MAX_BATCH_AGE_S:
             self._oldest_at = now - age_s
         for origin in batch.origins:
             self._origins.record(
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -16,6 +16,7 @@
 from foxtaildale_adapters import events
 from foxtaildale_adapters import http_client
 from foxtaildale_adapters import platform
+from foxtaildaled import default_version_store
 from foxtaildaled import ticket_handler
 
 _DEPTH: Final = 100_000
@@ -80,3 +81,26 @@
     """`RecursionError` out of an error was not retried at another server."""
     found = engines._error(http_client.Response(400, _NESTED_JSON))
     assert isinstance(found, errors.NoReplyError)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        _NESTED_MSGPACK,
+        b'\x93\xa2v1\x00' + _NESTED_MSGPACK,
+        msgspec.msgpack.encode(['x' * 256, -1]),
+        msgspec.msgpack.encode(['v1', -2]),
+        msgspec.msgpack.encode(['v1', -(2**63)]),
+    ],
+)
+def test_an_odd_default_version_is_ignored(value: bytes) -> None:
+    """A version or a position that no entry VM wrote was used for streams."""
+    assert default_version_store._decode('s', value) is None
+
+
+def test_a_server_without_a_version_may_be_the_default() -> None:
+    """The coordinator wrote it again and again if it was not readable."""
+    value = msgspec.msgpack.encode(['', 0])
+    found = default_version_store._decode('s', value)
+    assert found is not None
+    assert not found.version
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 from typing import Final
 from typing import cast
 
+import msgspec
 import pytest
 
 from foxtaildale import errors
@@ -177,6 +178,8 @@
 
     def __init__(self) -> None:
         self.epoch = 1
+        # Offset of the first record that has not expired.
+        self.first = 0
         self.records: list[bytes] = []
         self.is_away = False
         self.is_garbled = False
@@ -209,6 +212,8 @@
             raise errors.NoReplyError('away')
         if positions.epoch(offset) != self.epoch:
             raise errors.RecordsExpiredError(0)
+        if positions.offset(offset) < self.first:
+            raise errors.RecordsExpiredError(self.first)
         found = self.records[positions.offset(offset) :]
         entries = tuple(
             mirror.Entry(key='vm', offset=offset + n, value=value)
@@ -246,6 +251,37 @@
     assert reader.find(2, epoch=2) == _origin(2, 1000)
 
 
+@pytest.mark.parametrize(
+    ('age_s', 'has_all'), [(1e9, False), (1.0, False), (600.0, True)]
+)
+def test_a_batch_with_a_wrong_time_is_not_an_old_batch(
+    age_s: float, has_all: bool
+) -> None:
+    """Guards against dropped origins that are taken for those of old streams."""
+    log, clock = _Log(), _Clock()
+    clock.now = 1.7e9
+    dropped = 3
+    log.records = [b''] * dropped
+    batch = origin_store.Batch(clock.now - age_s, (_origin(1),))
+    log.records.append(msgspec.msgpack.encode(batch))
+    log.first = dropped
+    reader = _store(log, clock)
+    assert reader.find(9, epoch=1) is None
+    position = positions.make(1, 0)
+    assert reader.has_all(position, stream_origins.ORIGIN_TTL_S) == has_all
+
+
+def test_an_origin_from_the_future_is_forgotten_in_time() -> None:
+    """Guards against origins that a wrong clock keeps for ever."""
+    log, clock = _Log(), _Clock()
+    batch = origin_store.Batch(clock.now + 1e9, (_origin(1),))
+    log.records = [msgspec.msgpack.encode(batch)]
+    reader = _store(log, clock)
+    assert reader.find(1, epoch=1) == _origin(1)
+    clock.now += stream_origins.ORIGIN_TTL_S
+    assert reader.find(1, epoch=1) is None
+
+
 def test_a_store_that_is_away_is_not_asked_for_each_stream() -> None:
     """Guards against resumed streams that wait for the store in turn."""
     log, clock = _Log(), _Clock()
