A deeply nested record of the older log is an invalid record

A record of the config or claims stream, a state or a preset with deep nesting raised RecursionError out of its decoder, so its reader got none of the records read with it, again at each read; the client's explain, trace and status raised it as well.

The cause: these decoders were guarded for DecodeError and UnicodeDecodeError only. Ruled out: the canonical form that a preset's digest covers does not help, since any writer can make the digest. All now go through decoding.decode, and a test finds calls of decoders outside it; the five that remain are of the program's own bytes or are called by decoding.decode.

--- a/packages/client/foxtaildale_client/explain.py
+++ b/packages/client/foxtaildale_client/explain.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from foxtaildale import codes
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import values
@@ -79,8 +80,8 @@
 
 def _outcomes(record: ports.Record) -> list[values.Outcome]:
     try:
-        return _decoder.decode(record.data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_decoder.decode, record.data)
+    except errors.DecodeError:
         return []
 
 
--- a/packages/client/foxtaildale_client/main.py
+++ b/packages/client/foxtaildale_client/main.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from foxtaildale import accounts
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale_adapters import http_client
 from foxtaildale_adapters import peers as peers_lib
@@ -332,8 +333,8 @@
         address, 'GET', '/state', timeout_s=timeout_s
     )
     try:
-        msgspec.json.decode(response.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        decoding.decode(msgspec.json.decode, response.body)
+    except errors.DecodeError:
         return _problem(
             exits.Exit.UNAVAILABLE,
             f'{address} is not a foxtaildale process: status {response.status}',
--- a/packages/client/foxtaildale_client/request_trace.py
+++ b/packages/client/foxtaildale_client/request_trace.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from foxtaildale import codes
+from foxtaildale import decoding
+from foxtaildale import errors
 from foxtaildale import logevents
 from foxtaildale_client import exits
 from foxtaildale_client import results
@@ -50,8 +52,10 @@
         if start < 0:
             continue
         try:
-            line = msgspec.json.decode(text[start:])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            line = decoding.decode(
+                msgspec.json.decode, text[start:].encode(errors='replace')
+            )
+        except errors.DecodeError:
             # The line was truncated while it was written.
             continue
         if isinstance(line, dict) and isinstance(line.get('at'), int | float):
--- a/packages/client/foxtaildale_client/status.py
+++ b/packages/client/foxtaildale_client/status.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import messages
 from foxtaildale import ports
@@ -36,6 +37,9 @@
     divergences: tuple[msgspec.Raw, ...] = ()
 
 
+_dump_decoder: Final = msgspec.json.Decoder(_Dump)
+
+
 class VmLine(msgspec.Struct, frozen=True, kw_only=True):
     """One entry VM."""
 
@@ -177,8 +181,8 @@
     if not isinstance(reply, messages.DumpReply):
         return None
     try:
-        return msgspec.json.decode(reply.state, type=_Dump)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_dump_decoder.decode, reply.state)
+    except errors.DecodeError:
         return None
 
 
--- a/packages/core/foxtaildale/changes.py
+++ b/packages/core/foxtaildale/changes.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from foxtaildale import decoding
+from foxtaildale import errors
 from foxtaildale import values
 
 # Name of the log stream that contains the configuration.
@@ -103,8 +105,8 @@
 def decode(data: bytes) -> Change | None:
     """Returns the record encoded in `data`, or None if it is invalid."""
     try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_decoder.decode, data)
+    except errors.DecodeError:
         return None
 
 
@@ -119,8 +121,8 @@
     if digest_of(record.preset) != record.digest:
         return None
     try:
-        return _preset_decoder.decode(record.preset)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_preset_decoder.decode, record.preset)
+    except errors.DecodeError:
         return None
 
 
--- a/packages/core/foxtaildale/claimlog.py
+++ b/packages/core/foxtaildale/claimlog.py
@@ -15,6 +15,8 @@
 
 from foxtaildale import bounded_records
 from foxtaildale import codes
+from foxtaildale import decoding
+from foxtaildale import errors
 from foxtaildale import values
 
 STREAM: Final = 'claims'
@@ -78,8 +80,8 @@
 def decode(data: bytes) -> Record | None:
     """Returns the record in `data`; None if it is not a valid record."""
     try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.decode(_decoder.decode, data)
+    except errors.DecodeError:
         return None
 
 
--- a/packages/core/foxtaildale/fold.py
+++ b/packages/core/foxtaildale/fold.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from foxtaildale import changes
+from foxtaildale import decoding
 from foxtaildale import errors
 from foxtaildale import ports
 from foxtaildale import values
@@ -267,6 +268,6 @@
     if changes.digest_of(data) != digest:
         return None
     try:
-        return Fold(_state_decoder.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError):
+        return Fold(decoding.decode(_state_decoder.decode, data))
+    except (errors.DecodeError, KeyError):
         return None
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -2,14 +2,19 @@
 
 import base64
 from collections.abc import Callable
+import pathlib
+import re
 from typing import Final
 
 import msgspec
 import pytest
 
 from foxtaildale import backends
+from foxtaildale import changes
 from foxtaildale import chat
+from foxtaildale import claimlog
 from foxtaildale import errors
+from foxtaildale import fold
 from foxtaildale import messages
 from foxtaildale import tickets
 from foxtaildale_adapters import engines
@@ -104,3 +109,50 @@
     found = default_version_store._decode('s', value)
     assert found is not None
     assert not found.version
+
+
+def test_a_deeply_nested_record_of_a_log_is_invalid(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """`RecursionError` out of one record ended the reading of the others."""
+    switch = changes.Switch(id='i', base=0, name='p', digest='d', expects=0)
+    data = changes.encode(switch)
+    assert changes.decode(data) == switch
+    nested = bytes((data[0] + 1,)) + data[1:] + _NESTED_MSGPACK
+    assert changes.decode(nested) is None
+    record = b'\x94\xa1o\xa1a\x90' + _NESTED_MSGPACK
+    assert claimlog.decode(record) is None
+    monkeypatch.setattr(changes, 'MAX_PRESET_BYTES', 2 * len(_NESTED_JSON))
+    digest = changes.digest_of(_NESTED_JSON)
+    publish = changes.Publish(
+        id='i', base=0, digest=digest, preset=_NESTED_JSON
+    )
+    assert changes.verified_preset(publish) is None
+    state = b'\xdc\x00\x20' + _NESTED_MSGPACK
+    assert fold.from_bytes(state, changes.digest_of(state)) is None
+
+
+_ROOT: Final = pathlib.Path(__file__).parents[1]
+_DIRECT_DECODE: Final = re.compile(
+    r'\bmsgspec\.(?:json|msgpack)\.decode\(|(?<![.\w])_\w*\.decode\('
+)
+# Direct calls, by module; with the reason.
+_ALLOWED: Final = {
+    # Its own encoding, and a preset that was checked before.
+    'changes.py': 2,
+    # Called by `decoding.decode`.
+    'default_version_store.py': 1,
+    'engines.py': 1,
+    'origin_store.py': 1,
+}
+
+
+def test_decoders_are_called_by_decoding() -> None:
+    """Any other call lets `RecursionError` pass its callers."""
+    found = {}
+    for path in sorted((_ROOT / 'packages').rglob('*.py')):
+        text = path.read_text(encoding='utf-8')
+        count = len(_DIRECT_DECODE.findall(text))
+        if count:
+            found[path.name] = count
+    assert found == _ALLOWED
