Responses: refuse heads whose framing the library does not see

Callers got the cut body of a response as a complete one: with "Transfer-Encoding: chunked " (trailing space or tab) or a folded value, the check of the framing stripped what the library does not, so that the library read up to the end of the connection. A malformed line ("Content-Length : 9", or any line without a colon) made the parser drop the rest of the head with the length, the coding and the id of the attempt; a bare CR ends the head likewise, without a defect. Control calls and the store had no check at all.

The check is now part of `BoundedResponse.begin`, which all readers use, and asks the library itself whether it reads chunks, whether the head has defects, and whether a part of it was taken for a body. The defects that the parser reports for multipart types, whose body it does not see, don't count.

Ruled out: a sound head of type multipart/* or message/* (tests).

--- a/packages/adapters/foxtaildale_adapters/backend_request.py
+++ b/packages/adapters/foxtaildale_adapters/backend_request.py
@@ -240,7 +240,6 @@
             self._set_timeout(timeout_s)
             self._conn.timeout = timeout_s
             resp = self._conn.getresponse()
-            _check_framing(resp)
         except TimeoutError as exc:
             self.cancel()
             raise http_client.ResponseTimeoutError(
@@ -445,21 +444,3 @@
         if name.lower() == 'timeout' and value.isdecimal():
             return float(value)
     return None
-
-
-def _check_framing(resp: urllib3.BaseHTTPResponse) -> None:
-    """Rejects framing that the library would interpret differently.
-
-    Raises:
-        ValueError: The end of the body can't be determined.
-    """
-    if not 200 <= resp.status <= 599:
-        raise ValueError(f'status {resp.status}')
-    length = resp.headers.get('Content-Length')
-    coding = resp.headers.get('Transfer-Encoding')
-    if length is not None and not (length.isascii() and length.isdigit()):
-        raise ValueError('Content-Length is not a number')
-    if coding is not None and coding.strip().lower() != 'chunked':
-        raise ValueError('unknown transfer coding')
-    if coding is not None and length is not None:
-        raise ValueError('both Content-Length and Transfer-Encoding')
--- a/packages/adapters/foxtaildale_adapters/bounded_responses.py
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import email.errors
 import http.client
 import io
 import re
@@ -29,6 +30,13 @@
 MAX_LINE_BYTES: Final = 65536
 # Minimum timeout of a read, seconds; a socket with 0 would not wait.
 MIN_TIMEOUT_S: Final = 0.001
+# Defects of a message whose body is to follow; not of its head.
+_BODY_DEFECTS: Final = (
+    email.errors.NoBoundaryInMultipartDefect,
+    email.errors.StartBoundaryNotFoundDefect,
+    email.errors.MultipartInvariantViolationDefect,
+    email.errors.InvalidMultipartContentTransferEncodingDefect,
+)
 _CHUNK_SIZE: Final = re.compile(rb'[0-9A-Fa-f]{1,16}')
 
 
@@ -96,7 +104,12 @@
         self.fp = io.BufferedReader(self.reader)
 
     def begin(self) -> None:
-        """Reads the head."""
+        """Reads the head.
+
+        Raises:
+            http.client.HTTPException: It is malformed, or the end of the body
+                can't be determined.
+        """
         reader = self.reader
         if self._timeout_s is not None:
             reader.deadline = time.monotonic() + self._timeout_s
@@ -104,6 +117,24 @@
         super().begin()
         reader.head_left = None
         reader.deadline = None
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Rejects framing that the library would interpret differently."""
+        if not 200 <= self.status <= 599:
+            raise http.client.HTTPException(f'status {self.status}')
+        if _is_malformed(self.msg):
+            raise http.client.HTTPException('malformed header')
+        length = self.msg.get_all('Content-Length')
+        coding = self.msg.get_all('Transfer-Encoding')
+        if length is not None and not _is_number(', '.join(length)):
+            raise http.client.HTTPException('Content-Length is not a number')
+        if coding is not None and (len(coding) > 1 or not self.chunked):
+            raise http.client.HTTPException('unknown transfer coding')
+        if coding is not None and length is not None:
+            raise http.client.HTTPException(
+                'both Content-Length and Transfer-Encoding'
+            )
 
     def _close_conn(self) -> None:
         """Releases the connection; replaces a method of the library.
@@ -153,6 +184,23 @@
         return line
 
 
+def _is_malformed(head: http.client.HTTPMessage) -> bool:
+    """Whether the library dropped lines of a head, or took some for a body."""
+    if any(not isinstance(defect, _BODY_DEFECTS) for defect in head.defects):
+        return True
+    # Of the types message/*, the body is parsed as another message.
+    first, *others = head.walk()
+    return any(part.defects or part.keys() for part in others) or any(
+        part.get_payload()
+        for part in (first, *others)
+        if not part.is_multipart()
+    )
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
 class Connection(urllib3.connection.HTTPConnection):
     """A connection with bounded responses."""
 
