Streams: find a second response that begins within an event

Callers got one event that ended with the head and the first event of another response ("data: bHTTP/1.1 200 OK..."): a second response was only found at the start of a line, and a server that breaks off within an event and responds again starts it in the middle of one.

A status line is now found there too if a header follows it.

Ruled out: where the blocks are split (the search covers the whole event).

--- a/packages/core/foxtaildale/sse.py
+++ b/packages/core/foxtaildale/sse.py
@@ -14,8 +14,16 @@
 MAX_EVENT_BYTES: Final = 1024 * 1024
 _EVENT_END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
-# Start of a line that is no line of an event: the head of another response.
-_STATUS_LINE: Final = re.compile(rb'^HTTP/1\.', re.MULTILINE)
+# Start of the head of another response: a line that is no line of an event, or
+# within one a status line before a header that is no field of an event.
+_SECOND_HEAD: Final = re.compile(
+    rb"""
+    ^HTTP/1\.
+    | HTTP/1\.[0-9]\ [0-9]{3}[^\r\n]*\r?\n
+      (?!(?:data|event|id|retry):) [A-Za-z0-9!#$%&'*+.^_`|~-]+:
+    """,
+    re.MULTILINE | re.VERBOSE,
+)
 
 
 class Splitter:
@@ -57,7 +65,7 @@
             raise errors.NoReplyError(f'event above {MAX_EVENT_BYTES} bytes')
         if not complete_bytes:
             return b''
-        second = _STATUS_LINE.search(incomplete, 0, complete_bytes)
+        second = _SECOND_HEAD.search(incomplete, 0, complete_bytes)
         if second is not None:
             self._has_second = True
             end = incomplete.rfind(_EVENT_END, 0, second.start())
