Callers of HTTP/1.0: reset unfinished responses also at a kill and a stop

Callers of HTTP/1.0 get neither a length nor chunks, so that the end of the connection ends the response. It was reset only if the handler gave up: a killed process closed its sockets with a FIN, and a stop that cut a connection in use shut it down, so that a part of a response looked like the whole.

SO_LINGER (1, 0) is now set before the head of such a response is sent and cleared once the response is finished, so that the kernel resets the connection at any close between. A stop doesn't shut such a connection down; its handler is told that the caller disconnected, and the close resets it. reset_on_close is gone.

Ruled out: responses with a length or chunks, which show that they broke off, and finished responses, which end with a FIN as before (existing test).

--- a/packages/adapters/foxtaildale_adapters/caller_exchange.py
+++ b/packages/adapters/foxtaildale_adapters/caller_exchange.py
@@ -174,6 +174,8 @@
         self._begin(status, headers, None)
         head = self._head(b'')
         self._ends_with_connection = not self._chunked
+        if self._ends_with_connection:
+            self._req.conn.reset_at_end(True)
         sent = self._write(head)
         self._events = headers.get('Content-Type') == EVENT_STREAM
         return sent
@@ -232,6 +234,8 @@
             return False
         if self._disconnected:
             return False
+        if self._ends_with_connection:
+            self._req.conn.reset_at_end(False)
         self._state = 'finished'
         return True
 
@@ -269,7 +273,6 @@
         """
         self._disconnected = True
         if self._ends_with_connection and not self.finished:
-            self._req.conn.reset_on_close = True
             return
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
@@ -336,7 +339,10 @@
 
     def _still_reads(self) -> bool:
         """Whether a caller that sent a FIN still reads."""
-        return self._req.server.allows_half_close and self._probe()
+        req = self._req
+        if req.conn.is_cut:
+            return False
+        return req.server.allows_half_close and self._probe()
 
     def _probe(self) -> bool:
         """Sends bytes that callers ignore; False if the caller disconnected."""
--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -61,8 +61,9 @@
 _READ_BYTES: Final = 4096
 # Prefix of the headers that carry identities and limits of a request.
 HEADER_PREFIX: Final = b'Foxtaildale-'
-# Value of SO_LINGER with which a close sends a reset.
+# Values of SO_LINGER with which a close sends a reset, and does not.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
+_NO_LINGER: Final = struct.pack('ii', 0, 0)
 _HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
@@ -163,9 +164,10 @@
         # Whether the connection was ever added to the idle connections.
         self.was_idle = False
         self.discard_input = False
-        # Whether it ends with a reset: a close would end a response that has
-        # neither a length nor chunks.
-        self.reset_on_close = False
+        # Whether it ends with a reset.
+        self.resets = False
+        # Whether a stop has cut it within a response.
+        self.is_cut = False
         # When its request was queued for a thread, seconds.
         self.queued_at = 0.0
         # Number of requests that were read from this connection.
@@ -244,16 +246,26 @@
         finally:
             self.server.remove_connection(self)
 
-    def _close_kernel_socket(self) -> None:
-        if not self.reset_on_close:
-            super()._close_kernel_socket()  # type: ignore[misc]
-            return
+    def reset_at_end(self, on: bool) -> None:
+        """Sets whether the connection ends with a reset, however it ends.
+
+        A close, also that of a killed process, would end a response that has
+        neither a length nor chunks.
+        """
         try:
             self.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _RESET_ON_CLOSE if on else _NO_LINGER,
             )
         except OSError:
             pass  # The caller closed it first.
+        self.resets = on
+
+    def _close_kernel_socket(self) -> None:
+        # A shutdown would send the end of the response before the close.
+        if not self.resets:
+            super()._close_kernel_socket()  # type: ignore[misc]
 
     def _discard_input(self) -> None:
         """Reads and discards input for a short time after an early error.
@@ -423,7 +435,12 @@
             caller=f'{conn.remote_addr}:{conn.remote_port}',
             requests=conn.requests_begun,
         )
+        conn.is_cut = True
         threadpool.ThreadPool._force_close(conn)  # type: ignore[attr-defined]
+        if conn.resets:
+            # A shutdown would end its response. The handler is told that the
+            # caller disconnected, and the close resets the connection.
+            return
         try:
             # Ends a send to a caller that does not read.
             conn.socket.shutdown(socket.SHUT_WR)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -3,8 +3,11 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import json
+import os
 import selectors
 import socket
+import subprocess
+import sys
 import threading
 import time
 from typing import Any
@@ -471,6 +474,51 @@
     assert running.raw(head % b'stream').endswith(b'data: 2\n\n')
 
 
+def test_an_answer_without_chunks_is_reset_by_a_stop(running: Running) -> None:
+    """Guards against a part that looks whole, as a stop ends the connection."""
+    with running.connect() as sock:
+        sock.sendall(b'POST /stream HTTP/1.0\r\nContent-Length: 0\r\n\r\n')
+        read_until(sock, b'data: 1\n\n')
+        release = threading.Timer(0.5, running.script.release.set)
+        release.start()
+        running.server.close(in_use_s=0.1)
+        with pytest.raises(ConnectionResetError):
+            read_all(sock)
+        release.join()
+    assert running.script.hung_up == 1
+
+
+_KILLED = """
+import os, signal
+from foxtaildale_adapters import caller_server
+
+class Handler:
+    def handle(self, exchange):
+        exchange.start(200, {})
+        exchange.send(b'part')
+        os.kill(os.getpid(), signal.SIGKILL)
+
+server = caller_server.Server('127.0.0.1:0', Handler(), 2, 5.0, 1000)
+print(server.start(), flush=True)
+signal.alarm(20)
+signal.pause()
+"""
+
+
+def test_an_answer_without_chunks_is_reset_by_a_kill() -> None:
+    """Guards against a part that looks whole, as the kernel closes its socket."""
+    env = os.environ | {'PYTHONPATH': os.pathsep.join(filter(None, sys.path))}
+    with subprocess.Popen(
+        [sys.executable, '-c', _KILLED], env=env, stdout=subprocess.PIPE
+    ) as process:
+        assert process.stdout is not None
+        host, _, port = process.stdout.readline().decode().rpartition(':')
+        with socket.create_connection((host, int(port)), PATIENCE_S) as sock:
+            sock.sendall(b'POST / HTTP/1.0\r\nContent-Length: 0\r\n\r\n')
+            with pytest.raises(ConnectionResetError):
+                read_all(sock)
+
+
 def test_callers_beyond_the_threads_are_told_at_once(running: Running) -> None:
     """Every thread is busy; one more would wait unseen by admission."""
     socks = [running.connect() for _ in range(12)]
