Responses: skip interim responses other than 100 too

Callers got a failure where a server sent a 102 or 103 before its response: the library skips interim responses of status 100 only and took the others for the final response, whose status the check of the framing then refused.

All of 102 to 199 are now skipped where the library reads a status line, within the size and the time of the head; 101 stays an error.

Ruled out: interim responses without end, and ones behind which none follows (tests).

--- a/packages/adapters/foxtaildale_adapters/bounded_responses.py
+++ b/packages/adapters/foxtaildale_adapters/bounded_responses.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import contextlib
 import email.errors
+import http
 import http.client
 import io
 import re
@@ -119,6 +120,20 @@
         reader.deadline = None
         self._check_framing()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Reads a status line; extends a method of the library.
+
+        The library skips interim responses of status 100 only. A server may
+        send others (RFC 9110, 15.2); 101 is none, as no upgrade is requested.
+        """
+        while True:
+            found: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
+            status = found[1]
+            if not _is_interim(status):
+                return found
+            while self._read_line() not in (b'\r\n', b'\n'):
+                pass  # A header.
+
     def _check_framing(self) -> None:
         """Rejects framing that the library would interpret differently."""
         if not 200 <= self.status <= 599:
@@ -197,6 +212,14 @@
     )
 
 
+def _is_interim(status: int) -> bool:
+    """Whether another response follows."""
+    return (
+        status != http.HTTPStatus.SWITCHING_PROTOCOLS
+        and http.HTTPStatus.CONTINUE < status < http.HTTPStatus.OK
+    )
+
+
 def _is_number(text: str) -> bool:
     return text.isascii() and text.isdigit()
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -30,6 +30,11 @@
 _CHUNKED: Final = _HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
 _ENDLESS: Final = {
     'interim responses': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'other interim responses': (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+    'headers of an interim response': (
+        b'HTTP/1.1 103 Early Hints\r\n',
+        b'X: y\r\n',
+    ),
     'a status line': (b'HTTP/1.1 200 ', b'x'),
     'one header': (_HEAD + b'X-Long: ', b'x'),
     'headers': (_HEAD, b'X: y\r\n'),
--- a/tests/test_response_heads.py
+++ b/tests/test_response_heads.py
@@ -105,3 +105,37 @@
     head = _STATUS + header + b'Content-Length: 3\r\n\r\n'
     with _server(head + b'abc') as address:
         assert read(address) == b'abc'
+
+
+@_readers
+@pytest.mark.parametrize(
+    'interim',
+    [
+        b'100 Continue\r\n\r\n',
+        b'102 Processing\r\n\r\n',
+        b'103 Early Hints\r\nLink: x\r\nContent-Length: 5\r\n\r\n',
+        b'199 x\r\n\r\nHTTP/1.1 100 Continue\r\nA: b\r\n\r\n',
+    ],
+)
+def test_interim_response_is_skipped(read: _Read, interim: bytes) -> None:
+    """Guards against a sound response that is lost behind an interim one."""
+    sent = b'HTTP/1.1 ' + interim + _STATUS + b'Content-Length: 3\r\n\r\nabc'
+    with _server(sent) as address:
+        assert read(address) == b'abc'
+
+
+@_readers
+@pytest.mark.parametrize(
+    'sent',
+    [
+        b'HTTP/1.1 101 Switching Protocols\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\n\r\n',
+        b'HTTP/1.1 103 Early Hints\r\nLink: x',
+        b'HTTP/1.1 103 Early Hints\r\n\r\n' * 20_000,
+    ],
+    ids=['101', 'no response', 'cut', 'too many'],
+)
+def test_interim_response_is_no_response(read: _Read, sent: bytes) -> None:
+    """Guards against interim responses that are taken for the final one."""
+    with _server(sent) as address, pytest.raises(errors.NoReplyError):
+        read(address)
