First events of the default version wait for a report again, while several versions serve

Such a stream was reported up to 0.25 s after its first event since default versions came; its VM ended sooner, and the store was away, so nobody knew it. The wait of 50 ms at most for the first reply of another VM is back, beside the wait for the store of all other streams. 63 tests of the four files around it passed.

--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -44,8 +44,12 @@
 MAX_LIST_AGE_S: Final = 10.0
 # Age of a list of servers that was never received, milliseconds.
 _NO_LIST_AGE_MS: Final = 10**9
-# Maximum time for which a first event waits until its origin is saved, seconds.
-# All VMs may end right after the event.
+# Maximum time for which a first event waits until another VM has the report,
+# while several versions serve, seconds. This VM may end right after the event,
+# and the store may be away.
+MAX_REPORT_WAIT_S: Final = 0.05
+# Maximum time for which it waits until its origin is saved, seconds. All VMs may
+# end right after the event.
 MAX_SAVE_WAIT_S: Final = 0.1
 
 
@@ -95,11 +99,19 @@
         # only service of its route. A resumed stream is known by its first
         # attempt.
         call = req.caller_request
-        needs_no_save = bool(call.resumes and call.after_event) or (
+        must_save = not (call.resumes and call.after_event) and not (
             len(req.route.targets) == 1
             and self._defaults.is_default(service, version)
         )
-        self._reports.record(origin, 0.0 if needs_no_save else MAX_SAVE_WAIT_S)
+        is_mixed = self._owner.run(
+            lambda state, now: len(state.fleet.versions(service, now)) > 1
+        )
+        wait_s = MAX_REPORT_WAIT_S if is_mixed else 0.0
+        self._reports.record(
+            origin,
+            MAX_SAVE_WAIT_S if must_save else wait_s,
+            must_save=must_save,
+        )
 
     def bind(self, req: routed_request.RoutedRequest) -> None:
         """Binds a resumed stream to the service and version that began it.
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -150,49 +150,58 @@
             return len(self._origins)
 
     def record(
-        self, origin: messages.StreamOrigin, wait_s: float = 0.0
+        self,
+        origin: messages.StreamOrigin,
+        wait_s: float = 0.0,
+        *,
+        must_save: bool = False,
     ) -> None:
         """Records where a stream begins.
 
         Args:
             origin: The origin.
-            wait_s: Maximum time to wait until it is saved in the store,
-                seconds; 0 if the stream is of the default version.
+            wait_s: Maximum time to wait until another VM has the report, or
+                until the origin is saved, seconds.
+            must_save: Whether it must be saved, as the stream is not of the
+                default version.
         """
         now = self._clock()
         saver: _Saver = ''
-        if wait_s > 0:
+        if must_save:
             saver = 'self' if self._saves_itself() else 'receiver'
-        saved = threading.Event()
+        done = threading.Event()
         with self._lock:
             self._origins.record(now, origin)
             is_full = len(self._pending) >= _MAX_PENDING
             if not is_full:
                 self._pending.append((now, origin, saver))
-            if saver:
-                self._awaited[origin.stream] = saved
+            if wait_s:
+                self._awaited[origin.stream] = done
         if is_full:
             _log_unreported(1, 0, 0)
-        if not saver:
-            return
-        if is_full or saver == 'self':
+        if must_save and (is_full or saver == 'self'):
             self._save_later([(now, origin)])
             self.on_save()
+        if not wait_s:
+            return
         self.on_report()
-        if not saved.wait(wait_s):
-            with self._lock:
-                self._awaited.pop(origin.stream, None)
-            if saver == 'receiver':
-                # Its confirmation, or the receiver itself, may be lost.
-                self._save_later([(now, origin)])
-                self.on_save()
-            logs.event(
-                logging.WARNING,
-                'origin not saved in time',
-                stream=origin.stream,
-                service=origin.service,
-                software=origin.version,
-            )
+        if done.wait(wait_s):
+            return
+        with self._lock:
+            self._awaited.pop(origin.stream, None)
+        if not must_save:
+            return
+        if saver == 'receiver':
+            # Its confirmation, or the receiver itself, may be lost.
+            self._save_later([(now, origin)])
+            self.on_save()
+        logs.event(
+            logging.WARNING,
+            'origin not saved in time',
+            stream=origin.stream,
+            service=origin.service,
+            software=origin.version,
+        )
 
     def start(self) -> None:
         """Starts the thread that sends confirmations."""
@@ -274,7 +283,7 @@
                 group,
                 is_urgent=is_urgent,
                 save=is_urgent and saver != 'self',
-                confirm=saver == 'receiver',
+                must_save=bool(saver),
             )
             if is_urgent and not knows_others and saver != 'self':
                 unreported += group
@@ -356,7 +365,7 @@
         *,
         is_urgent: bool,
         save: bool,
-        confirm: bool,
+        must_save: bool,
     ) -> bool:
         """Reports the origins of one group of streams.
 
@@ -364,7 +373,7 @@
             group: The streams.
             is_urgent: Whether several VMs get the report.
             save: Whether the first of them saves the origins.
-            confirm: Whether first events wait until they are saved.
+            must_save: Whether first events wait until they are saved.
 
         Returns:
             Whether any other VM is known.
@@ -377,6 +386,7 @@
                 _log_unreported(len(group), 0, 0)
             else:
                 self._keep_unshared(group)
+            self._end_report_waits(group, is_awaited=not must_save)
             return False
         origins = _with_ages(group, self._clock())
         replied: set[str] = set()
@@ -386,7 +396,7 @@
             msg = messages.OriginReport(
                 origins=origins,
                 save=is_saver,
-                reply_to=self._peer_address if is_saver and confirm else '',
+                reply_to=self._peer_address if is_saver and must_save else '',
             )
             try:
                 self._peers.request(address, msg, REPLY_TIMEOUT_S)
@@ -397,6 +407,8 @@
                 continue
             else:
                 replied.add(address)
+                self._end_report_waits(group, is_awaited=not must_save)
+        self._end_report_waits(group, is_awaited=not must_save)
         self._coordinators.record_replies(addresses, replied | alive)
         if not is_urgent:
             self._keep_unshared(group)
@@ -407,6 +419,13 @@
             _log_unreported(len(group), len(addresses), len(replied))
         return True
 
+    def _end_report_waits(
+        self, group: list[_Began], *, is_awaited: bool
+    ) -> None:
+        """Ends the waits for a report, where that is what is waited for."""
+        if is_awaited:
+            self._end_waits(origin.stream for _, origin in group)
+
     def _end_waits(self, streams: Iterable[int]) -> None:
         with self._lock:
             for stream in streams:
