--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,7 +9,8 @@
 in their own ways; the store forgets, answers 503, breaks off, or comes back from
 a copy; configurations and lists change. Workers end, and are back under new ids,
 by themselves or by a bad request that ends each worker that begins to run it, and
-name limits, leave or ask for rest in their answers. Faults come in series and
+name limits, leave or ask for rest in their answers; some respond twice, the second
+time late, or without a length, and connections are reset meanwhile. Faults come in series and
 overlap, by a schedule that the seed fixes; what the machine's timing adds is not
 fixed.
 
@@ -51,6 +52,9 @@
 # over is asked again after 2 s.
 RECOVER_S: Final = 12.0
 _EVENTS: Final = 12
+# Longest time until a second response, and interval of resets, seconds.
+_SECOND_S: Final = 3.0
+_RESET_INTERVAL_S: Final = 0.15
 # Time until a worker that ended is back, seconds.
 _BACK_S: Final = 0.5
 # Ends after which the bad request must be known, the time until all routers in
@@ -372,6 +376,21 @@
             worker.limit = _LIMIT
             time.sleep(lasts)
             worker.limit = None
+        elif what == 'stutters':
+            rng = random.Random(lasts)
+            worker.second_after_s = lambda: rng.uniform(0.0, _SECOND_S)
+            worker.second_status = rng.choice((0, 200, 500))
+            worker.stutters = True
+            time.sleep(lasts)
+            worker.stutters = False
+        elif what in ('unframed', 'resets'):
+            worker.framed = False
+            end = time.monotonic() + lasts
+            while time.monotonic() < end:
+                time.sleep(_RESET_INTERVAL_S)
+                if what == 'resets':
+                    self.relays[index].reset()
+            worker.framed = True
         elif what == 'says':
             worker.leaving = True
             time.sleep(_SAYS_TIMES * lasts)
--- a/tests/soakschedule.py
+++ b/tests/soakschedule.py
@@ -26,6 +26,8 @@
 _COPIES: Final = ('copy',)
 # Faults of workers that say of themselves that they leave, or want rest.
 _SAYS: Final = ('worker-says', 'worker-rests')
+# Faults in the framing of responses, and of the connections that they come by.
+_RESPONSES: Final = ('worker-stutters', 'worker-unframed', 'worker-resets')
 _FAULTS: Final = (
     'kill',
     'pause',
@@ -65,6 +67,8 @@
         found += _draw(random.Random(f'{seed}/limits'), _LIMITS, 2)
         found += _draw(random.Random(f'{seed}/says'), _SAYS, 4)
         found += _draw(random.Random(f'{seed}/copies'), _COPIES, 2)
+        responses = random.Random(f'{seed}/responses')
+        found += _draw(responses, _RESPONSES, 4)
     return sorted(found, key=lambda fault: fault.at)
 
 
