--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -24,7 +24,7 @@
 from foxtaildaled import origin_store
 from foxtaildaled import router_state
 
-# Topic of the store, and name by which its coordinator is chosen.
+# Topic of the store, and name under which its coordinator is selected.
 TOPIC: Final = 'keyed.streamversions'
 COORDINATOR_SUBJECT: Final = 'streamversions'
 # Interval at which changed versions are noticed, seconds.
