--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -495,7 +495,7 @@
         ),
         (
             'origins not confirmed',
-            '{address} was not told that the origins of {count} streams are'
+            '{address} was not notified that the origins of {count} streams are'
             ' saved: {error}',
             ('address', 'count', 'error'),
         ),
--- a/tests/oddentries.py
+++ b/tests/oddentries.py
@@ -83,14 +83,7 @@
     key: str,
     sound: dict[str, Any],
 ) -> None:
-    """Writes an odd entry of a server.
-
-    Args:
-        store: The store.
-        rng: Draws the entry.
-        key: Id of the server.
-        sound: A sound entry, of which a field is changed.
-    """
+    """Writes a sound entry of a server with a field changed, as drawn."""
     data = _pick(rng, sound, _SERVER_CHANGES)
     store.put_bytes('keyed.servers', key, data)
 
@@ -101,16 +94,8 @@
     config: dict[str, Any],
     member: str,
 ) -> None:
-    """Writes an odd record to each of the other topics.
-
-    The configuration is written again behind the odd one, as an operator does.
-
-    Args:
-        store: The store.
-        rng: Draws the records.
-        config: The configuration in force.
-        member: Name of an entry VM.
-    """
+    """Writes an odd record to each of the other topics, as drawn."""
+    # The operator writes the configuration in force again.
     store.put_bytes('keyed.op', 'config', _pick(rng, config, _CONFIG_CHANGES))
     store.put('keyed.op', 'config', config)
     name = rng.choice((member, 'odd', 'odd \u00e4\n'))
