First events wait for their origin while the store takes no writes

What callers saw: while two software versions served, the store took no writes as streams began, and all entry VMs ended before it did again.

Cause: a stream that is saved nowhere is of the default version, but a first event whose origin was not saved in 0.1 s was sent all the same.

Ruled out: a default version that changed meanwhile (that is a write, too). Weighed: dating the gap in the store by what each VM writes anyway; it can't tell a loss of power from a store that took no writes just before it. Trying the stream again at the default version within the attempt; a test showed that the origin of the first try is kept (a0 of v1 went on where v2 had been sent), and a save without a reply may take effect later.

Fix: the event is sent only if the origin is saved, or if an unsaved stream would be refused later (no settled default version, or one without servers). Else, after 0.5 s, the attempt fails with 502 and its caller asks again. For 2 s after a save that failed or was late, new streams begin at the default version.

Evidence: test_streams_begun_while_the_store_takes_no_writes_mix_no_versions failed in its three forms (refused, closed, silent; 3 of 3 runs of one each) and passes.

Two tests asked that any stream begins while the store is down, which at another version than the default one is this fault: test_first_events_wait_for_the_store_and _no_longer and test_a_caller_resumes_where_the_store_is_away. VersionSite.begin looks at what was delivered: a server that ran an attempt whose stream was not sent is no part of it.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -131,6 +131,16 @@
     'first event': Event(
         'the first event was sent to its caller', ('software',)
     ),
+    'default version only': Event(
+        'origins of new streams are saved late or not at all, so it begins at'
+        ' the default version {software}',
+        ('software',),
+    ),
+    'stream not begun': Event(
+        'its first event was not sent to its caller: its version {software} was'
+        ' not saved, so it would be taken for a stream of {default}',
+        ('software', 'default'),
+    ),
     'stream broken': Event(
         'the stream of {server} broke: {error}',
         ('server', 'error', 'framing', 'reused'),
@@ -489,9 +499,9 @@
         ),
         (
             'origin not saved in time',
-            'the first event of stream {stream} was sent before its version'
-            ' {software} of {service} was saved',
-            ('stream', 'service', 'software'),
+            'the version {software} of stream {stream} of {service} was not'
+            ' saved in time; its first event is held: {held}',
+            ('stream', 'service', 'software', 'held'),
         ),
         (
             'origins not confirmed',
--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -140,6 +140,19 @@
                 and version in self._listed_at_read.get(service, ())
             )
 
+    def unsaved_version(self, service: str) -> str:
+        """Returns the version for which an unsaved stream would be taken.
+
+        Empty if it would be refused.
+        """
+        with self._lock:
+            default = self._defaults.get(service)
+            if default is None or not default.is_settled:
+                return ''
+            if default.epoch != positions.epoch(self._end):
+                return ''
+            return default.version
+
     def read(self, service: str) -> default_versions.DefaultVersion | None:
         """Reads the default version of a service; None if it has none.
 
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -305,6 +305,7 @@
         Raises:
             errors.NoReplyError: The stream broke off, or the caller has
                 disconnected.
+            attempt_state.RequestRefused: The stream may not begin.
         """
         splitter = response.splitter
         splitter.discard_incomplete_event()
@@ -344,8 +345,8 @@
         response: attempt_state.ResponseState,
         head: forwarding.ResponseHead,
     ) -> None:
-        response.started = True
         self._origins.record_first_event(req, response.server_version)
+        response.started = True
         req.log('first event', software=response.server_version)
         req.request_metrics.first_answer_seconds.observe(
             (req.age_s(),), req.service.name
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -48,9 +48,12 @@
 # while several versions serve, seconds. This VM may end right after the event,
 # and the store may be away.
 MAX_REPORT_WAIT_S: Final = 0.05
-# Maximum time for which it waits until its origin is saved, seconds. All VMs may
-# end right after the event.
+# Time within which an origin is saved as a rule, seconds. A first event waits for
+# it, as all VMs may end right after the event.
 MAX_SAVE_WAIT_S: Final = 0.1
+# Further time for which a first event waits if its stream would be taken for one
+# of another version as long as it is not saved, seconds.
+MAX_LATE_SAVE_WAIT_S: Final = 0.4
 
 
 class OriginFinder:
@@ -89,7 +92,12 @@
     def record_first_event(
         self, req: routed_request.RoutedRequest, version: str
     ) -> None:
-        """Records the version whose first event is sent to the caller next."""
+        """Records the version whose first event is sent to the caller next.
+
+        Raises:
+            attempt_state.RequestRefused: The event must not be sent: as long as
+                the stream is not saved, it is taken for one of another version.
+        """
         req.software_version = version
         if not req.route.resumable:
             return
@@ -107,11 +115,19 @@
             lambda state, now: len(state.fleet.versions(service, now)) > 1
         )
         wait_s = MAX_REPORT_WAIT_S if is_mixed else 0.0
-        self._reports.record(
+        other = self._serving_default(req) if must_save else ''
+        is_held = other not in ('', version)
+        is_saved = self._reports.record(
             origin,
             MAX_SAVE_WAIT_S if must_save else wait_s,
             must_save=must_save,
+            late_wait_s=MAX_LATE_SAVE_WAIT_S if is_held else 0.0,
         )
+        if is_held and not is_saved:
+            # The save may still take effect, so that this attempt must not begin
+            # at another version. Its caller's next one may.
+            req.log('stream not begun', software=version, default=other)
+            raise attempt_state.RequestRefused(codes.FAILED)
 
     def bind(self, req: routed_request.RoutedRequest) -> None:
         """Binds a resumed stream to the service and version that began it.
@@ -122,6 +138,7 @@
         """
         call = req.caller_request
         if not call.resumes and not call.after_event:
+            self._bind_new(req)
             return
         origin, source = self._find(req)
         if origin is None:
@@ -138,6 +155,31 @@
             origin_age_ms=origin.age_ms,
         )
 
+    def _bind_new(self, req: routed_request.RoutedRequest) -> None:
+        """Binds a new stream to the default version while saves are late."""
+        if not req.route.resumable or self._reports.saves_in_time():
+            return
+        default = self._serving_default(req)
+        if default:
+            req.software_version = default
+            req.log('default version only', software=default)
+
+    def _serving_default(self, req: routed_request.RoutedRequest) -> str:
+        """Returns the version for which an unsaved stream would be taken.
+
+        Empty if it would be refused, as it is if that version has no servers.
+        """
+        service = req.service.name
+        default = self._defaults.unsaved_version(service)
+        if not default or len(req.route.targets) != 1:
+            return ''
+        is_serving = self._owner.run(
+            lambda state, now: (
+                default in state.fleet.accepting_versions(service, now)
+            )
+        )
+        return default if is_serving else ''
+
     def answer(self, msg: messages.OriginRequest) -> messages.OriginReply:
         """Handles the request of another VM for an origin."""
         return self._look_up(msg.stream, msg.service)
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -8,7 +8,9 @@
 The first event of a stream that is not of the default version of its service
 waits until the origin is saved (`default_versions`). In a small deployment each
 VM saves such origins itself; in a larger one, where the VMs together would write
-too often, the first VM that gets the report saves them and confirms it.
+too often, the first VM that gets the report saves them and confirms it. While
+origins are not saved in time, new streams begin at the default version
+(`origin_finder`).
 """
 
 import collections
@@ -55,6 +57,9 @@
 # confirmations that are queued.
 CONFIRM_TIMEOUT_S: Final = 0.1
 MAX_CONFIRMATIONS: Final = 256
+# Time after a save that failed or was late in which new streams begin at the
+# default version, seconds. A failed save is repeated within a shorter time.
+SAVE_FAULT_S: Final = 2.0
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
 _MAX_BATCH: Final = 2048
@@ -90,6 +95,7 @@
         '_peers',
         '_pending',
         '_requested_by',
+        '_save_fault_until',
         '_save_now_at',
         '_share_at',
         '_store',
@@ -126,6 +132,8 @@
         self._share_at = 0.0
         # When origins that no other VM gets are saved next, seconds.
         self._save_now_at = 0.0
+        # Until when saves are expected to fail, seconds.
+        self._save_fault_until = 0.0
         # Set as soon as an own origin is reported, or saved if that is what its
         # first event waits for; by stream.
         self._awaited: dict[int, threading.Event] = {}
@@ -155,7 +163,8 @@
         wait_s: float = 0.0,
         *,
         must_save: bool = False,
-    ) -> None:
+        late_wait_s: float = 0.0,
+    ) -> bool:
         """Records where a stream begins.
 
         Args:
@@ -164,6 +173,10 @@
                 until the origin is saved, seconds.
             must_save: Whether it must be saved, as the stream is not of the
                 default version.
+            late_wait_s: Further time to wait for a save that is late, seconds.
+
+        Returns:
+            Whether what was waited for came.
         """
         now = self._clock()
         saver: _Saver = ''
@@ -183,25 +196,34 @@
             self._save_later([(now, origin)])
             self.on_save()
         if not wait_s:
-            return
+            return True
         self.on_report()
         if done.wait(wait_s):
-            return
-        with self._lock:
-            self._awaited.pop(origin.stream, None)
-        if not must_save:
-            return
+            return True
+        if must_save:
+            self._record_save_fault()
         if saver == 'receiver':
             # Its confirmation, or the receiver itself, may be lost.
             self._save_later([(now, origin)])
             self.on_save()
-        logs.event(
-            logging.WARNING,
-            'origin not saved in time',
-            stream=origin.stream,
-            service=origin.service,
-            software=origin.version,
-        )
+        is_saved = done.wait(late_wait_s)
+        with self._lock:
+            self._awaited.pop(origin.stream, None)
+        if must_save and not is_saved:
+            logs.event(
+                logging.WARNING,
+                'origin not saved in time',
+                stream=origin.stream,
+                service=origin.service,
+                software=origin.version,
+                held=late_wait_s > 0,
+            )
+        return is_saved
+
+    def saves_in_time(self) -> bool:
+        """Whether the origin of a new stream will probably be saved in time."""
+        with self._lock:
+            return self._clock() >= self._save_fault_until
 
     def start(self) -> None:
         """Starts the thread that sends confirmations."""
@@ -337,6 +359,7 @@
         self._save_now_at = self._clock() + MIN_SAVE_INTERVAL_S
         origins = _with_ages(batch, self._clock())
         if not self._store.save(self._entry_vm, origins):
+            self._record_save_fault()
             self._save_later(batch)
             return
         streams = [origin.stream for _, origin in batch]
@@ -455,6 +478,10 @@
             ]
         return [item for item in taken if item[0] >= oldest]
 
+    def _record_save_fault(self) -> None:
+        with self._lock:
+            self._save_fault_until = self._clock() + SAVE_FAULT_S
+
     def _save_later(self, group: list[_Began]) -> None:
         with self._lock:
             self._unsaved.extend(group)
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -1,7 +1,8 @@
 """The users' store of keyed topics, in this process.
 
 Faults: `down` answers 503 and does nothing; `mute` cuts each connection
-without an answer. `restore` brings it back from a copy.
+without an answer; `append_fault` is one for the writes of routers alone.
+`restore` brings it back from a copy.
 """
 
 import base64
@@ -10,11 +11,20 @@
 import threading
 import time
 from typing import Any
+from typing import Final
+from typing import Literal
 
 import msgspec
 
 from tests.standins import serving
 
+# Time for which a write without a reply is held, seconds; longer than a router
+# waits.
+_SILENCE_S: Final = 1.5
+
+# What becomes of a write: a refusal, a close, or no reply.
+AppendFault = Literal['', 'rejects', 'closes', 'silent']
+
 
 class KeyedStore:
     """Topics with one partition each, and the HTTP handler."""
@@ -22,6 +32,7 @@
     def __init__(self) -> None:
         self.down = False
         self.mute = False
+        self.append_fault: AppendFault = ''
         self.calls = 0
         # How often it has come back from a copy; None if it does not tell.
         self.epoch: int | None = 1
@@ -109,15 +120,23 @@
             wait_s = int(req.query.get('wait_ms', '0')) / 1000
             return self._read(topic, int(req.query['from']), wait_s)
         if req.path == '/api/log-append':
-            size = req.body[4]
-            key, data = req.body[5 : 5 + size], req.body[5 + size :]
-            at = int(req.query['at']) if 'at' in req.query else None
-            end, done = self._append(topic, key.decode(), data, at)
-            if not done:
-                return serving.as_json({'end': end}, 412)
-            return serving.as_json({'offset': end, 'end': end + 1})
+            return self._append_for(req, topic)
         return serving.Response(status=404)
 
+    def _append_for(self, req: serving.Request, topic: str) -> serving.Response:
+        if self.append_fault == 'rejects':
+            return serving.Response(status=503)
+        if self.append_fault:
+            time.sleep(_SILENCE_S if self.append_fault == 'silent' else 0.0)
+            raise serving.Cut
+        size = req.body[4]
+        key, data = req.body[5 : 5 + size], req.body[5 + size :]
+        at = int(req.query['at']) if 'at' in req.query else None
+        end, done = self._append(topic, key.decode(), data, at)
+        if not done:
+            return serving.as_json({'end': end}, 412)
+        return serving.as_json({'offset': end, 'end': end + 1})
+
     def _newest(self, topic: str) -> serving.Response:
         with self._changed:
             found: dict[str, Any] = {}
--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -1,6 +1,7 @@
 """Versions of streams outlive all entry VMs, and VMs that are out of step."""
 
 from collections.abc import Iterator
+from concurrent import futures
 import pathlib
 import signal
 import time
@@ -15,6 +16,7 @@
 from foxtaildaled import origin_store
 from tests import site as sites
 from tests import versionsite
+from tests.standins import keyedstore
 
 _STREAMS = 12
 
@@ -138,6 +140,27 @@
         assert (origin.version if origin else unsaved[2]) == version
 
 
+@pytest.mark.parametrize('fault', ['rejects', 'closes', 'silent'])
+def test_streams_begun_while_the_store_takes_no_writes_mix_no_versions(
+    site: versionsite.VersionSite, fault: keyedstore.AppendFault
+) -> None:
+    """Guards against first events of a stream that could not be saved."""
+    site.fill(2, ('v1', 'v1'))
+    _add(site, 'v2')
+    for router in site.routers:
+        sites.until(lambda r=router: 'v2-1' in versionsite.listed(r))  # type: ignore[misc]
+    site.store.append_fault = fault
+    with futures.ThreadPoolExecutor(_STREAMS) as pool:
+        found = dict(pool.map(site.try_begin, [0, 1] * (_STREAMS // 2)))
+    later = dict(site.try_begin(number % 2) for number in range(_STREAMS))
+    assert set(later.values()) == {'v1'}
+    began = later | {key: found[key] for key in found if found[key]}
+    _end_all(site)
+    site.store.append_fault = ''
+    _start_all(site)
+    _check(site, began, (200, ''))
+
+
 @pytest.mark.parametrize('has_store', [True, False])
 def test_a_vm_that_is_out_of_step_mixes_no_versions(
     site: versionsite.VersionSite,
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -170,8 +170,15 @@
 ) -> None:
     """Guards against origins that only the store tells."""
     site.fill(3)
-    site.store.down = True
     began = site.begin_each(_STREAMS)
+    assert set(began.values()) == {'v1', 'v2'}
+    site.store.down = True
+    tried = dict(site.try_begin() for _ in range(_STREAMS))
+    later = {key: version for key, version in tried.items() if version}
+    # One may fail before the router knows that nothing is saved.
+    assert len(later) >= _STREAMS - 1
+    assert set(later.values()) == {'v2'}
+    began |= later
     site.routers[0].close()
     _check_resumed(site, began, 1)
 
--- a/tests/versionsite.py
+++ b/tests/versionsite.py
@@ -72,19 +72,28 @@
             sites.until(lambda r=router: name not in listed(r))  # type: ignore[misc]
 
     def begin(self, number: int = 0, path: str = '/chat/x') -> tuple[str, str]:
-        """Begins a stream; returns its attempt and the version it ran at."""
+        """Begins a stream; returns its attempt and the version it came from."""
         attempt = f'a{next(self._numbers)}'
-        status, _, body = sites.send(
+        status, headers, body = sites.send(
             self, 'POST', path, attempt=attempt, number=number
         )
         assert status == 200, body
-        (version,) = self.versions(attempt)
-        return attempt, version
+        return attempt, self._delivered_version(attempt, headers)
 
     def begin_each(self, count: int, number: int = 0) -> dict[str, str]:
         """Begins streams; returns their versions by attempt."""
         return dict(self.begin(number) for _ in range(count))
 
+    def try_begin(self, number: int = 0) -> tuple[str, str]:
+        """Asks for a stream; returns its attempt and version, '' if it fails."""
+        attempt = f'a{next(self._numbers)}'
+        status, headers, _ = sites.send(
+            self, 'POST', '/chat/x', attempt=attempt, number=number
+        )
+        if status != 200:
+            return attempt, ''
+        return attempt, self._delivered_version(attempt, headers)
+
     def resume(
         self, resumes: str, number: int = 0, path: str = '/chat/x'
     ) -> tuple[int, str, str]:
@@ -110,6 +119,24 @@
         """Returns the versions of the decode workers that ran an attempt."""
         return decode_versions(list(self.workers.values()), attempt)
 
+    def _delivered_version(self, attempt: str, headers: dict[str, str]) -> str:
+        """Returns the version of all servers that sent a part of a stream.
+
+        They are the one that the response names and those that went on behind
+        it. What others ran from the beginning did not reach the caller.
+        """
+        name, _, _ = headers['foxtaildale-response-stamp'].partition('.')
+        versions = {self.workers[name].version} | {
+            worker.version
+            for worker in self.workers.values()
+            if worker.stage == 'decode'
+            for req in worker.ran
+            if req.headers.get('foxtaildale-attempt-id') == attempt
+            and 'last-event-id' in req.headers
+        }
+        (version,) = versions
+        return version
+
     def break_streams(self) -> None:
         """Lets each stream break off once, behind its second event."""
         broken: set[str] = set()
