A page of a topic without records is its end only where the topic ends

A response of the store without a length may end early with its connection. A page cut before its first record looked like the end of the topic, so that saved origins behind it counted as read (has_all) and a stream of theirs as one of the default version.

--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -13,6 +13,7 @@
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import positions
 from foxtaildale import forwarding
 from foxtaildale import routes
 from foxtaildale_adapters import connectors
@@ -179,6 +180,15 @@
         store._decode_log(data[:-cut], 0)
 
 
+def test_a_page_without_records_ends_the_topic_only_at_its_end() -> None:
+    """Guards against a page that broke off before its first record."""
+    data = struct.pack('>QQ', 9, 0)
+    at_end = positions.make(2, 9)
+    assert store._decode_log(data, at_end).end == at_end
+    with pytest.raises(errors.DecodeError):
+        store._decode_log(data, at_end - 1)
+
+
 def test_a_page_is_decoded() -> None:
     value = base64.b64encode(b'v').decode()
     page = store._decode_page(
