--- a/tests/test_platform_codec.py
+++ b/tests/test_platform_codec.py
@@ -13,8 +13,8 @@
 import pytest
 
 from foxtaildale import errors
-from foxtaildale import positions
 from foxtaildale import forwarding
+from foxtaildale import positions
 from foxtaildale import routes
 from foxtaildale_adapters import connectors
 from foxtaildale_platform import caller_requests
