--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -13,6 +13,7 @@
 from foxtaildale_adapters import connections
 from foxtaildale_adapters import peers
 from foxtaildale_platform import store
+from foxtaildaled import origin_reports
 from foxtaildaled import origin_store
 from tests import site as sites
 from tests import versionsite
@@ -141,10 +142,15 @@
 
 
 @pytest.mark.parametrize('fault', ['rejects', 'closes', 'silent'])
+@pytest.mark.parametrize('saving_vms', [0, 16])
 def test_streams_begun_while_the_store_takes_no_writes_mix_no_versions(
-    site: versionsite.VersionSite, fault: keyedstore.AppendFault
+    site: versionsite.VersionSite,
+    monkeypatch: pytest.MonkeyPatch,
+    saving_vms: int,
+    fault: keyedstore.AppendFault,
 ) -> None:
     """Guards against first events of a stream that could not be saved."""
+    monkeypatch.setattr(origin_reports, 'MAX_SAVING_VMS', saving_vms)
     site.fill(2, ('v1', 'v1'))
     _add(site, 'v2')
     for router in site.routers:
