--- a/tests/soakversions.py
+++ b/tests/soakversions.py
@@ -6,9 +6,9 @@
 streams must go on at least half as often as new ones begin. Another writer
 leaves odd records in each topic.
 
-With --severe, all routers are also ended at once while versions come and go, and
-one is suspended or loses the store meanwhile; callers then resume their streams
-as soon as they can.
+With --severe, all routers are also ended at once while versions come and go, at
+times after the store took no writes for a while, and one is suspended or loses the
+store meanwhile; callers then resume their streams as soon as they can.
 """
 
 import collections
@@ -29,6 +29,7 @@
 from tests import oddentries
 from tests import site as sites
 from tests import versionsite
+from tests.standins import keyedstore
 from tests.standins import serving
 from tests.standins import wireworker
 
@@ -76,6 +77,8 @@
         self._rng = random.Random(seed)
         # Draws odd records; the other faults of a seed stay as they are.
         self._odd = random.Random(-seed)
+        # The same for writes that fail.
+        self._unsaved = random.Random(f'unsaved {seed}')
         self._names = iter(range(1_000_000))
         self._attempts = iter(range(1_000_000))
         self._ends = threading.Event()
@@ -187,10 +190,17 @@
         if not changes:
             changes = (self._replace, self._change_versions, self._release)
         routers = self.site.routers
+        if self._unsaved.random() < 0.5:
+            self.counts['ended without saves'] += 1
+            self.site.store.append_fault = self._unsaved.choice(
+                keyedstore.APPEND_FAULTS
+            )
+            time.sleep(self._unsaved.uniform(0.1, 2.0))
         self._troubled.update(range(_ROUTERS))
         for router in routers:
             router.send_signal(signal.SIGKILL)
         time.sleep(self._rng.uniform(0.1, 0.5))
+        self.site.store.append_fault = ''
         self._rng.choice(changes)()
         for router in routers:
             if router.process is not None:
--- a/tests/standins/keyedstore.py
+++ b/tests/standins/keyedstore.py
@@ -24,6 +24,7 @@
 
 # What becomes of a write: a refusal, a close, or no reply.
 AppendFault = Literal['', 'rejects', 'closes', 'silent']
+APPEND_FAULTS: Final[tuple[AppendFault, ...]] = ('rejects', 'closes', 'silent')
 
 
 class KeyedStore:
--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -141,7 +141,7 @@
         assert (origin.version if origin else unsaved[2]) == version
 
 
-@pytest.mark.parametrize('fault', ['rejects', 'closes', 'silent'])
+@pytest.mark.parametrize('fault', keyedstore.APPEND_FAULTS)
 @pytest.mark.parametrize('saving_vms', [0, 16])
 def test_streams_begun_while_the_store_takes_no_writes_mix_no_versions(
     site: versionsite.VersionSite,
