First events wait for their save also while the default version has no server

What callers saw: a service was replaced by v3 as a whole; the store took no writes; all entry VMs ended, and servers of v1 came back meanwhile. Streams that v3 had begun went on at v1 (ORDER).

Cause: first events were still sent unsaved while the default version had no server, since such a stream would be refused when it is resumed. It is not if the servers come back first.

Fix: whether an event is sent unsaved depends on the default version alone, not on its servers. As all streams of the service may need a save then, a slow store must not end them: the wait is 1.1 s in place of 0.5 s, and only a save that failed, not one that was late, lets new streams be refused at once (origin-unsaved).

--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -191,6 +191,14 @@
     'Not run: it is not known at which software version the stream began'
     ' (versions: {versions}, age of the list of servers: {list_age_ms} ms).',
 )
+ORIGIN_UNSAVED: Final = Code(
+    'origin-unsaved',
+    503,
+    'no',
+    'Not run: the store takes no writes, so it could not be told later at which'
+    ' software version the stream began, and version {software}, whose streams'
+    ' need no write, has no live backend server.',
+)
 QUARANTINED: Final = Code(
     'quarantined',
     503,
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -53,7 +53,7 @@
 MAX_SAVE_WAIT_S: Final = 0.1
 # Further time for which a first event waits if its stream would be taken for one
 # of another version as long as it is not saved, seconds.
-MAX_LATE_SAVE_WAIT_S: Final = 0.4
+MAX_LATE_SAVE_WAIT_S: Final = 1.0
 
 
 class OriginFinder:
@@ -115,7 +115,7 @@
             lambda state, now: len(state.fleet.versions(service, now)) > 1
         )
         wait_s = MAX_REPORT_WAIT_S if is_mixed else 0.0
-        other = self._serving_default(req) if must_save else ''
+        other = self._unsaved_version(req) if must_save else ''
         is_held = other not in ('', version)
         is_saved = self._reports.record(
             origin,
@@ -156,29 +156,40 @@
         )
 
     def _bind_new(self, req: routed_request.RoutedRequest) -> None:
-        """Binds a new stream to the default version while saves are late."""
+        """Binds a new stream to the default version while saves are late.
+
+        Raises:
+            attempt_state.RequestRefused: Saves fail, and the default version
+                has no servers.
+        """
         if not req.route.resumable or self._reports.saves_in_time():
             return
-        default = self._serving_default(req)
-        if default:
+        default = self._unsaved_version(req)
+        if not default:
+            return
+        service = req.service.name
+        versions = self._owner.run(
+            lambda state, now: state.fleet.accepting_versions(service, now)
+        )
+        if default in versions:
             req.software_version = default
             req.log('default version only', software=default)
+        elif versions and self._reports.saves_fail():
+            raise attempt_state.RequestRefused(
+                codes.ORIGIN_UNSAVED, software=default
+            )
 
-    def _serving_default(self, req: routed_request.RoutedRequest) -> str:
+    def _unsaved_version(self, req: routed_request.RoutedRequest) -> str:
         """Returns the version for which an unsaved stream would be taken.
 
-        Empty if it would be refused, as it is if that version has no servers.
+        Its servers may be gone, and come back before the stream is resumed.
+
+        Returns:
+            The version; empty if the stream would be refused.
         """
-        service = req.service.name
-        default = self._defaults.unsaved_version(service)
-        if not default or len(req.route.targets) != 1:
+        if len(req.route.targets) != 1:
             return ''
-        is_serving = self._owner.run(
-            lambda state, now: (
-                default in state.fleet.accepting_versions(service, now)
-            )
-        )
-        return default if is_serving else ''
+        return self._defaults.unsaved_version(req.service.name)
 
     def answer(self, msg: messages.OriginRequest) -> messages.OriginReply:
         """Handles the request of another VM for an origin."""
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -57,8 +57,8 @@
 # confirmations that are queued.
 CONFIRM_TIMEOUT_S: Final = 0.1
 MAX_CONFIRMATIONS: Final = 256
-# Time after a save that failed or was late in which new streams begin at the
-# default version, seconds. A failed save is repeated within a shorter time.
+# Time after a save that failed or was late in which the next ones are expected to
+# fail or to be late, seconds. A failed save is repeated within a shorter time.
 SAVE_FAULT_S: Final = 2.0
 # Maximum number of origins that wait for a report, and of those in a batch.
 _MAX_PENDING: Final = 4096
@@ -95,8 +95,9 @@
         '_peers',
         '_pending',
         '_requested_by',
-        '_save_fault_until',
         '_save_now_at',
+        '_saves_fail_until',
+        '_saves_late_until',
         '_share_at',
         '_store',
         '_unsaved',
@@ -132,8 +133,9 @@
         self._share_at = 0.0
         # When origins that no other VM gets are saved next, seconds.
         self._save_now_at = 0.0
-        # Until when saves are expected to fail, seconds.
-        self._save_fault_until = 0.0
+        # Until when saves are expected to fail, and to be late, seconds.
+        self._saves_fail_until = 0.0
+        self._saves_late_until = 0.0
         # Set as soon as an own origin is reported, or saved if that is what its
         # first event waits for; by stream.
         self._awaited: dict[int, threading.Event] = {}
@@ -201,7 +203,8 @@
         if done.wait(wait_s):
             return True
         if must_save:
-            self._record_save_fault()
+            with self._lock:
+                self._saves_late_until = self._clock() + SAVE_FAULT_S
         if saver == 'receiver':
             # Its confirmation, or the receiver itself, may be lost.
             self._save_later([(now, origin)])
@@ -223,7 +226,12 @@
     def saves_in_time(self) -> bool:
         """Whether the origin of a new stream will probably be saved in time."""
         with self._lock:
-            return self._clock() >= self._save_fault_until
+            return self._clock() >= self._saves_late_until
+
+    def saves_fail(self) -> bool:
+        """Whether it will probably not be saved at all."""
+        with self._lock:
+            return self._clock() < self._saves_fail_until
 
     def start(self) -> None:
         """Starts the thread that sends confirmations."""
@@ -359,7 +367,9 @@
         self._save_now_at = self._clock() + MIN_SAVE_INTERVAL_S
         origins = _with_ages(batch, self._clock())
         if not self._store.save(self._entry_vm, origins):
-            self._record_save_fault()
+            with self._lock:
+                self._saves_fail_until = self._clock() + SAVE_FAULT_S
+                self._saves_late_until = self._saves_fail_until
             self._save_later(batch)
             return
         streams = [origin.stream for _, origin in batch]
@@ -478,10 +488,6 @@
             ]
         return [item for item in taken if item[0] >= oldest]
 
-    def _record_save_fault(self) -> None:
-        with self._lock:
-            self._save_fault_until = self._clock() + SAVE_FAULT_S
-
     def _save_later(self, group: list[_Began]) -> None:
         with self._lock:
             self._unsaved.extend(group)
--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -167,6 +167,25 @@
     _check(site, began, (200, ''))
 
 
+def test_unsaved_streams_mix_no_versions_as_the_default_one_comes_back(
+    site: versionsite.VersionSite,
+) -> None:
+    """Guards against unsaved streams while the default version has no server."""
+    site.fill(2, ('v1', 'v1'))
+    _add(site, 'v2')
+    for name in ('d0', 'd1'):
+        site.remove(name)
+    site.store.append_fault = 'rejects'
+    tried = dict(site.try_begin() for _ in range(_STREAMS))
+    began = {key: version for key, version in tried.items() if version}
+    _end_all(site)
+    site.store.append_fault = ''
+    _add(site, 'v1')
+    _start_all(site)
+    for attempt, version in began.items():
+        assert site.resume(attempt)[2] in ('', version)
+
+
 @pytest.mark.parametrize('has_store', [True, False])
 def test_a_vm_that_is_out_of_step_mixes_no_versions(
     site: versionsite.VersionSite,
