--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -132,9 +132,12 @@
     def bind(self, req: routed_request.RoutedRequest) -> None:
         """Binds a resumed stream to the service and version that began it.
 
+        A new stream is bound to the default version while saves are late.
+
         Raises:
             attempt_state.RequestRefused: The version is not known, and servers
-                of several versions may have begun the stream.
+                of several versions may have begun the stream; or a new stream
+                could not be saved.
         """
         call = req.caller_request
         if not call.resumes and not call.after_event:
--- a/packages/daemon/foxtaildaled/origin_reports.py
+++ b/packages/daemon/foxtaildaled/origin_reports.py
@@ -229,7 +229,7 @@
             return self._clock() >= self._saves_late_until
 
     def saves_fail(self) -> bool:
-        """Whether it will probably not be saved at all."""
+        """Whether the origin of a new stream will probably not be saved."""
         with self._lock:
             return self._clock() < self._saves_fail_until
 
