--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -17,6 +17,7 @@
 from foxtaildale_adapters import backend_request
 from foxtaildale_adapters import connection_relay
 from foxtaildale_adapters import connectors
+from foxtaildale_adapters import http_client
 from foxtaildale_adapters import idle_connections
 
 _RESET: Final = struct.pack('ii', 1, 0)
@@ -205,3 +206,41 @@
     finally:
         if relay is not None:
             relay.close()
+
+
+def _call_new(address: str) -> None:
+    http_client.HttpClient().send(address, 'GET', '/', timeout_s=_TIMEOUT_S)
+
+
+def _call_kept(address: str) -> None:
+    client = http_client.HttpClient()
+    for _ in range(2):
+        client.send(address, 'GET', '/', timeout_s=_TIMEOUT_S)
+
+
+def _open_stream(address: str) -> None:
+    http_client.send_request(
+        http_client.stream_pool(address),
+        'GET',
+        '/',
+        connect_timeout_s=_TIMEOUT_S,
+        read_timeout_s=_TIMEOUT_S,
+    )
+
+
+@pytest.mark.parametrize('call', [_call_new, _call_kept, _open_stream])
+@pytest.mark.parametrize('head', _HEADS)
+@pytest.mark.parametrize('resets', [False, True])
+def test_a_broken_head_is_no_response_to_other_calls(
+    server: _Server,
+    resets: bool,
+    head: str,
+    call: Callable[[str], None],
+) -> None:
+    """Guards against a broken head of the store, a control call or a stream."""
+    server.resets = resets
+    server.responds_first = call is _call_kept
+    for size in range(0, len(_HEADS[head]), 3):
+        server.sent = _HEADS[head][:size]
+        with pytest.raises(errors.NoReplyError):
+            call(server.address)
