Count the unfinished events of streams in the memory budget

Cause: the limit of one event bounds nothing if the number of streams is not bounded; bodies of plain responses asked the budget, streams did not. What was read and not sent yet of a stream is now counted, and the largest is broken off where memory runs short, as with plain bodies.

The new test fails on the parent (nothing is counted) and passes.

--- a/packages/core/foxtaildale/sse.py
+++ b/packages/core/foxtaildale/sse.py
@@ -84,6 +84,11 @@
         """Whether the start of an incomplete event is buffered."""
         return bool(self._incomplete)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Size of the start of an incomplete event that is buffered, bytes."""
+        return len(self._incomplete)
+
     def discard_incomplete_event(self) -> None:
         """Discards an incomplete event before the stream is resumed."""
         self._incomplete.clear()
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -7,6 +7,8 @@
 is resumed at another worker if the route allows that.
 """
 
+from collections.abc import Iterator
+import contextlib
 import random
 from typing import Final
 
@@ -17,6 +19,7 @@
 from foxtaildale import ports
 from foxtaildale import retry_delays
 from foxtaildale import routes
+from foxtaildale import sse
 from foxtaildale_adapters import byte_budget
 from foxtaildaled import actors
 from foxtaildaled import attempt_state
@@ -309,23 +312,33 @@
         """
         splitter = response.splitter
         splitter.discard_incomplete_event()
-        event_count = 0
-        while True:
-            limit_s = self._await_data(req, response, flight, sent_ids)
-            chunk = flight.read_chunk(limit_s)
-            if not chunk:
-                break
-            complete_events = splitter.feed(chunk)
-            if not complete_events:
-                continue
-            if not response.started:
-                self._start_response(req, response, head)
-            event_count += 1
-            if req.is_overdue():
-                raise errors.NoReplyError('the stream outlasts its deadline')
-            if not req.exchange.send(complete_events):
-                req.caller_disconnected.set()
-                raise errors.NoReplyError('the caller has disconnected')
+        block_count = 0
+        with self._event_memory(req, splitter, flight, sent_ids[-1]) as held:
+            while True:
+                limit_s = self._await_data(req, response, flight, sent_ids)
+                chunk = flight.read_chunk(limit_s)
+                if not chunk:
+                    break
+                complete_events = splitter.feed(chunk)
+                size = len(complete_events) + splitter.incomplete_bytes
+                if not held.grow(size):
+                    raise errors.NoReplyError(
+                        f'no memory for {size} bytes of events'
+                    )
+                if not complete_events:
+                    continue
+                if not response.started:
+                    self._start_response(req, response, head)
+                block_count += 1
+                if req.is_overdue():
+                    raise errors.NoReplyError(
+                        'the stream outlasts its deadline'
+                    )
+                if not req.exchange.send(complete_events):
+                    req.caller_disconnected.set()
+                    raise errors.NoReplyError('the caller has disconnected')
+                if splitter.incomplete_bytes <= byte_budget.SMALL_BYTES:
+                    held.release()
         if splitter.has_incomplete_event:
             raise errors.NoReplyError('the stream ended within an event')
         if not response.started:
@@ -334,11 +347,39 @@
         req.record_response(
             head.status,
             complete=complete,
-            blocks=event_count,
+            blocks=block_count,
             position=splitter.position,
             **head.log_fields(),
         )
 
+    @contextlib.contextmanager
+    def _event_memory(
+        self,
+        req: routed_request.RoutedRequest,
+        splitter: sse.Splitter,
+        flight: ports.ServerExchange,
+        server: str,
+    ) -> Iterator[byte_budget.Reservation]:
+        """Counts the memory of what was read of a stream and not sent yet.
+
+        Other responses may take it, which breaks the stream off.
+        """
+        with self._byte_budget.for_response(flight.cancel) as held:
+            try:
+                yield held
+            except errors.PortError:
+                if held.was_refused():
+                    splitter.discard_incomplete_event()
+                    req.request_metrics.refused_bodies.add(1, 'response')
+                    req.log(
+                        'response refused',
+                        server=server,
+                        bytes=held.length,
+                        held=self._byte_budget.used,
+                        limit=int(self._byte_budget.limit),
+                    )
+                raise
+
     def _start_response(
         self,
         req: routed_request.RoutedRequest,
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -57,6 +57,10 @@
         # bytes that it adds to them otherwise.
         self.endless = False
         self.more_bytes = 0
+        # Bytes of an event that a stream begins with and ends only as
+        # `unfinished_until` is set.
+        self.unfinished_bytes = 0
+        self.unfinished_until = threading.Event()
         # Whether its responses have a length or chunks, whether it responds
         # twice, with which status, 0 for the same, and how long after the first
         # response, seconds.
@@ -231,6 +235,11 @@
         self, req: serving.Request, attempt: str, start: int
     ) -> Iterator[bytes]:
         self.on_run(req)
+        if self.unfinished_bytes:
+            for _ in range(0, self.unfinished_bytes, _BLOCK_BYTES):
+                yield b'a' * _BLOCK_BYTES
+            self.unfinished_until.wait()
+            yield b'\n\n'
         for number in range(start + 1, self.events + 1):
             if self.break_after is not None and number > self.break_after:
                 # In the middle of an event.
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -32,6 +32,8 @@
 _MEMORY_BYTES: Final = 128 * _MB
 _LIMIT: Final = _MEMORY_BYTES * byte_budget.MEMORY_FRACTION
 _LARGE_REQUESTS: Final = 16
+_UNFINISHED_STREAMS: Final = 40
+_UNFINISHED_BYTES: Final = 14 * 65_536
 # Bytes that a sender offers, and time in which they arrive if there is room for
 # them, seconds.
 _OFFERED_BYTES: Final = 64 * _MB
@@ -273,6 +275,43 @@
     sites.until(lambda: router.body_bytes() == 0)
 
 
+def test_events_without_end_cost_sound_responses_nothing(
+    site: sites.Site,
+) -> None:
+    """Guards against unfinished events of many streams that use up memory."""
+    bad = [site.worker(f'd{number}', 'model', 'decode') for number in range(5)]
+    for worker in bad:
+        worker.unfinished_bytes = _UNFINISHED_BYTES
+    _start(site)
+    router = site.routers[0]
+    names = [f'e{number}' for number in range(_UNFINISHED_STREAMS)]
+    with (
+        futures.ThreadPoolExecutor(_UNFINISHED_STREAMS + 8) as pool,
+        contextlib.ExitStack() as stack,
+    ):
+        for worker in bad:
+            stack.callback(worker.unfinished_until.set)
+        streams = [
+            pool.submit(sites.send, site, 'POST', '/single/x', attempt=name)
+            for name in names
+        ]
+        sites.until(lambda: router.body_bytes() > _LIMIT / 2)
+        plain = [
+            pool.submit(_send, site, f'plain-{number}') for number in range(8)
+        ]
+        assert {one.result()[0] for one in plain} == {200}
+        peak = router.body_bytes()
+        stack.close()
+        found = [stream.result() for stream in streams]
+    ran = sum(len(worker.ids()) for worker in bad)
+    assert ran * _UNFINISHED_BYTES > _LIMIT / 2
+    assert peak <= _LIMIT * (1 + byte_budget.EXCESS_FRACTION)
+    whole = [body for status, _, body in found if status == 200]
+    assert 0 < len(whole) < _UNFINISHED_STREAMS
+    assert all(body.endswith(b'-5\n\n') for body in whole)
+    sites.until(lambda: router.body_bytes() == 0)
+
+
 class _BlockExchange(server_client.ServerExchange):
     """A response of some blocks."""
 
