--- a/packages/adapters/foxtaildale_adapters/http_client.py
+++ b/packages/adapters/foxtaildale_adapters/http_client.py
@@ -27,7 +27,8 @@
 
 # Maximum timeout for opening a connection, seconds.
 CONNECT_TIMEOUT_S: Final = 1.0
-# Maximum size of a response body, which is read into memory; bytes.
+# Maximum size of a response body, which is read into memory, unless the
+# request sets another one; bytes.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # Maximum idle time of the connections that are reused, seconds. The server also
 # closes idle connections, and a request sent on a closing connection is lost.
@@ -88,6 +89,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         reuse: bool = True,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Sends one request and reads the complete response.
 
@@ -105,6 +107,7 @@
                 closes during the send, it is unknown whether the request
                 arrived, so a request that must not be repeated uses a new
                 connection.
+            max_body_bytes: Maximum size of the response body, bytes.
 
         Raises:
             errors.UnreachableError: Nothing was sent.
@@ -124,7 +127,9 @@
             )
             try:
                 body_s = body_timeout_s or timeout_s
-                data = self._read(resp, timeout_s, self._clock() + body_s)
+                data = self._read(
+                    resp, timeout_s, self._clock() + body_s, max_body_bytes
+                )
             except BaseException:
                 resp.close()
                 raise
@@ -142,6 +147,7 @@
         resp: urllib3.BaseHTTPResponse,
         timeout_s: float,
         deadline: float,
+        max_bytes: int,
     ) -> bytes:
         chunks: list[bytes] = []
         size = 0
@@ -152,10 +158,8 @@
                 return b''.join(chunks)
             chunks.append(chunk)
             size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                raise errors.NoReplyError(
-                    f'response exceeds {MAX_BODY_BYTES} bytes'
-                )
+            if size > max_bytes:
+                raise errors.NoReplyError(f'response exceeds {max_bytes} bytes')
             # The socket's timeout doesn't limit a server that sends slowly.
             if self._clock() > deadline:
                 raise ResponseTimeoutError('response not complete in time')
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -11,6 +11,7 @@
 import pytest
 
 from foxtaildale import errors
+from foxtaildale import forwarding
 from foxtaildale import sse
 from foxtaildale_adapters import backend_request
 from foxtaildale_adapters import connectors
@@ -128,6 +129,17 @@
         reader(address)
 
 
+def test_a_control_call_has_a_small_maximum_size() -> None:
+    """Guards against many control calls whose bodies use up the memory."""
+    body = b'{"hold":"%b"}' % (b'h' * server_client.MAX_CONTROL_BODY_BYTES)
+    head = _HEAD + b'Content-Length: %d\r\n\r\n' % len(body)
+    with _server(head + body, b'') as address:
+        server = forwarding.Backend(id='w1', service='s', address=address)
+        client = server_client.ServerClient(connectors.DirectConnector())
+        with pytest.raises(errors.NoReplyError, match='exceeds'):
+            client.reserve(server, 1, 1.0)
+
+
 class _EndlessExchange(server_client.ServerExchange):
     """A body of large chunks without end."""
 
