Bound what a relay buffers for all connections together

256 connections could hold 256 KB each for a VM that does not read while a server sends without end: 67 MB, of 88 MB on a small VM. They share 8 MB now.

--- a/packages/adapters/foxtaildale_adapters/connection_relay.py
+++ b/packages/adapters/foxtaildale_adapters/connection_relay.py
@@ -48,6 +48,8 @@
 MAX_CONNECTIONS: Final = 256
 # Bytes that wait for one end above which the other end is not read.
 MAX_BUFFERED_BYTES: Final = 262_144
+# Part of that for all connections; each has an equal share.
+MAX_TOTAL_BUFFERED_BYTES: Final = 8 * 1024 * 1024
 _POLL_S: Final = 1.0
 _MAX_REQUEST_BYTES: Final = 1024
 _READ_BYTES: Final = 65_536
@@ -439,7 +441,7 @@
         return _LENGTH.pack(len(payload)) + payload
 
     def _read_near(self, conn: _Connection) -> None:
-        data = conn.near.recv(_READ_BYTES)
+        data = conn.near.recv(self._room(conn.to_far))
         if not data:
             # The requesting side never closes only its sending direction.
             self._close(conn)
@@ -450,13 +452,24 @@
 
     def _read_far(self, conn: _Connection) -> None:
         assert conn.far is not None
-        data = conn.far.recv(_READ_BYTES)
+        data = conn.far.recv(self._room(conn.to_near))
         conn.active_at = self._clock()
         if data:
             conn.to_near += data
         else:
             conn.far_ended = True
 
+    def _max_buffered_bytes(self) -> int:
+        """Returns how much may wait for one end of a connection."""
+        # Each connection has two ends.
+        share = MAX_TOTAL_BUFFERED_BYTES // (2 * max(1, len(self._connections)))
+        return min(MAX_BUFFERED_BYTES, share)
+
+    def _room(self, waiting: bytearray) -> int:
+        """Returns how many more bytes may wait for one end; at least one."""
+        room = self._max_buffered_bytes() - len(waiting)
+        return max(1, min(_READ_BYTES, room))
+
     def _flush(self, conn: _Connection) -> None:
         """Sends what is buffered, and waits for what is to come."""
         assert conn.far is not None
@@ -488,7 +501,7 @@
     ) -> None:
         """Registers for the events that let one end make progress."""
         wanted = 0
-        if not ended and received_bytes < MAX_BUFFERED_BYTES:
+        if not ended and received_bytes < self._max_buffered_bytes():
             wanted |= selectors.EVENT_READ
         if unsent:
             wanted |= selectors.EVENT_WRITE
--- a/tests/test_connection_relay.py
+++ b/tests/test_connection_relay.py
@@ -17,6 +17,8 @@
 
 _LARGE = b'abcdefgh' * 250_000
 _RESET = struct.pack('ii', 1, 0)
+_SLOW_READERS = 120
+_MAX_RELAYED_BYTES = 10_000_000
 
 
 class _Gate:
@@ -131,6 +133,31 @@
     server.close()
 
 
+def test_many_slow_readers_use_little_memory(
+    relay: connection_relay.Relay,
+) -> None:
+    """Guards against bodies without end that fill a relay's memory."""
+
+    def handle(conn: socket.socket) -> None:
+        for _ in range(20):
+            conn.sendall(_LARGE)
+
+    server = _Server(handle)
+    with contextlib.ExitStack() as stack:
+        for _ in range(_SLOW_READERS):
+            opened = connection_relay.connect_through(
+                relay.address, server.address, 1.0
+            )
+            stack.enter_context(opened.sock)
+        peaks = []
+        end = time.monotonic() + 1.0
+        while time.monotonic() < end:
+            peaks.append(relay.buffered_bytes())
+            time.sleep(0.01)
+    server.close()
+    assert max(peaks) <= _MAX_RELAYED_BYTES
+
+
 def test_a_reset_of_the_server_is_no_regular_end(
     relay: connection_relay.Relay,
 ) -> None:
