--- a/tests/test_open_connections.py
+++ b/tests/test_open_connections.py
@@ -27,6 +27,8 @@
 # Grace time of a stop that ends before the requests do, seconds.
 _SHORT_GRACE_S: Final = 4.0
 _LONG_WORK_S: Final = 6.0
+# Times over the whole of that stop at which requests are sent, seconds.
+_LATE_TIMES_S: Final = tuple(0.2 + step * 0.2 for step in range(19))
 # Time by which a stopped router must have ended, seconds.
 _ENDS_S: Final = 9.0
 
@@ -149,6 +151,50 @@
         stopped.result(_ENDS_S)
 
 
+def _ask_once(
+    conn: http.client.HTTPConnection, attempt: str, sent_at: float
+) -> int:
+    """Sends a request that may run once only; status 0 if it has no answer."""
+    time.sleep(max(0.0, sent_at - time.monotonic()))
+    try:
+        conn.request('POST', '/once/x', headers=_headers(attempt, 14.0))
+        resp = conn.getresponse()
+        resp.read()
+    except (OSError, http.client.HTTPException):
+        return 0
+    return resp.status
+
+
+@pytest.mark.parametrize('work_s', [0.3, 1.6])
+def test_requests_late_in_a_stop_are_answered_or_run_nowhere(
+    site: sites.Site, work_s: float
+) -> None:
+    """Guards against late requests that are passed on and cut with the process."""
+    _allow_long_requests(site)
+    router = site.routers[0]
+    router.cfg = msgspec.structs.replace(router.cfg, grace_s=_SHORT_GRACE_S)
+    conns = [_open(site, 0) for _ in _LATE_TIMES_S]
+    for name in ('s1', 's2'):
+        site.workers[name].work_s = work_s
+    began_at = time.monotonic()
+    with futures.ThreadPoolExecutor(len(conns) + 1) as pool:
+        stopped = pool.submit(router.stop)
+        found = [
+            pool.submit(_ask_once, conn, f'late-{number}', began_at + sent_s)
+            for number, (conn, sent_s) in enumerate(
+                zip(conns, _LATE_TIMES_S, strict=True)
+            )
+        ]
+        statuses = [one.result(_ENDS_S) for one in found]
+        stopped.result(_ENDS_S)
+    ran = {name for key in ('s1', 's2') for name in site.workers[key].ids()}
+    for number, status in enumerate(statuses):
+        # The work may outlast the stop, which its caller is then told.
+        ends = (200, 504) if f'late-{number}' in ran else (0, 503, 504)
+        assert status in ends, (number, statuses)
+    assert 200 in statuses
+
+
 def _begin_stream(
     site: sites.Site,
     headers: dict[str, str],
