Test what proves unframed responses: relays, later connections, known services

A relayed part, a connection that was opened after the request, eight responses in a row of a known service (one more connection each at most), and the bounds of what is remembered.

--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -2,10 +2,20 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import contextlib
+import time
 from typing import Final
 
 import pytest
 
+from foxtaildale import errors
+from foxtaildale import messages
+from foxtaildale_adapters import backend_request
+from foxtaildale_adapters import connection_relay
+from foxtaildale_adapters import connectors
+from foxtaildale_adapters import idle_connections
+from foxtaildale_adapters import liveness
+from foxtaildale_adapters import unframed_services
 from tests import site as sites
 from tests.standins import restarting
 
@@ -69,3 +79,151 @@
     status, _, body = sites.send(site, 'POST', target, attempt='a1')
     assert server.restarts == 1
     assert not _looks_whole(status, body) or body == _WHOLE
+
+
+@pytest.mark.parametrize('target', ['/single/a', '/chat/a', *_PLAIN_TARGETS])
+def test_responses_of_a_known_service_reach_their_callers(
+    site: sites.Site,
+    start: Callable[[str], restarting.RestartingServer],
+    target: str,
+) -> None:
+    """Guards against sound responses that count as broken."""
+    server = start(target)
+    sites.send(site, 'POST', target, attempt='first')
+    requests, connections = server.requests, server.accepted
+    for number in range(8):
+        status, _, body = sites.send(site, 'POST', target, attempt=f'a{number}')
+        assert (status, body) == (200, _WHOLE)
+    assert server.requests - requests == 8
+    # One for the request, one for the proof.
+    assert server.accepted - connections <= 16
+
+
+class _Gate:
+    """Lets every connection pass."""
+
+    def refusal(self, _address: str) -> messages.RelayResult | None:
+        return None
+
+    def record(
+        self, _address: str, result: messages.RelayResult
+    ) -> messages.RelayResult:
+        return result
+
+
+class _RelayedConnector:
+    """Opens all connections through one VM."""
+
+    def __init__(self, relay_address: str) -> None:
+        self._relay_address = relay_address
+
+    def connect(self, address: str, timeout_s: float) -> connectors.Opened:
+        return connection_relay.connect_through(
+            self._relay_address, address, timeout_s
+        )
+
+
+@pytest.fixture
+def relay() -> Iterator[connection_relay.Relay]:
+    made = connection_relay.Relay(
+        '127.0.0.1:0',
+        connectors.DirectConnector(),
+        _Gate(),
+        time.monotonic,
+        'relay-1',
+    )
+    made.start()
+    with contextlib.closing(made):
+        yield made
+
+
+@pytest.fixture
+def server() -> Iterator[restarting.RestartingServer]:
+    with contextlib.closing(restarting.RestartingServer(_PARTS)) as made:
+        yield made
+
+
+def _shared(connector: connectors.Connector) -> liveness.Liveness:
+    return liveness.Liveness(
+        connector,
+        idle_connections.IdleConnections(time.monotonic),
+        path='/api/x',
+        attempt_header='foxtaildale-attempt-id',
+    )
+
+
+def _read(
+    server: restarting.RestartingServer, shared: liveness.Liveness
+) -> bytes:
+    request = backend_request.Request(
+        server.address,
+        'GET',
+        '/',
+        {},
+        b'',
+        connector=shared.connector,
+        watch=shared.watch(server.address, 's'),
+    )
+    try:
+        request.send(1.0)
+        request.read_head(1.0)
+        return b''.join(iter(lambda: request.read(1.0), b''))
+    finally:
+        request.close()
+
+
+@pytest.mark.parametrize('restart_after', [None, 1])
+def test_relayed_part_is_not_whole_if_its_server_restarts(
+    server: restarting.RestartingServer,
+    relay: connection_relay.Relay,
+    restart_after: int | None,
+) -> None:
+    """Guards against a relay that goes on while the server behind it ends."""
+    shared = _shared(_RelayedConnector(relay.address))
+    shared.unframed.record('s', framed=False)
+    server.restart_after = restart_after
+    if restart_after is None:
+        assert _read(server, shared) == _WHOLE
+        # An idle connection would hold up a stop of the relaying VM.
+        sites.until(lambda: relay.open_connections() == 0)
+        return
+    with pytest.raises(errors.ConnectionBrokenError):
+        _read(server, shared)
+
+
+def test_connection_opened_after_the_request_proves_nothing(
+    server: restarting.RestartingServer,
+) -> None:
+    """Guards against a proof by a process that began during the response."""
+    shared = _shared(connectors.DirectConnector())
+    watch = shared.watch(server.address, 's')
+    watch.start()
+    opened = shared.watch(server.address, 's')
+    shared.unframed.record('s', framed=False)
+    opened.start()
+    opened.close()
+    time.sleep(2 * idle_connections.MIN_IDLE_S)
+    assert not watch.is_server_running(1.0)
+    later = shared.watch(server.address, 's')
+    later.start()
+    assert later.is_server_running(1.0)
+
+
+def test_service_is_forgotten_after_framed_responses() -> None:
+    """Guards against connections that are opened for nothing for good."""
+    services = unframed_services.UnframedServices()
+    services.record('s', framed=False)
+    for _ in range(unframed_services.FRAMED_RESPONSES - 1):
+        services.record('s', framed=True)
+    assert 's' in services
+    services.record('s', framed=True)
+    assert 's' not in services
+
+
+def test_number_of_unframed_services_is_bounded() -> None:
+    """Guards against names of services that use up the memory."""
+    services = unframed_services.UnframedServices()
+    for number in range(unframed_services.MAX_SERVICES + 1):
+        services.record(f's{number}', framed=False)
+    assert 's0' not in services
+    assert 's1' in services
