Close the connections that were opened to prove a response complete

Servers reset connections beyond their limit, and each of 78 VMs kept what it had opened for reuse. A connection that a watch opened is now closed with its request; one that was kept already goes back.

--- a/packages/adapters/foxtaildale_adapters/liveness.py
+++ b/packages/adapters/foxtaildale_adapters/liveness.py
@@ -74,22 +74,31 @@
 class Watch:
     """Watches the server of one request; one thread uses it."""
 
-    __slots__ = ('_address', '_idle', '_service', '_shared', '_started_at')
+    __slots__ = (
+        '_address',
+        '_kept',
+        '_opened',
+        '_service',
+        '_shared',
+        '_started_at',
+    )
 
     def __init__(self, shared: Liveness, address: str, service: str) -> None:
         self._shared = shared
         self._address = address
         self._service = service
-        # Connection on which the server may be called; None if there is none.
-        self._idle: idle_connections.IdleConnection | None = None
+        # The connection on which the server may be called: one that is kept for
+        # reuse, or one of this watch; both None if there is none.
+        self._kept: idle_connections.IdleConnection | None = None
+        self._opened: server_connection.ServerConnection | None = None
         # Time before which a connection must have been opened, seconds.
         self._started_at = -math.inf
 
     def start(self) -> None:
         """Prepares the proof; called before the request is sent."""
         if self._service in self._shared.unframed:
-            self._idle = self._shared.idle_conns.pop(self._address)
-            if self._idle is None:
+            self._kept = self._shared.idle_conns.pop(self._address)
+            if self._kept is None:
                 self._open()
         self._started_at = time.monotonic()
 
@@ -108,13 +117,7 @@
                 error=str(exc),
             )
             return
-        self._idle = idle_connections.IdleConnection(
-            conn,
-            attempts=frozenset(),
-            opened_at=conn.opened_at,
-            idle_since=conn.opened_at,
-            usable_until=conn.opened_at + idle_connections.MAX_IDLE_S,
-        )
+        self._opened = conn
 
     def record_framing(self, *, framed: bool) -> None:
         """Records whether the response has a length or chunks."""
@@ -137,25 +140,25 @@
 
     def close(self) -> None:
         """Releases the connection; may be called more than once."""
-        idle, self._idle = self._idle, None
-        if idle is None:
-            return
-        opened = getattr(idle.conn, 'opened', None)
-        if opened is not None and opened.relay:
-            # An idle connection would hold up a stop of the VM that relays it.
-            idle.conn.close()
-        else:
-            self._shared.idle_conns.put_back(self._address, idle)
+        kept, self._kept = self._kept, None
+        opened, self._opened = self._opened, None
+        if kept is not None:
+            self._shared.idle_conns.put_back(self._address, kept)
+        if opened is not None:
+            # Servers limit the number of open connections.
+            opened.close()
 
     def _find_proof(self, timeout_s: float) -> str:
         """Returns which connection the server responded on; '' if on none."""
-        idle, self._idle = self._idle, None
-        if idle is not None and self._responds(idle.conn, timeout_s):
-            return 'watched'
-        idle = self._shared.idle_conns.pop(
+        if self._opened is not None and self._responds(self._opened, timeout_s):
+            return 'opened'
+        kept, self._kept = self._kept, None
+        if kept is not None and self._responds(kept.conn, timeout_s):
+            return 'kept'
+        kept = self._shared.idle_conns.pop(
             self._address, opened_before=self._started_at
         )
-        if idle is not None and self._responds(idle.conn, timeout_s):
+        if kept is not None and self._responds(kept.conn, timeout_s):
             return 'kept'
         return ''
 
