--- a/tests/soakschedule.py
+++ b/tests/soakschedule.py
@@ -28,6 +28,8 @@
 _SAYS: Final = ('worker-says', 'worker-rests')
 # Faults in the framing of responses, and of the connections that they come by.
 _RESPONSES: Final = ('worker-stutters', 'worker-unframed', 'worker-resets')
+# Servers without framing that end and are back at their address at once.
+_RETURNS: Final = ('worker-returns',)
 _FAULTS: Final = (
     'kill',
     'pause',
@@ -69,6 +71,7 @@
         found += _draw(random.Random(f'{seed}/copies'), _COPIES, 2)
         responses = random.Random(f'{seed}/responses')
         found += _draw(responses, _RESPONSES, 4)
+        found += _draw(random.Random(f'{seed}/returns'), _RETURNS, 2)
     return sorted(found, key=lambda fault: fault.at)
 
 
--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -27,6 +27,8 @@
 
 _PARTS: Final = (b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n')
 _WHOLE: Final = b''.join(_PARTS)
+# Time within which a probe's connection is accepted, seconds.
+_PROBED_S: Final = 0.5
 _PLAIN_TARGETS: Final = ('/once/a', '/safe/a')
 
 
@@ -96,6 +98,8 @@
     """Guards against sound responses that count as broken."""
     server = start(target)
     sites.send(site, 'POST', target, attempt='first')
+    # The router probes a server whose response broke off.
+    time.sleep(_PROBED_S)
     requests, connections = server.requests, server.accepted
     for number in range(8):
         status, _, body = sites.send(site, 'POST', target, attempt=f'a{number}')
