--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -177,11 +177,7 @@
 
 
 def listen_again(address: str) -> socket.socket:
-    """Listens at an address whose listener was just closed.
-
-    Raises:
-        OSError: Another one still listens after a second.
-    """
+    """Listens at an address whose listener was just closed."""
     host, _, port = address.rpartition(':')
     end = time.monotonic() + 1.0
     while True:
--- a/tests/standins/restarting.py
+++ b/tests/standins/restarting.py
@@ -22,12 +22,7 @@
 
 
 class RestartingServer:
-    """Sends the parts of a body; restarts behind a part if that is set.
-
-    Args:
-        parts: Parts of each body, in order.
-        is_stream: Whether the responses are streams of events.
-    """
+    """Sends the parts of each body; restarts behind a part if that is set."""
 
     def __init__(
         self, parts: tuple[bytes, ...], *, is_stream: bool = False
--- a/tests/test_unframed_responses.py
+++ b/tests/test_unframed_responses.py
@@ -262,10 +262,7 @@
 
 
 def _make_known(site: sites.Site, target: str) -> None:
-    """Lets the router see that the service has unframed responses.
-
-    Nothing proves the first one of them complete.
-    """
+    """Sends the first request of a service, whose response has no proof."""
     _, _, body = sites.send(site, 'POST', target, attempt='first')
     assert body == b'(cut)' or b'"code"' in body
 
