Relays that name no process prove no unframed response complete

Cause: `is_running` compared the names in two replies of a relay.

Ruled out as an effect inside one build: each relay of this build is named (`incarnations.make`), so that no play of one build meets it.

Change: a connection whose relay named no process is not known to go on.

--- a/packages/adapters/foxtaildale_adapters/connection_relay.py
+++ b/packages/adapters/foxtaildale_adapters/connection_relay.py
@@ -117,6 +117,9 @@
             regularly, too, if the relaying process is killed.
         address: 'IP:PORT' of the backend server.
     """
+    if not opened.incarnation:
+        # Relays of older builds name no process.
+        return False
     for _ in range(MAX_PROBES):
         try:
             again = connect_through(opened.relay, address, PROBE_TIMEOUT_S)
--- a/tests/test_connection_relay.py
+++ b/tests/test_connection_relay.py
@@ -262,6 +262,24 @@
     server.close()
 
 
+@pytest.mark.parametrize('name', ['relay-1', ''])
+def test_only_a_relay_that_names_its_process_is_known_to_go_on(
+    gate: _Gate, name: str
+) -> None:
+    """Guards against a restarted relay of an old build, taken for the same."""
+    relay = connection_relay.Relay(
+        '127.0.0.1:0', connectors.DirectConnector(), gate, time.monotonic, name
+    )
+    relay.start()
+    server = _Server(lambda conn: None)
+    opened = connection_relay.connect_through(
+        relay.address, server.address, 1.0
+    )
+    with contextlib.closing(relay), opened.sock:
+        assert connection_relay.is_running(opened, server.address) == bool(name)
+    server.close()
+
+
 @pytest.mark.parametrize('refusal', ['isolated', 'unknown', 'closing', 'busy'])
 def test_a_refusal_names_its_reason(
     relay: connection_relay.Relay,
