--- a/tests/test_lost_versions.py
+++ b/tests/test_lost_versions.py
@@ -20,6 +20,8 @@
 from tests.standins import keyedstore
 
 _STREAMS = 12
+# Time in which each VM learns that saves are late, seconds.
+_LEARN_S = 24.0
 
 
 @pytest.fixture
@@ -169,7 +171,7 @@
         found.update(map(site.try_begin, learning))
         return not learning
 
-    sites.until(are_late, 2 * _STREAMS)
+    sites.until(are_late, _LEARN_S)
     later = dict(site.try_begin(number % 2) for number in range(_STREAMS))
     assert set(later.values()) == {'v1'}
     began = later | {key: found[key] for key in found if found[key]}
