--- a/packages/adapters/foxtaildale_adapters/liveness.py
+++ b/packages/adapters/foxtaildale_adapters/liveness.py
@@ -8,7 +8,7 @@
 
 A request to a service with unframed responses takes a connection that is kept
 for reuse, or opens one. Before the first unframed response of a service it does
-not, and a connection that is still kept behind the end has to do.
+neither, so that only a connection that is still kept after the end can be used.
 """
 
 import http.client
