--- a/packages/core/foxtaildale/codes.py
+++ b/packages/core/foxtaildale/codes.py
@@ -196,8 +196,8 @@
     503,
     'no',
     'Not run: the store takes no writes, so it could not be told later at which'
-    ' software version the stream began, and version {software}, whose streams'
-    ' need no write, has no live backend server.',
+    ' software version the stream began, and no version whose streams need no'
+    ' write is known to have a live backend server.',
 )
 QUARANTINED: Final = Code(
     'quarantined',
--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -540,6 +540,12 @@
                 'retired',
             ),
         ),
+        (
+            'default versions copied',
+            'the default versions of {services} services were copied from'
+            ' another entry VM, which read them {read_age_ms} ms before',
+            ('services', 'read_age_ms', 'asked', 'replied'),
+        ),
         (
             'default versions not followed',
             'the default versions could not be read or written: {error}',
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -565,6 +565,30 @@
     origin: StreamOrigin | None = None
 
 
+class DefaultVersionsRequest(Wire, frozen=True):
+    """Asks another entry VM for the default versions that it has read."""
+
+
+class ReadDefaultVersion(msgspec.Struct, frozen=True, array_like=True):
+    """The default version of a service as an entry VM read it."""
+
+    # Record of the topic of default versions.
+    value: bytes
+    # Versions that have had servers ever since then.
+    listed: tuple[str, ...]
+
+
+class DefaultVersionsReply(Wire, frozen=True):
+    """Reply to `DefaultVersionsRequest`."""
+
+    # Position in the topic of default versions as of the last read.
+    end: int
+    # Time since that read began, milliseconds; -1 if there was none.
+    age_ms: int = -1
+    # By service.
+    defaults: dict[str, ReadDefaultVersion] = {}
+
+
 class Crash(Wire, frozen=True):
     """A request that was running on a server when the server crashed."""
 
@@ -813,6 +837,8 @@
     | OriginsSaved
     | OriginRequest
     | OriginReply
+    | DefaultVersionsRequest
+    | DefaultVersionsReply
     | ServerFailureReport
     | CrashReports
     | SendTokensRequest
--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -1,7 +1,8 @@
 """The default version of each service in the store (`default_versions`).
 
 One entry VM, the coordinator of the topic, writes changes. The others read the
-topic when the versions of a service change, and when a stream is resumed.
+topic when the versions of a service change, and when a stream is resumed. A VM
+that can't read it copies what other VMs have read, so that it can begin streams.
 """
 
 import logging
@@ -14,6 +15,7 @@
 from foxtaildale import decoding
 from foxtaildale import default_versions
 from foxtaildale import errors
+from foxtaildale import messages
 from foxtaildale import ports
 from foxtaildale import positions
 from foxtaildale import routes
@@ -35,6 +37,10 @@
 RETRY_INTERVAL_S: Final = 1.0
 # Maximum wait for the read of another request, seconds.
 MAX_WAIT_S: Final = 0.6
+# Number of VMs that are asked for what they have read, and longest wait for their
+# replies, seconds.
+ASKED_VMS: Final = 3
+REPLY_TIMEOUT_S: Final = 0.25
 # Maximum age of the list of servers by which a default version is changed,
 # seconds.
 MAX_LIST_AGE_S: Final = 1.5
@@ -77,9 +83,11 @@
         '_lock',
         '_origins',
         '_owner',
+        '_peers',
         '_read_began_at',
         '_read_lock',
         '_reader',
+        '_values',
         '_writer',
     )
 
@@ -90,6 +98,7 @@
         writer: ports.KeyedTopics,
         owner: actors.StateOwner[router_state.RouterState],
         coordinators: coordinator_client.CoordinatorClient,
+        peers: ports.PeerGroup,
         origins: origin_store.OriginStore,
         clock: ports.Clock,
         first_start: bool = False,
@@ -98,6 +107,7 @@
         self._writer = writer
         self._owner = owner
         self._coordinators = coordinators
+        self._peers = peers
         self._origins = origins
         self._clock = clock
         # Until when no stream can have begun before this process was started,
@@ -111,9 +121,11 @@
         self._read_lock = threading.Lock()
         # Guards the fields below, and is never held during a read.
         self._lock = threading.Lock()
-        # By service.
+        # By service, and the records that they were decoded from.
         self._defaults: dict[str, default_versions.DefaultVersion] = {}
-        # Versions that had servers when the topic was last read, by service.
+        self._values: dict[str, bytes] = {}
+        # Versions that have had servers ever since the topic was last read, by
+        # service.
         self._listed_at_read: dict[str, frozenset[str]] = {}
         # Position of the next record, and whether the topic was read before.
         self._end = 0
@@ -140,18 +152,16 @@
                 and version in self._listed_at_read.get(service, ())
             )
 
-    def unsaved_version(self, service: str) -> str:
-        """Returns the version for which an unsaved stream would be taken.
+    def default(self, service: str) -> str:
+        """Returns the version of streams that need not be saved.
 
-        Empty if it would be refused.
+        Empty if this VM does not know one, so that all streams have to be saved.
         """
         with self._lock:
             default = self._defaults.get(service)
-            if default is None or not default.is_settled:
-                return ''
-            if default.epoch != positions.epoch(self._end):
-                return ''
-            return default.version
+        if default is None or not self.is_default(service, default.version):
+            return ''
+        return default.version
 
     def read(self, service: str) -> default_versions.DefaultVersion | None:
         """Reads the default version of a service; None if it has none.
@@ -167,9 +177,10 @@
     def update(self) -> None:
         """Follows the versions of the services; run by a loop."""
         now = self._clock()
+        versions = self._owner.run(_read_versions)
+        self._drop_unlisted(versions)
         if now < self._failed_until:
             return
-        versions = self._owner.run(_read_versions)
         try:
             if self._needs_read(now, versions):
                 self._refresh()
@@ -183,6 +194,95 @@
                 'default versions not followed',
                 error=str(exc),
             )
+            self._copy_from_peer()
+
+    def answer(
+        self, _: messages.DefaultVersionsRequest
+    ) -> messages.DefaultVersionsReply:
+        """Handles the request of another VM for what this one has read."""
+        with self._lock:
+            if not self._has_read:
+                return messages.DefaultVersionsReply(end=0)
+            return messages.DefaultVersionsReply(
+                end=self._end,
+                age_ms=int((self._clock() - self._read_began_at) * 1000),
+                defaults={
+                    service: messages.ReadDefaultVersion(
+                        value, tuple(self._listed_at_read.get(service, ()))
+                    )
+                    for service, value in self._values.items()
+                },
+            )
+
+    def _drop_unlisted(
+        self, versions: dict[str, tuple[_Versions, float]]
+    ) -> None:
+        """Drops versions that have lost their servers since the last read.
+
+        The default version may be another one when they come back.
+        """
+        with self._lock:
+            self._listed_at_read = {
+                service: listed & versions[service][0][0].keys()
+                for service, listed in self._listed_at_read.items()
+                if service in versions
+            }
+
+    def _copy_from_peer(self) -> None:
+        """Takes over what another VM has read since the last own read."""
+        addresses = self._coordinators.successor_addresses(
+            COORDINATOR_SUBJECT, ASKED_VMS
+        )
+        if not addresses:
+            addresses = self._owner.run(lambda state, _: state.peers())
+        asked_at = self._clock()
+        replies = [
+            reply
+            for reply in self._peers.request_all(
+                addresses[:ASKED_VMS],
+                messages.DefaultVersionsRequest(),
+                REPLY_TIMEOUT_S,
+            ).values()
+            if isinstance(reply, messages.DefaultVersionsReply)
+            and reply.age_ms >= 0
+        ]
+        if not replies:
+            return
+        newest = min(replies, key=lambda reply: (-reply.end, reply.age_ms))
+        began_at = asked_at - newest.age_ms / 1000
+        listed = self._listed()
+        with self._lock:
+            if began_at <= self._read_began_at or newest.end < self._end:
+                return
+            self._values.clear()
+            self._defaults.clear()
+            for service, found in newest.defaults.items():
+                self._record(service, found.value)
+            self._end = newest.end
+            self._has_read = True
+            self._read_began_at = began_at
+            self._listed_at_read = {
+                service: frozenset(found.listed)
+                & listed.get(service, frozenset())
+                for service, found in newest.defaults.items()
+            }
+        logs.event(
+            logging.INFO,
+            'default versions copied',
+            services=len(newest.defaults),
+            read_age_ms=newest.age_ms,
+            asked=len(addresses[:ASKED_VMS]),
+            replied=len(replies),
+        )
+
+    def _listed(self) -> dict[str, frozenset[str]]:
+        """Returns the versions that have servers now, by service."""
+        return {
+            service: frozenset(found)
+            for service, ((found, _), _) in self._owner.run(
+                _read_versions
+            ).items()
+        }
 
     def _needs_read(
         self, now: float, versions: dict[str, tuple[_Versions, float]]
@@ -274,24 +374,16 @@
             began_at = self._clock()
             if began_at < self._failed_until:
                 raise errors.NoReplyError('a recent read failed')
-            listed = {
-                service: frozenset(found)
-                for service, ((found, _), _) in self._owner.run(
-                    _read_versions
-                ).items()
-            }
+            listed = self._listed()
             self._failed_until = began_at + RETRY_INTERVAL_S
             found, is_snapshot = self._read()
             self._failed_until = -math.inf
-            defaults = {
-                entry.key: default
-                for entry in found.entries
-                if (default := _decode(entry.key, entry.value)) is not None
-            }
             with self._lock:
                 if is_snapshot:
                     self._defaults.clear()
-                self._defaults |= defaults
+                    self._values.clear()
+                for entry in found.entries:
+                    self._record(entry.key, entry.value)
                 self._end = found.end
                 self._has_read = True
                 self._read_began_at = began_at
@@ -299,6 +391,13 @@
         finally:
             self._read_lock.release()
 
+    def _record(self, service: str, value: bytes) -> None:
+        """Records what was read; the caller holds the lock."""
+        default = _decode(service, value)
+        if default is not None:
+            self._defaults[service] = default
+            self._values[service] = value
+
     def _read(self) -> tuple[ports.KeyedRecords, bool]:
         """Returns new records, and whether they are all that there are."""
         if self._has_read:
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -107,16 +107,17 @@
         # only service of its route. A resumed stream is known by its first
         # attempt.
         call = req.caller_request
+        is_default = self._defaults.is_default(service, version)
         must_save = not (call.resumes and call.after_event) and not (
-            len(req.route.targets) == 1
-            and self._defaults.is_default(service, version)
+            len(req.route.targets) == 1 and is_default
         )
         is_mixed = self._owner.run(
             lambda state, now: len(state.fleet.versions(service, now)) > 1
         )
         wait_s = MAX_REPORT_WAIT_S if is_mixed else 0.0
-        other = self._unsaved_version(req) if must_save else ''
-        is_held = other not in ('', version)
+        # What this VM does not know of the default version may be known where
+        # the stream is resumed, and what is not settled may be settled by then.
+        is_held = must_save and not is_default
         is_saved = self._reports.record(
             origin,
             MAX_SAVE_WAIT_S if must_save else wait_s,
@@ -126,7 +127,11 @@
         if is_held and not is_saved:
             # The save may still take effect, so that this attempt must not begin
             # at another version. Its caller's next one may.
-            req.log('stream not begun', software=version, default=other)
+            req.log(
+                'stream not begun',
+                software=version,
+                default=self._defaults.default(service),
+            )
             raise attempt_state.RequestRefused(codes.FAILED)
 
     def bind(self, req: routed_request.RoutedRequest) -> None:
@@ -162,37 +167,20 @@
         """Binds a new stream to the default version while saves are late.
 
         Raises:
-            attempt_state.RequestRefused: Saves fail, and the default version
-                has no servers.
+            attempt_state.RequestRefused: Saves fail, and no default version
+                with servers is known.
         """
         if not req.route.resumable or self._reports.saves_in_time():
             return
-        default = self._unsaved_version(req)
-        if not default:
-            return
         service = req.service.name
-        versions = self._owner.run(
-            lambda state, now: state.fleet.accepting_versions(service, now)
-        )
-        if default in versions:
+        default = self._defaults.default(service)
+        if default:
             req.software_version = default
             req.log('default version only', software=default)
-        elif versions and self._reports.saves_fail():
-            raise attempt_state.RequestRefused(
-                codes.ORIGIN_UNSAVED, software=default
-            )
-
-    def _unsaved_version(self, req: routed_request.RoutedRequest) -> str:
-        """Returns the version for which an unsaved stream would be taken.
-
-        Its servers may be gone, and come back before the stream is resumed.
-
-        Returns:
-            The version; empty if the stream would be refused.
-        """
-        if len(req.route.targets) != 1:
-            return ''
-        return self._defaults.unsaved_version(req.service.name)
+        elif self._reports.saves_fail() and self._owner.run(
+            lambda state, now: state.fleet.accepting_versions(service, now)
+        ):
+            raise attempt_state.RequestRefused(codes.ORIGIN_UNSAVED)
 
     def answer(self, msg: messages.OriginRequest) -> messages.OriginReply:
         """Handles the request of another VM for an origin."""
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -312,6 +312,7 @@
             writer=self._make_store(adapters),
             owner=owner,
             coordinators=self._coordinators,
+            peers=self._peers,
             origins=origins,
             clock=clock,
             first_start=cfg.first_start,
@@ -420,6 +421,7 @@
             messages.OriginReport: self._origin_reports.apply_report,
             messages.OriginsSaved: self._origin_reports.apply_confirmation,
             messages.OriginRequest: self._origin_finder.answer,
+            messages.DefaultVersionsRequest: self._default_versions.answer,
             messages.DumpRequest: lambda _: messages.DumpReply(
                 state=self._dump()
             ),
--- a/tests/site.py
+++ b/tests/site.py
@@ -112,8 +112,9 @@
         connector: connectors.Connector | None = None,
         threads: int = 8,
         memory_bytes: float = options.DEFAULT_MEMORY_BYTES,
+        store_address: str = '',
     ) -> router_daemon.RouterDaemon:
-        """Starts a router."""
+        """Starts a router; by default at the store of the site."""
         self._number += 1
         self._ports.append(soakrouter.Ports(1))
         peer = f'127.0.0.1:{self._ports[-1].numbers[0]}'
@@ -125,7 +126,7 @@
             ready_address='127.0.0.1:0',
             peer_address=peer,
             admin_host='127.0.0.1',
-            store=self.store.address,
+            store=store_address or self.store.address,
             seeds=seeds,
             retry_burst=retry_burst,
             first_start=first_start,
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -369,6 +369,7 @@
             writer=self.defaults_log,
             owner=self.owner,
             coordinators=coordinators,
+            peers=self.peers,
             origins=store,
             clock=self._clock,
         )
