--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -39,6 +39,7 @@
 from foxtaildale_adapters import disconnects
 from foxtaildale_adapters import logs
 from foxtaildale_adapters import queue_delays
+from foxtaildale_adapters import request_grammar
 from foxtaildale_adapters import wakes
 
 # Maximum number of idle connections that stay open.
@@ -69,7 +70,6 @@
 # Values of SO_LINGER with which a close sends a reset, and does not.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 _NO_LINGER: Final = struct.pack('ii', 0, 0)
-_HEX_DIGITS: Final = b'0123456789abcdefABCDEF'
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_TIMEOUT: Final = 408
 # Refusals after which the same request may be served soon.
@@ -94,41 +94,73 @@
 )
 
 
-class _HeaderReader(server.HeaderReader):
-    """Rejects request heads that another parser could read differently."""
+class _LineRecorder:
+    """Passes lines on and keeps the last one."""
 
-    def __call__(
-        self,
-        rfile: connection_files.Reader,
-        hdict: dict[bytes, bytes] | None = None,
-    ) -> dict[bytes, bytes]:
-        headers: dict[bytes, bytes] = {} if hdict is None else hdict
+    __slots__ = ('_reader', 'line')
+
+    def __init__(self, reader: connection_files.Reader) -> None:
+        self._reader = reader
+        self.line = b''
+
+    def readline(self) -> bytes:
+        """Reads a line."""
+        self.line = self._reader.readline()
+        return self.line
+
+
+class _Request(server.HTTPRequest):
+    """Refuses what is no request by the grammar, with typed JSON errors.
+
+    The library reads heads more loosely than the standard, and so does each
+    check of single forms: what another parser could read differently is
+    refused before any of it is used.
+    """
+
+    def read_request_line(self) -> bool:
+        """Reads the first line; returns whether it is valid."""
+        reader = self.rfile
+        self.rfile = recorder = _LineRecorder(reader)
+        try:
+            is_valid: bool = super().read_request_line()  # type: ignore[no-untyped-call]
+        finally:
+            self.rfile = reader
+        if is_valid and not request_grammar.REQUEST_LINE.fullmatch(
+            recorder.line
+        ):
+            self.simple_response('400 Bad Request', 'Malformed Request-Line')
+            return False
+        return is_valid
+
+    def header_reader(
+        self, rfile: connection_files.Reader, headers: dict[bytes, bytes]
+    ) -> None:
+        """Reads the headers; replaces a reader of the library.
+
+        Raises:
+            ValueError: They are malformed, or two parsers may see two ends of
+                the body.
+        """
         size = 0
         while (line := rfile.readline()) != b'\r\n':
             size += len(line)
             if size > connection_files.MAX_HEAD_BYTES:
                 raise ValueError('the request head is too long')
-            if not line.endswith(b'\r\n'):
-                raise ValueError(
-                    'a line of the request head does not end in CRLF'
-                )
-            name, colon, value = line.partition(b':')
-            if not colon or not name or name.strip(b' \t') != name:
+            field = request_grammar.FIELD_LINE.fullmatch(line)
+            if field is None:
                 raise ValueError('a line of the request head is not a header')
-            name, value = name.title(), value.strip()
+            name, value = field[1].title(), field[2]
             if name not in headers:
                 headers[name] = value
             elif name in _UNIQUE_HEADERS or name.startswith(HEADER_PREFIX):
                 raise ValueError(f'header {name.decode("latin-1")} is repeated')
             else:
                 headers[name] += b', ' + value
-        return headers
-
-
-class _Request(server.HTTPRequest):
-    """Sends errors as typed JSON where the library sends plain text."""
-
-    header_reader = _HeaderReader()
+        request_grammar.check_framing(
+            self.request_protocol,
+            headers.get(b'Content-Length'),
+            headers.get(b'Transfer-Encoding'),
+        )
 
     def simple_response(self, status: str, msg: str = '') -> None:
         number = int(str(status)[:3])
@@ -321,11 +353,7 @@
 
 
 class _ChunkReader:
-    """Validates the size lines of a chunked body.
-
-    The library's int() accepts '-5' as the end of the body and '0x5' as a
-    size, so a malformed body would be accepted as complete.
-    """
+    """Validates the size lines of a chunked body."""
 
     __slots__ = ('_reader', 'read')
 
@@ -336,9 +364,10 @@
     def readline(self) -> bytes:
         """Reads the size line of a chunk."""
         line = self._reader.readline()
-        size = line.split(b';')[0].strip()
-        if size.strip(_HEX_DIGITS):
-            raise ValueError('a chunk size is not a hexadecimal number')
+        if len(line) >= connection_files.MAX_HEAD_BYTES:
+            raise cheroot_errors.MaxSizeExceeded
+        if not request_grammar.CHUNK_LINE.fullmatch(line):
+            raise ValueError('the size line of a chunk is malformed')
         return line
 
 
@@ -410,9 +439,6 @@
 
     def _read_sized_body(self, held: byte_budget.Reservation) -> bytes:
         length = self.req.inheaders.get(b'Content-Length', b'0')
-        # The library's int() also accepts '-1', which reads to the end.
-        if not length.isdigit():
-            raise ValueError('the Content-Length header is not a number')
         if not held.reserve(int(length)):
             raise _NoRoomError(int(length))
         data: bytes = self.req.rfile.read()
@@ -423,10 +449,6 @@
         return data
 
     def _read_chunked_body(self, held: byte_budget.Reservation) -> bytes:
-        if b'Content-Length' in self.req.inheaders:
-            raise ValueError(
-                'Content-Length and Transfer-Encoding exclude each other'
-            )
         # The reads are small because the library concatenates the chunks of a
         # read one by one, which is quadratic in the size of the read.
         chunks = []
@@ -438,8 +460,9 @@
             if not held.grow(size):
                 raise _NoRoomError(size)
         self.req.rfile.rfile = self.req.conn.rfile
-        for _ in self.req.rfile.read_trailer_lines():
-            pass
+        for line in self.req.rfile.read_trailer_lines():
+            if not request_grammar.FIELD_LINE.fullmatch(line):
+                raise ValueError('a trailer of the body is malformed')
         # No second request is read from this connection, since the caller
         # might see the end of the body at another position.
         self.req.close_connection = True
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -55,7 +55,7 @@
         self.query = dict(urllib.parse.parse_qsl(raw.qs.decode()))
         # Names in lower case.
         self.headers = {
-            name.decode().lower(): value.decode()
+            name.decode().lower(): value.decode('latin-1')
             for name, value in raw.inheaders.items()
         }
         length = int(self.headers.get('content-length', '0'))
