--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -46,19 +46,36 @@
 # Maximum number of reports that are passed on at once.
 MAX_REPORTS: Final = 256
 
+# Minimum time between two crashes of one start by the list, seconds: the server has
+# started again, and its new entry is not read yet.
+MIN_RESTART_S: Final = 0.3
+# Maximum delay of a report that is passed on, seconds.
+_COPY_DELAY_S: Final = 0.5
+
 # One incarnation of a server: its id, and when it started, Unix milliseconds.
 _Incarnation = tuple[str, int]
+# A crash of an incarnation, and its number among those that the list does not tell
+# from each other.
+_Key = tuple[str, int, int]
 
 
 class _ServerCrash:
     """The crash of one incarnation of a server, and what ran there."""
 
-    __slots__ = ('_began_at', 'happened_at', 'reported_at', 'requests')
+    __slots__ = (
+        '_began_at',
+        'happened_at',
+        'is_proven',
+        'reported_at',
+        'requests',
+    )
 
     def __init__(self, reported_at: float, happened_at: float) -> None:
         # When the crash was first reported, and when it happened, seconds.
         self.reported_at = reported_at
         self.happened_at = happened_at
+        # Whether the list named a later start of the server.
+        self.is_proven = False
         # Reports of the requests that ran there, by fingerprint.
         self.requests: dict[int, messages.Crash] = {}
         # When each request began there, seconds, by fingerprint.
@@ -78,7 +95,10 @@
             began_at = min(began_at, self._began_at[request])
         self.requests[request] = crash
         self._began_at[request] = began_at
-        self.happened_at = min(self.happened_at, crashed_at)
+        if crash.is_proven:
+            self.is_proven = True
+        else:
+            self.happened_at = min(self.happened_at, crashed_at)
         last = self.happened_at + _DELAY_SPREAD_S
         for late_request in [
             one for one, at in self._began_at.items() if at > last
@@ -88,6 +108,29 @@
             longest = max(self.requests.values(), key=lambda ran: ran.ran_ms)
             self.drop(longest.fingerprint)
 
+    def precedes(self, crash: messages.Crash, crashed_at: float) -> bool:
+        """Whether a report is about a later crash, after another start.
+
+        A request that was sent after the crash and ended soon was sent on a
+        kept-alive connection that the crash had already broken.
+
+        Args:
+            crash: The report.
+            crashed_at: When the reported crash happened, seconds.
+        """
+        began_at = crashed_at - crash.ran_ms / 1000
+        known = self.requests.get(crash.fingerprint)
+        is_copy = (
+            known is not None
+            and known.ran_ms == crash.ran_ms
+            and crashed_at <= self.happened_at + _COPY_DELAY_S
+        )
+        return (
+            not is_copy
+            and began_at > self.happened_at + _DELAY_SPREAD_S
+            and crashed_at > self.happened_at + MIN_RESTART_S
+        )
+
     def drop(self, fingerprint: int) -> None:
         """Removes a request; does nothing if it is not present."""
         self.requests.pop(fingerprint, None)
@@ -138,25 +181,41 @@
 class Crashes:
     """Crashes of servers that entry VMs reported."""
 
-    __slots__ = ('_crashes',)
+    __slots__ = ('_crashes', '_numbers')
 
     def __init__(self) -> None:
         # The crashes that were reported first are at the front.
-        self._crashes: dict[_Incarnation, _ServerCrash] = {}
+        self._crashes: dict[_Key, _ServerCrash] = {}
+        # Number of the newest crash of each incarnation.
+        self._numbers: dict[_Incarnation, int] = {}
 
     def record(self, now: float, crash: messages.Crash) -> None:
         """Records a request that ran on a server when the server crashed."""
         incarnation = crash.server, crash.started_at
         crashed_at = now - crash.age_ms / 1000
-        server_crash = self._crashes.get(incarnation)
+        number = self._find_number(incarnation, crash, crashed_at)
+        key = (*incarnation, number)
+        server_crash = self._crashes.get(key)
         if server_crash is None:
-            server_crash = self._crashes[incarnation] = _ServerCrash(
-                now, crashed_at
-            )
+            server_crash = self._crashes[key] = _ServerCrash(now, crashed_at)
+            self._numbers[incarnation] = number
             if len(self._crashes) > MAX_CRASHES:
-                del self._crashes[next(iter(self._crashes))]
+                self._remove(next(iter(self._crashes)))
         server_crash.add(crash, crashed_at)
 
+    def _find_number(
+        self, incarnation: _Incarnation, crash: messages.Crash, at: float
+    ) -> int:
+        """Returns the number of the crash that a report is about."""
+        newest = self._numbers.get(incarnation)
+        if newest is None:
+            return 0
+        for number in range(newest + 1):
+            known = self._crashes.get((*incarnation, number))
+            if known is not None and not known.precedes(crash, at):
+                return number
+        return newest + 1
+
     def remove_request(self, fingerprint: int) -> None:
         """Removes a request that is not at fault."""
         for server_crash in self._crashes.values():
@@ -172,19 +231,25 @@
                 server=server,
                 started_at=started_at,
                 age_ms=int((now - server_crash.happened_at) * 1000),
+                number=number,
             )
-            for (server, started_at), server_crash in self._crashes.items()
+            for (
+                server,
+                started_at,
+                number,
+            ), server_crash in self._crashes.items()
             if now - server_crash.reported_at >= SETTLE_S
+            and not server_crash.is_proven
         ]
         return tuple(settled[-MAX_EXAMINED:])
 
-    def remove_servers(self, servers: Collection[str]) -> None:
+    def remove_servers(
+        self, refuted: Collection[messages.CrashedServer]
+    ) -> None:
         """Removes the crashes of servers that did not crash."""
-        self._crashes = {
-            incarnation: server_crash
-            for incarnation, server_crash in self._crashes.items()
-            if incarnation[0] not in servers
-        }
+        for one in refuted:
+            self._crashes.pop((one.server, one.started_at, one.number), None)
+        self._drop_numbers()
 
     def suspected_parts(
         self,
@@ -240,7 +305,8 @@
         ]
         blamed = []
         while (best := _likeliest(open_crashes)) is not None:
-            blamed.append(best)
+            if best not in already_blamed:
+                blamed.append(best)
             open_crashes = [
                 server_crash
                 for server_crash in open_crashes
@@ -274,10 +340,23 @@
         )
 
     def _expire(self, now: float) -> None:
-        for incarnation, server_crash in list(self._crashes.items()):
+        for key, server_crash in list(self._crashes.items()):
             if now - server_crash.reported_at <= CRASH_TTL_S:
                 break
-            del self._crashes[incarnation]
+            self._remove(key)
+
+    def _remove(self, key: _Key) -> None:
+        del self._crashes[key]
+        self._drop_numbers()
+
+    def _drop_numbers(self) -> None:
+        """Drops the numbers of incarnations without a crash."""
+        left = {(server, started_at) for server, started_at, _ in self._crashes}
+        self._numbers = {
+            incarnation: number
+            for incarnation, number in self._numbers.items()
+            if incarnation in left
+        }
 
 
 def is_likely_cause(crash: messages.Crash) -> bool:
--- a/packages/core/foxtaildale/fleet.py
+++ b/packages/core/foxtaildale/fleet.py
@@ -22,6 +22,7 @@
 from foxtaildale import backoffs
 from foxtaildale import departures
 from foxtaildale import forwarding
+from foxtaildale import server_uptimes
 from foxtaildale import stream_origins
 
 # How long a load report counts, seconds. Requests of plain services take about
@@ -87,7 +88,6 @@
         'load_own',
         'misdirected_until',
         'request_s',
-        'succeeded_at',
         'vanished_at',
     )
 
@@ -116,8 +116,6 @@
         self.failure_rate_at = -math.inf
         # Smoothed time of one request, seconds; 0 until one was measured.
         self.request_s = 0.0
-        # When it last completed a response to this entry VM, seconds.
-        self.succeeded_at = -math.inf
         # When it vanished from the list; None while it is listed.
         self.vanished_at: float | None = None
 
@@ -157,6 +155,7 @@
         '_version_seen_at',
         'backoffs',
         'departures',
+        'uptimes',
     )
 
     # By id of the server.
@@ -178,6 +177,8 @@
         self.departures = departures.Departures()
         # Servers that requested backoff.
         self.backoffs = backoffs.Backoffs()
+        # When servers ran, by their responses to this entry VM.
+        self.uptimes = server_uptimes.ServerUptimes()
 
     def put(self, backend: forwarding.Backend, now: float = 0.0) -> bool:
         """Applies a new or changed entry of the list.
@@ -227,15 +228,6 @@
         """Returns when a server's newest incarnation started; 0 if unknown."""
         return self._started_at.get(server, 0)
 
-    def succeeded_at(self, server: str) -> float:
-        """Returns when a server last completed a response to this entry VM.
-
-        Returns:
-            Seconds; minus infinity if it is not known.
-        """
-        state = self._states.get(server)
-        return -math.inf if state is None else state.succeeded_at
-
     def remove(self, server: str, now: float, *, store_healthy: bool) -> None:
         """Handles the removal of an entry from the list.
 
@@ -476,7 +468,6 @@
         state = self._states.get(server)
         if state is None:
             return
-        state.succeeded_at = now
         if took_s is not None:
             old_s = state.request_s or took_s
             state.request_s = old_s + _SMOOTHING * (took_s - old_s)
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -606,6 +606,9 @@
     # that other requests may share.
     service: str = ''
     parts: tuple[int, ...] = ()
+    # Whether the list named a later start of the server; the request had ended
+    # before, and `age_ms` counts from its end.
+    is_proven: bool = False
 
 
 class CrashReports(Wire, frozen=True):
@@ -646,6 +649,8 @@
     started_at: int
     # Time since the crash, milliseconds.
     age_ms: int
+    # Tells crashes of one start by the list from each other.
+    number: int = 0
 
 
 class CrashEvidenceRequest(Wire, frozen=True):
@@ -662,12 +667,15 @@
 class CrashEvidenceReply(Wire, frozen=True):
     """Reply to `CrashEvidenceRequest`."""
 
-    # Ids of those servers that completed a response after the crash.
+    # Ids of the servers in `refuted`; entry VMs of earlier versions know no more.
     running: tuple[str, ...]
     # Those of the parts that were in a request that completed recently.
     completed: tuple[int, ...] = ()
     # Whether any request of the service completed recently.
     service_completes: bool = False
+    # Those of the servers that did not crash: the same start of them completed
+    # a response later.
+    refuted: tuple[CrashedServer, ...] = ()
 
 
 class ServerSendRequest(Wire, frozen=True, tag='SendAsk'):
--- a/packages/daemon/foxtaildaled/crash_evidence.py
+++ b/packages/daemon/foxtaildaled/crash_evidence.py
@@ -27,6 +27,9 @@
 # How long after a crash a response must complete to show that the server did not
 # crash, seconds: a slow VM reads the end of a response late.
 RUNNING_MARGIN_S: Final = 0.3
+# Time from a server's start until the list has its new entry, seconds. An older
+# list does not tell whether a server that responds has started again.
+NEW_ENTRY_S: Final = 2.0
 # Maximum number of servers in one log line.
 MAX_LOGGED_SERVERS: Final = 8
 
@@ -74,17 +77,17 @@
     ) -> messages.CrashEvidenceReply:
         """Returns what this VM knows against a decision."""
         now = self._clock()
-        running = self._owner.run(
+        refuted = self._owner.run(
             lambda state, _: tuple(
-                crashed.server
+                crashed
                 for crashed in msg.servers
-                if state.fleet.succeeded_at(crashed.server)
-                > now - crashed.age_ms / 1000 + RUNNING_MARGIN_S
+                if _is_refuted(state, crashed, now - crashed.age_ms / 1000)
             )
         )
         with self._lock:
             return messages.CrashEvidenceReply(
-                running=running,
+                running=_servers(refuted),
+                refuted=refuted,
                 completed=self._completions.completed(now, msg.parts),
                 service_completes=self._completions.has_completed(
                     now, msg.service
@@ -117,14 +120,16 @@
             for reply in received.values()
             if isinstance(reply, messages.CrashEvidenceReply)
         ]
+        refuted = _union(reply.refuted for reply in replies)
         known = messages.CrashEvidenceReply(
-            running=_union(reply.running for reply in replies),
+            running=_servers(refuted),
+            refuted=refuted,
             completed=_union(reply.completed for reply in replies),
             service_completes=any(reply.service_completes for reply in replies),
         )
 
         def record(state: router_state.RouterState, now: float) -> None:
-            state.quarantine_state.crashes.remove_servers(known.running)
+            state.quarantine_state.crashes.remove_servers(known.refuted)
             state.quarantine_state.record_cleared_parts(now, known.completed)
 
         self._owner.run(record)
@@ -143,6 +148,44 @@
         return known
 
 
+def _is_refuted(
+    state: router_state.RouterState,
+    crashed: messages.CrashedServer,
+    crashed_at: float,
+) -> bool:
+    """Whether a server did not crash, by the responses to this VM.
+
+    Args:
+        state: The state of this VM.
+        crashed: The server and its start.
+        crashed_at: When it is said to have crashed, seconds.
+    """
+    server, started_at = crashed.server, crashed.started_at
+    ran_since = state.fleet.uptimes.ran_since(
+        server, started_at, crashed_at + RUNNING_MARGIN_S
+    )
+    if ran_since <= crashed_at:
+        return True
+    # The process that responded was there when the list was written, so it is
+    # the one that the list names.
+    server_state = state.fleet.server_state(server)
+    current_at = state.servers_current_at
+    return (
+        started_at > 0
+        and server_state is not None
+        and server_state.listed.born == started_at
+        and current_at is not None
+        and current_at >= ran_since + NEW_ENTRY_S
+    )
+
+
+def _servers(
+    crashed: Iterable[messages.CrashedServer],
+) -> tuple[str, ...]:
+    """Returns the ids of servers, each once."""
+    return tuple(dict.fromkeys(one.server for one in crashed))
+
+
 def _union(collections: Iterable[Iterable[_Item]]) -> tuple[_Item, ...]:
     """Returns all items of some collections, each once."""
     return tuple(set(itertools.chain.from_iterable(collections)))
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -239,6 +239,7 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            sent_at = self._clock()
             req.log_relayed(server.id, flight.via)
             limit_s = self._await_data(req, response, flight, sent_ids)
             head = flight.read_head(limit_s)
@@ -290,9 +291,12 @@
             placement.event_count = (
                 response.splitter.position or 0
             ) - first_position
-        self._owner.run(
-            lambda state, now: state.fleet.record_success(server.id, now)
-        )
+
+        def record(state: router_state.RouterState, now: float) -> None:
+            state.fleet.record_success(server.id, now)
+            state.fleet.uptimes.record(server.id, server.born, sent_at, now)
+
+        self._owner.run(record)
         return True
 
     def _relay(
--- a/packages/daemon/foxtaildaled/plain_forwarder.py
+++ b/packages/daemon/foxtaildaled/plain_forwarder.py
@@ -7,6 +7,7 @@
 off can still be retried.
 """
 
+import math
 import random
 from typing import Final
 
@@ -308,6 +309,7 @@
             list_age_ms=self._owner.run(record_sent),
         )
         began_at = self._clock()
+        sent_at = math.inf
         head: forwarding.ResponseHead | None = None
         is_to_blame = True
         held = self._byte_budget.for_response(flight.cancel)
@@ -315,6 +317,7 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            sent_at = self._clock()
             req.log_relayed(server.id, flight.via)
             self._await_response(req, history, flight)
             head = flight.read_head(req.time_left_s())
@@ -344,6 +347,7 @@
                 server,
                 head,
                 self._clock() - began_at,
+                sent_at=sent_at,
                 is_to_blame=is_to_blame,
             )
 
@@ -418,6 +422,7 @@
         head: forwarding.ResponseHead | None,
         duration_s: float,
         *,
+        sent_at: float,
         is_to_blame: bool,
     ) -> None:
         """Records the outcome of a send.
@@ -427,6 +432,7 @@
             server: The server that it was sent to.
             head: Head of the response; None if there was no complete one.
             duration_s: Time of the send, seconds.
+            sent_at: When all of it was sent, seconds.
             is_to_blame: Whether the lack of a response counts as a failure of
                 the server.
         """
@@ -443,6 +449,7 @@
             else:
                 state.failure_rates.record(server.id, failed=False)
                 state.fleet.record_success(server.id, now, duration_s)
+                state.fleet.uptimes.record(server.id, server.born, sent_at, now)
 
         self._owner.run(update)
 
--- a/packages/daemon/foxtaildaled/prefill_clients.py
+++ b/packages/daemon/foxtaildaled/prefill_clients.py
@@ -201,6 +201,7 @@
         try:
             req.set_flight(flight)
             flight.send(left_s)
+            sent_at = self._clock()
             req.log_relayed(server.id, flight.via)
             head = flight.read_head(left_s)
             body = read_body(flight, left_s, self._clock, held)
@@ -232,11 +233,12 @@
                 lambda state, _: state.fleet.record_finished(server.id)
             )
         duration_s = self._clock() - began_at
-        self._owner.run(
-            lambda state, now: state.fleet.record_success(
-                server.id, now, duration_s
-            )
-        )
+
+        def record(state: router_state.RouterState, now: float) -> None:
+            state.fleet.record_success(server.id, now, duration_s)
+            state.fleet.uptimes.record(server.id, server.born, sent_at, now)
+
+        self._owner.run(record)
         req.log('prefilled', server=server.id, took_ms=int(duration_s * 1000))
         name = req.service.name
         req.request_metrics.prefill_seconds.observe((duration_s,), name)
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -150,6 +150,7 @@
         *,
         ran_s: float,
         parts: Iterable[int] = (),
+        ended_s: float | None = None,
     ) -> None:
         """Records a request that ran on a server when it crashed.
 
@@ -160,6 +161,9 @@
                 was sent, if the start is not known.
             parts: Fingerprints of the parts of its prompt that other requests
                 may share.
+            ended_s: Time since the request was given up, seconds, if the list
+                has named a later start of the server since; None if the
+                server crashed now.
         """
         # The smallest ones, if there are too many: all VMs choose alike.
         reported = sorted(
@@ -172,12 +176,13 @@
             ran_ms=int(ran_s * 1000),
             service=server.service,
             parts=tuple(reported[: part_blame.MAX_REPORTED_PARTS]),
+            is_proven=ended_s is not None,
         )
         now = self._clock()
         with self._lock:
             if now - self._completed.get(request, -math.inf) < COMPLETED_TTL_S:
                 return
-            self._pending.append((now, crash))
+            self._pending.append((now - (ended_s or 0.0), crash))
             del self._pending[:-MAX_PENDING_REPORTS]
         self.on_report()
 
@@ -281,7 +286,7 @@
             if found is None or self._clock() < self._query_parts_at:
                 break
             known = self._evidence.query(found)
-            if known.running or known.completed:
+            if known.refuted or known.completed:
                 # The suspicion was wrong; another one may remain.
                 continue
             if not known.service_completes:
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -19,6 +19,7 @@
 from foxtaildale import accounts
 from foxtaildale import allowances
 from foxtaildale import fingerprint
+from foxtaildale import forwarding
 from foxtaildale import incarnations
 from foxtaildale import messages
 from foxtaildale import options
@@ -214,7 +215,6 @@
             link_bytes_per_s=cfg.link_bytes_per_s,
         )
         self._open_flights = tracked_flights.OpenFlights()
-        self._state.on_restarted = self._open_flights.cancel_earlier
         owner = self._owner = actors.StateOwner(self._state, clock)
         self._peers = peers.Peers(_HEARTBEAT_S, _SILENCE_S)
         self._responder = zmq_responder.Responder(
@@ -346,6 +346,12 @@
         crash_probe = crash_detection.CrashDetector(
             self._server_paths, clock, self._quarantining.record_crash
         )
+
+        def handle_restart(server: forwarding.Backend) -> int:
+            crash_probe.handle_restart(server)
+            return self._open_flights.cancel_earlier(server)
+
+        self._state.on_restarted = handle_restart
         handler = router.Router(
             entry_vm=cfg.entry_vm,
             matcher=lambda: self._state.matcher,
--- a/tests/standins/crasher.py
+++ b/tests/standins/crasher.py
@@ -1,10 +1,11 @@
 """A backend server that ends when it begins to run certain requests.
 
-It is back at the same address after a while, under a new id, as the users' workers
-are. Its entry in the list is removed and written by this process.
+It is back at the same address after a while, under a new id or, with a new time of
+its start, under the same one. Its entry in the list is written by this process.
 """
 
 import threading
+import time
 from typing import Final
 
 from tests.standins import keyedstore
@@ -24,6 +25,10 @@
         store: keyedstore.KeyedStore,
         bad: str,
         back_s: float,
+        *,
+        keeps_id: bool = False,
+        runs_s: float = 0.0,
+        listed_after_s: float = 0.0,
     ) -> None:
         """Lists the server.
 
@@ -33,6 +38,10 @@
             bad: Part of the target, or id of a part of the prompt, of a request
                 that ends the server.
             back_s: Time until it is back, seconds.
+            keeps_id: Whether it is back under the same id.
+            runs_s: Time for which it runs such a request first, seconds.
+            listed_after_s: Time from its start until its new entry is written,
+                seconds.
         """
         self.worker = worker
         self.relay = relay.Relay(worker.address)
@@ -41,12 +50,17 @@
         self._store = store
         self._bad = bad
         self._back_s = back_s
+        self._keeps_id = keeps_id
+        self._runs_s = runs_s
+        self._listed_after_s = listed_after_s
         self._name = worker.name
         self._lock = threading.Lock()
         self._down = False
         self.crashes = 0
         # Those that a bad request brought about.
         self.bad_ends = 0
+        if keeps_id:
+            worker.born = _unix_ms()
         store.put(_SERVERS, worker.name, worker.entry())
 
     @property
@@ -82,19 +96,29 @@
 
     def _run(self, req: serving.Request) -> None:
         if has_part(req, self._bad):
+            time.sleep(self._runs_s)
             self.crash(bad=True)
             raise serving.Cut
 
     def _start(self) -> None:
         old = self.worker.name
-        self.worker.name = f'{self._name}-{self.crashes}'
+        if self._keeps_id:
+            self.worker.born = _unix_ms()
+        else:
+            self.worker.name = f'{self._name}-{self.crashes}'
         self.relay.start()
         with self._lock:
             self._down = False
-        self._store.put(_SERVERS, old, None)
+        time.sleep(self._listed_after_s)
+        if not self._keeps_id:
+            self._store.put(_SERVERS, old, None)
         self._store.put(_SERVERS, self.worker.name, self.worker.entry())
 
 
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 def has_part(req: serving.Request, part: str) -> bool:
     """Whether a request has a part in its target or its prompt."""
     prompt = req.headers.get('foxtaildale-prompt-prefix', '')
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -286,6 +286,7 @@
             record_sent=do_nothing,
             record_finished=do_nothing,
             record_success=do_nothing,
+            uptimes=types.SimpleNamespace(record=do_nothing),
         ),
         failure_rates=types.SimpleNamespace(record=lambda *_, **__: None),
         record_plain_failure=do_nothing,
