--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -346,7 +346,11 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
             self.rfile.set_deadline(self.discard_s)
-            while self.rfile.read1(connection_files.MAX_HEAD_BYTES):
+            end = time.monotonic() + self.discard_s
+            # The deadline of the file limits waits only.
+            while time.monotonic() < end and self.rfile.read1(
+                connection_files.MAX_HEAD_BYTES
+            ):
                 pass
         except OSError:
             pass
--- a/packages/daemon/foxtaildaled/generation.py
+++ b/packages/daemon/foxtaildaled/generation.py
@@ -323,6 +323,11 @@
                 chunk = flight.read_chunk(limit_s)
                 if not chunk:
                     break
+                # Each read may return buffered bytes at once, whatever its limit.
+                if req.is_overdue():
+                    raise errors.NoReplyError(
+                        'the stream outlasts its deadline'
+                    )
                 complete_events = splitter.feed(chunk)
                 size = len(complete_events) + splitter.incomplete_bytes
                 if not held.grow(size):
@@ -334,10 +339,6 @@
                 if not response.started:
                     self._start_response(req, response, head)
                 block_count += 1
-                if req.is_overdue():
-                    raise errors.NoReplyError(
-                        'the stream outlasts its deadline'
-                    )
                 if not req.exchange.send(complete_events):
                     req.caller_disconnected.set()
                     raise errors.NoReplyError('the caller has disconnected')
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -64,6 +64,12 @@
             # Its sender ended in the middle of it.
             raise Cut
 
+    def send_until_closed(self, data: bytes) -> None:
+        """Sends bytes again and again until the other side closes."""
+        with contextlib.suppress(OSError):
+            while True:
+                self._socket.sendall(data)
+
     def hung_up(self) -> bool:
         """Says whether the other side has closed the connection."""
         try:
--- a/tests/standins/wireworker.py
+++ b/tests/standins/wireworker.py
@@ -61,6 +61,9 @@
         # `unfinished_until` is set.
         self.unfinished_bytes = 0
         self.unfinished_until = threading.Event()
+        # Number of events of a stream behind which it goes on with chunks of one
+        # byte that end no event, as fast as they are read.
+        self.endless_after: int | None = None
         # Whether its responses have a length or chunks, whether it responds
         # twice, with which status, 0 for the same, and how long after the first
         # response, seconds.
@@ -241,6 +244,9 @@
             self.unfinished_until.wait()
             yield b'\n\n'
         for number in range(start + 1, self.events + 1):
+            if self.endless_after == number - 1:
+                req.send_until_closed(100 * b'1\r\nx\r\n')
+                raise serving.Cut
             if self.break_after is not None and number > self.break_after:
                 # In the middle of an event.
                 yield b'id: %d\nda' % number
