Relay: waiting bytes never pass the limit of all connections

Cause of test_many_slow_readers_use_little_memory, which failed now and then: each end of a relayed connection might hold an equal share of the total, as of the number of connections then. Those that were opened first kept larger shares. Ruled out: what the kernel holds is not counted there.

Change: half of the total is shared, and the other half is divided among all connections that there may be. So the sum never passes the limit, and early slow readers take nothing from later ones.

test_a_reset_that_a_send_reports_is_no_regular_end: its server reset the second connection too, now and then before it was connected, which is another reply. It resets the first one only; what is checked is as before, and that the second connection opens.

--- a/packages/adapters/foxtaildale_adapters/connection_relay.py
+++ b/packages/adapters/foxtaildale_adapters/connection_relay.py
@@ -48,8 +48,13 @@
 MAX_CONNECTIONS: Final = 256
 # Bytes that wait for one end above which the other end is not read.
 MAX_BUFFERED_BYTES: Final = 262_144
-# Part of that for all connections; each has an equal share.
+# Maximum of that for all connections together. A half of it is shared, and the
+# other one is divided among all connections that there may be, so that slow
+# readers take nothing from connections that are opened later.
 MAX_TOTAL_BUFFERED_BYTES: Final = 8 * 1024 * 1024
+MAX_SHARED_BYTES: Final = MAX_TOTAL_BUFFERED_BYTES // 2
+# Each connection has two ends.
+MIN_BUFFERED_BYTES: Final = MAX_SHARED_BYTES // (2 * MAX_CONNECTIONS)
 _POLL_S: Final = 1.0
 _MAX_REQUEST_BYTES: Final = 1024
 _READ_BYTES: Final = 65_536
@@ -167,6 +172,7 @@
         'is_connecting',
         'near',
         'request',
+        'shared_bytes',
         'to_far',
         'to_near',
     )
@@ -182,6 +188,8 @@
         # Bytes to be sent to each end.
         self.to_far = bytearray()
         self.to_near = bytearray()
+        # How many of them are in the shared part.
+        self.shared_bytes = 0
         # Whether the server closed its end regularly, and whether it takes no
         # more bytes; its response may still be read then.
         self.far_ended = False
@@ -207,6 +215,7 @@
         '_opened',
         '_pool',
         '_selector',
+        '_shared_bytes',
         '_stopping',
         '_thread',
         '_wake',
@@ -252,6 +261,8 @@
         ] = collections.deque()
         self._selector = selectors.DefaultSelector()
         self._connections: set[_Connection] = set()
+        # Waiting bytes of all connections in the shared part.
+        self._shared_bytes = 0
         self._stopping = False
         self._closing = False
         self._wake = wakes.WakeEvent()
@@ -452,6 +463,7 @@
         conn.active_at = self._clock()
         if not conn.far_broken:
             conn.to_far += data
+            self._count_shared(conn)
 
     def _read_far(self, conn: _Connection) -> None:
         assert conn.far is not None
@@ -459,19 +471,28 @@
         conn.active_at = self._clock()
         if data:
             conn.to_near += data
+            self._count_shared(conn)
         else:
             conn.far_ended = True
 
-    def _max_buffered_bytes(self) -> int:
-        """Returns how much may wait for one end of a connection."""
-        # Each connection has two ends.
-        share = MAX_TOTAL_BUFFERED_BYTES // (2 * max(1, len(self._connections)))
-        return min(MAX_BUFFERED_BYTES, share)
+    def _count_shared(self, conn: _Connection) -> None:
+        """Counts the bytes of a connection that are in the shared part."""
+        self._shared_bytes -= conn.shared_bytes
+        conn.shared_bytes = sum(
+            max(0, len(waiting) - MIN_BUFFERED_BYTES)
+            for waiting in (conn.to_far, conn.to_near)
+        )
+        self._shared_bytes += conn.shared_bytes
+
+    def _free_bytes(self, waiting_bytes: int) -> int:
+        """Returns how many more bytes may wait for one end."""
+        own = max(0, MIN_BUFFERED_BYTES - waiting_bytes)
+        shared = max(0, MAX_SHARED_BYTES - self._shared_bytes)
+        return min(own + shared, MAX_BUFFERED_BYTES - waiting_bytes)
 
     def _room(self, waiting: bytearray) -> int:
-        """Returns how many more bytes may wait for one end; at least one."""
-        room = self._max_buffered_bytes() - len(waiting)
-        return max(1, min(_READ_BYTES, room))
+        """Returns how many bytes to read for one end; at least one."""
+        return max(1, min(_READ_BYTES, self._free_bytes(len(waiting))))
 
     def _flush(self, conn: _Connection) -> None:
         """Sends what is buffered, and waits for what is to come."""
@@ -483,6 +504,7 @@
             conn.far_reset |= isinstance(exc, ConnectionResetError)
             conn.far_broken = True
             conn.to_far.clear()
+        self._count_shared(conn)
         if conn.far_ended and not conn.to_near:
             self._close(conn, abort=conn.far_reset)
             return
@@ -504,7 +526,7 @@
     ) -> None:
         """Registers for the events that let one end make progress."""
         wanted = 0
-        if not ended and received_bytes < self._max_buffered_bytes():
+        if not ended and self._free_bytes(received_bytes) > 0:
             wanted |= selectors.EVENT_READ
         if unsent:
             wanted |= selectors.EVENT_WRITE
@@ -534,7 +556,9 @@
             abort: Whether the requesting side is reset, so that it does not
                 take what it received for a complete response.
         """
-        self._connections.discard(conn)
+        if conn in self._connections:
+            self._connections.discard(conn)
+            self._shared_bytes -= conn.shared_bytes
         for sock in (conn.near, conn.far):
             if sock is None:
                 continue
--- a/tests/test_connection_relay.py
+++ b/tests/test_connection_relay.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from concurrent import futures
 import contextlib
+import itertools
 import socket
 import struct
 import threading
@@ -133,8 +135,9 @@
     server.close()
 
 
+@pytest.mark.parametrize('pause_s', [0.0, 0.02])
 def test_many_slow_readers_use_little_memory(
-    relay: connection_relay.Relay,
+    relay: connection_relay.Relay, pause_s: float
 ) -> None:
     """Guards against bodies without end that fill a relay's memory."""
 
@@ -149,6 +152,7 @@
                 relay.address, server.address, 1.0
             )
             stack.enter_context(opened.sock)
+            time.sleep(pause_s)
         peaks = []
         end = time.monotonic() + 1.0
         while time.monotonic() < end:
@@ -184,8 +188,13 @@
     """Guards against a reset that is reported once, to a send, and then lost."""
     resetting = threading.Event()
     reset = threading.Event()
+    accepted = itertools.count()
 
     def handle(conn: socket.socket) -> None:
+        if next(accepted):
+            # A reset before the relay has connected would be another fault.
+            conn.recv(1)
+            return
         conn.sendall(b'HTTP/1.1 200 OK\r\n\r\npart')
         resetting.wait(5.0)
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
@@ -200,11 +209,10 @@
     # The relay's thread stands still, so that it gets both events at once.
     held = threading.Event()
     gate.hold = held
-    other = threading.Thread(
-        target=connection_relay.connect_through,
-        args=(relay.address, server.address, 5.0),
+    pool = futures.ThreadPoolExecutor(1)
+    other = pool.submit(
+        connection_relay.connect_through, relay.address, server.address, 5.0
     )
-    other.start()
     sites.until(gate.holding.is_set)
     sock.sendall(b'more of the request')
     time.sleep(0.05)
@@ -214,7 +222,8 @@
     held.set()
     with sock, pytest.raises(ConnectionResetError):
         _read_all(sock)
-    other.join(5.0)
+    other.result(5.0).sock.close()
+    pool.shutdown()
     server.close()
 
 
