A stop closes the port at once

Cause of test_a_drain_under_load_cuts_nothing, which failed once: a stop accepts the connections that have arrived. The selector's thread, told of the last of them, then waited for another one for up to a second, which kept the closed port open in the kernel: who connected then was reset, unread.

Change: the listening socket never blocks.

test_a_stop_closes_the_port_beside_a_thread_that_accepts failed on the code before (the connection opened) and passes now.

--- a/packages/adapters/foxtaildale_adapters/httpd.py
+++ b/packages/adapters/foxtaildale_adapters/httpd.py
@@ -618,6 +618,14 @@
         connection_files.limit_receive_buffer(sock)
         return sock
 
+    def prepare(self) -> None:
+        """Binds the address and listens."""
+        super().prepare()
+        # A stop accepts the connections that have arrived. The selector's thread
+        # may have been told of one of them, and must not wait for another one,
+        # which would keep the port open.
+        self.socket.setblocking(False)
+
     def add_connection(self, conn: _Connection) -> None:
         """Counts a connection as open."""
         with self.became_idle:
@@ -748,7 +756,6 @@
         # to use it, and the library ignores a closed socket, but not None.
         sock = self.socket
         self._connections._selector.unregister(sock.fileno())
-        sock.setblocking(False)
         try:
             while conn := self._connections._from_server_socket(sock):
                 self.process_conn(conn)
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -602,6 +602,25 @@
     running.server.close()
 
 
+def test_a_stop_closes_the_port_beside_a_thread_that_accepts() -> None:
+    """Guards against a port that stays open as its last connection is taken."""
+    running = Running()
+    http_server = running.server._server
+
+    def accept() -> None:
+        # The stop has taken the connection that this thread was told of.
+        http_server._connections._from_server_socket(http_server.socket)
+
+    accepting = threading.Thread(target=accept)
+    accepting.start()
+    time.sleep(0.1)
+    running.server.stop_accepting()
+    with pytest.raises(ConnectionRefusedError):
+        running.connect()
+    accepting.join(PATIENCE_S)
+    running.server.close()
+
+
 def test_a_request_that_arrived_while_the_process_was_suspended_is_served(
     running: Running,
 ) -> None:
