Log crashes under requests that were given up

They were reported to the coordinator without a line. `crash under a request given up` names the server, its start, the fingerprint and what showed the crash. No decision changes.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -493,6 +493,12 @@
             ' next coordinators',
             ('reports', 'successors'),
         ),
+        (
+            'crash under a request given up',
+            'server {server} crashed under a request that had been given up after'
+            ' {ran_ms} ms',
+            ('server', 'born', 'fingerprint', 'ran_ms', 'found'),
+        ),
         (
             'request cleared',
             'requests with this fingerprint run to completion and are no longer'
--- a/packages/daemon/foxtaildaled/crash_detection.py
+++ b/packages/daemon/foxtaildaled/crash_detection.py
@@ -10,6 +10,7 @@
 
 import collections
 from collections.abc import Iterable
+import logging
 import threading
 from typing import Final
 from typing import Protocol
@@ -18,6 +19,7 @@
 from foxtaildale import fingerprint
 from foxtaildale import forwarding
 from foxtaildale import ports
+from foxtaildale_adapters import logs
 from foxtaildaled import routed_request
 
 # Time within which a server may crash under a request that was given up, and until
@@ -158,13 +160,7 @@
                 del self._restarted[next(iter(self._restarted))]
         for given_up in ended:
             if now - given_up.at < RESTART_TTL_S:
-                self._on_crash(
-                    given_up.server,
-                    given_up.request,
-                    ran_s=given_up.at - given_up.began_at,
-                    parts=given_up.parts,
-                    ended_s=now - given_up.at,
-                )
+                self._report(given_up, given_up.at, ended_s=now - given_up.at)
 
     def _remember(
         self,
@@ -182,13 +178,7 @@
             if not has_restarted:
                 self._given_up.append(given_up)
         if has_restarted:
-            self._on_crash(
-                server,
-                req.fingerprint,
-                ran_s=now - began_at,
-                parts=req.prompt_parts,
-                ended_s=0.0,
-            )
+            self._report(given_up, now, ended_s=0.0)
 
     def _handle_other_error(
         self,
@@ -227,12 +217,36 @@
             for given_up in reported:
                 self._given_up.remove(given_up)
         for given_up in reported:
-            self._on_crash(
-                server,
-                given_up.request,
-                ran_s=now - given_up.began_at,
-                parts=given_up.parts,
-            )
+            self._report(given_up, now)
+
+    def _report(
+        self, given_up: _GivenUp, until: float, ended_s: float | None = None
+    ) -> None:
+        """Reports a request that was given up before its server crashed.
+
+        Args:
+            given_up: The request.
+            until: Until when the server ran it, seconds.
+            ended_s: Time since then, seconds, if the list named a later start;
+                None if the server was found down.
+        """
+        ran_s = until - given_up.began_at
+        logs.event(
+            logging.INFO,
+            'crash under a request given up',
+            server=given_up.server.id,
+            born=given_up.server.born,
+            fingerprint=fingerprint.to_text(given_up.request),
+            ran_ms=int(ran_s * 1000),
+            found='refused' if ended_s is None else 'restart',
+        )
+        self._on_crash(
+            given_up.server,
+            given_up.request,
+            ran_s=ran_s,
+            parts=given_up.parts,
+            ended_s=ended_s,
+        )
 
 
 def _is_due(given_up: _GivenUp, server: forwarding.Backend, now: float) -> bool:
