Streams begin unsaved at the only version that has been read

What callers saw: while the store was down, a VM that had read no default version, since none was written yet, or knew one that was not settled, answered each new stream with 502.

A default version that is to be settled still names what an unsaved stream will be taken for, and the first default version of a service with one version is that version.

Change: `unsaved_version` names it where this VM has read so; unread is still unknown.

--- a/packages/daemon/foxtaildaled/default_version_store.py
+++ b/packages/daemon/foxtaildaled/default_version_store.py
@@ -152,16 +152,31 @@
                 and version in self._listed_at_read.get(service, ())
             )
 
-    def default(self, service: str) -> str:
-        """Returns the version of streams that need not be saved.
+    def unsaved_version(self, service: str) -> str:
+        """Returns the version of streams that may begin if they can't be saved.
 
-        Empty if this VM does not know one, so that all streams have to be saved.
+        Such a stream is taken for one of this version later, or refused. If the
+        service has no default version yet, the first one will be its only
+        version. Empty if this VM does not know.
         """
+        versions, epoch = self._owner.run(
+            lambda state, now: (
+                state.fleet.versions(service, now),
+                positions.epoch(state.servers_position()),
+            )
+        )
         with self._lock:
+            is_read = self._has_read and positions.epoch(self._end) == epoch
             default = self._defaults.get(service)
-        if default is None or not self.is_default(service, default.version):
-            return ''
-        return default.version
+            if default is None:
+                is_only = is_read and len(versions) == 1
+                return next(iter(versions)) if is_only else ''
+            is_known = (
+                not default.is_retired
+                and default.epoch == positions.epoch(self._end)
+                and default.version in self._listed_at_read.get(service, ())
+            )
+            return default.version if is_known else ''
 
     def read(self, service: str) -> default_versions.DefaultVersion | None:
         """Reads the default version of a service; None if it has none.
--- a/packages/daemon/foxtaildaled/origin_finder.py
+++ b/packages/daemon/foxtaildaled/origin_finder.py
@@ -117,7 +117,8 @@
         wait_s = MAX_REPORT_WAIT_S if is_mixed else 0.0
         # What this VM does not know of the default version may be known where
         # the stream is resumed, and what is not settled may be settled by then.
-        is_held = must_save and not is_default
+        unsaved = self._defaults.unsaved_version(service) if must_save else ''
+        is_held = must_save and version != unsaved
         is_saved = self._reports.record(
             origin,
             MAX_SAVE_WAIT_S if must_save else wait_s,
@@ -130,7 +131,7 @@
             req.log(
                 'stream not begun',
                 software=version,
-                default=self._defaults.default(service),
+                default=unsaved,
             )
             raise attempt_state.RequestRefused(codes.FAILED)
 
@@ -173,7 +174,7 @@
         if not req.route.resumable or self._reports.saves_in_time():
             return
         service = req.service.name
-        default = self._defaults.default(service)
+        default = self._defaults.unsaved_version(service)
         if default:
             req.software_version = default
             req.log('default version only', software=default)
