--- a/packages/core/foxtaildale/server_uptimes.py
+++ b/packages/core/foxtaildale/server_uptimes.py
@@ -14,8 +14,8 @@
 
 # How long a time is remembered, seconds.
 UPTIME_TTL_S: Final = 300.0
-# Pause between two responses in which no server can end and be back, seconds.
-MAX_PAUSE_S: Final = 0.3
+# Time in which no server can end and be back, seconds.
+MIN_RESTART_S: Final = 0.4
 # Maximum number of starts, and of times of each, that are remembered.
 _MAX_STARTS: Final = 4096
 _MAX_TIMES: Final = 32
@@ -48,7 +48,7 @@
         key = server, started_at
         times = self._times.pop(key, [])
         began_at, ended_at = min(sent_at, now), now
-        while times and began_at <= times[-1][1] + MAX_PAUSE_S:
+        while times and began_at <= times[-1][1] + MIN_RESTART_S:
             began_at = min(began_at, times.pop()[0])
         times.append((began_at, ended_at))
         while len(times) > _MAX_TIMES or now - times[0][1] > UPTIME_TTL_S:
--- a/packages/daemon/foxtaildaled/crash_evidence.py
+++ b/packages/daemon/foxtaildaled/crash_evidence.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 import itertools
 import logging
+import math
 import threading
 from typing import Final
 from typing import TypeVar
@@ -18,6 +19,7 @@
 from foxtaildale import part_blame
 from foxtaildale import part_completions
 from foxtaildale import ports
+from foxtaildale import server_uptimes
 from foxtaildale_adapters import logs
 from foxtaildaled import actors
 from foxtaildaled import router_state
@@ -164,15 +166,17 @@
     ran_since = state.fleet.uptimes.ran_since(
         server, started_at, crashed_at + RUNNING_MARGIN_S
     )
-    if ran_since <= crashed_at:
+    if ran_since <= crashed_at + server_uptimes.MIN_RESTART_S:
         return True
+    if not started_at:
+        # A server that does not name its start has a new id after each.
+        return ran_since < math.inf
     # The process that responded was there when the list was written, so it is
     # the one that the list names.
     server_state = state.fleet.server_state(server)
     current_at = state.servers_current_at
     return (
-        started_at > 0
-        and server_state is not None
+        server_state is not None
         and server_state.listed.born == started_at
         and current_at is not None
         and current_at >= ran_since + NEW_ENTRY_S
--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -179,6 +179,9 @@
     vm = _Evidence()
     vm.responds(50.0, 51.0)
     assert vm.refutes(50.2)
+    # Nothing can have ended and be back so soon.
+    assert vm.refutes(49.7)
+    assert not vm.refutes(49.5)
     assert not vm.refutes(50.8)
     # Responses that overlap are of one process.
     vm.responds(50.9, 51.5)
@@ -211,6 +214,14 @@
     assert not vm.refutes(50.0, born=_BORN - 1)
 
 
+def test_a_server_that_names_no_start_has_a_new_id_after_each() -> None:
+    """Guards against held requests of servers without a time of their start."""
+    vm = _Evidence()
+    vm.responds(55.0, 55.1, born=0)
+    assert vm.refutes(50.0, born=0)
+    assert not vm.refutes(55.0, born=0)
+
+
 def test_uptimes_are_bounded() -> None:
     """Guards against memory that grows with restarts and pauses."""
     uptimes = server_uptimes.ServerUptimes()
