A stop sends the reports of crashes that its loop has not

Cause: the report wakes a loop, and the stop ends the loops as soon as nothing is open any more.

Change: a stop sends what is pending after its last request, and logs what it could not.

test_a_stop_sends_the_reports_that_its_loop_has_not failed on the code before and passes now.

--- a/packages/core/foxtaildale/logevents.py
+++ b/packages/core/foxtaildale/logevents.py
@@ -499,6 +499,12 @@
             ' {ran_ms} ms',
             ('server', 'born', 'fingerprint', 'ran_ms', 'found'),
         ),
+        (
+            'crash reports dropped',
+            'this process ends, and its last reports of crashes reached no'
+            ' coordinator',
+            (),
+        ),
         (
             'request cleared',
             'requests with this fingerprint run to completion and are no longer'
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -272,6 +272,13 @@
             self._save_at = now + SAVE_INTERVAL_S
             self._save()
 
+    def send_pending(self) -> None:
+        """Sends the reports that the loop has not sent; called by a stop."""
+        with self._lock:
+            has_pending = bool(self._pending)
+        if has_pending and not self._send_reports():
+            logs.event(logging.WARNING, 'crash reports dropped')
+
     def _quarantine_parts(self) -> bool:
         """Quarantines parts of prompts that explain crashes.
 
--- a/packages/daemon/foxtaildaled/router_daemon.py
+++ b/packages/daemon/foxtaildaled/router_daemon.py
@@ -528,7 +528,9 @@
             loop.request_stop()
         for server in (self._server, self._readiness, self._admin):
             server.close(in_use_s)
-        # The requests that have just ended may have queued releases.
+        # The requests that have just ended may have reported crashes, and queued
+        # releases.
+        self._quarantining.send_pending()
         dropped = self._cleanup.close(_FLUSH_S)
         dropped += self._coordinators.close(_FLUSH_S)
         dropped += self._origin_reports.close(_FLUSH_S)
--- a/tests/test_quarantine_path.py
+++ b/tests/test_quarantine_path.py
@@ -315,6 +315,17 @@
     sites.until(lambda: site.all_hold(7), 6.0)
 
 
+def test_a_stop_sends_the_reports_that_its_loop_has_not(site: _Site) -> None:
+    """Guards against a crash that is seen as the last request of a VM ends."""
+    site.start_routers(3)
+    ending = site.routers.pop(0)
+    ending._quarantining.on_report = lambda: None
+    _report(ending._quarantining, 7, 'x1', 'x2', 'x3')
+    ending.close()
+
+    sites.until(lambda: site.all_hold(7), 6.0)
+
+
 def test_reports_reach_a_vm_that_joins_after_them(site: _Site) -> None:
     """Guards against reports whose only copies end with the first VMs."""
     site.start_routers(2)
