--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -46,8 +46,8 @@
 # Maximum number of reports that are passed on at once.
 MAX_REPORTS: Final = 256
 
-# Minimum time between two crashes of one start by the list, seconds: the server has
-# started again, and its new entry is not read yet.
+# Minimum time between two crashes of one listed incarnation, seconds: the server has
+# restarted, and its new entry is not read yet.
 MIN_RESTART_S: Final = 0.3
 # Maximum delay of a report that is passed on, seconds.
 _COPY_DELAY_S: Final = 0.5
@@ -74,7 +74,7 @@
         # When the crash was first reported, and when it happened, seconds.
         self.reported_at = reported_at
         self.happened_at = happened_at
-        # Whether the list named a later start of the server.
+        # Whether the list named a later incarnation of the server.
         self.is_proven = False
         # Reports of the requests that ran there, by fingerprint.
         self.requests: dict[int, messages.Crash] = {}
@@ -109,7 +109,7 @@
             self.drop(longest.fingerprint)
 
     def precedes(self, crash: messages.Crash, crashed_at: float) -> bool:
-        """Whether a report is about a later crash, after another start.
+        """Whether a report is about a later crash, after a restart.
 
         A request that was sent after the crash and ended soon was sent on a
         kept-alive connection that the crash had already broken.
--- a/packages/core/foxtaildale/messages.py
+++ b/packages/core/foxtaildale/messages.py
@@ -606,8 +606,8 @@
     # that other requests may share.
     service: str = ''
     parts: tuple[int, ...] = ()
-    # Whether the list named a later start of the server; the request had ended
-    # before, and `age_ms` counts from its end.
+    # Whether the list named a later incarnation of the server; the request had
+    # ended before, and `age_ms` counts from its end.
     is_proven: bool = False
 
 
@@ -649,7 +649,7 @@
     started_at: int
     # Time since the crash, milliseconds.
     age_ms: int
-    # Tells crashes of one start by the list from each other.
+    # Tells crashes of one listed incarnation from each other.
     number: int = 0
 
 
@@ -673,8 +673,8 @@
     completed: tuple[int, ...] = ()
     # Whether any request of the service completed recently.
     service_completes: bool = False
-    # Those of the servers that did not crash: the same start of them completed
-    # a response later.
+    # Those of the servers that did not crash: the same incarnation completed a
+    # response later.
     refuted: tuple[CrashedServer, ...] = ()
 
 
--- a/packages/core/foxtaildale/server_uptimes.py
+++ b/packages/core/foxtaildale/server_uptimes.py
@@ -1,9 +1,9 @@
-"""When the starts of backend servers are known to have run.
+"""When the incarnations of backend servers are known to have run.
 
-A complete response shows that one process of its server ran from the time at which
-the request was sent until the end of the response. Which start that was is known by
-the list of servers only, and late: a server that starts again may respond before
-its new entry is read. So times at which one process ran are kept apart unless they
+A complete response shows that one incarnation of its server ran from the time at
+which the request was sent until the end of the response. Which one that was is known
+by the list of servers only, and late: a server that restarts may respond before its
+new entry is read. So times at which one incarnation ran are kept apart unless they
 overlap.
 
 This module does no I/O; the time is an argument.
@@ -16,12 +16,12 @@
 UPTIME_TTL_S: Final = 300.0
 # Time in which no server can end and be back, seconds.
 MIN_RESTART_S: Final = 0.4
-# Maximum number of starts, and of times of each, that are remembered.
-_MAX_STARTS: Final = 4096
+# Maximum number of incarnations, and of times of each, that are remembered.
+_MAX_INCARNATIONS: Final = 4096
 _MAX_TIMES: Final = 32
 
 # The id of a server, and when it started, Unix milliseconds.
-_Start = tuple[str, int]
+_Incarnation = tuple[str, int]
 
 
 class ServerUptimes:
@@ -30,9 +30,9 @@
     __slots__ = ('_times',)
 
     def __init__(self) -> None:
-        # Begin and end of each time in which one process ran, seconds, in order.
-        # The starts that responded last are at the end.
-        self._times: dict[_Start, list[tuple[float, float]]] = {}
+        # Begin and end of each time in which one incarnation ran, seconds, in
+        # order. Those that responded last are at the end.
+        self._times: dict[_Incarnation, list[tuple[float, float]]] = {}
 
     def record(
         self, server: str, started_at: int, sent_at: float, now: float
@@ -54,11 +54,11 @@
         while len(times) > _MAX_TIMES or now - times[0][1] > UPTIME_TTL_S:
             del times[0]
         self._times[key] = times
-        if len(self._times) > _MAX_STARTS:
+        if len(self._times) > _MAX_INCARNATIONS:
             del self._times[next(iter(self._times))]
 
     def ran_since(self, server: str, started_at: int, at: float) -> float:
-        """Returns since when the process ran that ran later than a time.
+        """Returns since when an incarnation ran that ran later than a time.
 
         Args:
             server: The server's id.
--- a/packages/daemon/foxtaildaled/crash_detection.py
+++ b/packages/daemon/foxtaildaled/crash_detection.py
@@ -5,7 +5,7 @@
 
 A server may also crash under a request that was just given up, since it took too
 long, or be back before it is probed. Such requests are remembered for a moment, and
-reported if the server is found down, or if the list names a later start of it.
+reported if the server is found down, or if the list names a later incarnation.
 """
 
 import collections
@@ -23,7 +23,7 @@
 from foxtaildaled import routed_request
 
 # Time within which a server may crash under a request that was given up, and until
-# a later start of it is listed, seconds.
+# a later incarnation is listed, seconds.
 GIVEN_UP_TTL_S: Final = 1.5
 RESTART_TTL_S: Final = 6.0
 # Maximum number of such requests, and of restarted servers, that are remembered.
@@ -140,7 +140,7 @@
             self._remember(req, server, began_at)
 
     def handle_restart(self, server: forwarding.Backend) -> None:
-        """Handles a later start of a server that the list names.
+        """Handles a later incarnation of a server that the list names.
 
         It may be called in a turn of the owner of the state.
         """
@@ -227,8 +227,8 @@
         Args:
             given_up: The request.
             until: Until when the server ran it, seconds.
-            ended_s: Time since then, seconds, if the list named a later start;
-                None if the server was found down.
+            ended_s: Time since then, seconds, if the list named a later
+                incarnation; None if the server was found down.
         """
         ran_s = until - given_up.began_at
         logs.event(
@@ -250,7 +250,7 @@
 
 
 def _is_due(given_up: _GivenUp, server: forwarding.Backend, now: float) -> bool:
-    """Whether a start of a server may have crashed under a request."""
+    """Whether an incarnation may have crashed under a request."""
     known = given_up.server
     return (known.id, known.born) == (
         server.id,
--- a/packages/daemon/foxtaildaled/crash_evidence.py
+++ b/packages/daemon/foxtaildaled/crash_evidence.py
@@ -159,7 +159,7 @@
 
     Args:
         state: The state of this VM.
-        crashed: The server and its start.
+        crashed: The incarnation of the server.
         crashed_at: When it is said to have crashed, seconds.
     """
     server, started_at = crashed.server, crashed.started_at
@@ -171,8 +171,8 @@
     if not started_at:
         # A server that does not name its start has a new id after each.
         return ran_since < math.inf
-    # The process that responded was there when the list was written, so it is
-    # the one that the list names.
+    # The incarnation that responded ran when the list was written, so it is the
+    # one that the list names.
     server_state = state.fleet.server_state(server)
     current_at = state.servers_current_at
     return (
--- a/packages/daemon/foxtaildaled/quarantine_manager.py
+++ b/packages/daemon/foxtaildaled/quarantine_manager.py
@@ -162,8 +162,8 @@
             parts: Fingerprints of the parts of its prompt that other requests
                 may share.
             ended_s: Time since the request was given up, seconds, if the list
-                has named a later start of the server since; None if the
-                server crashed now.
+                has named a later incarnation of the server since; None if
+                the server crashed now.
         """
         # The smallest ones, if there are too many: all VMs choose alike.
         reported = sorted(
