--- a/tests/test_restarted_servers.py
+++ b/tests/test_restarted_servers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import itertools
+import random
 import threading
 import time
 from typing import Any
@@ -15,7 +16,9 @@
 from foxtaildale import forwarding
 from foxtaildale import messages
 from foxtaildale import server_uptimes
+from foxtaildale_platform import records
 from foxtaildaled import crash_evidence
+from foxtaildaled import router_state
 from tests import site as sites
 from tests.standins import crasher
 
@@ -135,7 +138,9 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        self._state = sites_state()
+        self._state = router_state.RouterState(
+            records.Codec(), 'vm-1:1', (), '', random.Random(1)
+        )
         self._state.fleet.put(
             forwarding.Backend(
                 id='s1', service='plain', address='127.0.0.1:1', born=_BORN
@@ -162,18 +167,6 @@
         return self._evidence.reply_to(msg).refuted == (crashed,)
 
 
-def sites_state() -> Any:  # noqa: ANN401
-    """Returns a state with an empty list."""
-    import random
-
-    from foxtaildale_platform import records
-    from foxtaildaled import router_state
-
-    return router_state.RouterState(
-        records.Codec(), 'vm-1:1', (), '', random.Random(1)
-    )
-
-
 def test_a_response_that_spans_a_crash_refutes_it() -> None:
     """Guards against sound requests that are held since a cut refused some."""
     vm = _Evidence()
