--- a/packages/core/foxtaildale/crashes.py
+++ b/packages/core/foxtaildale/crashes.py
@@ -48,7 +48,7 @@
 
 # Minimum time between two crashes of one listed incarnation, seconds: the server has
 # restarted, and its new entry is not read yet.
-MIN_RESTART_S: Final = 0.3
+MIN_CRASH_INTERVAL_S: Final = 0.3
 # Maximum delay of a report that is passed on, seconds.
 _COPY_DELAY_S: Final = 0.5
 
@@ -128,7 +128,7 @@
         return (
             not is_copy
             and began_at > self.happened_at + _DELAY_SPREAD_S
-            and crashed_at > self.happened_at + MIN_RESTART_S
+            and crashed_at > self.happened_at + MIN_CRASH_INTERVAL_S
         )
 
     def drop(self, fingerprint: int) -> None:
--- a/packages/daemon/foxtaildaled/crash_evidence.py
+++ b/packages/daemon/foxtaildaled/crash_evidence.py
@@ -30,7 +30,7 @@
 # crash, seconds: a slow VM reads the end of a response late.
 RUNNING_MARGIN_S: Final = 0.3
 # Time from a server's start until the list has its new entry, seconds. An older
-# list does not tell whether a server that responds has started again.
+# list does not tell whether a server that responds has restarted.
 NEW_ENTRY_S: Final = 2.0
 # Maximum number of servers in one log line.
 MAX_LOGGED_SERVERS: Final = 8
