Test of rest: the server stops refusing before its rest is over

Cause: the test. Its server refused for 2.5 s after the load began, and its rest of 2.5 s began with the first request, some milliseconds later. Where the test's thread woke later than those milliseconds, the first request behind the rest was refused as well, and told all routers to rest for another 2.5 s, past the end of the test. The threads that met closed ports are those of the load, which a failed assertion did not end.

Change: the server stops refusing 0.5 s before; the time until it must be used again is the same, and all requests within the rest are counted as before.

--- a/tests/test_selfreports_path.py
+++ b/tests/test_selfreports_path.py
@@ -207,9 +207,10 @@
     worker.refuse = True
     worker.rest_s = _REST_S
     load = _load(site, target)
-    time.sleep(_REST_S)
+    # Before the rest is over: the first request behind it must not be refused.
+    time.sleep(_REST_S - _RESTS_S)
     worker.refuse = False
-    time.sleep(1.0)
+    time.sleep(_RESTS_S + 1.0)
     # It is asked again when the time is over.
     assert _is_used(site, name)
     load.end()
